--- a/src/bin/doordock-benchlink/main.rs
+++ b/src/bin/doordock-benchlink/main.rs
@@ -1,13 +1,12 @@
 //! Carries the simulator's wire to the decision module and back. Translation only.
 
-mod setup;
 mod wire;
 
 use doordock::interface::{
     Action, AttemptNo, CellId, ClassId, CustomerId, Event, GatewayId, ListKind, Outcome, PlanId, RequestId,
     ServerEntry, ServerId, Standing, ZoneId,
 };
-use doordock::Gateway;
+use doordock::{setup, Gateway};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
--- /dev/null
+++ b/src/bin/saffronpaddle/config.rs
@@ -0,0 +1,131 @@
+//! What the edge node is told at its start: `LB_*` and the JSON of `LB_CONFIG`, as typed values.
+
+use anyhow::{ensure, Context, Result};
+use doordock::setup::{self, Named};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::net::SocketAddr;
+
+/// All that the edge node is told.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    pub peers: Option<PeerAddresses>,
+    /// The list of app servers as it was last held. It may be old.
+    pub known: Option<List>,
+    pub named: Named,
+}
+
+/// Where datagrams arrive and go. Peers stand in the order of their numbers, this node among them.
+pub struct PeerAddresses {
+    pub listen: SocketAddr,
+    pub each: Vec<SocketAddr>,
+    pub all: Option<SocketAddr>,
+}
+
+/// The list of app servers, or changes to it, as discovery writes it.
+#[derive(Deserialize, Clone, Debug, PartialEq)]
+pub struct List {
+    pub seq: u64,
+    #[serde(default)]
+    pub whole: bool,
+    #[serde(default)]
+    pub hosts: Vec<Host>,
+}
+
+#[derive(Deserialize, Clone, Debug, PartialEq)]
+pub struct Host {
+    pub host: String,
+    pub dial: SocketAddr,
+    pub site: String,
+    #[serde(default)]
+    pub block: u64,
+    pub health: Health,
+    #[serde(default = "full_share")]
+    pub share: f64,
+    #[serde(default)]
+    pub born_ms: u64,
+}
+
+fn full_share() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Health {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    known: Option<List>,
+    settings: Box<RawValue>,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    #[serde(default = "few_sockets")]
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: few_sockets() }
+    }
+}
+
+fn few_sockets() -> usize {
+    1024
+}
+
+/// Fewer descriptors than this leave no room for clients beside app servers.
+const FEWEST_SOCKETS: usize = 64;
+
+impl Config {
+    /// Reads the file that `LB_CONFIG` names; the other variables overrule what it says.
+    pub fn from_environment(variable: impl Fn(&str) -> Option<String>) -> Result<Config> {
+        let path = variable("LB_CONFIG").context("LB_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).with_context(|| format!("LB_CONFIG: {path}"))?;
+        let mut config = Config::parse(&text).with_context(|| format!("LB_CONFIG: {path}"))?;
+        if let Some(name) = variable("LB_NAME") {
+            config.name = name;
+        }
+        for (key, address) in [("LB_LISTEN", &mut config.listen), ("LB_DISCOVERY", &mut config.discovery)] {
+            if let Some(text) = variable(key) {
+                *address = text.parse().with_context(|| format!("{key}: {text:?} is no address"))?;
+            }
+        }
+        Ok(config)
+    }
+
+    pub fn parse(text: &str) -> Result<Config> {
+        let file: File = serde_json::from_str(text)?;
+        let named = setup::read(file.settings.get()).map_err(anyhow::Error::msg).context("settings")?;
+        named.settings.check().context("settings")?;
+        ensure!(file.limits.sockets >= FEWEST_SOCKETS, "limits.sockets: {FEWEST_SOCKETS} are needed");
+        let peers =
+            file.peer_listen.map(|listen| PeerAddresses { listen, each: file.peers, all: file.peers_all });
+        let seed = u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..));
+        let (name, listen, discovery) = (file.name, file.listen, file.discovery);
+        let sockets = file.limits.sockets;
+        Ok(Config { name, listen, discovery, seed, sockets, peers, known: file.known, named })
+    }
+}
--- /dev/null
+++ b/src/bin/saffronpaddle/discovery.rs
@@ -0,0 +1,102 @@
+//! Discovery: a watch on the list of app servers, opened again whenever it ends or falls silent.
+
+use crate::config::List;
+use crate::node::Node;
+use anyhow::{bail, ensure, Context, Result};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// A watch says something every 2 s; one that misses two such signs is taken for dead.
+const SILENT_FOR: Duration = Duration::from_secs(5);
+/// Until a watch that ended is opened again: at first, doubled each time, and at the most.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Most bytes of one line of a watch.
+const LINE_MOST: usize = 4 << 20;
+
+/// Applies versions in order. `known` may be old, and a watch may tell again what is known.
+struct Follower {
+    node: Rc<Node>,
+    seq: Option<u64>,
+}
+
+impl Follower {
+    fn take(&mut self, list: &List) {
+        if list.whole || self.seq.is_none_or(|seq| list.seq > seq) {
+            self.seq = Some(list.seq);
+            self.node.listed(list);
+        }
+    }
+}
+
+/// Follows the list for ever. While discovery is down the old list stands.
+pub async fn follow(node: Rc<Node>, address: SocketAddr, known: Option<List>) {
+    let mut follower = Follower { node, seq: None };
+    if let Some(known) = known {
+        follower.take(&List { whole: true, ..known });
+    }
+    let mut pause = BACKOFF.0;
+    let mut told = false;
+    loop {
+        let before = follower.seq;
+        if let Err(error) = watch(&mut follower, address).await {
+            if !std::mem::replace(&mut told, true) {
+                eprintln!("discovery: {error:#}");
+            }
+        }
+        if follower.seq != before {
+            (pause, told) = (BACKOFF.0, false);
+        }
+        // Spread out, so that all edge nodes do not come back at one stroke.
+        tokio::time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+        pause = (pause * 2).min(BACKOFF.1);
+    }
+}
+
+/// One watch, until it ends.
+async fn watch(follower: &mut Follower, address: SocketAddr) -> Result<()> {
+    let stream = timeout(SILENT_FOR, TcpStream::connect(address)).await??;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::task::spawn_local(connection);
+    let ended = read(follower, &mut sender, address).await;
+    driver.abort();
+    ended
+}
+
+async fn read(
+    follower: &mut Follower, sender: &mut http1::SendRequest<Empty<Bytes>>, address: SocketAddr,
+) -> Result<()> {
+    let from = follower.seq.map_or(String::new(), |seq| format!("&from={seq}"));
+    let request = Request::builder().uri(format!("/api/targets?watch=1{from}"));
+    let request = request.header(HOST, address.to_string()).body(Empty::new())?;
+    let answer = timeout(SILENT_FOR, sender.send_request(request)).await??;
+    ensure!(answer.status() == StatusCode::OK, "the watch was answered {}", answer.status());
+    let mut body = answer.into_body();
+    let mut line = Vec::new();
+    // A silent machine keeps its connection open: only the missing signs of life tell.
+    while let Some(frame) = timeout(SILENT_FOR, body.frame()).await.context("the watch is silent")? {
+        let Ok(data) = frame?.into_data() else { continue };
+        let mut rest = &data[..];
+        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            line.extend_from_slice(&rest[..end]);
+            rest = &rest[end + 1..];
+            if !line.trim_ascii().is_empty() {
+                follower.take(&serde_json::from_slice(&line).context("a line of the watch")?);
+            }
+            line.clear();
+        }
+        line.extend_from_slice(rest);
+        if line.len() > LINE_MOST {
+            bail!("a line of the watch has no end");
+        }
+    }
+    bail!("the watch ended")
+}
--- /dev/null
+++ b/src/bin/saffronpaddle/main.rs
@@ -0,0 +1,76 @@
+//! The edge node: a shell of sockets round the decision module. It makes no policy.
+#![forbid(unsafe_code)]
+
+mod clients;
+mod config;
+mod discovery;
+mod node;
+mod peers;
+mod upstream;
+
+use anyhow::{Context, Result};
+use clients::Phase;
+use config::Config;
+use node::Node;
+use peers::Peers;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use upstream::Upstream;
+
+/// After SIGTERM new connections go on coming for so long at the least.
+const LEAVING_FOR: Duration = Duration::from_millis(600);
+/// Descriptors for all but clients and app servers: listener, discovery, peers, the runtime's own.
+const RESERVED: usize = 32;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("saffronpaddle: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let config = Config::from_environment(|key| std::env::var(key).ok())?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve(config))
+}
+
+async fn serve(config: Config) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.with_context(|| format!("listen {}", config.listen))?;
+    let peers = match config.peers {
+        Some(addresses) => Some(Peers::bind(addresses, config.named.settings.me).await?),
+        None => None,
+    };
+    let each_side = (config.sockets - RESERVED) / 2;
+    let longest = Duration::from_micros(config.named.longest_deadline);
+    let upstream = Upstream::new(each_side, config.named.conn_idle, config.named.connect_timeout);
+    let node = Node::new(config.seed, config.named, upstream, peers)?;
+    eprintln!("{}: listening on {}", config.name, config.listen);
+
+    let (phase, seen) = watch::channel(Phase::Serving);
+    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), config.discovery, config.known));
+    tokio::task::spawn_local(peers::listen(Rc::clone(&node)));
+    tokio::task::spawn_local(retire(Rc::clone(&node)));
+    let clients = tokio::task::spawn_local(clients::serve(listener, node, each_side, seen));
+
+    terminate.recv().await;
+    phase.send_replace(Phase::Leaving);
+    tokio::time::sleep(LEAVING_FOR).await;
+    phase.send_replace(Phase::Closing);
+    // All that was taken ends by its own deadline; a client that never reads must not hold up the exit.
+    let _ = tokio::time::timeout(longest, clients).await;
+    Ok(())
+}
+
+async fn retire(node: Rc<Node>) {
+    node.upstream.retire().await;
+}
--- /dev/null
+++ b/src/bin/saffronpaddle/node.rs
@@ -0,0 +1,209 @@
+//! Owns the decision module and all that it speaks of: the clock, the open requests and their attempts.
+//! Only here is the module called; what it asks for is done in the order in which it asks.
+
+use crate::config::{Health, List};
+use crate::peers::Peers;
+use crate::upstream::{Forward, Upstream};
+use bytes::Bytes;
+use doordock::interface::{
+    Action, AttemptNo, CellId, Event, ListKind, Micros, Outcome, RequestId, ServerEntry, ServerId, Standing,
+    ZoneId,
+};
+use doordock::setup::Named;
+use doordock::Gateway;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// The final answer to a client's request.
+#[derive(Debug)]
+pub enum Answer {
+    Served(Bytes),
+    Refused(Option<Duration>),
+    Failed,
+}
+
+/// A request that has no final answer yet.
+struct Pending {
+    forward: Rc<Forward>,
+    answer: oneshot::Sender<Answer>,
+    attempts: u32,
+}
+
+/// Unix time in µs that never goes back: what discovery says of starts needs no conversion but of units.
+pub struct Clock {
+    started: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), unix: unix.as_micros() as Micros }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.unix + self.started.elapsed().as_micros() as Micros
+    }
+}
+
+type AttemptKey = (RequestId, AttemptNo);
+
+pub struct Node {
+    pub named: Named,
+    pub upstream: Upstream,
+    pub peers: Option<Peers>,
+    clock: Clock,
+    gateway: RefCell<Gateway>,
+    requests: RefCell<HashMap<RequestId, Pending>>,
+    /// Attempts that are out; a word, or its loss, calls one off.
+    out: RefCell<HashMap<AttemptKey, oneshot::Sender<()>>>,
+}
+
+impl Node {
+    pub fn new(
+        seed: u64, named: Named, upstream: Upstream, peers: Option<Peers>,
+    ) -> anyhow::Result<Rc<Node>> {
+        let clock = Clock::start();
+        let gateway = Gateway::new(seed, named.settings.clone(), clock.now())?;
+        Ok(Rc::new(Node {
+            named,
+            upstream,
+            peers,
+            clock,
+            gateway: RefCell::new(gateway),
+            requests: RefCell::default(),
+            out: RefCell::default(),
+        }))
+    }
+
+    /// Gives the module an event and does what it asks for. No action waits, and none makes an event at once:
+    /// the module is never entered twice.
+    pub fn post(self: &Rc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        self.gateway.borrow_mut().handle(self.clock.now(), event, &mut actions);
+        actions.into_iter().for_each(|action| self.apply(action));
+    }
+
+    fn apply(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Send { id, server, time_out } => self.send(id, server, time_out),
+            Action::Refuse { id, retry_in } => {
+                self.answer(&id, Answer::Refused(retry_in.map(Duration::from_micros)));
+            }
+            Action::Fail { id } => {
+                self.answer(&id, Answer::Failed);
+            }
+            Action::Cancel { id, attempt } => {
+                // Dropping the sender is the word; the attempt closes its connection, then reports.
+                self.out.borrow_mut().remove(&(id, attempt));
+            }
+            Action::TellAll { bytes } => self.peers.iter().for_each(|peers| peers.tell_all(&bytes)),
+            Action::Tell { to, bytes } => self.peers.iter().for_each(|peers| peers.tell(to, &bytes)),
+            Action::Wake { after, token } => {
+                let node = Rc::clone(self);
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(Duration::from_micros(after)).await;
+                    node.post(Event::Woke { token });
+                });
+            }
+            Action::Follow => {} // discovery is always followed
+            Action::Log(line) => eprintln!("{line}"),
+        }
+    }
+
+    /// Takes a request in. `None` if its id is in use: two owners of one id would mix up their answers.
+    pub fn take(self: &Rc<Self>, event: Event, forward: Forward) -> Option<oneshot::Receiver<Answer>> {
+        let (answer, answered) = oneshot::channel();
+        let id = forward.id.clone();
+        if self.is_open(&id) || self.out.borrow().keys().any(|key| key.0 == id) {
+            return None;
+        }
+        let pending = Pending { forward: Rc::new(forward), answer, attempts: 0 };
+        self.requests.borrow_mut().insert(id, pending);
+        self.post(event);
+        Some(answered)
+    }
+
+    /// Nobody waits for this request any more: its client is gone, or its time is up.
+    pub fn abandon(self: &Rc<Self>, id: &RequestId) {
+        if self.requests.borrow_mut().remove(id).is_some() {
+            self.post(Event::Abandoned { id: id.clone() });
+        }
+    }
+
+    fn is_open(&self, id: &RequestId) -> bool {
+        self.requests.borrow().contains_key(id)
+    }
+
+    /// Answers a request, unless that has been done: the table entry is the right to answer.
+    fn answer(&self, id: &RequestId, answer: Answer) {
+        if let Some(pending) = self.requests.borrow_mut().remove(id) {
+            // A client that has gone meanwhile takes no answer.
+            let _ = pending.answer.send(answer);
+        }
+    }
+
+    fn send(self: &Rc<Self>, id: RequestId, server: ServerId, time_out: Option<Micros>) {
+        let (forward, attempt) = {
+            let mut requests = self.requests.borrow_mut();
+            // The module hears at once of each request that is answered or abandoned, and sends no such one.
+            let Some(pending) = requests.get_mut(&id) else { return };
+            pending.attempts += 1;
+            (Rc::clone(&pending.forward), AttemptNo(pending.attempts - 1))
+        };
+        let limit = time_out.and_then(|span| Instant::now().checked_add(Duration::from_micros(span)));
+        let until = limit.map_or(forward.deadline, |limit| limit.min(forward.deadline));
+        let (call_off, called_off) = oneshot::channel();
+        self.out.borrow_mut().insert((id.clone(), attempt), call_off);
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let open = || node.is_open(&id);
+            let (outcome, body) = node.upstream.attempt(&forward, server, until, called_off, open).await;
+            node.ended((id, attempt), outcome, body);
+        });
+    }
+
+    /// The connection of the attempt is closed or free again by now, so that no two attempts are ever out.
+    fn ended(self: &Rc<Self>, key: AttemptKey, outcome: Outcome, body: Option<Bytes>) {
+        self.out.borrow_mut().remove(&key);
+        let (id, attempt) = key;
+        if let Some(body) = body {
+            self.answer(&id, Answer::Served(body));
+        }
+        let closed = !self.is_open(&id);
+        self.post(Event::Ended { id, attempt, outcome, closed });
+    }
+
+    /// Follows discovery: the addresses first, so that nothing waiting for a connection goes to who left.
+    pub fn listed(self: &Rc<Self>, list: &List) {
+        let kind = if list.whole { ListKind::Complete } else { ListKind::Changes };
+        let zone = |name: &String| self.named.zones.iter().position(|zone| zone == name);
+        let entries = list.hosts.iter().map(|host| ServerEntry {
+            server: server_id(&host.host),
+            zone: ZoneId(zone(&host.site).map_or(u32::MAX, |place| place as u32)),
+            cell: CellId(host.block),
+            standing: match host.health {
+                Health::Ready => Standing::Ready,
+                Health::Draining => Standing::Draining,
+                Health::Gone => Standing::Gone,
+            },
+            size: host.share,
+            started: (host.born_ms > 0).then_some(host.born_ms.saturating_mul(1000)),
+        });
+        let entries = entries.collect();
+        let hosts = list.hosts.iter();
+        let dials = hosts.map(|host| (server_id(&host.host), host.dial, host.health == Health::Ready));
+        self.upstream.listed(list.whole, dials);
+        self.post(Event::Servers { kind, entries });
+    }
+}
+
+/// A server's id, the same at every edge node: FNV-1a of its name.
+fn server_id(host: &str) -> ServerId {
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    ServerId(host.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+}
--- /dev/null
+++ b/src/bin/saffronpaddle/peers.rs
@@ -0,0 +1,67 @@
+//! Datagrams between edge nodes. They may be late, lost or forged: what they say is the module's concern.
+
+use crate::config::PeerAddresses;
+use crate::node::Node;
+use anyhow::{Context, Result};
+use doordock::interface::{Event, GatewayId};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+
+/// Most bytes of a datagram.
+const MOST: usize = 256;
+
+pub struct Peers {
+    socket: UdpSocket,
+    each: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+    me: usize,
+}
+
+impl Peers {
+    pub async fn bind(addresses: PeerAddresses, me: GatewayId) -> Result<Peers> {
+        let PeerAddresses { listen, each, all } = addresses;
+        let socket = UdpSocket::bind(listen).await.with_context(|| format!("peer_listen {listen}"))?;
+        Ok(Peers { socket, each, all, me: me.0 as usize })
+    }
+
+    pub fn tell(&self, to: GatewayId, bytes: &[u8]) {
+        if let Some(address) = self.each.get(to.0 as usize) {
+            self.send(bytes, *address);
+        }
+    }
+
+    pub fn tell_all(&self, bytes: &[u8]) {
+        if let Some(all) = self.all {
+            return self.send(bytes, all);
+        }
+        let others = self.each.iter().enumerate().filter(|(number, _)| *number != self.me);
+        others.for_each(|(_, address)| self.send(bytes, *address));
+    }
+
+    fn send(&self, bytes: &[u8], to: SocketAddr) {
+        if bytes.len() <= MOST {
+            // Losing one is in the nature of datagrams.
+            let _ = self.socket.try_send_to(bytes, to);
+        }
+    }
+
+    async fn receive(&self) -> Option<(GatewayId, Vec<u8>)> {
+        let mut buffer = [0; MOST + 1];
+        let (length, from) = self.socket.recv_from(&mut buffer).await.ok()?;
+        let sender = self.each.iter().position(|address| *address == from)?;
+        let bytes = buffer.get(..length).filter(|bytes| bytes.len() <= MOST)?;
+        Some((GatewayId(sender as u32), bytes.to_vec()))
+    }
+}
+
+/// Hands what peers say to the node, for ever. Who sent it is told by its address alone; datagrams from
+/// elsewhere, or too long, are passed over.
+pub async fn listen(node: Rc<Node>) {
+    let Some(peers) = &node.peers else { return };
+    loop {
+        if let Some((from, bytes)) = peers.receive().await {
+            node.post(Event::Peer { from, bytes });
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/saffronpaddle/upstream.rs
@@ -0,0 +1,342 @@
+//! Connections to app servers, the attempts on them and how these end.
+
+use bytes::Bytes;
+use doordock::interface::{Micros, Outcome, RequestId, ServerId};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HeaderValue, HOST};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::{self, IoSlice};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+/// Most bytes of a body, either way.
+pub const BODY_MOST: usize = 64 * 1024;
+/// Idle connections kept at one server.
+const IDLE_MOST: usize = 64;
+/// Share of the settings' idle limit for which a connection is kept. Guards against a request written to a
+/// connection that the server is closing: it would end as a reset, which may have run.
+const IDLE_SHARE: f64 = 0.6;
+/// Between rounds that retire idle connections.
+const RETIRE_EVERY: Duration = Duration::from_millis(500);
+
+/// A client's request as it goes on to an app server.
+pub struct Forward {
+    pub id: RequestId,
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    pub key: Option<HeaderValue>,
+    pub body: Bytes,
+    /// When the edge node stops waiting.
+    pub deadline: Instant,
+}
+
+/// A connection, its driver and what was written to it.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    wrote: Rc<Cell<bool>>,
+    idle_since: Instant,
+}
+
+impl Link {
+    /// Closes the socket, and comes back only when that is done.
+    async fn close(self) {
+        self.driver.abort();
+        // It was aborted or has ended: either way the socket is closed.
+        let _ = self.driver.await;
+    }
+
+    fn usable(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+}
+
+struct Place {
+    dial: SocketAddr,
+    ready: bool,
+    idle: Vec<Link>,
+}
+
+impl Place {
+    fn close_idle(&mut self) {
+        self.idle.drain(..).for_each(|link| link.driver.abort());
+    }
+}
+
+pub struct Upstream {
+    places: RefCell<HashMap<ServerId, Place>>,
+    /// Sockets that are open, and the most there may be.
+    sockets: Rc<Cell<usize>>,
+    most: usize,
+    idle_for: Duration,
+    connect_timeout: Duration,
+}
+
+impl Upstream {
+    pub fn new(most: usize, conn_idle: Micros, connect_timeout: Micros) -> Upstream {
+        Upstream {
+            places: RefCell::default(),
+            sockets: Rc::default(),
+            most,
+            idle_for: Duration::from_micros(conn_idle).mul_f64(IDLE_SHARE),
+            connect_timeout: Duration::from_micros(connect_timeout),
+        }
+    }
+
+    /// Follows the list. Who is gone, or not on a whole list, and who moved, loses its idle connections.
+    pub fn listed(&self, whole: bool, servers: impl Iterator<Item = (ServerId, SocketAddr, bool)>) {
+        let mut places = self.places.borrow_mut();
+        if whole {
+            places.values_mut().for_each(|place| place.ready = false);
+        }
+        for (server, dial, ready) in servers {
+            let place = places.entry(server).or_insert_with(|| Place { dial, ready, idle: Vec::new() });
+            if place.dial != dial {
+                place.close_idle();
+            }
+            (place.dial, place.ready) = (dial, ready);
+        }
+        places.values_mut().filter(|place| !place.ready).for_each(Place::close_idle);
+        places.retain(|_, place| place.ready);
+    }
+
+    /// Retires connections that have stood idle for long, for ever.
+    pub async fn retire(&self) {
+        loop {
+            tokio::time::sleep(RETIRE_EVERY).await;
+            for place in self.places.borrow_mut().values_mut() {
+                let fresh = |link: &Link| link.usable() && link.idle_since.elapsed() < self.idle_for;
+                let (kept, old) = place.idle.drain(..).partition(fresh);
+                place.idle = kept;
+                old.into_iter().for_each(|link: Link| link.driver.abort());
+            }
+        }
+    }
+
+    /// One attempt, to its end. When it comes back, its connection is closed or free again.
+    pub async fn attempt(
+        &self, forward: &Forward, server: ServerId, until: Instant, called_off: oneshot::Receiver<()>,
+        open: impl Fn() -> bool,
+    ) -> (Outcome, Option<Bytes>) {
+        tokio::pin!(called_off);
+        let link = match self.idle(server) {
+            Some(link) => link,
+            None => {
+                let connected = tokio::select! {
+                    biased;
+                    _ = &mut called_off => return (Outcome::NotSent, None),
+                    () = tokio::time::sleep_until(until) => return (Outcome::Unreachable, None),
+                    connected = self.connect(server) => connected,
+                };
+                match connected {
+                    Ok(link) => link,
+                    Err(outcome) => return (outcome, None),
+                }
+            }
+        };
+        // Much may have changed while the connection came up. Guards drains, and a request that was answered
+        // meanwhile: what is not written has never run.
+        let dial = self.places.borrow().get(&server).map(|place| place.dial);
+        let (Some(dial), true, true) = (dial, open(), Instant::now() < until) else {
+            self.keep(server, link);
+            return (Outcome::NotSent, None);
+        };
+        let mut link = link;
+        link.wrote.set(false);
+        let outcome = tokio::select! {
+            biased;
+            _ = &mut called_off => Err(Outcome::Cancelled),
+            () = tokio::time::sleep_until(until) => Err(Outcome::TimedOut),
+            answer = exchange(&mut link.sender, forward, dial, until) => answer,
+        };
+        let never = !link.wrote.get();
+        match outcome {
+            Ok((outcome, body)) => {
+                self.keep(server, link);
+                (outcome, body)
+            }
+            Err(outcome) => {
+                link.close().await;
+                // A request of which some bytes were written counts as one that may have run.
+                (if never { unwritten(outcome) } else { outcome }, None)
+            }
+        }
+    }
+
+    /// The idle connection that was used last, so that the others may grow old.
+    fn idle(&self, server: ServerId) -> Option<Link> {
+        let mut places = self.places.borrow_mut();
+        let place = places.get_mut(&server)?;
+        while let Some(link) = place.idle.pop() {
+            if link.usable() && link.idle_since.elapsed() < self.idle_for {
+                return Some(link);
+            }
+            link.driver.abort();
+        }
+        None
+    }
+
+    fn keep(&self, server: ServerId, mut link: Link) {
+        link.idle_since = Instant::now();
+        match self.places.borrow_mut().get_mut(&server) {
+            Some(place) if place.idle.len() < IDLE_MOST && !link.sender.is_closed() => place.idle.push(link),
+            _ => link.driver.abort(),
+        }
+    }
+
+    async fn connect(&self, server: ServerId) -> Result<Link, Outcome> {
+        let dial = self.places.borrow().get(&server).map(|place| place.dial).ok_or(Outcome::NotSent)?;
+        if self.sockets.get() >= self.most && !self.spare_one().await {
+            return Err(Outcome::NotSent);
+        }
+        let slot = Slot::take(&self.sockets);
+        let stream = tokio::time::timeout(self.connect_timeout, TcpStream::connect(dial)).await;
+        let Ok(Ok(stream)) = stream else { return Err(Outcome::Unreachable) };
+        // Without it a request in two pieces would wait for an acknowledgement; it works all the same.
+        let _ = stream.set_nodelay(true);
+        let wrote = Rc::new(Cell::new(false));
+        let io = Watched { stream: TokioIo::new(stream), wrote: Rc::clone(&wrote), _slot: slot };
+        let Ok((sender, connection)) = http1::handshake(io).await else { return Err(Outcome::Unreachable) };
+        let driver = tokio::task::spawn_local(async move {
+            // How it ended shows in the exchange.
+            let _ = connection.await;
+        });
+        Ok(Link { sender, driver, wrote, idle_since: Instant::now() })
+    }
+
+    /// Closes the connection that has been idle longest; false if there is none.
+    async fn spare_one(&self) -> bool {
+        let oldest = {
+            let mut places = self.places.borrow_mut();
+            let some = places.values_mut().filter(|place| !place.idle.is_empty());
+            some.min_by_key(|place| place.idle[0].idle_since).map(|place| place.idle.remove(0))
+        };
+        match oldest {
+            Some(link) => {
+                link.close().await;
+                true
+            }
+            None => false,
+        }
+    }
+}
+
+/// How an attempt ended of which nothing was written: it never ran.
+fn unwritten(outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::Broken | Outcome::TimedOut => Outcome::Unreachable,
+        _ => Outcome::NotSent,
+    }
+}
+
+/// Writes the request and reads its whole answer. An error is an answer that did not come whole.
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>, forward: &Forward, dial: SocketAddr, until: Instant,
+) -> Result<(Outcome, Option<Bytes>), Outcome> {
+    let left = until.saturating_duration_since(Instant::now()).as_millis();
+    let mut request = Request::builder()
+        .method(&forward.method)
+        .uri(&forward.target)
+        .header(HOST, dial.to_string())
+        .header("x-request-id", &*forward.id.0)
+        .header("x-deadline", format!("{left}m"));
+    if let Some(key) = &forward.key {
+        request = request.header("idempotency-key", key);
+    }
+    let request = request.body(Full::new(forward.body.clone())).map_err(|_| Outcome::NotSent)?;
+    let answer = sender.send_request(request).await.map_err(|_| Outcome::Broken)?;
+    let outcome = outcome(&answer);
+    // Buffered whole, so that a client never gets an answer that was cut.
+    let body = Limited::new(answer.into_body(), BODY_MOST).collect().await.map_err(|_| Outcome::Broken)?;
+    Ok((outcome, (outcome == Outcome::Ok).then(|| body.to_bytes())))
+}
+
+fn outcome<B>(answer: &Response<B>) -> Outcome {
+    let not_run = answer.headers().get("x-not-run").is_some_and(|value| value == "1");
+    match answer.status() {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// Counts an open socket for as long as it lives.
+struct Slot(Rc<Cell<usize>>);
+
+impl Slot {
+    fn take(sockets: &Rc<Cell<usize>>) -> Slot {
+        sockets.set(sockets.get() + 1);
+        Slot(Rc::clone(sockets))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// A socket that notes when a byte is written to it.
+struct Watched {
+    stream: TokioIo<TcpStream>,
+    wrote: Rc<Cell<bool>>,
+    _slot: Slot,
+}
+
+impl Watched {
+    fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            self.wrote.set(true);
+        }
+        written
+    }
+}
+
+impl Read for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl Write for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.note(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 mod fuzzy;
 pub mod interface;
 mod message;
+pub mod setup;
 mod state;
 
 pub use control::Gateway;
--- a/src/bin/doordock-benchlink/setup.rs
+++ b/src/setup.rs
@@ -1,7 +1,8 @@
-//! The settings of `hello`, from the wire's words into the module's.
+//! The settings as JSON, from the wire's words into the module's. The simulator's adapter and the edge node
+//! share this reading.
 
-use doordock::interface::{
-    Allowed, Ceiling, Class, Discovery, Effect, GatewayId, Group, Plan, Rules, Settings, ZoneId,
+use crate::interface::{
+    Allowed, Ceiling, Class, Discovery, Effect, GatewayId, Group, Micros, Plan, Rules, Settings, ZoneId,
 };
 use serde::Deserialize;
 
@@ -30,6 +31,8 @@
     name: String,
     aim_us: u64,
     #[serde(default)]
+    deadline_us: u64,
+    #[serde(default)]
     late_value: f64,
     worth: f64,
     repeat: Repeat,
@@ -80,6 +83,18 @@
     send_cap: u32,
     cancel: bool,
     may_tell: bool,
+    #[serde(default = "default_idle")]
+    conn_idle_us: u64,
+    #[serde(default = "default_connect")]
+    connect_timeout_us: u64,
+}
+
+fn default_idle() -> u64 {
+    15_000_000
+}
+
+fn default_connect() -> u64 {
+    250_000
 }
 
 #[derive(Deserialize)]
@@ -114,14 +129,29 @@
     Subscribe,
 }
 
-/// Settings, with the names that later lines use.
+/// Settings, with the names that later lines use and the figures that only sockets need.
+#[derive(Clone, Debug)]
 pub struct Named {
+    /// What the module is told.
     pub settings: Settings,
+    /// Names of the classes, in the order of their ids.
     pub classes: Vec<String>,
+    /// Names of the plans, likewise.
     pub plans: Vec<String>,
+    /// Names of the zones, likewise.
     pub zones: Vec<String>,
+    /// How long a client of any class waits at the most.
+    pub longest_deadline: Micros,
+    /// A server closes a connection that has stood idle for so long.
+    pub conn_idle: Micros,
+    /// A connection that has not come up by then never will.
+    pub connect_timeout: Micros,
 }
 
+/// Reads settings from their JSON text.
+///
+/// # Errors
+/// What is wrong with them, in a line.
 pub fn read(text: &str) -> Result<Named, String> {
     let setup: Setup = serde_json::from_str(text).map_err(|error| error.to_string())?;
     let zone = setup.zones.iter().position(|name| *name == setup.zone);
@@ -155,6 +185,9 @@
     };
     Ok(Named {
         settings,
+        longest_deadline: setup.classes.iter().map(|class| class.deadline_us).max().unwrap_or(0),
+        conn_idle: setup.ceilings.conn_idle_us,
+        connect_timeout: setup.ceilings.connect_timeout_us,
         classes: setup.classes.into_iter().map(|class| class.name).collect(),
         plans: setup.packages.into_iter().map(|plan| plan.name).collect(),
         zones: setup.zones,
