--- /dev/null
+++ b/tests/stand/mod.rs
@@ -0,0 +1,313 @@
+//! Stand-ins on loopback for what an edge node talks to: app servers, discovery, clients.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// No wait is longer; only a failing test gets there.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A message of HTTP/1.1 with a body of known length.
+#[derive(Clone, Debug)]
+pub struct Message {
+    pub start: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// `None` at the end of the connection, or where the message is cut.
+    pub fn read(stream: &mut impl BufRead) -> Option<Message> {
+        let mut line = || {
+            let mut line = String::new();
+            stream.read_line(&mut line).ok().filter(|length| *length > 0)?;
+            Some(line.trim_end().to_owned())
+        };
+        let start = line()?;
+        let mut headers = HashMap::new();
+        loop {
+            let line = line()?;
+            let Some((name, value)) = line.split_once(':') else { break };
+            headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+        }
+        let length = headers.get("content-length").map_or(0, |length| length.parse().expect("a length"));
+        let mut body = vec![0; length];
+        stream.read_exact(&mut body).ok()?;
+        Some(Message { start, headers, body })
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status")
+    }
+}
+
+/// What an app server does with a request.
+#[derive(Clone, Debug)]
+pub enum Does {
+    Answers(&'static str),
+    /// Closes the connection, without a word, after what it says.
+    Ends(&'static str),
+    /// Says nothing and keeps the connection open.
+    IsSilent,
+}
+
+pub const SERVES: Does = Does::Answers("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks");
+pub const ERRS: Does = Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
+pub const IS_FULL: Does = Does::Answers("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+
+/// A request that came whole to an app server, and the connection on which it came.
+pub struct Got {
+    pub server: String,
+    pub message: Message,
+    pub connection: usize,
+    pub stream: TcpStream,
+}
+
+/// App servers, which do by turns what they are told, and the last of it for ever.
+pub struct Servers {
+    pub got: Receiver<Got>,
+    tell: Sender<Got>,
+}
+
+impl Servers {
+    pub fn new() -> Servers {
+        let (tell, got) = mpsc::channel();
+        Servers { got, tell }
+    }
+
+    pub fn start(&self, name: &str, does: &[Does]) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let turns = Arc::new(Mutex::new(does.to_vec()));
+        let (tell, name) = (self.tell.clone(), name.to_owned());
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().flatten().enumerate() {
+                let (tell, name, turns) = (tell.clone(), name.clone(), Arc::clone(&turns));
+                thread::spawn(move || serve(&name, connection, stream, &tell, &turns));
+            }
+        });
+        address
+    }
+
+    pub fn next(&self) -> Got {
+        self.got.recv_timeout(PATIENCE).expect("a request comes to an app server")
+    }
+
+    /// Fails if a request has come that was not looked at.
+    pub fn got_no_more(&self) {
+        assert!(self.got.try_recv().is_err(), "one attempt too many");
+    }
+}
+
+fn serve(
+    server: &str, connection: usize, mut stream: TcpStream, tell: &Sender<Got>, turns: &Mutex<Vec<Does>>,
+) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+    while let Some(message) = Message::read(&mut reader) {
+        let turn = {
+            let mut turns = turns.lock().expect("no panic");
+            if turns.len() > 1 { turns.remove(0) } else { turns[0].clone() }
+        };
+        let (server, stream_told) = (server.to_owned(), stream.try_clone().expect("a clone"));
+        // The test may have ended.
+        let _ = tell.send(Got { server, message, connection, stream: stream_told });
+        match turn {
+            Does::Answers(words) => stream.write_all(words.as_bytes()).unwrap_or(()),
+            Does::Ends(words) => {
+                stream.write_all(words.as_bytes()).unwrap_or(());
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+            Does::IsSilent => {}
+        }
+    }
+}
+
+/// An agent of discovery. Watches come to the test, which writes to them.
+pub struct Discovery {
+    pub address: SocketAddr,
+    watches: Receiver<(String, TcpStream)>,
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (tell, watches) = mpsc::channel();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let head = Message::read(&mut BufReader::new(stream.try_clone().expect("a clone")));
+                let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                if let (Some(head), Ok(())) = (head, stream.write_all(chunked)) {
+                    let _ = tell.send((head.start, stream));
+                }
+            }
+        });
+        Discovery { address, watches }
+    }
+
+    /// The next watch that the edge node opens: how it was asked for, and where to write.
+    pub fn watch(&self) -> (String, TcpStream) {
+        self.watches.recv_timeout(PATIENCE).expect("a watch is opened")
+    }
+}
+
+pub fn write_list(watch: &mut TcpStream, list: &str) {
+    write!(watch, "{:x}\r\n{list}\n\r\n", list.len() + 1).expect("the watch is open");
+}
+
+/// An entry of the list, in discovery's form.
+pub fn host(name: &str, dial: SocketAddr, block: u32, health: &str) -> String {
+    format!(
+        r#"{{"host":"{name}","dial":"{dial}","site":"a","class":"k","block":{block},"health":"{health}","share":1.0,"born_ms":0}}"#
+    )
+}
+
+pub fn list(seq: u64, whole: bool, hosts: &[String]) -> String {
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
+}
+
+const SETTINGS: &str = r#"{"balancers":2,"me":0,"zone":"a","zones":["a"],"periodUs":2000,"discovery":"automatic","ceilings":{"cancel":true,"probes":false,"mayTell":true,"secondCopies":false,"sendCap":4,"connIdleUs":15000000,"connectTimeoutUs":250000},"classes":[{"name":"read","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":3.0,"repeat":"read_like"},{"name":"submit","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":2.0,"repeat":"idempotency_key","group":"cell","windowUs":60000000},{"name":"pay","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":9.0,"repeat":"non_idempotent"}],"packages":[{"name":"p","rate":1000.0,"storeSize":1000.0,"price":1.0},{"name":"tiny","rate":0.5,"storeSize":1.0,"price":1.0}],"rules":{"coldFrom":0.2,"coldUs":1000000,"fallMultiple":3.0,"overloadForUs":1000000},"extra":{"peerInPerS":60.0,"maxUnits":1}}"#;
+
+/// An edge node that runs, with its peers' and its own datagrams' addresses.
+pub struct Node {
+    child: Child,
+    pub address: SocketAddr,
+    /// Where the peer's datagrams come in, and the node's.
+    pub peer: UdpSocket,
+    pub datagrams: SocketAddr,
+    config: std::path::PathBuf,
+}
+
+/// Starts the program with a configuration; it may fail.
+pub fn start(tag: &str, config: &str) -> (Child, std::path::PathBuf) {
+    let file = format!("saffronpaddle-{}-{tag}.json", std::process::id());
+    let path = std::env::temp_dir().join(file);
+    std::fs::write(&path, config).expect("the configuration is written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_saffronpaddle"));
+    for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
+        command.env_remove(key);
+    }
+    let child = command.env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("it starts");
+    (child, path)
+}
+
+impl Node {
+    pub fn start(tag: &str, discovery: SocketAddr, hosts: &[String]) -> Node {
+        Node::with_sockets(tag, discovery, hosts, 1024)
+    }
+
+    pub fn with_sockets(tag: &str, discovery: SocketAddr, hosts: &[String], sockets: usize) -> Node {
+        let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        // A port that was free a moment ago; another process would have to take it just now.
+        let free = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
+        let datagrams = free.expect("an address");
+        let known = list(1, true, hosts);
+        let peer_address = peer.local_addr().expect("an address");
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"peer_listen":"{datagrams}","peers":["{datagrams}","{peer_address}"],"known":{known},"settings":{SETTINGS}}}"#
+        );
+        let (mut child, config) = start(tag, &config);
+        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a line");
+        let address = line.trim_end().rsplit(' ').next().and_then(|word| word.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("it listens: {line}"));
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Node { child, address, peer, datagrams, config }
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("the edge node accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        let reader = BufReader::new(stream.try_clone().expect("a clone"));
+        Client { stream, reader }
+    }
+
+    pub fn terminate(&self) {
+        let kill = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(kill.expect("kill runs").success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("it ends")
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().expect("its state is known").is_none()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+/// A request of a class, as its method goes.
+pub fn request(id: &str, class: &str, deadline: &str) -> String {
+    let (method, more) = match class {
+        "read" => ("GET", ""),
+        "submit" => ("POST", "Idempotency-Key: 5c0f6e1a\r\nContent-Length: 4\r\n"),
+        _ => ("POST", "Content-Length: 4\r\n"),
+    };
+    let body = if method == "POST" { "time" } else { "" };
+    format!(
+        "{method} /{class}/00000000b4d65521?game=7 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\n\
+         X-Class: {class}\r\nX-Tier: p\r\nX-Deadline: {deadline}\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\
+         {more}\r\n{body}"
+    )
+}
+
+impl Client {
+    pub fn write(&mut self, words: &str) {
+        self.stream.write_all(words.as_bytes()).expect("the connection is open");
+    }
+
+    /// The next answer; `None` where the connection ended first.
+    pub fn answer(&mut self) -> Option<Message> {
+        Message::read(&mut self.reader)
+    }
+
+    pub fn ask(&mut self, words: &str) -> Message {
+        self.write(words);
+        self.answer().expect("a whole answer")
+    }
+
+    /// Comes back once the edge node has closed the connection; nothing more may have come on it.
+    pub fn ends(&mut self) {
+        let mut rest = Vec::new();
+        let read = self.reader.read_to_end(&mut rest);
+        assert!(read.is_ok() && rest.is_empty(), "{read:?}: {:?}", String::from_utf8_lossy(&rest));
+    }
+}
+
+/// Waits until the edge node has closed a connection to an app server.
+pub fn closed(got: &Got) -> bool {
+    got.stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    matches!(got.stream.peek(&mut [0]), Ok(0) | Err(_))
+}
+
+/// Whether it is closed by now.
+pub fn closed_by_now(got: &Got) -> bool {
+    got.stream.set_nonblocking(true).expect("a mode");
+    let seen = got.stream.peek(&mut [0]);
+    got.stream.set_nonblocking(false).expect("a mode");
+    matches!(seen, Ok(0))
+}
