--- a/src/bin/saffronpaddle/main.rs
+++ b/src/bin/saffronpaddle/main.rs
@@ -54,7 +54,7 @@
     let longest = Duration::from_micros(config.named.longest_deadline);
     let upstream = Upstream::new(each_side, config.named.conn_idle, config.named.connect_timeout);
     let node = Node::new(config.seed, config.named, upstream, peers)?;
-    eprintln!("{}: listening on {}", config.name, config.listen);
+    eprintln!("{}: listening on {}", config.name, listener.local_addr().context("listen")?);
 
     let (phase, seen) = watch::channel(Phase::Serving);
     tokio::task::spawn_local(discovery::follow(Rc::clone(&node), config.discovery, config.known));
--- /dev/null
+++ b/tests/edge.rs
@@ -0,0 +1,333 @@
+//! The edge node over loopback sockets. Each test stands for something that can go wrong there; none asserts
+//! on speed.
+
+mod stand;
+
+use stand::*;
+use std::io::Write;
+use std::time::Instant;
+
+/// An edge node that knows one app server, which does this.
+fn with_one(tag: &str, does: &[Does]) -> (Servers, Discovery, Node) {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let dial = servers.start("s-1", does);
+    let node = Node::start(tag, discovery.address, &[host("s-1", dial, 1, "ready")]);
+    (servers, discovery, node)
+}
+
+/// An edge node that knows two app servers. The first attempt gets one answer, all others another.
+fn with_two(tag: &str, blocks: [u32; 2], first: Does, then: Does) -> (Servers, Discovery, Node) {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let turns = Turns::new(vec![first, then].into());
+    let number = |(block, name): (u32, &str)| host(name, servers.share(name, &turns), block, "ready");
+    let hosts: Vec<_> = blocks.into_iter().zip(["s-1", "s-2"]).map(number).collect();
+    let node = Node::start(tag, discovery.address, &hosts);
+    (servers, discovery, node)
+}
+
+#[test]
+fn requests_go_on_unchanged_and_answers_come_back_over_kept_connections() {
+    let (servers, _discovery, node) = with_one("plain", &[SERVES]);
+    let mut client = node.client();
+    assert_eq!(client.ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
+    for (number, class) in ["read", "submit", "pay"].into_iter().enumerate() {
+        let answer = client.ask(&request(class, class, "20000m"));
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"ranks"[..]));
+        let got = servers.next();
+        let method = if class == "read" { "GET" } else { "POST" };
+        let start = format!("{method} /{class}/00000000b4d65521?game=7 HTTP/1.1");
+        assert_eq!(got.message.start, start);
+        assert_eq!(got.message.header("x-request-id"), class);
+        assert!(got.message.header("x-deadline").ends_with('m'));
+        assert_eq!(got.message.body, if class == "read" { &b""[..] } else { b"time" });
+        let key = if class == "submit" { "5c0f6e1a" } else { "" };
+        assert_eq!(got.message.header("idempotency-key"), key);
+        assert_eq!(got.connection, 0, "request {number} opened a connection of its own");
+    }
+    servers.got_no_more();
+}
+
+#[test]
+fn bad_requests_are_answered_400_and_413_and_harm_nobody() {
+    let (servers, _discovery, mut node) = with_one("bad", &[SERVES]);
+    let good = request("a", "read", "20000m");
+    let cases = [
+        ("X-Class: read", "X-Class: write", "400"),
+        ("X-Class: read\r\n", "", "400"),
+        ("/read/", "/pay/", "400"),
+        ("00000000b4d65521", "b4d65521", "400"),
+        ("00000000b4d65521", "ffffffffffffffff", "400"),
+        ("X-Tier: p", "X-Tier: q", "400"),
+        ("X-Deadline: 20000m", "X-Deadline: 20", "400"),
+        ("X-Deadline: 20000m", "X-Deadline: NaNm", "400"),
+        ("X-Deadline: 20000m\r\n", "", "400"),
+        ("X-Request-Id: a\r\n", "", "400"),
+        ("units=1", "units=-1", "400"),
+        ("X-Call-Terms", "X-Terms", "400"),
+        ("GET", "POST", "400"),
+        ("HTTP/1.1", "SMTP", "400"),
+    ];
+    for (from, to, status) in cases {
+        let answer = node.client().ask(&good.replacen(from, to, 1));
+        assert_eq!(answer.status().to_string(), status, "{to}");
+    }
+    let keyless = request("b", "submit", "20000m").replace("Idempotency-Key", "Some-Key");
+    assert_eq!(node.client().ask(&keyless).status(), 400);
+    let large = request("c", "pay", "20000m").replace("Length: 4\r\n\r\ntime", "Length: 65537\r\n\r\n");
+    let mut client = node.client();
+    client.write(&large);
+    // It may answer before it has read all.
+    let _ = client.stream.write_all(&vec![b'x'; 65537]);
+    assert_eq!(client.answer().expect("an answer").status(), 413);
+    assert!(node.runs());
+    servers.got_no_more();
+    assert_eq!(node.client().ask(&good).status(), 200);
+}
+
+#[test]
+fn a_bad_configuration_ends_in_one_plain_line() {
+    for (number, config) in ["", "{}", "{\"name\":1}", "[]"].into_iter().enumerate() {
+        let (child, path) = start(&format!("config-{number}"), config);
+        let output = child.wait_with_output().expect("it ends");
+        let _ = std::fs::remove_file(path);
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success() && error.lines().count() == 1, "{config}: {error}");
+    }
+}
+
+#[test]
+fn an_id_in_use_is_not_taken_twice() {
+    let (servers, _discovery, node) = with_one("twice", &[Does::IsSilent]);
+    let mut first = node.client();
+    first.write(&request("same", "pay", "20000m"));
+    let got = servers.next();
+    assert_eq!(node.client().ask(&request("same", "pay", "20000m")).status(), 400);
+    drop(first);
+    assert!(closed(&got));
+    servers.got_no_more();
+}
+
+/// What has never run may be sent again whatever its class; what may have run only as its class allows.
+#[test]
+fn a_request_is_sent_again_only_as_its_class_allows() {
+    let reset = Does::Ends("");
+    let cut = Does::Ends("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nran");
+    let cases = [
+        ("full", IS_FULL, "pay", 200, 2),
+        ("full-keyed", IS_FULL, "submit", 200, 2),
+        ("reset-safe", reset.clone(), "read", 200, 2),
+        ("reset-unsafe", reset.clone(), "pay", 502, 1),
+        ("cut-safe", cut.clone(), "read", 200, 2),
+        ("cut-unsafe", cut, "pay", 502, 1),
+        ("error-safe", ERRS, "read", 200, 2),
+        ("error-unsafe", ERRS, "pay", 502, 1),
+        ("reset-keyed", reset, "submit", 200, 2),
+    ];
+    for (tag, first, class, status, attempts) in cases {
+        // Both are of one cell, so that a keyed request may go to either.
+        let (servers, _discovery, node) = with_two(tag, [1, 1], first, SERVES);
+        let answer = node.client().ask(&request(tag, class, "20000m"));
+        assert_eq!(answer.status(), status, "{tag}");
+        for _ in 0..attempts {
+            servers.next();
+        }
+        servers.got_no_more();
+    }
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_stays_in_its_cell() {
+    let (servers, _discovery, node) = with_two("cell", [1, 2], Does::Ends(""), SERVES);
+    let answer = node.client().ask(&request("a", "submit", "20000m"));
+    let (first, second) = (servers.next(), servers.next());
+    assert_eq!((answer.status(), first.server), (200, second.server));
+    servers.got_no_more();
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    let dead = gone.expect("an address");
+    let dial = servers.start("s-2", &[SERVES]);
+    let hosts = [host("s-1", dead, 1, "ready"), host("s-2", dial, 2, "ready")];
+    let node = Node::start("refused", discovery.address, &hosts);
+    let mut client = node.client();
+    for number in 0..6 {
+        assert_eq!(client.ask(&request(&format!("r{number}"), "pay", "20000m")).status(), 200);
+    }
+}
+
+#[test]
+fn a_silent_server_costs_one_answer_before_the_deadline() {
+    let (servers, _discovery, node) = with_one("silent", &[Does::IsSilent]);
+    let begun = Instant::now();
+    let answer = node.client().ask(&request("a", "pay", "700m"));
+    assert_eq!(answer.status(), 502, "an unsafe request that may have run is no refusal");
+    assert!(begun.elapsed().as_millis() < 20_000, "the deadline is enforced");
+    assert!(closed(&servers.next()), "the attempt is given up");
+    servers.got_no_more();
+}
+
+/// A stalled attempt is called off and its connection closed before the next is written.
+#[test]
+fn two_attempts_are_never_out_at_once() {
+    let (servers, _discovery, node) = with_two("stalled", [1, 1], Does::IsSilent, SERVES);
+    for (number, class) in ["read", "submit"].into_iter().enumerate() {
+        assert_eq!(node.client().ask(&request(class, class, "20000m")).status(), 200);
+        servers.next();
+        // Whether the first was alone is seen as the second comes.
+        if number == 0 {
+            assert!(servers.next().alone);
+        }
+    }
+}
+
+#[test]
+fn a_client_that_goes_away_ends_its_attempt() {
+    let (servers, _discovery, node) = with_one("gone", &[Does::IsSilent, SERVES]);
+    let mut client = node.client();
+    client.write(&request("a", "pay", "20000m"));
+    let got = servers.next();
+    drop(client);
+    assert!(closed(&got));
+    assert_eq!(node.client().ask(&request("b", "pay", "20000m")).status(), 200);
+}
+
+/// A connection that the server closed while it was idle is not written to: that would end as a reset.
+#[test]
+fn a_close_of_an_idle_connection_is_noticed() {
+    let (servers, _discovery, node) = with_one("idle", &[SERVES]);
+    let mut client = node.client();
+    assert_eq!(client.ask(&request("a", "pay", "20000m")).status(), 200);
+    let got = servers.next();
+    got.stream.shutdown(std::net::Shutdown::Both).expect("it is open");
+    // The edge node closes its side as soon as it has noticed.
+    assert!(closed(&got));
+    let answer = client.ask(&request("b", "pay", "20000m"));
+    assert_eq!((answer.status(), servers.next().connection), (200, 1));
+}
+
+#[test]
+fn the_list_is_followed_in_order_and_a_broken_watch_is_opened_again() {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let one = servers.start("s-1", &[SERVES]);
+    let two = servers.start("s-2", &[SERVES]);
+    let three = servers.start("s-3", &[SERVES]);
+    let node = Node::start("list", discovery.address, &[host("s-1", one, 1, "ready")]);
+    let mut client = node.client();
+    let mut number = 0;
+    let mut until = |name: &str| {
+        // Once a change has shown, it must hold.
+        let mut held = 0;
+        while held < 10 {
+            number += 1;
+            assert_eq!(client.ask(&request(&format!("r{number}"), "read", "20000m")).status(), 200);
+            let server = servers.next().server;
+            assert!(held == 0 || server == name, "{server} after {name}");
+            held += u32::from(server == name);
+        }
+    };
+    until("s-1");
+    let (asked, mut watch) = discovery.watch();
+    assert!(asked.contains("watch=1") && asked.contains("from=1"), "{asked}");
+    // Changes: one drains, another comes.
+    write_list(&mut watch, &list(2, false, &[host("s-1", one, 1, "draining"), host("s-2", two, 2, "ready")]));
+    until("s-2");
+    // The watch breaks in the midst of a line; the old list stands, and the next watch goes on from there.
+    watch.write_all(b"14\r\n{\"seq\":3,").expect("open");
+    watch.shutdown(std::net::Shutdown::Both).expect("open");
+    let (asked, mut watch) = discovery.watch();
+    assert!(asked.contains("from=2"), "{asked}");
+    until("s-2");
+    // What is old changes nothing; who is not on a whole list is gone.
+    write_list(&mut watch, &list(1, false, &[host("s-2", two, 2, "gone"), host("s-1", one, 1, "ready")]));
+    write_list(&mut watch, &list(4, true, &[host("s-3", three, 3, "ready")]));
+    until("s-3");
+    // The same server at another address.
+    let moved = servers.start("s-3 moved", &[SERVES]);
+    write_list(&mut watch, &list(5, false, &[host("s-3", moved, 3, "ready")]));
+    until("s-3 moved");
+}
+
+#[test]
+fn a_silent_watch_is_opened_again() {
+    let (_servers, discovery, _node) = with_one("watch", &[SERVES]);
+    let (_, silent) = discovery.watch();
+    let (asked, _) = discovery.watch();
+    assert!(asked.contains("from=1"));
+    drop(silent);
+}
+
+#[test]
+fn peers_are_told_and_noise_is_passed_over() {
+    let (_servers, _discovery, mut node) = with_one("peers", &[SERVES]);
+    let mut client = node.client();
+    let stranger = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+    for noise in [&[0xff; 1400][..], &[], &[2], &[2, 0, 1], &[2, 1, 0, 0, 9, 9], &[7; 256]] {
+        node.peer.send_to(noise, node.datagrams).expect("sent");
+        stranger.send_to(noise, node.datagrams).expect("sent");
+    }
+    for number in 0..3 {
+        assert_eq!(client.ask(&request(&format!("r{number}"), "read", "20000m")).status(), 200);
+        let mut buffer = [0; 2000];
+        let (length, from) = node.peer.recv_from(&mut buffer).expect("the peer is told");
+        assert!(length <= 256 && from == node.datagrams);
+    }
+    assert!(node.runs());
+}
+
+#[test]
+fn a_customer_beyond_its_quota_is_refused_at_once() {
+    let (servers, _discovery, node) = with_one("quota", &[SERVES]);
+    let mut client = node.client();
+    let tiny = |id: &str| request(id, "read", "25000m").replace("X-Tier: p", "X-Tier: tiny");
+    assert_eq!(client.ask(&tiny("a")).status(), 200);
+    servers.next();
+    let begun = Instant::now();
+    let mut refused = client.ask(&tiny("b"));
+    for number in 0..3 {
+        refused = client.ask(&tiny(&format!("c{number}")));
+    }
+    assert_eq!(refused.status(), 503);
+    assert!(begun.elapsed().as_secs() < 20, "a refusal is not held back until the deadline");
+}
+
+#[test]
+fn sigterm_serves_out_what_was_taken() {
+    let (servers, _discovery, mut node) = with_one("term", &[Does::IsSilent, SERVES]);
+    let (mut held, mut idle) = (node.client(), node.client());
+    assert_eq!(idle.ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
+    held.write(&request("a", "read", "20000m"));
+    let got = servers.next();
+    node.terminate();
+    // New connections are accepted for a while yet, and told to close.
+    let late = loop {
+        let answer = node.client().ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n");
+        if answer.status() != 200 {
+            break answer;
+        }
+    };
+    assert_eq!((late.status(), late.header("connection")), (503, "close"));
+    let answer = idle.ask(&request("b", "read", "20000m"));
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    idle.ends();
+    let mut stream = got.stream;
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks").expect("the attempt is still out");
+    let answer = held.answer().expect("what was taken is answered");
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    assert!(node.wait().success());
+}
+
+/// More clients than descriptors: the surplus waits, and is served once there is room.
+#[test]
+fn the_edge_node_outlives_a_lack_of_descriptors() {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let dial = servers.start("s-1", &[SERVES]);
+    let node = Node::with_sockets("sockets", discovery.address, &[host("s-1", dial, 1, "ready")], 64);
+    let idle: Vec<_> = (0..60).map(|_| node.client()).collect();
+    let mut last = node.client();
+    last.write(&request("a", "read", "20000m"));
+    drop(idle);
+    assert_eq!(last.answer().expect("an answer").status(), 200);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -69,37 +69,56 @@
     pub server: String,
     pub message: Message,
     pub connection: usize,
+    /// No earlier attempt of the request was still out.
+    pub alone: bool,
     pub stream: TcpStream,
 }
 
-/// App servers, which do by turns what they are told, and the last of it for ever.
+/// What is to be done by turns; the last of it for ever.
+pub type Turns = Arc<Mutex<Vec<Does>>>;
+
+/// App servers, which do what they are told.
 pub struct Servers {
-    pub got: Receiver<Got>,
+    got: Receiver<Got>,
     tell: Sender<Got>,
+    /// Attempts that were never answered, by the request's id.
+    unanswered: Arc<Mutex<Vec<(String, TcpStream)>>>,
 }
 
 impl Servers {
     pub fn new() -> Servers {
         let (tell, got) = mpsc::channel();
-        Servers { got, tell }
+        Servers { got, tell, unanswered: Arc::default() }
     }
 
+    /// Starts one that has its own turns.
     pub fn start(&self, name: &str, does: &[Does]) -> SocketAddr {
+        self.share(name, &Arc::new(Mutex::new(does.to_vec())))
+    }
+
+    /// Starts one that takes turns with others.
+    pub fn share(&self, name: &str, turns: &Turns) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let turns = Arc::new(Mutex::new(does.to_vec()));
-        let (tell, name) = (self.tell.clone(), name.to_owned());
+        let server = Server {
+            name: name.to_owned(),
+            turns: Arc::clone(turns),
+            tell: self.tell.clone(),
+            unanswered: Arc::clone(&self.unanswered),
+        };
         thread::spawn(move || {
             for (connection, stream) in listener.incoming().flatten().enumerate() {
-                let (tell, name, turns) = (tell.clone(), name.clone(), Arc::clone(&turns));
-                thread::spawn(move || serve(&name, connection, stream, &tell, &turns));
+                let server = server.clone();
+                thread::spawn(move || server.serve(connection, stream));
             }
         });
         address
     }
 
     pub fn next(&self) -> Got {
-        self.got.recv_timeout(PATIENCE).expect("a request comes to an app server")
+        let got = self.got.recv_timeout(PATIENCE).expect("a request comes to an app server");
+        assert!(got.alone, "two attempts of a request are out at once");
+        got
     }
 
     /// Fails if a request has come that was not looked at.
@@ -108,25 +127,45 @@
     }
 }
 
-fn serve(
-    server: &str, connection: usize, mut stream: TcpStream, tell: &Sender<Got>, turns: &Mutex<Vec<Does>>,
-) {
-    let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
-    while let Some(message) = Message::read(&mut reader) {
-        let turn = {
-            let mut turns = turns.lock().expect("no panic");
-            if turns.len() > 1 { turns.remove(0) } else { turns[0].clone() }
-        };
-        let (server, stream_told) = (server.to_owned(), stream.try_clone().expect("a clone"));
-        // The test may have ended.
-        let _ = tell.send(Got { server, message, connection, stream: stream_told });
-        match turn {
-            Does::Answers(words) => stream.write_all(words.as_bytes()).unwrap_or(()),
-            Does::Ends(words) => {
-                stream.write_all(words.as_bytes()).unwrap_or(());
-                let _ = stream.shutdown(Shutdown::Both);
+#[derive(Clone)]
+struct Server {
+    name: String,
+    turns: Turns,
+    tell: Sender<Got>,
+    unanswered: Arc<Mutex<Vec<(String, TcpStream)>>>,
+}
+
+impl Server {
+    fn serve(&self, connection: usize, mut stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+        while let Some(message) = Message::read(&mut reader) {
+            let turn = {
+                let mut turns = self.turns.lock().expect("no panic");
+                if turns.len() > 1 {
+                    turns.remove(0)
+                } else {
+                    turns[0].clone()
+                }
+            };
+            let id = message.header("x-request-id").to_owned();
+            let mut unanswered = self.unanswered.lock().expect("no panic");
+            let earlier = unanswered.iter().filter(|(other, _)| *other == id);
+            let alone = earlier.into_iter().all(|(_, stream)| closed_by_now(stream));
+            if matches!(turn, Does::IsSilent) {
+                unanswered.push((id, stream.try_clone().expect("a clone")));
+            }
+            drop(unanswered);
+            let (server, told) = (self.name.clone(), stream.try_clone().expect("a clone"));
+            // The test may have ended.
+            let _ = self.tell.send(Got { server, message, connection, alone, stream: told });
+            match turn {
+                Does::Answers(words) => stream.write_all(words.as_bytes()).unwrap_or(()),
+                Does::Ends(words) => {
+                    stream.write_all(words.as_bytes()).unwrap_or(());
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+                Does::IsSilent => {}
             }
-            Does::IsSilent => {}
         }
     }
 }
@@ -304,10 +343,9 @@
     matches!(got.stream.peek(&mut [0]), Ok(0) | Err(_))
 }
 
-/// Whether it is closed by now.
-pub fn closed_by_now(got: &Got) -> bool {
-    got.stream.set_nonblocking(true).expect("a mode");
-    let seen = got.stream.peek(&mut [0]);
-    got.stream.set_nonblocking(false).expect("a mode");
-    matches!(seen, Ok(0))
+fn closed_by_now(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("a mode");
+    let seen = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).expect("a mode");
+    matches!(seen, Ok(0)) || seen.is_err_and(|error| error.kind() != std::io::ErrorKind::WouldBlock)
 }
