--- a/src/control.rs
+++ b/src/control.rs
@@ -22,6 +22,7 @@
 const CAP_LEAD: f64 = 12.0; // and how far it may lead what was open
 const HEARD_FOR: Micros = 2_000_000; // µs over which heard counts age out (design)
 const LAG: f64 = 0.5; // s of the peers' use that a store keeps back: sent on, but not yet told
+const ADVICE: (Micros, Micros) = (20_000, 100_000); // µs a refused client is told to wait: aims are short
 const OPEN_RISK: f64 = 0.2; // loss, of its worth, that a first attempt risks at a limit that is reached
 const SILENT: std::ops::Range<Micros> = 800_000..25_000_000; // µs of silence: share kept, then held dead
 const GOSSIP_EVERY: Micros = 200_000; // µs between messages at the least
@@ -189,11 +190,26 @@
     fn finish(&mut self, now: Micros, id: &RequestId, out: &mut Out) {
         let Some(request) = self.requests.get(id) else { return };
         let (refused, id_told) = (self.permits(request, now, Step::Refuse), id.clone());
-        let refusal = |id| Action::Refuse { id, retry_in: None };
+        let retry_in = Some(self.advice(request));
+        let refusal = |id| Action::Refuse { id, retry_in };
         out.push(if refused { refusal(id_told) } else { Action::Fail { id: id_told } });
         self.forget(id, out);
     }
 
+    /// When a refused client may come back: once its store and ceiling are likely to hold what it asks for.
+    fn advice(&self, request: &Request) -> Micros {
+        let Some(store) = self.stores.get(&request.customer) else { return ADVICE.0 };
+        let plan = &self.settings.plans[request.plan.0];
+        let until =
+            |short: f64, rate: f64| if short > 0.0 { short / rate.max(f64::EPSILON) * 1e6 } else { 0.0 };
+        // What a try takes is off the level already, and comes back if it was never sent.
+        let quota = if plan.rate > 0.0 { until(-store.level, plan.rate * store.share) } else { 0.0 };
+        let over =
+            |ceiling: &Ceiling| until(request.units - store.ceiling, ceiling.rate * store.ceiling_share);
+        let ceiling = plan.ceiling.as_ref().map_or(0.0, over);
+        (quota.max(ceiling) as Micros).clamp(ADVICE.0, ADVICE.1)
+    }
+
     /// Drops a request. Its attempt may still be out: nobody waits for it, so it is called off.
     fn forget(&mut self, id: &RequestId, out: &mut Out) {
         let Some(request) = self.take_request(id) else { return };
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -290,6 +290,8 @@
         refused = client.ask(&tiny(&format!("c{number}")));
     }
     assert_eq!(refused.status(), 503);
+    let advice: f64 = refused.header("retry-after").parse().expect("seconds");
+    assert!(advice > 0.0 && advice < 60.0, "{advice}");
     assert!(begun.elapsed().as_secs() < 20, "a refusal is not held back until the deadline");
 }
 
