--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -25,6 +25,8 @@
 const OVERDUE: Duration = Duration::from_millis(2);
 /// A client that is silent within a request, or between two, for so long has its connection closed.
 const SILENT_FOR: Duration = Duration::from_secs(60);
+/// Most bytes buffered for one client, so that all together stay far from the memory limit.
+const BUFFER_MOST: usize = 32 * 1024;
 /// Pause after a connection that could not be accepted, for lack of descriptors mostly.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -85,7 +87,7 @@
         }
     });
     let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(SILENT_FOR);
+    http.timer(TokioTimer::new()).header_read_timeout(SILENT_FOR).max_buf_size(BUFFER_MOST);
     let connection = http.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
--- a/src/bin/saffronpaddle/discovery.rs
+++ b/src/bin/saffronpaddle/discovery.rs
@@ -15,8 +15,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// A watch says something every 2 s; one that misses two such signs is taken for dead.
-const SILENT_FOR: Duration = Duration::from_secs(5);
+/// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
+/// has to tell counts as told 6 s later, also on a watch that nobody serves any more.
+const SILENT_FOR: Duration = Duration::from_secs(3);
 /// Until a watch that ended is opened again: at first, doubled each time, and at the most.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 /// Most bytes of one line of a watch.
--- a/src/bin/saffronpaddle/upstream.rs
+++ b/src/bin/saffronpaddle/upstream.rs
@@ -4,7 +4,7 @@
 use doordock::interface::{Micros, Outcome, RequestId, ServerId};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderValue, HOST};
+use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -149,8 +149,9 @@
         };
         // Much may have changed while the connection came up. Guards drains, and a request that was answered
         // meanwhile: what is not written has never run.
+        let wanted = open() && Instant::now() < until;
         let dial = self.places.borrow().get(&server).map(|place| place.dial);
-        let (Some(dial), true, true) = (dial, open(), Instant::now() < until) else {
+        let (Some(dial), true) = (dial, wanted) else {
             self.keep(server, link);
             return (Outcome::NotSent, None);
         };
@@ -259,6 +260,11 @@
     let request = request.body(Full::new(forward.body.clone())).map_err(|_| Outcome::NotSent)?;
     let answer = sender.send_request(request).await.map_err(|_| Outcome::Broken)?;
     let outcome = outcome(&answer);
+    // Guards against an answer that ends with its connection: nobody could tell whether it is whole.
+    let framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| answer.headers().contains_key(name));
+    if !framed {
+        return Err(Outcome::Broken);
+    }
     // Buffered whole, so that a client never gets an answer that was cut.
     let body = Limited::new(answer.into_body(), BODY_MOST).collect().await.map_err(|_| Outcome::Broken)?;
     Ok((outcome, (outcome == Outcome::Ok).then(|| body.to_bytes())))
@@ -340,3 +346,52 @@
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+
+    /// An attempt whose request or server changes as its connection comes up: how it ends, and what was
+    /// written before the connection was closed.
+    async fn changed(change: impl Fn(&Upstream, SocketAddr) -> bool) -> (Outcome, Vec<u8>) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let dial = listener.local_addr().expect("an address");
+        let (server, wait) = (ServerId(1), Duration::from_secs(60));
+        let upstream = Upstream::new(8, 15_000_000, 60_000_000);
+        upstream.listed(true, [(server, dial, true)].into_iter());
+        let forward = Forward {
+            id: RequestId("a".into()),
+            method: Method::GET,
+            target: "/read/0".to_owned(),
+            key: None,
+            body: Bytes::new(),
+            deadline: Instant::now() + wait,
+        };
+        let (_call_off, called_off) = oneshot::channel();
+        let open = || change(&upstream, dial);
+        let (outcome, body) = upstream.attempt(&forward, server, forward.deadline, called_off, open).await;
+        assert!(body.is_none());
+        upstream.listed(true, std::iter::empty());
+        let (mut stream, _) = listener.accept().await.expect("it connected");
+        let mut written = Vec::new();
+        stream.read_to_end(&mut written).await.expect("it closes");
+        (outcome, written)
+    }
+
+    async fn all_end_unsent() {
+        assert_eq!(changed(|_, _| false).await, (Outcome::NotSent, Vec::new()), "answered meanwhile");
+        let drains = |upstream: &Upstream, dial| {
+            upstream.listed(false, [(ServerId(1), dial, false)].into_iter());
+            true
+        };
+        assert_eq!(changed(drains).await, (Outcome::NotSent, Vec::new()), "drains meanwhile");
+    }
+
+    #[test]
+    fn nothing_is_written_once_the_request_is_answered_or_the_server_drains() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, all_end_unsent());
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,5 +1,5 @@
 //! The decisions of a doordock gateway, all of them. The types, events and actions that they work on are
-//! in `src/interface.rs`; `docs/design.md` tells what comes from the design and what was added.
+//! in `src/interface.rs`; what was added to the design is marked as an exception to it, or by its danger.
 
 use crate::fuzzy::{chance_under, infer, mix, rank};
 use crate::interface::*;
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -119,6 +119,7 @@
         ("reset-unsafe", reset.clone(), "pay", 502, 1),
         ("cut-safe", cut.clone(), "read", 200, 2),
         ("cut-unsafe", cut, "pay", 502, 1),
+        ("unframed-unsafe", Does::Ends("HTTP/1.1 200 OK\r\n\r\nran"), "pay", 502, 1),
         ("error-safe", ERRS, "read", 200, 2),
         ("error-unsafe", ERRS, "pay", 502, 1),
         ("reset-keyed", reset, "submit", 200, 2),
