Do not count trials of a server that is out against its hall

In Gateway::learn each failed connection raised 'cut' of the whole zone to 0.2, a factor of 5 on all its servers.

--- a/src/control.rs
+++ b/src/control.rs
@@ -784,8 +784,12 @@
         }
         // Danger: links of a whole zone cut, found server by server. Peers elsewhere still reach them, so
         // only what is seen here counts. It hurts where many servers of one zone die for other reasons.
-        let cut = self.cut.entry(server.entry.zone).or_default();
-        *cut += (f64::from(u8::from(outcome == Outcome::Unreachable)) - *cut) * CUT.0;
+        // A trial of a server that is out tells nothing of its zone, though a hung machine takes no connection.
+        let unreachable = outcome == Outcome::Unreachable;
+        if !unreachable || server.health[class].trial.is_none() {
+            let cut = self.cut.entry(server.entry.zone).or_default();
+            *cut += (f64::from(u8::from(unreachable)) - *cut) * CUT.0;
+        }
         server.health[class].seen = now;
         let took = if bad { took.max(self.shortest_aim / 2.0) } else { took };
         let unknown = if self.wide { self.typical } else { took / attempt.places };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -619,3 +619,30 @@
     // 2000 tries that all asked would take some 4000 messages.
     assert!(fleet.told < 2400, "{}", fleet.told);
 }
+
+/// A hung machine takes no connection: its trials fail like links that are cut. They must not scare requests
+/// away from its whole zone.
+#[test]
+fn trials_of_a_dead_server_do_not_count_against_its_zone() {
+    let mut stand = Stand::with_servers(3, settings(0, 1), S, 4);
+    let mut beside = 0;
+    for number in 0..600 {
+        let known = number >= 300;
+        let id = stand.request(SAFE, 1, 7, 2 * S);
+        stand.pass(10 * MS);
+        while let Some(server) = stand.out.iter().find(|out| out.0 == id).map(|out| out.2) {
+            let outcome = match server.0 {
+                0 if known => Outcome::Unreachable,
+                0 => {
+                    stand.pass(900 * MS); // silent, until it is called off and put on trial
+                    Outcome::Cancelled
+                }
+                _ => Outcome::Ok,
+            };
+            stand.end(&id, outcome);
+            beside += u32::from(known && server.0 == 2);
+        }
+        stand.pass(40 * MS);
+    }
+    assert!(beside > 60, "{beside} of 300 went to the healthy server of that zone");
+}
