Reread the configuration on SIGHUP, shed idle clients, turn bad requests away before anything is touched

Ruled out: CPU (0.04 s in the busiest second), memory (2 MB), upstream sockets (48 at once). Now: SIGHUP rereads the file and moves discovery, without 'from'; a full house closes the connection idle longest; heads have 2.2 s, bodies 0.6 s; repeated headers, encodings, figures outside the settings are turned away and closed.

Tests: SIGHUP kills the program of before; its crowd waits 60 s; its silence too.

--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -3,28 +3,35 @@
 use crate::node::{Answer, Node};
 use crate::upstream::{Forward, BODY_MOST};
 use bytes::Bytes;
-use doordock::interface::{ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, RETRY_AFTER};
+use doordock::interface::{ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId, Settings};
+use doordock::setup::Named;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
 
 /// Time kept back for an answer's way to the client.
 const DELIVERY: Duration = Duration::from_millis(5);
 /// How much later than the module's own last word a request is ended here.
 const OVERDUE: Duration = Duration::from_millis(2);
-/// A client that is silent within a request, or between two, for so long has its connection closed.
-const SILENT_FOR: Duration = Duration::from_secs(60);
+/// How long a connection may stand without a whole head: from its first moment on, and after each answer. Guards
+/// against clients that connect and say nothing, or dribble a head without end.
+const HEAD_WITHIN: Duration = Duration::from_millis(2200);
+/// How long a body may take from its head on. Guards against bodies that stop half-way.
+const BODY_WITHIN: Duration = Duration::from_millis(600);
+/// A connection that has never asked counts as idle for so much longer: good clients ask as soon as they come.
+const NEVER_ASKED: Duration = Duration::from_secs(1);
 /// Most bytes buffered for one client, so that all together stay far from the memory limit.
 const BUFFER_MOST: usize = 32 * 1024;
 /// Pause after a connection that could not be accepted, for lack of descriptors mostly.
@@ -47,47 +54,112 @@
     let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
 }
 
+/// What is known of a client's connection from outside.
+struct Seat {
+    /// Since when it has no open request; `None` while it has one.
+    idle: Cell<Option<Instant>>,
+}
+
+/// A seat with an open request, for as long as that is being answered.
+struct Busy<'a>(&'a Seat);
+
+impl<'a> Busy<'a> {
+    fn new(seat: &'a Seat) -> Busy<'a> {
+        seat.idle.set(None);
+        Busy(seat)
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.idle.set(Some(Instant::now()));
+    }
+}
+
+/// The connections of all clients.
+struct Crowd {
+    tasks: JoinSet<()>,
+    seats: Vec<(Rc<Seat>, AbortHandle)>,
+    most: usize,
+}
+
+impl Crowd {
+    fn seat(&mut self, stream: TcpStream, node: &Rc<Node>, phase: &watch::Receiver<Phase>) {
+        let now = Instant::now();
+        let seat = Rc::new(Seat { idle: Cell::new(Some(now.checked_sub(NEVER_ASKED).unwrap_or(now))) });
+        let talk = converse(stream, Rc::clone(node), phase.clone(), Rc::clone(&seat));
+        let handle = self.tasks.spawn_local(talk);
+        self.seats.push((seat, handle));
+    }
+
+    /// Forgets connections that have ended.
+    fn tidy(&mut self) {
+        self.seats.retain(|(_, handle)| !handle.is_finished());
+    }
+
+    /// Makes room for one more. Guards against crowds that shut out others: where all seats are taken, the connection
+    /// that has stood longest without a request is closed.
+    async fn make_room(&mut self) {
+        while self.tasks.len() >= self.most {
+            self.tidy();
+            let idle = self.seats.iter().filter_map(|(seat, handle)| Some((seat.idle.get()?, handle)));
+            if let Some((_, handle)) = idle.min_by_key(|(since, _)| *since) {
+                handle.abort();
+            }
+            // One that ends, by itself or not, has closed its socket; meanwhile another may have become idle.
+            let _ = tokio::time::timeout(ACCEPT_AGAIN, self.tasks.join_next()).await;
+        }
+        if self.seats.len() > 2 * self.most {
+            self.tidy();
+        }
+    }
+}
+
 /// Accepts clients until the edge node closes, then serves out those that it has. At most `most` at a time.
 pub async fn serve(listener: TcpListener, node: Rc<Node>, most: usize, phase: watch::Receiver<Phase>) {
-    let mut connections = JoinSet::new();
+    let mut crowd = Crowd { tasks: JoinSet::new(), seats: Vec::new(), most };
     let closed = closing(phase.clone());
     tokio::pin!(closed);
     loop {
         tokio::select! {
-            accepted = listener.accept(), if connections.len() < most => match accepted {
+            accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn_local(converse(stream, Rc::clone(&node), phase.clone()));
+                    crowd.make_room().await;
+                    crowd.seat(stream, &node, &phase);
                 }
                 // Guards against running out of descriptors: the connection waits until there is one.
                 Err(_) => tokio::time::sleep(ACCEPT_AGAIN).await,
             },
-            Some(_) = connections.join_next() => {}
             () = &mut closed => break,
         }
+        // Ended connections are let go of.
+        while crowd.tasks.try_join_next().is_some() {}
     }
     // What the machine has accepted counts as taken. Guards against resetting it with the listener.
     while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
-        connections.spawn_local(converse(stream, Rc::clone(&node), phase.clone()));
+        crowd.seat(stream, &node, &phase);
     }
     drop(listener);
-    while connections.join_next().await.is_some() {}
+    while crowd.tasks.join_next().await.is_some() {}
 }
 
-async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Phase>) {
+async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Phase>, seat: Rc<Seat>) {
     let _ = stream.set_nodelay(true);
     let seen = phase.clone();
     let service = service_fn(move |request| {
-        let (node, seen) = (Rc::clone(&node), seen.clone());
+        let (node, seen, seat) = (Rc::clone(&node), seen.clone(), Rc::clone(&seat));
         async move {
+            let _busy = Busy::new(&seat);
             let mut reply = respond(&node, request, &seen).await;
             if *seen.borrow() > Phase::Serving {
-                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                reply.headers_mut().insert(CONNECTION, CLOSE);
             }
             Ok::<_, Infallible>(reply)
         }
     });
     let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(SILENT_FOR).max_buf_size(BUFFER_MOST);
+    http.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN).max_buf_size(BUFFER_MOST);
+    http.auto_date_header(false);
     let connection = http.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
@@ -104,18 +176,30 @@
         return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
     }
     let (head, body) = request.into_parts();
-    let body = Limited::new(body, BODY_MOST).collect();
-    let body = match tokio::time::timeout(SILENT_FOR, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
-        }
-        _ => return plain(StatusCode::BAD_REQUEST, "the body did not come whole\n"),
+    let asked = match read(&node.named, &head) {
+        Ok(asked) => asked,
+        Err((status, what)) => return turned_away(status, what),
     };
-    match read(node, &head, body) {
-        Ok((event, forward)) => decide(node, event, forward).await,
-        Err(what) => plain(StatusCode::BAD_REQUEST, what),
+    // Nothing of a body that is too large is read.
+    if body.size_hint().lower() > BODY_MOST as u64 {
+        return turned_away(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
     }
+    if !asked.takes_body && !body.is_end_stream() {
+        return turned_away(StatusCode::BAD_REQUEST, "this class takes no body\n");
+    }
+    let body = match tokio::time::timeout(BODY_WITHIN, Limited::new(body, BODY_MOST).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        _ => return turned_away(StatusCode::BAD_REQUEST, "the body did not come whole\n"),
+    };
+    let (event, forward) = asked.arrived(head, body);
+    decide(node, event, forward).await
+}
+
+/// An answer to what can't be served, after which nothing that comes on the connection is believed.
+fn turned_away(status: StatusCode, words: &'static str) -> Reply {
+    let mut reply = plain(status, words);
+    reply.headers_mut().insert(CONNECTION, CLOSE);
+    reply
 }
 
 /// Tells the node when the client goes away: the answer's future is dropped then.
@@ -133,7 +217,7 @@
 async fn decide(node: &Rc<Node>, event: Event, forward: Forward) -> Reply {
     let (id, overdue) = (forward.id.clone(), forward.deadline + OVERDUE);
     let Some(answered) = node.take(event, forward) else {
-        return plain(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n");
+        return turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n");
     };
     let _waiting = Waiting { node, id };
     match tokio::time::timeout_at(overdue, answered).await {
@@ -157,62 +241,110 @@
     reply
 }
 
-/// Reads a client's request; an error says what is wrong with it.
-fn read(
-    node: &Node, head: &hyper::http::request::Parts, body: Bytes,
-) -> Result<(Event, Forward), &'static str> {
-    let arrived = Instant::now();
+/// What a request's head says, all of it within the settings.
+struct Asked {
+    id: RequestId,
+    class: ClassId,
+    plan: PlanId,
+    customer: CustomerId,
+    terms: Terms,
+    patience: Duration,
+    takes_body: bool,
+}
+
+/// Why a request is turned away.
+type Bad = (StatusCode, &'static str);
+
+/// Reads the head of a client's request. Nothing has been touched by then: what is wrong with it is told, and that
+/// is all.
+fn read(named: &Named, head: &hyper::http::request::Parts) -> Result<Asked, Bad> {
+    let bad = |what| (StatusCode::BAD_REQUEST, what);
     let headers = &head.headers;
+    // Guards against a request that hides another in its body: of a length and an encoding, hyper drops one unseen.
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return Err((StatusCode::LENGTH_REQUIRED, "a body needs its Content-Length\n"));
+    }
+    // Guards against a header that two readers take in two ways.
+    if READ_ONCE.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
+        return Err(bad("a header is repeated\n"));
+    }
     let id = text(headers, "x-request-id").filter(|id| (1..=64).contains(&id.len()));
-    let id = RequestId(id.ok_or("X-Request-Id: missing, or no word of 1 to 64 bytes\n")?.into());
+    let id = RequestId(id.ok_or(bad("X-Request-Id: missing, or no word of 1 to 64 bytes\n"))?.into());
     let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
-    let class = text(headers, "x-class").ok_or("X-Class: missing\n")?;
-    let number = place(&node.named.classes, class).ok_or("X-Class: unknown\n")?;
-    let plan = text(headers, "x-tier").and_then(|plan| place(&node.named.plans, plan));
-    let plan = PlanId(plan.ok_or("X-Tier: missing or unknown\n")?);
+    let class = text(headers, "x-class").ok_or(bad("X-Class: missing\n"))?;
+    let number = place(&named.classes, class).ok_or(bad("X-Class: unknown\n"))?;
+    let plan = text(headers, "x-tier").and_then(|plan| place(&named.plans, plan));
+    let plan = PlanId(plan.ok_or(bad("X-Tier: missing or unknown\n"))?);
     let mut path = head.uri.path().trim_start_matches('/').split('/');
     if path.next() != Some(class) {
-        return Err("the path does not begin with the class\n");
+        return Err(bad("the path does not begin with the class\n"));
     }
-    let customer = path.next_back().filter(|last| last.len() == 16);
     let customer =
-        customer.and_then(|last| u64::from_str_radix(last, 16).ok()).filter(|last| *last < 1 << 33);
-    let customer = CustomerId(customer.ok_or("the path does not end with a customer\n")?);
-    let patience = text(headers, "x-deadline").and_then(span).ok_or("X-Deadline: missing or bad\n")?;
-    let terms = text(headers, "x-call-terms").and_then(Terms::read);
-    let Terms { units, spread, first } = terms.ok_or("X-Call-Terms: missing or bad\n")?;
-    let key = headers.get("idempotency-key").cloned();
-    match (node.named.settings.classes[number].effect, &head.method) {
-        (Effect::Safe, &Method::GET) => {}
-        (Effect::Unsafe, &Method::POST) => {}
-        (Effect::Keyed { .. }, &Method::POST) if key.is_some() => {}
-        (Effect::Keyed { .. }, &Method::POST) => return Err("Idempotency-Key: missing\n"),
-        _ => return Err("this class takes another method\n"),
+        path.next_back().and_then(customer).ok_or(bad("the path does not end with a customer\n"))?;
+    let longest = Duration::from_micros(named.longest_deadline);
+    let patience = text(headers, "x-deadline").and_then(span).filter(|span| *span <= longest);
+    let patience = patience.ok_or(bad("X-Deadline: missing or bad\n"))?;
+    let terms = text(headers, "x-call-terms").and_then(|text| Terms::read(text, &named.settings));
+    let terms = terms.ok_or(bad("X-Call-Terms: missing or bad\n"))?;
+    let effect = named.settings.classes[number].effect;
+    match (effect, &head.method) {
+        (Effect::Safe, &Method::GET) | (Effect::Unsafe, &Method::POST) => {}
+        (Effect::Keyed { .. }, &Method::POST) if headers.contains_key(KEY) => {}
+        (Effect::Keyed { .. }, &Method::POST) => return Err(bad("Idempotency-Key: missing\n")),
+        _ => return Err(bad("this class takes another method\n")),
+    }
+    let takes_body = effect != Effect::Safe;
+    Ok(Asked { id, class: ClassId(number), plan, customer, terms, patience, takes_body })
+}
+
+impl Asked {
+    /// The request is whole; its client's time runs.
+    fn arrived(self, head: hyper::http::request::Parts, body: Bytes) -> (Event, Forward) {
+        let patience = self.patience.saturating_sub(DELIVERY);
+        let deadline = Instant::now() + patience;
+        let event = Event::Request {
+            id: self.id.clone(),
+            class: self.class,
+            plan: self.plan,
+            customer: self.customer,
+            units: self.terms.units,
+            first: self.terms.first,
+            spread: self.terms.spread,
+            patience: patience.as_micros() as u64,
+        };
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
+        let key = head.headers.get(KEY).cloned();
+        (event, Forward { id: self.id, method: head.method, target, key, body, deadline })
     }
-    let patience = patience.saturating_sub(DELIVERY);
-    let event = Event::Request {
-        id: id.clone(),
-        class: ClassId(number),
-        plan,
-        customer,
-        units,
-        first,
-        spread,
-        patience: patience.as_micros() as u64,
-    };
-    let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
-    let (method, deadline) = (head.method.clone(), arrived + patience);
-    Ok((event, Forward { id, method, target, key, body, deadline }))
 }
 
+const KEY: &str = "idempotency-key";
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+/// Headers that a request may have once at the most.
+const READ_ONCE: [&str; 8] =
+    ["x-request-id", "x-class", "x-tier", "x-deadline", "x-call-terms", KEY, "content-length", "host"];
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
+/// A customer: 16 hex digits and no sign, a number below 2^33.
+fn customer(text: &str) -> Option<CustomerId> {
+    let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let number = digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()?;
+    (number < 1 << 33).then_some(CustomerId(number))
+}
+
+/// A plain decimal number; no sign, no exponent, no word that stands for one.
+fn number(text: &str) -> Option<f64> {
+    let plain = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    plain.then(|| text.parse().ok()).flatten()
+}
+
 /// A number with its unit, `m` or `u`; an hour at the most.
 fn span(text: &str) -> Option<Duration> {
-    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
-    let number: f64 = number.parse().ok()?;
+    let (digits, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let number = number(digits)?;
     let seconds = match unit {
         "m" => number / 1e3,
         "u" => number / 1e6,
@@ -221,6 +353,7 @@
     (seconds > 0.0 && seconds <= 3600.0).then(|| Duration::from_secs_f64(seconds))
 }
 
+#[derive(Debug)]
 struct Terms {
     units: f64,
     spread: u32,
@@ -228,17 +361,31 @@
 }
 
 impl Terms {
-    fn read(text: &str) -> Option<Terms> {
+    /// Units and a set that the settings have room for. Names that are unknown are passed over; a term that is no
+    /// term, or stands twice, spoils all.
+    fn read(text: &str, settings: &Settings) -> Option<Terms> {
         let (mut units, mut spread, mut first) = (None, None, None);
-        for (name, value) in text.split(',').filter_map(|term| term.trim().split_once('=')) {
-            match name {
-                "units" => units = value.parse().ok().filter(|units| (0.0..1e6).contains(units)),
-                "spread" => spread = value.parse().ok().filter(|spread| *spread > 0),
-                "first" => first = value.parse().ok().map(GatewayId),
-                _ => {}
+        let whole =
+            |value: &str| value.bytes().all(|byte| byte.is_ascii_digit()).then(|| value.parse().ok())?;
+        let most = if settings.most_units > 0.0 { settings.most_units } else { f64::MAX };
+        for term in text.split(',') {
+            let (name, value) = term.trim().split_once('=')?;
+            let again = match name {
+                "units" => {
+                    units.replace(number(value).filter(|units| *units > 0.0 && *units <= most)?).is_some()
+                }
+                "spread" => {
+                    let fits = |spread: &u32| (1..=settings.gateways).contains(spread);
+                    spread.replace(whole(value).filter(fits)?).is_some()
+                }
+                "first" => first.replace(whole(value).filter(|first| *first < settings.gateways)?).is_some(),
+                _ => false,
+            };
+            if again {
+                return None;
             }
         }
-        Some(Terms { units: units?, spread: spread?, first: first? })
+        Some(Terms { units: units?, spread: spread?, first: GatewayId(first?) })
     }
 }
 
@@ -250,23 +397,18 @@
     fn spans_have_a_number_and_a_unit() {
         assert_eq!(span("480m"), Some(Duration::from_millis(480)));
         assert_eq!(span("1500u"), Some(Duration::from_micros(1500)));
-        for bad in ["", "m", "480", "-1m", "0m", "NaNm", "infm", "1s", "4µ"] {
+        for bad in ["", "m", "480", "-1m", "+1m", "1e2m", "0m", "NaNm", "infm", "1s", "4µ"] {
             assert_eq!(span(bad), None, "{bad:?}");
         }
     }
 
     #[test]
-    fn terms_need_all_three() {
-        let terms = Terms::read("units=2,spread=3,first=1,new=x").expect("whole terms");
-        assert_eq!((terms.units, terms.spread, terms.first), (2.0, 3, GatewayId(1)));
-        for bad in [
-            "",
-            "units=2,spread=3",
-            "units=-1,spread=1,first=0",
-            "units=NaN,spread=1,first=0",
-            "units=1,spread=0,first=0",
-        ] {
-            assert!(Terms::read(bad).is_none(), "{bad:?}");
+    fn customers_have_16_digits_and_no_sign() {
+        assert_eq!(customer("00000000b4d65521"), Some(CustomerId(0xb4d6_5521)));
+        for bad in
+            ["", "b4d65521", "+0000000b4d65521", "-0000000b4d65521", "0000000200000000", "00000000b4d6552g"]
+        {
+            assert_eq!(customer(bad), None, "{bad:?}");
         }
     }
 }
--- a/src/bin/saffronpaddle/config.rs
+++ b/src/bin/saffronpaddle/config.rs
@@ -5,9 +5,12 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 /// All that the edge node is told.
 pub struct Config {
+    /// The file that it was read from, to be read again.
+    pub path: PathBuf,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -103,8 +106,7 @@
     /// Reads the file that `LB_CONFIG` names; the other variables overrule what it says.
     pub fn from_environment(variable: impl Fn(&str) -> Option<String>) -> Result<Config> {
         let path = variable("LB_CONFIG").context("LB_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).with_context(|| format!("LB_CONFIG: {path}"))?;
-        let mut config = Config::parse(&text).with_context(|| format!("LB_CONFIG: {path}"))?;
+        let mut config = Config::read(Path::new(&path))?;
         if let Some(name) = variable("LB_NAME") {
             config.name = name;
         }
@@ -116,7 +118,13 @@
         Ok(config)
     }
 
-    pub fn parse(text: &str) -> Result<Config> {
+    /// Reads the file alone.
+    pub fn read(path: &Path) -> Result<Config> {
+        let text = std::fs::read_to_string(path).with_context(|| format!("LB_CONFIG: {}", path.display()))?;
+        Config::parse(path, &text).with_context(|| format!("LB_CONFIG: {}", path.display()))
+    }
+
+    fn parse(path: &Path, text: &str) -> Result<Config> {
         let file: File = serde_json::from_str(text)?;
         let named = setup::read(file.settings.get()).map_err(anyhow::Error::msg).context("settings")?;
         named.settings.check().context("settings")?;
@@ -126,6 +134,7 @@
         let seed = u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..));
         let (name, listen, discovery) = (file.name, file.listen, file.discovery);
         let sockets = file.limits.sockets;
-        Ok(Config { name, listen, discovery, seed, sockets, peers, known: file.known, named })
+        let path = path.to_owned();
+        Ok(Config { path, name, listen, discovery, seed, sockets, peers, known: file.known, named })
     }
 }
--- a/src/bin/saffronpaddle/discovery.rs
+++ b/src/bin/saffronpaddle/discovery.rs
@@ -13,6 +13,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 /// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
@@ -38,17 +40,31 @@
     }
 }
 
-/// Follows the list for ever. While discovery is down the old list stands.
-pub async fn follow(node: Rc<Node>, address: SocketAddr, known: Option<List>) {
+/// Follows the list for ever, and moves when discovery gets another address. While it is down, and until the
+/// new one has spoken, the old list stands.
+pub async fn follow(node: Rc<Node>, mut address: watch::Receiver<SocketAddr>, known: Option<List>) {
     let mut follower = Follower { node, seq: None };
     if let Some(known) = known {
         follower.take(&List { whole: true, ..known });
     }
+    loop {
+        let now = *address.borrow_and_update();
+        tokio::select! {
+            () = stay(&mut follower, now) => {}
+            Ok(()) = address.changed() => {}
+        }
+        // Guards against versions of one discovery that are numbered otherwise than those of the next.
+        follower.seq = None;
+    }
+}
+
+/// Follows the list at one address, for ever.
+async fn stay(follower: &mut Follower, address: SocketAddr) {
     let mut pause = BACKOFF.0;
     let mut told = false;
     loop {
         let before = follower.seq;
-        if let Err(error) = watch(&mut follower, address).await {
+        if let Err(error) = watch_list(follower, address).await {
             if !std::mem::replace(&mut told, true) {
                 eprintln!("discovery: {error:#}");
             }
@@ -62,14 +78,24 @@
     }
 }
 
+/// A task that ends with its owner: a watch that is left must not keep its connection.
+struct Driver(JoinHandle<()>);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// One watch, until it ends.
-async fn watch(follower: &mut Follower, address: SocketAddr) -> Result<()> {
+async fn watch_list(follower: &mut Follower, address: SocketAddr) -> Result<()> {
     let stream = timeout(SILENT_FOR, TcpStream::connect(address)).await??;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let driver = tokio::task::spawn_local(connection);
-    let ended = read(follower, &mut sender, address).await;
-    driver.abort();
-    ended
+    let _driver = Driver(tokio::task::spawn_local(async move {
+        // How it ended shows in the watch.
+        let _ = connection.await;
+    }));
+    read(follower, &mut sender, address).await
 }
 
 async fn read(
--- a/src/bin/saffronpaddle/main.rs
+++ b/src/bin/saffronpaddle/main.rs
@@ -13,11 +13,13 @@
 use config::Config;
 use node::Node;
 use peers::Peers;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use upstream::Upstream;
 
@@ -44,6 +46,8 @@
 
 async fn serve(config: Config) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
+    // Guards against ending on SIGHUP, which is what it does to a process that does not ask for it.
+    let hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.with_context(|| format!("listen {}", config.listen))?;
     let peers = match config.peers {
@@ -57,7 +61,9 @@
     eprintln!("{}: listening on {}", config.name, listener.local_addr().context("listen")?);
 
     let (phase, seen) = watch::channel(Phase::Serving);
-    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), config.discovery, config.known));
+    let (moved, discovery) = watch::channel(config.discovery);
+    tokio::task::spawn_local(reload(hangup, config.path, moved));
+    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.known));
     tokio::task::spawn_local(peers::listen(Rc::clone(&node)));
     tokio::task::spawn_local(retire(Rc::clone(&node)));
     let clients = tokio::task::spawn_local(clients::serve(listener, node, each_side, seen));
@@ -71,6 +77,20 @@
     Ok(())
 }
 
+/// Rereads the configuration on each SIGHUP, for ever. Only discovery's address can change in service.
+async fn reload(mut hangup: Signal, path: PathBuf, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match Config::read(&path) {
+            Ok(config) => {
+                // Also when it is the same address as before: its numbering may have begun anew.
+                discovery.send_replace(config.discovery);
+                eprintln!("reloaded: discovery at {}", config.discovery);
+            }
+            Err(error) => eprintln!("the old configuration stays: {error:#}"),
+        }
+    }
+}
+
 async fn retire(node: Rc<Node>) {
     node.upstream.retire().await;
 }
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -66,10 +66,31 @@
         ("X-Call-Terms", "X-Terms", "400"),
         ("GET", "POST", "400"),
         ("HTTP/1.1", "SMTP", "400"),
+        ("00000000b4d65521", "+0000000b4d65521", "400"),
+        ("X-Class: read", "X-Class: read\r\nX-Class: submit", "400"),
+        ("X-Tier: p", "X-Tier: p\r\nX-Tier: p", "400"),
+        ("X-Deadline: 20000m", "X-Deadline: 30001m", "400"),
+        ("X-Deadline: 20000m", "X-Deadline: 1e3m", "400"),
+        ("units=1", "units=2", "400"),
+        ("units=1", "units=0", "400"),
+        ("units=1", "units", "400"),
+        ("units=1", "units=1,units=1", "400"),
+        ("spread=1", "spread=3", "400"),
+        ("spread=1", "spread=-1", "400"),
+        ("first=0", "first=2", "400"),
+        // A length and an encoding, in either order: one of them may hide a request in the other's body.
+        ("X-Tier: p", "X-Tier: p\r\nContent-Length: 4\r\nTransfer-Encoding: chunked", "411"),
+        ("X-Tier: p", "X-Tier: p\r\nTransfer-Encoding: chunked\r\nContent-Length: 4", "411"),
+        ("X-Tier: p", "X-Tier: p\r\nContent-Length: 4\r\nContent-Length: 5", "400"),
+        ("X-Tier: p", "X-Tier: p\r\nContent-Length: -4", "400"),
+        ("X-Tier: p", "X-Tier: p\r\nContent-Length: 4", "400"),
+        ("X-Tier: p", "X-Tier: p\r\nContent-Length: 60000000", "413"),
     ];
     for (from, to, status) in cases {
-        let answer = node.client().ask(&good.replacen(from, to, 1));
+        let mut client = node.client();
+        let answer = client.ask(&good.replacen(from, to, 1));
         assert_eq!(answer.status().to_string(), status, "{to}");
+        client.ends();
     }
     let keyless = request("b", "submit", "20000m").replace("Idempotency-Key", "Some-Key");
     assert_eq!(node.client().ask(&keyless).status(), 400);
@@ -260,6 +281,44 @@
     drop(silent);
 }
 
+/// SIGHUP ends a process that does not ask for it. The new discovery's versions are numbered anew, and the old
+/// list stands until it has spoken.
+#[test]
+fn sighup_moves_to_the_discovery_that_the_file_names() {
+    let (servers, old, mut node) = with_one("reload", &[SERVES]);
+    let (asked, mut before) = old.watch();
+    assert!(asked.contains("from=1"), "{asked}");
+    let serves = |client: &mut Client, id: &str| {
+        assert_eq!(client.ask(&request(id, "read", "20000m")).status(), 200);
+        servers.next().server
+    };
+    let mut client = node.client();
+    // A file that cannot be read as a configuration changes nothing.
+    node.reload(|text| text.replacen('{', "", 1));
+    assert_eq!(serves(&mut client, "a"), "s-1");
+    node.reload(|text| format!("{{{text}"));
+    let new = Discovery::start();
+    let (from, to) = (old.address.to_string(), new.address.to_string());
+    node.reload(|text| text.replace(&from, &to));
+    let (asked, mut watch) = new.watch();
+    assert!(asked.contains("watch=1") && !asked.contains("from"), "{asked}");
+    // The old watch is left at once.
+    let mut rest = Vec::new();
+    before.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    std::io::Read::read_to_end(&mut before, &mut rest).expect("the old watch ends");
+    assert_eq!(serves(&mut client, "b"), "s-1");
+    let two = servers.start("s-2", &[SERVES]);
+    write_list(&mut watch, &list(1, true, &[host("s-2", two, 2, "ready")]));
+    let mut number = 0;
+    while serves(&mut client, &format!("c{number}")) != "s-2" {
+        number += 1;
+    }
+    node.terminate();
+    // Also on its way out.
+    node.reload(|text| text);
+    assert!(node.wait().success());
+}
+
 #[test]
 fn peers_are_told_and_noise_is_passed_over() {
     let (_servers, _discovery, mut node) = with_one("peers", &[SERVES]);
@@ -322,6 +381,41 @@
     assert!(node.wait().success());
 }
 
+/// A client that says nothing, or stops in the midst of a request, does not keep its connection.
+#[test]
+fn silence_ends_a_connection() {
+    let (servers, _discovery, node) = with_one("silence", &[SERVES]);
+    let whole = request("a", "submit", "20000m");
+    let (half_head, half_body) = (&whole[..60], &whole[..whole.len() - 2]);
+    for words in ["", half_head, half_body] {
+        let mut client = node.client();
+        client.stream.set_read_timeout(Some(PATIENCE / 3)).expect("a time-out");
+        client.write(words);
+        if let Some(answer) = client.answer() {
+            assert_eq!(answer.status(), 400);
+        }
+        client.ends();
+    }
+    servers.got_no_more();
+}
+
+/// Clients that asked once and stay, and some that never ask, do not shut out another.
+#[test]
+fn a_crowd_shuts_out_nobody() {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let dial = servers.start("s-1", &[SERVES]);
+    let node = Node::with_sockets("crowd", discovery.address, &[host("s-1", dial, 1, "ready")], 64);
+    let mut crowd = Vec::new();
+    for number in 0..60 {
+        let mut client = node.client();
+        client.stream.set_read_timeout(Some(PATIENCE / 3)).expect("a time-out");
+        if number % 2 == 0 {
+            assert_eq!(client.ask(&request(&format!("r{number}"), "read", "20000m")).status(), 200);
+        }
+        crowd.push(client);
+    }
+}
+
 /// More clients than descriptors: the surplus waits, and is served once there is room.
 #[test]
 fn the_edge_node_outlives_a_lack_of_descriptors() {
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -273,7 +273,20 @@
     }
 
     pub fn terminate(&self) {
-        let kill = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("-TERM");
+    }
+
+    /// Puts another text in place of its configuration, then has it read again.
+    pub fn reload(&self, change: impl FnOnce(String) -> String) {
+        let text = std::fs::read_to_string(&self.config).expect("the configuration is there");
+        let new = self.config.with_extension("new");
+        std::fs::write(&new, change(text)).expect("the configuration is written");
+        std::fs::rename(new, &self.config).expect("the configuration is replaced");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(kill.expect("kill runs").success());
     }
 
