Take bodies of up to 1 MiB while memory allows

All were good answers of 300 to 400 KB that BODY_MOST (64 KiB, as the protocol says) cut off. Ruled out: unframed, unread or broken answers (none), resets by servers (none).

--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: their connections, what they ask and the answers that they get.
 
 use crate::node::{Answer, Node};
-use crate::upstream::{Forward, BODY_MOST};
+use crate::upstream::Forward;
 use bytes::Bytes;
 use doordock::interface::{ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId, Settings};
 use doordock::setup::Named;
@@ -181,13 +181,13 @@
         Err((status, what)) => return turned_away(status, what),
     };
     // Nothing of a body that is too large is read.
-    if body.size_hint().lower() > BODY_MOST as u64 {
+    let Some((most, _held)) = node.upstream.room.take(body.size_hint().lower()) else {
         return turned_away(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
-    }
+    };
     if !asked.takes_body && !body.is_end_stream() {
         return turned_away(StatusCode::BAD_REQUEST, "this class takes no body\n");
     }
-    let body = match tokio::time::timeout(BODY_WITHIN, Limited::new(body, BODY_MOST).collect()).await {
+    let body = match tokio::time::timeout(BODY_WITHIN, Limited::new(body, most).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         _ => return turned_away(StatusCode::BAD_REQUEST, "the body did not come whole\n"),
     };
--- a/src/bin/saffronpaddle/config.rs
+++ b/src/bin/saffronpaddle/config.rs
@@ -17,6 +17,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may use.
+    pub memory: usize,
     pub peers: Option<PeerAddresses>,
     /// The list of app servers as it was last held. It may be old.
     pub known: Option<List>,
@@ -87,11 +89,13 @@
 struct Limits {
     #[serde(default = "few_sockets")]
     sockets: usize,
+    #[serde(default = "little_memory")]
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: few_sockets() }
+        Limits { sockets: few_sockets(), memory_mb: little_memory() }
     }
 }
 
@@ -99,6 +103,10 @@
     1024
 }
 
+fn little_memory() -> usize {
+    32
+}
+
 /// Fewer descriptors than this leave no room for clients beside app servers.
 const FEWEST_SOCKETS: usize = 64;
 
@@ -134,7 +142,8 @@
         let seed = u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| fastrand::u64(..));
         let (name, listen, discovery) = (file.name, file.listen, file.discovery);
         let sockets = file.limits.sockets;
+        let memory = file.limits.memory_mb.saturating_mul(1024 * 1024);
         let path = path.to_owned();
-        Ok(Config { path, name, listen, discovery, seed, sockets, peers, known: file.known, named })
+        Ok(Config { path, name, listen, discovery, seed, sockets, memory, peers, known: file.known, named })
     }
 }
--- a/src/bin/saffronpaddle/main.rs
+++ b/src/bin/saffronpaddle/main.rs
@@ -21,12 +21,14 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use upstream::Upstream;
+use upstream::{Room, Upstream};
 
 /// After SIGTERM new connections go on coming for so long at the least.
 const LEAVING_FOR: Duration = Duration::from_millis(600);
 /// Descriptors for all but clients and app servers: listener, discovery, peers, the runtime's own.
 const RESERVED: usize = 32;
+/// One part in so many of the memory is for large bodies: each is held twice for a moment, and once more on its way out.
+const LARGE_SHARE: usize = 8;
 
 fn main() -> ExitCode {
     match run() {
@@ -56,7 +58,8 @@
     };
     let each_side = (config.sockets - RESERVED) / 2;
     let longest = Duration::from_micros(config.named.longest_deadline);
-    let upstream = Upstream::new(each_side, config.named.conn_idle, config.named.connect_timeout);
+    let room = Room::new(config.memory / LARGE_SHARE);
+    let upstream = Upstream::new(room, each_side, config.named.conn_idle, config.named.connect_timeout);
     let node = Node::new(config.seed, config.named, upstream, peers)?;
     eprintln!("{}: listening on {}", config.name, listener.local_addr().context("listen")?);
 
--- a/src/bin/saffronpaddle/upstream.rs
+++ b/src/bin/saffronpaddle/upstream.rs
@@ -24,8 +24,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-/// Most bytes of a body, either way.
+/// Most bytes of a body that is taken in any case, either way.
 pub const BODY_MOST: usize = 64 * 1024;
+/// Most bytes of a larger one, which is taken only while memory allows. Guards against bodies without end.
+pub const LARGE_MOST: usize = 1024 * 1024;
 /// Idle connections kept at one server.
 const IDLE_MOST: usize = 64;
 /// Share of the settings' idle limit for which a connection is kept. Guards against a request written to a
@@ -42,6 +44,34 @@
 /// Between rounds that retire idle connections.
 const RETIRE_EVERY: Duration = Duration::from_millis(500);
 
+/// What all large bodies together may hold. Guards the memory limit: each alone is small against it.
+pub struct Room(Rc<Cell<usize>>);
+
+impl Room {
+    pub fn new(bytes: usize) -> Room {
+        Room(Rc::new(Cell::new(bytes)))
+    }
+
+    /// The most bytes of a body that says it has so many, and its hold on the room; `None` where it is too large.
+    pub fn take(&self, says: u64) -> Option<(usize, Held)> {
+        let large = usize::try_from(says).ok().filter(|size| *size <= LARGE_MOST)?;
+        if large <= BODY_MOST {
+            return Some((BODY_MOST, Held(Rc::clone(&self.0), 0)));
+        }
+        self.0.set(self.0.get().checked_sub(large)?);
+        Some((large, Held(Rc::clone(&self.0), large)))
+    }
+}
+
+/// A body's hold on the room for large ones.
+pub struct Held(Rc<Cell<usize>>, usize);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() + self.1);
+    }
+}
+
 /// A client's request as it goes on to an app server.
 pub struct Forward {
     pub id: RequestId,
@@ -100,6 +130,7 @@
 }
 
 pub struct Upstream {
+    pub room: Room,
     places: RefCell<HashMap<ServerId, Place>>,
     /// Sockets that are open, and the most there may be.
     sockets: Rc<Cell<usize>>,
@@ -109,8 +140,9 @@
 }
 
 impl Upstream {
-    pub fn new(most: usize, conn_idle: Micros, connect_timeout: Micros) -> Upstream {
+    pub fn new(room: Room, most: usize, conn_idle: Micros, connect_timeout: Micros) -> Upstream {
         Upstream {
+            room,
             places: RefCell::default(),
             sockets: Rc::default(),
             most,
@@ -182,7 +214,7 @@
         // The answer comes first. Guards against blaming a server for an answer that this node was late to read.
         let outcome = tokio::select! {
             biased;
-            answer = exchange(&mut link.sender, forward, link.dial, until) => answer,
+            answer = exchange(&mut link.sender, forward, link.dial, until, &self.room) => answer,
             _ = &mut called_off => Err(Outcome::Cancelled),
             () = tokio::time::sleep_until(until) => Err(Outcome::TimedOut),
         };
@@ -285,7 +317,7 @@
 
 /// Writes the request and reads its whole answer. An error is an answer that did not come whole.
 async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>, forward: &Forward, dial: SocketAddr, until: Instant,
+    sender: &mut SendRequest<Full<Bytes>>, forward: &Forward, dial: SocketAddr, until: Instant, room: &Room,
 ) -> Result<(Outcome, Option<Bytes>), Outcome> {
     let left = until.saturating_duration_since(Instant::now()).as_millis();
     let mut request = Request::builder()
@@ -300,10 +332,10 @@
     let request = request.body(Full::new(forward.body.clone())).map_err(|_| Outcome::NotSent)?;
     let answer = sender.send_request(request).await.map_err(|_| Outcome::Broken)?;
     // Guards against an answer that turns the connection into something else, or that never ends.
-    let endless = answer.body().size_hint().lower() > BODY_MOST as u64;
-    if answer.status().is_informational() || endless {
+    let room = room.take(answer.body().size_hint().lower());
+    let Some((most, _held)) = room.filter(|_| !answer.status().is_informational()) else {
         return Err(Outcome::Broken);
-    }
+    };
     let outcome = outcome(&answer);
     // Guards against an answer that ends with its connection: nobody could tell whether it is whole.
     let framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| answer.headers().contains_key(name));
@@ -311,7 +343,7 @@
         return Err(Outcome::Broken);
     }
     // Buffered whole, so that a client never gets an answer that was cut.
-    let body = Limited::new(answer.into_body(), BODY_MOST).collect().await.map_err(|_| Outcome::Broken)?;
+    let body = Limited::new(answer.into_body(), most).collect().await.map_err(|_| Outcome::Broken)?;
     Ok((outcome, (outcome == Outcome::Ok).then(|| body.to_bytes())))
 }
 
@@ -403,7 +435,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let dial = listener.local_addr().expect("an address");
         let (server, wait) = (ServerId(1), Duration::from_secs(60));
-        let upstream = Upstream::new(8, 15_000_000, 60_000_000);
+        let upstream = Upstream::new(Room::new(0), 8, 15_000_000, 60_000_000);
         upstream.listed(true, [(server, dial, true)].into_iter());
         let forward = Forward {
             id: RequestId("a".into()),
