Start stores with the whole burst

Customers that use nearly all of their rate lose most, in stores that stand 14 and more units below the true one: a store began with burst / spread, and what is missing at first stays missing (Store::new).

--- a/src/control.rs
+++ b/src/control.rs
@@ -312,15 +312,24 @@
 }
 
 impl Store {
-    /// A store that has not been used for as long as this gateway is up. Its level is full, and its share of the
-    /// ceiling holds what has come in since: empty at the start of a gateway, which may have used it before.
+    /// A store that has not been used for as long as this gateway is up. It holds the whole burst: with only the even
+    /// part at first, what is missing stays missing for a customer that uses nearly all. Peers' use is heard soon
+    /// enough. Its share of the ceiling holds what has come in since the start, when it may have been used up.
     fn new(
         now: Micros, up: Micros, id: PlanId, plan: &Plan, (first, spread): (GatewayId, u32), most: f64,
     ) -> Self {
         let spread = f64::from(spread.max(1));
         let depth = (plan.burst / spread).max(most);
         let (share, ceiling_share) = (1.0, 1.0 / spread);
-        let store = Store { plan: id, first, spread, depth, level: depth, filled: now, ..Store::default() };
+        let store = Store {
+            plan: id,
+            first,
+            spread,
+            depth,
+            level: plan.burst.max(depth),
+            filled: now,
+            ..Store::default()
+        };
         let mut store = Store { share, ceiling_share, chance: 1.0, ..store };
         store.fill_ceiling(plan, up as f64 / 1e6);
         store
@@ -365,7 +374,7 @@
         self.fill(now, plan, silent);
         self.places.retain(|place| place.2 > now);
         let full = plan.ceiling.as_ref().is_none_or(|ceiling| self.ceiling >= self.most_under(ceiling));
-        let refilled = plan.rate <= 0.0 || self.level >= self.depth;
+        let refilled = plan.rate <= 0.0 || self.level >= (plan.burst * self.share).max(self.depth);
         full && refilled && self.places.is_empty() && self.peers(now, HEARD_FOR) <= 0.0
     }
 }
