--- a/src/control.rs
+++ b/src/control.rs
@@ -12,6 +12,7 @@
 
 const SWEEP: Micros = 10_000; // µs between sweeps, well under the aims
 const LATE: Micros = 50_000; // µs by which a sweep may be late before this gateway itself is what is slow
+const NEWCOMER: Micros = 4_000_000; // µs by which peers are older, and for how long, where this gateway restarted
 const KEEP_FOR: Micros = 60_000_000; // µs without a try for which a customer's store is kept at the least
 const LAST_CALL: Micros = 2 * SWEEP; // µs before its time is up that a client is answered, if a sweep is late
 const TICK: Micros = 500_000; // µs of a controller tick; the paper's 4 s is longer than the bursts here
@@ -134,7 +135,11 @@
         let most = self.settings.most_units;
         let store = self.stores.entry(request.customer);
         let up = now.saturating_sub(self.born);
-        let store = store.or_insert_with(|| Store::new(now, up, request.plan, plan, set, most));
+        let store = store.or_insert_with(|| {
+            let store = Store::new(now, up, request.plan, plan, set, most);
+            let level = if self.newcomer && up < NEWCOMER { store.depth } else { store.level };
+            Store { level, ..store }
+        });
         store.fill(now, plan, silent(&self.spoke, store, now));
         store.used = now;
         // Danger: a client that waits so briefly that the next sweep would answer too late.
@@ -435,6 +440,7 @@
             }
         };
         self.spoke[from.0 as usize] = now;
+        self.met(now, birth);
         for (customer, count) in counts {
             let Some(store) = self.stores.get_mut(&customer) else { continue };
             store.fill(now, &self.settings.plans[store.plan.0], silent(&self.spoke, store, now));
@@ -446,6 +452,20 @@
         }
     }
 
+    /// A peer was born then. Danger: a restart that fills stores anew, which others have drawn on: where peers are
+    /// older, only the even part of each burst is taken for granted at first.
+    fn met(&mut self, now: Micros, birth: u32) {
+        let (age, its_age) = (now.saturating_sub(self.born), ((now / 1000) as u32).wrapping_sub(birth));
+        if self.newcomer || age > NEWCOMER || u64::from(its_age) * 1000 < age + NEWCOMER {
+            return;
+        }
+        self.newcomer = true;
+        for store in self.stores.values_mut() {
+            let beyond = (self.settings.plans[store.plan.0].burst - store.depth).max(0.0);
+            store.level = (store.level - beyond).max(-store.depth);
+        }
+    }
+
     /// Tells the peers what was lately sent on. It goes out even when there is nothing to tell.
     fn gossip(&mut self, now: Micros, out: &mut Out) {
         let pace = gossip_pace(&self.settings);
--- a/src/state.rs
+++ b/src/state.rs
@@ -273,6 +273,8 @@
     pub(crate) random: fastrand::Rng,
     pub(crate) born: Micros,
     pub(crate) begun: bool,
+    /// Whether peers are much older: this gateway has been restarted.
+    pub(crate) newcomer: bool,
     pub(crate) shortest_aim: f64,
     pub(crate) lowest: ClassId,
     pub(crate) requests: BTreeMap<RequestId, Request>,
@@ -319,6 +321,7 @@
             random: fastrand::Rng::with_seed(seed),
             born: now,
             begun: false,
+            newcomer: false,
             shortest_aim: settings.classes.iter().map(|class| class.aim).min().unwrap_or(1).max(1) as f64,
             lowest: ClassId(0),
             requests: BTreeMap::new(),
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -247,6 +247,23 @@
     assert_eq!(sends(&fresh.log), 2, "4 a second");
 }
 
+/// Peers that are much older tell a gateway that it has restarted: what it has not seen may have been used.
+#[test]
+fn a_restart_fills_no_store_anew() {
+    let sent = |birth: u32| {
+        let mut stand = Stand::with_servers(1, settings(0, 2), 100 * S, 4);
+        stand.event(message(birth, 8, 1));
+        for _ in 0..6 {
+            let id = stand.request(SAFE, 0, 7, 2 * S);
+            if stand.out.iter().any(|(out, _, _)| *out == id) {
+                stand.end(&id, Outcome::Ok);
+            }
+        }
+        sends(&stand.log)
+    };
+    assert_eq!((sent(99_000), sent(50_000)), (4, 2), "a burst of 4, and its even part");
+}
+
 /// A sender that dropped a customer counts from nothing again.
 #[test]
 fn a_count_that_begins_anew_is_heard() {
