Let a store follow its customer's plan and set; forget ended connections sooner

From reading, with a test: a store took plan and set from its customer's first request for good, so that one stray request could fix a wrong one (arrive). It follows after three requests on end that name another, and gains nothing by it.

--- a/src/bin/saffronpaddle/clients.rs
+++ b/src/bin/saffronpaddle/clients.rs
@@ -34,6 +34,8 @@
 const NEVER_ASKED: Duration = Duration::from_secs(1);
 /// Most bytes buffered for one client, so that all together stay far from the memory limit.
 const BUFFER_MOST: usize = 32 * 1024;
+/// Ended connections that may wait to be forgotten together.
+const ENDED_KEPT: usize = 32;
 /// Pause after a connection that could not be accepted, for lack of descriptors mostly.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -109,7 +111,8 @@
             // One that ends, by itself or not, has closed its socket; meanwhile another may have become idle.
             let _ = tokio::time::timeout(ACCEPT_AGAIN, self.tasks.join_next()).await;
         }
-        if self.seats.len() > 2 * self.most {
+        // Guards memory: a handle keeps what its task has left behind.
+        if self.seats.len() > self.tasks.len() + ENDED_KEPT {
             self.tidy();
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -13,6 +13,7 @@
 const SWEEP: Micros = 10_000; // µs between sweeps, well under the aims
 const LATE: Micros = 50_000; // µs by which a sweep may be late before this gateway itself is what is slow
 const NEWCOMER: Micros = 4_000_000; // µs by which peers are older, and for how long, where this gateway restarted
+const DOUBTS: u32 = 3; // requests on end that name another plan or set, until their customer's store follows
 const KEEP_FOR: Micros = 60_000_000; // µs without a try for which a customer's store is kept at the least
 const LAST_CALL: Micros = 2 * SWEEP; // µs before its time is up that a client is answered, if a sweep is late
 const TICK: Micros = 500_000; // µs of a controller tick; the paper's 4 s is longer than the bursts here
@@ -129,17 +130,26 @@
     }
 
     fn arrive(&mut self, now: Micros, id: RequestId, request: Request, set: (GatewayId, u32), out: &mut Out) {
-        let plan = &self.settings.plans[request.plan.0];
+        let plans = &self.settings.plans;
         let (units, shed) = (request.units, self.shed(&request));
         let set = (set.0, set.1.clamp(1, self.settings.gateways));
         let most = self.settings.most_units;
         let store = self.stores.entry(request.customer);
         let up = now.saturating_sub(self.born);
         let store = store.or_insert_with(|| {
-            let store = Store::new(now, up, request.plan, plan, set, most);
+            let store = Store::new(now, up, request.plan, &plans[request.plan.0], set, most);
             let level = if self.newcomer && up < NEWCOMER { store.depth } else { store.level };
             Store { level, ..store }
         });
+        // Danger: one request, by mistake or malice, that fixes a wrong plan or set for its customer for good.
+        let named = (request.plan, set.0, f64::from(set.1));
+        let same = named == (store.plan, store.first, store.spread);
+        store.doubts = if same { 0 } else { store.doubts + 1 };
+        if store.doubts >= DOUBTS {
+            let ceiling = if plans[store.plan.0].ceiling.is_some() { store.ceiling.min(0.0) } else { 0.0 };
+            store.follow(Store::new(now, 0, request.plan, &plans[request.plan.0], set, most), ceiling);
+        }
+        let plan = &plans[store.plan.0];
         store.fill(now, plan, silent(&self.spoke, store, now));
         store.used = now;
         // Danger: a client that waits so briefly that the next sweep would answer too late.
@@ -346,6 +356,13 @@
         Store { share: 1.0 / f64::from(homes), ..store }
     }
 
+    /// Goes over to another plan or set; nothing is gained by that, and all that is out or told stays so.
+    fn follow(&mut self, fresh: Store, ceiling: f64) {
+        let (heard, level) = (std::mem::take(&mut self.heard), self.level.min(fresh.level));
+        let (open, sent, sent_at) = (self.open, self.sent, self.sent_at);
+        *self = Store { level, ceiling, open, sent, sent_at, heard, ..fresh };
+    }
+
     fn fill(&mut self, now: Micros, plan: &Plan, silent: f64) {
         let span = now.saturating_sub(self.filled) as f64 / 1e6;
         self.filled = now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -135,6 +135,8 @@
     pub depth: f64,
     pub level: f64,
     pub filled: Micros,
+    /// Requests on end that named another plan or set.
+    pub doubts: u32,
     /// When a try last drew on it.
     pub used: Micros,
     pub sent: f64,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -264,6 +264,26 @@
     assert_eq!((sent(99_000), sent(50_000)), (4, 2), "a burst of 4, and its even part");
 }
 
+/// One request that names a wrong plan neither fixes it for good, coming first, nor takes the right one away.
+#[test]
+fn a_stray_plan_does_not_stay() {
+    let mut stand = Stand::with_servers(1, settings(0, 2), S, 4);
+    let mut ask = |plan: usize, times: usize| {
+        let before = sends(&stand.log);
+        for _ in 0..times {
+            let id = stand.request(SAFE, plan, 7, 2 * S);
+            if stand.out.iter().any(|(out, _, _)| *out == id) {
+                stand.end(&id, Outcome::Ok);
+            }
+        }
+        sends(&stand.log) - before
+    };
+    assert_eq!(ask(0, 1), 1);
+    assert_eq!(ask(1, 20), 20, "plan 0 has a burst of 4, plan 1 no limit");
+    ask(0, 2);
+    assert_eq!(ask(1, 20), 20);
+}
+
 /// A sender that dropped a customer counts from nothing again.
 #[test]
 fn a_count_that_begins_anew_is_heard() {
