Move to one workspace: decision module, node library, program and adapter as packages

Cause: everything of the edge node was private to one binary, and the module still bore its old name; the next subsystems need parts that can be driven in process. Change: moves and renames only (doordock is saffronpaddle-decision, its adapter saffronpaddle-simlink); the node is a library under a thin program.

--- a/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -1,5 +1,5 @@
-//! The decisions of a doordock gateway, all of them. The types, events and actions that they work on are
-//! in `src/interface.rs`; what was added to the design is marked as an exception to it, or by its danger.
+//! The decisions of a gateway, all of them. The types, events and actions that they work on are
+//! in `interface.rs`; what was added to the design is marked as an exception to it, or by its danger.
 
 use crate::fuzzy::{chance_under, infer, mix, rank};
 use crate::interface::*;
--- a/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -1,4 +1,5 @@
-#![doc = include_str!("../README.md")]
+//! Decisions of a gateway that holds customers to their quotas before a shared back end: events in, actions
+//! out, no input or output, time as an argument.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::*;
-use doordock::control::inferred;
-use doordock::interface::*;
-use doordock::Gateway;
+use saffronpaddle_decision::control::inferred;
+use saffronpaddle_decision::interface::*;
+use saffronpaddle_decision::Gateway;
 use std::collections::BTreeMap;
 
 fn change_of(error: f64, change: f64) -> f64 {
--- a/src/bin/saffronpaddle/clients.rs
+++ b/crates/node/src/clients.rs
@@ -3,8 +3,6 @@
 use crate::node::{Answer, Node};
 use crate::upstream::Forward;
 use bytes::Bytes;
-use doordock::interface::{ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId, Settings};
-use doordock::setup::Named;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
@@ -12,6 +10,10 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use saffronpaddle_decision::interface::{
+    ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId, Settings,
+};
+use saffronpaddle_decision::setup::Named;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
--- a/src/bin/saffronpaddle/node.rs
+++ b/crates/node/src/node.rs
@@ -5,12 +5,12 @@
 use crate::peers::Peers;
 use crate::upstream::{Forward, Upstream};
 use bytes::Bytes;
-use doordock::interface::{
+use saffronpaddle_decision::interface::{
     Action, AttemptNo, CellId, Event, ListKind, Micros, Outcome, RequestId, ServerEntry, ServerId, Standing,
     ZoneId,
 };
-use doordock::setup::Named;
-use doordock::Gateway;
+use saffronpaddle_decision::setup::Named;
+use saffronpaddle_decision::Gateway;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/src/bin/saffronpaddle/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,7 +3,7 @@
 use crate::config::PeerAddresses;
 use crate::node::Node;
 use anyhow::{Context, Result};
-use doordock::interface::{Event, GatewayId};
+use saffronpaddle_decision::interface::{Event, GatewayId};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
--- a/src/bin/saffronpaddle/main.rs
+++ b/crates/node/src/serve.rs
@@ -1,27 +1,19 @@
-//! The edge node: a shell of sockets round the decision module. It makes no policy.
-#![forbid(unsafe_code)]
-
-mod clients;
-mod config;
-mod discovery;
-mod node;
-mod peers;
-mod upstream;
+//! One edge node from its start to its end: what is bound, what runs, and how it leaves.
 
+use crate::clients::{self, Phase};
+use crate::config::Config;
+use crate::discovery;
+use crate::node::Node;
+use crate::peers::{self, Peers};
+use crate::upstream::{Room, Upstream};
 use anyhow::{Context, Result};
-use clients::Phase;
-use config::Config;
-use node::Node;
-use peers::Peers;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use upstream::{Room, Upstream};
 
 /// After SIGTERM new connections go on coming for so long at the least.
 const LEAVING_FOR: Duration = Duration::from_millis(600);
@@ -30,23 +22,21 @@
 /// One part in so many of the memory is for large bodies: each is held twice for a moment, and once more on its way out.
 const LARGE_SHARE: usize = 8;
 
-fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("saffronpaddle: {error:#}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-fn run() -> Result<()> {
+/// Runs one edge node as `LB_*` have it, until it is told to end.
+///
+/// # Errors
+/// What could not be bound or read.
+pub fn run() -> Result<()> {
     let config = Config::from_environment(|key| std::env::var(key).ok())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     tokio::task::LocalSet::new().block_on(&runtime, serve(config))
 }
 
-async fn serve(config: Config) -> Result<()> {
+/// Serves until SIGTERM, then serves out what was taken.
+///
+/// # Errors
+/// What could not be bound or read.
+pub async fn serve(config: Config) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
     // Guards against ending on SIGHUP, which is what it does to a process that does not ask for it.
     let hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
--- a/src/bin/saffronpaddle/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,7 +1,6 @@
 //! Connections to app servers, the attempts on them and how these end.
 
 use bytes::Bytes;
-use doordock::interface::{Micros, Outcome, RequestId, ServerId};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -9,6 +8,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use saffronpaddle_decision::interface::{Micros, Outcome, RequestId, ServerId};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/src/bin/doordock-benchlink/main.rs
+++ b/crates/simlink/src/main.rs
@@ -2,11 +2,11 @@
 
 mod wire;
 
-use doordock::interface::{
+use saffronpaddle_decision::interface::{
     Action, AttemptNo, CellId, ClassId, CustomerId, Event, GatewayId, ListKind, Outcome, PlanId, RequestId,
     ServerEntry, ServerId, Standing, ZoneId,
 };
-use doordock::{setup, Gateway};
+use saffronpaddle_decision::{setup, Gateway};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
@@ -34,7 +34,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("doordock-benchlink: {fault}");
+            eprintln!("saffronpaddle-simlink: {fault}");
             ExitCode::FAILURE
         }
     }
