--- /dev/null
+++ b/crates/lifecycle/src/lib.rs
@@ -0,0 +1,346 @@
+//! The life cycle of an edge node: which state it is in, whether it may take work, and when it ends.
+//!
+//! No input or output, and no clock: what is seen comes in as [`Event`]s with the time as an argument, what is to
+//! be done comes out as [`Action`]s. The shell (`saffronpaddle-node`) executes them and decides nothing.
+//!
+//! ```
+//! use saffronpaddle_lifecycle::{Action, Event, Lifecycle, Limits, State};
+//! use std::time::Duration;
+//! let mut life = Lifecycle::new(Limits::immediate(Duration::from_secs(3)), Duration::ZERO);
+//! let mut out = Vec::new();
+//! life.handle(Duration::ZERO, Event::Listening, &mut out);
+//! assert_eq!(life.state(), State::Ready);
+//! assert!(out.contains(&Action::Manager(saffronpaddle_lifecycle::Word::Ready)));
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod readiness;
+
+pub use readiness::{Conditions, Facts, Readiness, Reason, Reasons};
+
+use std::time::Duration;
+
+/// A point in time: the span since some fixed moment of a clock that never goes back (`CLOCK_MONOTONIC`).
+pub type Time = Duration;
+
+/// Where an edge node stands in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// Not ready yet: something that the five rules need is not there.
+    Starting,
+    /// Takes work. Readiness may be lost and come back in this state; see [`Lifecycle::ready`].
+    Ready,
+    /// Reads its configuration anew, and goes on taking work as before.
+    Reloading,
+    /// Told to stop. Not ready, but what comes is still taken and served: clients and fronts notice late.
+    Draining,
+    /// Accepts nothing new; what was taken is finished.
+    Closing,
+    /// At its end: the process exits.
+    Gone,
+}
+
+impl State {
+    /// The state's name in logs and in `STATUS=`.
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Starting => "starting",
+            State::Ready => "ready",
+            State::Reloading => "reloading",
+            State::Draining => "draining",
+            State::Closing => "closing",
+            State::Gone => "gone",
+        }
+    }
+}
+
+/// What a life cycle is bound by. All spans; the operator file names them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Which conditions readiness hangs on, and for how long.
+    pub readiness: readiness::Conditions,
+    /// After the word to stop, work is still taken for so long. Guards against refusing clients whose front has
+    /// not noticed yet.
+    pub leave_for: Duration,
+    /// After that, what was taken may take so long at the most. Guards against a client that never reads.
+    pub finish_within: Duration,
+    /// A reload that has not ended after so long has failed. Guards against a file system that hangs.
+    pub reload_within: Duration,
+}
+
+impl Limits {
+    /// Ready as soon as it listens, whatever it knows: how an edge node without an operator file behaves.
+    pub fn immediate(longest_deadline: Duration) -> Limits {
+        Limits {
+            readiness: readiness::Conditions::none(),
+            leave_for: Duration::from_millis(600),
+            finish_within: longest_deadline,
+            reload_within: Duration::from_secs(10),
+        }
+    }
+}
+
+/// What happens to an edge node.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Its listener is up: connections come in, or wait in the backlog.
+    Listening,
+    /// What is known of the conditions now; told at least once a [`Lifecycle::NEXT`].
+    Seen(Facts),
+    /// The word to stop (SIGTERM).
+    Stop,
+    /// The word to read the configuration anew (SIGHUP).
+    Reload,
+    /// The reload that was asked for has ended, well or not.
+    Reloaded {
+        /// Whether the new configuration stands.
+        taken: bool,
+    },
+    /// All connections of clients have ended.
+    Served,
+    /// Time passes.
+    Tick,
+}
+
+/// What the service manager is told (`sd_notify(3)`).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// `READY=1`: started, or done with a reload.
+    Ready,
+    /// `RELOADING=1` with `MONOTONIC_USEC=`.
+    Reloading,
+    /// `STOPPING=1`.
+    Stopping,
+    /// `STATUS=`, a line for people.
+    Status(String),
+    /// `EXTEND_TIMEOUT_USEC=`: the stop may take so long from now.
+    Extend(Duration),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Tell the service manager.
+    Manager(Word),
+    /// Read the configuration anew and answer with [`Event::Reloaded`].
+    ReadConfiguration,
+    /// Answer each request from now on with `Connection: close`.
+    CloseAfterAnswers,
+    /// Accept no more; close idle connections; say [`Event::Served`] once all have ended.
+    StopAccepting,
+    /// End the process, whatever is still open.
+    Exit,
+    /// A line for the log.
+    Log(String),
+}
+
+/// An edge node's life cycle.
+#[derive(Clone, Debug)]
+pub struct Lifecycle {
+    limits: Limits,
+    state: State,
+    readiness: Readiness,
+    listening: bool,
+    /// Whether the manager was told READY once: it may be told so again only after a reload.
+    announced: bool,
+    /// Whether readiness held when it was last looked at.
+    ready: bool,
+    /// When the state ends by itself.
+    until: Option<Time>,
+    /// A word to reload that came during a reload; it counts once.
+    again: bool,
+    /// A reload is under way that began before the node was ready.
+    quietly: bool,
+    stops: u32,
+}
+
+impl Lifecycle {
+    /// How often [`Event::Seen`] or [`Event::Tick`] must come at the least for the bounds to hold to this span.
+    pub const NEXT: Duration = Duration::from_millis(100);
+
+    /// A node that has just started.
+    pub fn new(limits: Limits, now: Time) -> Lifecycle {
+        let readiness = Readiness::new(limits.readiness.clone(), now);
+        Lifecycle {
+            limits,
+            state: State::Starting,
+            readiness,
+            listening: false,
+            announced: false,
+            ready: false,
+            until: None,
+            again: false,
+            quietly: false,
+            stops: 0,
+        }
+    }
+
+    /// Where the node stands.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Whether the five rules can be kept now for new work: what `/-/ready` answers.
+    pub fn ready(&self) -> bool {
+        self.ready && matches!(self.state, State::Ready | State::Reloading)
+    }
+
+    /// Why it is not ready, by name; empty where only the state stands in the way.
+    pub fn reasons(&self) -> Reasons {
+        self.readiness.reasons()
+    }
+
+    /// A line for people: the state, and why the node is not ready.
+    pub fn status(&self) -> String {
+        let reasons = self.reasons();
+        match self.state {
+            State::Ready | State::Reloading if !self.ready => format!("not ready: {reasons}"),
+            State::Starting if !reasons.is_empty() => format!("starting: waits for {reasons}"),
+            state => state.name().to_owned(),
+        }
+    }
+
+    /// Other limits from now on; what has begun under the old ones keeps its end.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.readiness.set_conditions(limits.readiness.clone());
+        self.limits = limits;
+    }
+
+    /// Takes in one event; what is to be done about it is added to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        let before = (self.state, self.status());
+        match event {
+            Event::Listening => self.listening = true,
+            Event::Seen(facts) => self.readiness.see(now, &facts),
+            Event::Stop => self.stop(now, out),
+            Event::Reload => self.reload(now, out),
+            Event::Reloaded { taken } => self.reloaded(now, taken, out),
+            Event::Served if self.state == State::Closing => self.gone(out),
+            Event::Served | Event::Tick => {}
+        }
+        self.pass(now, out);
+        let after = (self.state, self.status());
+        if before != after && self.state != State::Gone {
+            out.push(Action::Manager(Word::Status(after.1.clone())));
+            // Without conditions nothing is said that was not said before there were any.
+            if !self.limits.readiness.is_none() || before.0 != after.0 && self.state >= State::Draining {
+                out.push(Action::Log(format!("life cycle: {}", after.1)));
+            }
+        }
+    }
+
+    fn stop(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.stops += 1;
+        match self.state {
+            State::Starting if !self.listening => {
+                // Nothing was taken: there is nothing to finish.
+                out.push(Action::Manager(Word::Stopping));
+                self.gone(out);
+            }
+            State::Starting | State::Ready | State::Reloading => {
+                self.enter(State::Draining, now, self.limits.leave_for);
+                let longest = self.limits.leave_for + self.limits.finish_within;
+                out.push(Action::Manager(Word::Stopping));
+                out.push(Action::Manager(Word::Extend(longest + Self::EXTEND)));
+                out.push(Action::CloseAfterAnswers);
+            }
+            // Who says it twice is in a hurry: nothing that was taken is dropped, but nothing new is taken.
+            State::Draining => self.close(now, out),
+            State::Closing | State::Gone => {}
+        }
+    }
+
+    /// What the manager is asked for beyond the bounds here, so that it never kills a node that keeps them.
+    const EXTEND: Duration = Duration::from_secs(1);
+
+    fn reload(&mut self, now: Time, out: &mut Vec<Action>) {
+        match self.state {
+            State::Ready => {
+                out.push(Action::Manager(Word::Reloading));
+                out.push(Action::ReadConfiguration);
+                self.enter(State::Reloading, now, self.limits.reload_within);
+            }
+            // The manager awaits READY for the start: it is told of no reload before that.
+            State::Starting if !self.quietly => {
+                self.quietly = true;
+                out.push(Action::ReadConfiguration);
+            }
+            State::Starting | State::Reloading => self.again = true,
+            State::Draining | State::Closing | State::Gone => {
+                out.push(Action::Log("no reload: the node is stopping".to_owned()));
+            }
+        }
+    }
+
+    fn reloaded(&mut self, now: Time, taken: bool, out: &mut Vec<Action>) {
+        let began_starting = std::mem::take(&mut self.quietly);
+        if self.state == State::Reloading && !began_starting {
+            self.back_to_ready(out);
+        }
+        if !taken {
+            out.push(Action::Log("reload: the old configuration stays".to_owned()));
+        }
+        if std::mem::take(&mut self.again) && self.state < State::Draining {
+            self.reload(now, out);
+        }
+    }
+
+    fn back_to_ready(&mut self, out: &mut Vec<Action>) {
+        (self.state, self.until) = (State::Ready, None);
+        // Ends the reload for the manager, also where readiness was lost meanwhile: that is another matter.
+        out.push(Action::Manager(Word::Ready));
+    }
+
+    fn close(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.enter(State::Closing, now, self.limits.finish_within);
+        out.push(Action::StopAccepting);
+    }
+
+    fn gone(&mut self, out: &mut Vec<Action>) {
+        (self.state, self.until) = (State::Gone, None);
+        out.push(Action::Exit);
+    }
+
+    fn enter(&mut self, state: State, now: Time, most: Duration) {
+        (self.state, self.until) = (state, Some(now.saturating_add(most)));
+    }
+
+    /// What time alone, or what was seen, brings about.
+    fn pass(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.readiness.pass(now);
+        self.ready = self.listening && self.readiness.holds();
+        if self.state == State::Starting && self.ready {
+            self.state = State::Ready;
+            if !std::mem::replace(&mut self.announced, true) {
+                out.push(Action::Manager(Word::Ready));
+            }
+        }
+        if self.until.is_some_and(|until| now >= until) {
+            match self.state {
+                State::Reloading => {
+                    out.push(Action::Log("reload: given up, it took too long".to_owned()));
+                    self.back_to_ready(out);
+                }
+                State::Draining => self.close(now, out),
+                State::Closing => {
+                    out.push(Action::Log(
+                        "closing: the bound is reached, connections are dropped".to_owned(),
+                    ));
+                    self.gone(out);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether readiness hangs on something that must be looked at: [`Event::Seen`] is wanted.
+    pub fn looks(&self) -> bool {
+        !self.limits.readiness.is_none()
+    }
+
+    /// When the state ends by itself, if it does.
+    pub fn until(&self) -> Option<Time> {
+        self.until
+    }
+}
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -14,6 +14,7 @@
     ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId, Settings,
 };
 use saffronpaddle_decision::setup::Named;
+use saffronpaddle_lifecycle::Reasons;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -51,11 +52,27 @@
     Closing,
 }
 
+/// How the node stands towards clients.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Standing {
+    pub phase: Phase,
+    /// Whether the five rules can be kept for new work, and if not, why.
+    pub ready: bool,
+    pub why: Reasons,
+}
+
+impl Standing {
+    /// How it stands before anything was seen.
+    pub fn unready() -> Standing {
+        Standing { phase: Phase::Serving, ready: false, why: Reasons::default() }
+    }
+}
+
 type Reply = Response<Full<Bytes>>;
 
 /// Comes back when the edge node closes, or when nobody is left to say so.
-async fn closing(mut phase: watch::Receiver<Phase>) {
-    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+async fn closing(mut standing: watch::Receiver<Standing>) {
+    let _ = standing.wait_for(|standing| standing.phase == Phase::Closing).await;
 }
 
 /// What is known of a client's connection from outside.
@@ -88,7 +105,7 @@
 }
 
 impl Crowd {
-    fn seat(&mut self, stream: TcpStream, node: &Rc<Node>, phase: &watch::Receiver<Phase>) {
+    fn seat(&mut self, stream: TcpStream, node: &Rc<Node>, phase: &watch::Receiver<Standing>) {
         let now = Instant::now();
         let seat = Rc::new(Seat { idle: Cell::new(Some(now.checked_sub(NEVER_ASKED).unwrap_or(now))) });
         let talk = converse(stream, Rc::clone(node), phase.clone(), Rc::clone(&seat));
@@ -120,8 +137,11 @@
     }
 }
 
-/// Accepts clients until the edge node closes, then serves out those that it has. At most `most` at a time.
-pub async fn serve(listener: TcpListener, node: Rc<Node>, most: usize, phase: watch::Receiver<Phase>) {
+/// Accepts clients until the edge node closes, then serves out those that it has. At most `most` at a time. A listener
+/// that is `shared` goes on in other hands: what waits in its backlog is theirs.
+pub async fn serve(
+    listener: TcpListener, shared: bool, node: Rc<Node>, most: usize, phase: watch::Receiver<Standing>,
+) {
     let mut crowd = Crowd { tasks: JoinSet::new(), seats: Vec::new(), most };
     let closed = closing(phase.clone());
     tokio::pin!(closed);
@@ -141,14 +161,15 @@
         while crowd.tasks.try_join_next().is_some() {}
     }
     // What the machine has accepted counts as taken. Guards against resetting it with the listener.
-    while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+    let left = async || tokio::time::timeout(Duration::ZERO, listener.accept()).await;
+    while let Some(Ok(Ok((stream, _)))) = if shared { None } else { Some(left().await) } {
         crowd.seat(stream, &node, &phase);
     }
     drop(listener);
     while crowd.tasks.join_next().await.is_some() {}
 }
 
-async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Phase>, seat: Rc<Seat>) {
+async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Rc<Seat>) {
     let _ = stream.set_nodelay(true);
     let seen = phase.clone();
     let service = service_fn(move |request| {
@@ -156,7 +177,7 @@
         async move {
             let _busy = Busy::new(&seat);
             let mut reply = respond(&node, request, &seen).await;
-            if *seen.borrow() > Phase::Serving {
+            if seen.borrow().phase > Phase::Serving {
                 reply.headers_mut().insert(CONNECTION, CLOSE);
             }
             Ok::<_, Infallible>(reply)
@@ -175,10 +196,13 @@
     let _ = connection.await;
 }
 
-async fn respond(node: &Rc<Node>, request: Request<Incoming>, phase: &watch::Receiver<Phase>) -> Reply {
+async fn respond(node: &Rc<Node>, request: Request<Incoming>, phase: &watch::Receiver<Standing>) -> Reply {
     if request.method() == Method::GET && request.uri().path() == "/-/ready" {
-        let ready = *phase.borrow() == Phase::Serving;
-        return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+        let standing = phase.borrow().clone();
+        let status = if standing.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let mut reply = Response::new(Full::from(standing.why.to_string()));
+        *reply.status_mut() = status;
+        return reply;
     }
     let (head, body) = request.into_parts();
     let asked = match read(&node.named, &head) {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -113,6 +113,8 @@
         let Ok(data) = frame?.into_data() else { continue };
         let mut rest = &data[..];
         while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            // An empty line too: nothing has changed.
+            follower.node.heard_list();
             line.extend_from_slice(&rest[..end]);
             rest = &rest[end + 1..];
             if !line.trim_ascii().is_empty() {
--- /dev/null
+++ b/crates/node/src/facts.rs
@@ -0,0 +1,85 @@
+//! What readiness hangs on, as it is seen on this machine.
+
+use crate::node::Node;
+use saffronpaddle_lifecycle::Facts;
+use std::fs;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// No clock is right that tells a time before this: 2020-01-01, Unix time.
+const EARLIEST: Duration = Duration::from_secs(1_577_836_800);
+/// Descriptors and memory are counted anew after so long: each takes a look at the machine's files.
+const COUNT_EVERY: Duration = Duration::from_millis(500);
+
+/// Sees what readiness hangs on.
+pub struct Facing {
+    node: Rc<Node>,
+    sockets: u64,
+    memory_limit: u64,
+    /// Unix time and the steady clock at one moment.
+    began: (Duration, Instant),
+    counted: Option<(Instant, u64, u64)>,
+}
+
+impl Facing {
+    /// What this node may use: descriptors, and bytes of memory.
+    pub fn new(node: Rc<Node>, sockets: usize, memory: usize) -> Facing {
+        let began = (unix(), Instant::now());
+        Facing { node, sockets: sockets as u64, memory_limit: memory as u64, began, counted: None }
+    }
+
+    /// How it stands now, in a loop that is so late.
+    pub fn look(&mut self, lag: Duration) -> Facts {
+        let (_, open, memory) = match self.counted {
+            Some(counted) if counted.0.elapsed() < COUNT_EVERY => counted,
+            _ => *self.counted.insert((Instant::now(), descriptors(), resident())),
+        };
+        let expected = self.began.0 + self.began.1.elapsed();
+        let (peers_heard, peers) = self.node.peers_heard();
+        Facts {
+            servers: self.node.upstream.ready(),
+            list_heard: self.node.list_heard(),
+            peers_heard,
+            peers,
+            free_descriptors: self.sockets.saturating_sub(open),
+            memory,
+            memory_limit: self.memory_limit,
+            clock_moved: unix().abs_diff(expected),
+            clock_insane: self.began.0 < EARLIEST,
+            lag,
+        }
+    }
+}
+
+fn unix() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+/// Descriptors that are open; none where the machine does not tell.
+fn descriptors() -> u64 {
+    // The look itself takes one.
+    fs::read_dir("/proc/self/fd").map_or(0, |list| (list.count() as u64).saturating_sub(1))
+}
+
+/// Bytes of memory in use; none where the machine does not tell.
+fn resident() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.trim().trim_end_matches("kB").trim().parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_machine_tells_of_descriptors_and_memory() {
+        let before = descriptors();
+        let more: Vec<_> =
+            (0..5).map(|_| fs::File::open("/proc/self/status").expect("it is there")).collect();
+        assert!(before >= 3 && descriptors() >= before + more.len() as u64 - 2, "others may close some");
+        assert!(resident() > 100_000);
+    }
+}
--- /dev/null
+++ b/crates/node/src/handed.rs
@@ -0,0 +1,47 @@
+//! Listeners that the service manager hands over (`sd_listen_fds(3)`).
+
+use anyhow::{ensure, Context, Result};
+use listenfd::ListenFd;
+use std::net::TcpListener;
+
+/// The listener of a name among those handed over; `None` where none was handed over at all. Names are joined by
+/// colons, as `LISTEN_FDNAMES` has them. To be called before other threads run: it takes the variables away.
+///
+/// # Errors
+/// Listeners were handed over, but not this one, or it is no TCP listener.
+pub fn take(name: &str) -> Result<Option<TcpListener>> {
+    let names = std::env::var("LISTEN_FDNAMES").ok();
+    let mut handed = ListenFd::from_env();
+    if handed.len() == 0 {
+        return Ok(None);
+    }
+    let place = place(names.as_deref(), name, handed.len());
+    let place = place.with_context(|| format!("no listener named {name:?} was handed over"))?;
+    let listener = handed.take_tcp_listener(place).context("the listener handed over")?;
+    let listener = listener.context("the listener handed over was taken before")?;
+    listener.set_nonblocking(true).context("the listener handed over")?;
+    Ok(Some(listener))
+}
+
+/// Which of so many it is. Without names it is the first.
+fn place(names: Option<&str>, name: &str, count: usize) -> Result<usize> {
+    let Some(names) = names.filter(|names| !names.is_empty()) else { return Ok(0) };
+    let place = names.split(':').position(|other| other == name);
+    let place = place.with_context(|| format!("LISTEN_FDNAMES has {names:?}"))?;
+    ensure!(place < count, "LISTEN_FDNAMES has more names than there are listeners");
+    Ok(place)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::place;
+
+    #[test]
+    fn listeners_are_found_by_name_and_without_names_the_first_is_taken() {
+        assert_eq!(place(None, "clients", 2).ok(), Some(0));
+        assert_eq!(place(Some(""), "clients", 2).ok(), Some(0));
+        assert_eq!(place(Some("admin:clients"), "clients", 2).ok(), Some(1));
+        assert!(place(Some("admin:clients"), "clients", 1).is_err(), "more names than listeners");
+        assert!(place(Some("admin:other"), "clients", 2).is_err());
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,10 +4,16 @@
 mod clients;
 pub mod config;
 mod discovery;
+mod facts;
+mod handed;
+mod life;
+mod manager;
 mod node;
 mod peers;
 pub mod serve;
 mod upstream;
 
 pub use config::Config;
-pub use serve::serve;
+pub use life::Word;
+pub use manager::Manager;
+pub use serve::{Edge, OperatorFile, Options};
--- /dev/null
+++ b/crates/node/src/life.rs
@@ -0,0 +1,148 @@
+//! Runs the life cycle: words in (signals, time, what is seen), what the state machine asks for out.
+
+use crate::clients::{Phase, Standing};
+use crate::facts::Facing;
+use crate::manager::Manager;
+use crate::node::Node;
+use saffronpaddle_lifecycle::{Action, Event, Lifecycle, Limits};
+use std::future::{pending, Future};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// What a node is told from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Stop: finish what was taken, then end.
+    Stop,
+    /// Read the configuration anew.
+    Reload,
+}
+
+/// Between tries to tell the service manager what its socket had no room for.
+const RETRY: Duration = Duration::from_millis(50);
+/// The decision module asks to be woken at least every half second; a loop in which that has not happened for so much
+/// longer makes no progress, whatever else still runs in it.
+const PROGRESS: Duration = Duration::from_secs(1);
+/// Signs of life in the time that the manager allows for one.
+const FEEDS: u32 = 4;
+
+/// What the life cycle drives.
+pub struct Life {
+    pub machine: Lifecycle,
+    pub manager: Rc<Manager>,
+    pub standing: watch::Sender<Standing>,
+    pub facing: Facing,
+    pub born: Instant,
+}
+
+impl Life {
+    fn now(&self) -> Duration {
+        self.born.elapsed()
+    }
+
+    /// When something must be looked at or ends by itself.
+    fn next(&self, looked: Instant) -> Option<Instant> {
+        let until = self.machine.until().map(|until| self.born + until);
+        let look = self.machine.looks().then(|| looked + Lifecycle::NEXT);
+        let retry = self.manager.waits().then(|| Instant::now() + RETRY);
+        [until, look, retry].into_iter().flatten().min()
+    }
+
+    /// Runs until the machine says that the process ends. `reload` reads the configuration and says what limits
+    /// it sets, or nothing where it was not taken; it runs beside everything else. `served` ends once all clients have.
+    pub async fn run<R: Future<Output = Option<Limits>> + 'static>(
+        mut self, mut words: mpsc::UnboundedReceiver<Word>, reload: impl Fn() -> R, served: impl Future,
+    ) {
+        let (tell, mut reloaded) = mpsc::unbounded_channel();
+        tokio::pin!(served);
+        let (mut clients_left, mut words_left) = (true, true);
+        // The first look is due at once.
+        let mut looked = Instant::now().checked_sub(Lifecycle::NEXT).unwrap_or_else(Instant::now);
+        let mut event = Event::Listening;
+        loop {
+            let mut out = Vec::new();
+            let now = self.now();
+            self.machine.handle(now, event, &mut out);
+            let before = self.standing.borrow().clone();
+            let (mut phase, mut gone) = (before.phase, false);
+            for action in out {
+                match action {
+                    Action::Manager(word) => self.manager.say(&word),
+                    Action::ReadConfiguration => {
+                        let (tell, reading) = (tell.clone(), reload());
+                        tokio::task::spawn_local(async move {
+                            // The machine may have ended meanwhile.
+                            let _ = tell.send(reading.await);
+                        });
+                    }
+                    Action::CloseAfterAnswers => phase = phase.max(Phase::Leaving),
+                    Action::StopAccepting => phase = Phase::Closing,
+                    Action::Log(line) => eprintln!("{line}"),
+                    Action::Exit => gone = true,
+                }
+            }
+            let (ready, why) = (self.machine.ready(), self.machine.reasons());
+            if (phase, ready, why) != (before.phase, before.ready, before.why) {
+                self.standing.send_replace(Standing { phase, ready, why });
+            }
+            if gone {
+                // The last words are worth a moment, but no more: the manager also sees the process end.
+                self.manager.retry();
+                return;
+            }
+            let next = self.next(looked);
+            event = tokio::select! {
+                biased;
+                word = words.recv(), if words_left => match word {
+                    Some(Word::Stop) => Event::Stop,
+                    Some(Word::Reload) => Event::Reload,
+                    None => {
+                        words_left = false;
+                        Event::Tick
+                    }
+                },
+                Some(limits) = reloaded.recv() => {
+                    let taken = limits.is_some();
+                    limits.into_iter().for_each(|limits| self.machine.set_limits(limits));
+                    Event::Reloaded { taken }
+                }
+                _ = &mut served, if clients_left => {
+                    clients_left = false;
+                    Event::Served
+                }
+                () = until(next) => {
+                    self.manager.retry();
+                    let due = looked + Lifecycle::NEXT;
+                    let lag = Instant::now().saturating_duration_since(due);
+                    if self.machine.looks() && Instant::now() >= due {
+                        looked = Instant::now();
+                        Event::Seen(self.facing.look(lag))
+                    } else {
+                        Event::Tick
+                    }
+                }
+            };
+        }
+    }
+}
+
+async fn until(moment: Option<Instant>) {
+    match moment {
+        Some(moment) => sleep_until(moment).await,
+        None => pending().await,
+    }
+}
+
+/// Feeds the manager's watchdog for as long as the node's loop makes progress. Danger: a watchdog that is fed by a
+/// thread or timer of its own, while what it should guard is stuck.
+pub async fn feed(node: Rc<Node>, manager: Rc<Manager>) {
+    let Some(allowed) = manager.watchdog() else { return };
+    loop {
+        if node.progressed() <= PROGRESS.max(allowed / 2) {
+            manager.feed();
+        }
+        sleep(allowed / FEEDS).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/manager.rs
@@ -0,0 +1,212 @@
+//! The service manager: its notify socket (`sd_notify(3)`), and the watchdog that it asks to be fed.
+//!
+//! The protocol's words come from the `sd-notify` crate. Its own sending blocks while the manager's socket is full and
+//! knows no abstract sockets, so the datagrams are sent here.
+
+use saffronpaddle_lifecycle::Word;
+use sd_notify::NotifyState;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::ffi::OsStr;
+use std::io::{self, ErrorKind};
+use std::os::linux::net::SocketAddrExt;
+use std::os::unix::ffi::OsStrExt;
+use std::os::unix::net::{SocketAddr, UnixDatagram};
+use std::time::Duration;
+
+/// Words that may wait for a manager whose socket is full. Guards memory against one that never reads.
+const WAITING_MOST: usize = 16;
+
+/// The way to the manager; where there is none, all words are dropped.
+pub struct Manager {
+    way: Option<(UnixDatagram, SocketAddr)>,
+    /// Words that the socket had no room for, in their order. A status or a sign of life never waits.
+    waiting: RefCell<VecDeque<String>>,
+    /// Whether the log has been told that the manager can't be reached.
+    told: Cell<bool>,
+    /// How often it wants a sign of life.
+    watchdog: Option<Duration>,
+}
+
+impl Manager {
+    /// Nobody to be told.
+    pub fn none() -> Manager {
+        Manager { way: None, waiting: RefCell::default(), told: Cell::new(false), watchdog: None }
+    }
+
+    /// The manager at a socket: a path, or `@` and an abstract name, as `NOTIFY_SOCKET` has it.
+    ///
+    /// # Errors
+    /// An address that is neither, or no socket to send from. That the manager is not there is no error: it may come.
+    pub fn at(address: &OsStr, watchdog: Option<Duration>) -> io::Result<Manager> {
+        let to = match address.as_bytes() {
+            [b'@', name @ ..] => SocketAddr::from_abstract_name(name)?,
+            [b'/', ..] => SocketAddr::from_pathname(address)?,
+            _ => return Err(io::Error::new(ErrorKind::InvalidInput, "neither a path nor an abstract name")),
+        };
+        let socket = UnixDatagram::unbound()?;
+        // Danger: a manager that does not read stops a node that waits to tell it something.
+        socket.set_nonblocking(true)?;
+        Ok(Manager { way: Some((socket, to)), watchdog, ..Manager::none() })
+    }
+
+    /// How often the manager wants a sign of life; `None` for never.
+    pub fn watchdog(&self) -> Option<Duration> {
+        self.watchdog.filter(|_| self.way.is_some())
+    }
+
+    /// Tells it a word of the life cycle.
+    pub fn say(&self, word: &Word) {
+        let text = match word {
+            Word::Ready => NotifyState::Ready.to_string(),
+            Word::Reloading => match NotifyState::monotonic_usec_now() {
+                Ok(now) => format!("{}\n{now}", NotifyState::Reloading),
+                Err(_) => NotifyState::Reloading.to_string(),
+            },
+            Word::Stopping => NotifyState::Stopping.to_string(),
+            Word::Status(line) => NotifyState::Status(line).to_string(),
+            Word::Extend(span) => {
+                let micros = u32::try_from(span.as_micros()).unwrap_or(u32::MAX);
+                NotifyState::ExtendTimeoutUsec(micros).to_string()
+            }
+        };
+        self.send(text, !matches!(word, Word::Status(_)));
+    }
+
+    /// A sign of life.
+    pub fn feed(&self) {
+        self.send(NotifyState::Watchdog.to_string(), false);
+    }
+
+    /// Whether words wait for room; they go out with [`Manager::retry`].
+    pub fn waits(&self) -> bool {
+        !self.waiting.borrow().is_empty()
+    }
+
+    /// Sends what waits, as far as there is room.
+    pub fn retry(&self) {
+        let mut waiting = self.waiting.borrow_mut();
+        while let Some(text) = waiting.front() {
+            if self.try_send(text).is_err_and(|error| is_full(&error)) {
+                return;
+            }
+            waiting.pop_front();
+        }
+    }
+
+    fn send(&self, text: String, must: bool) {
+        self.retry();
+        let full = self.waits() || self.try_send(&text).is_err_and(|error| is_full(&error));
+        if !full || !must {
+            return;
+        }
+        let mut waiting = self.waiting.borrow_mut();
+        if waiting.len() >= WAITING_MOST {
+            waiting.pop_front();
+        }
+        waiting.push_back(text);
+    }
+
+    fn try_send(&self, text: &str) -> io::Result<()> {
+        let Some((socket, to)) = &self.way else { return Ok(()) };
+        let sent = socket.send_to_addr(text.as_bytes(), to);
+        match &sent {
+            Ok(_) => self.told.set(false),
+            Err(error) if is_full(error) => {}
+            // Missing or gone: it may come back under the same address, and until then nobody need know.
+            Err(error) if !self.told.replace(true) => eprintln!("the service manager can't be told: {error}"),
+            Err(_) => {}
+        }
+        sent.map(|_| ())
+    }
+}
+
+fn is_full(error: &io::Error) -> bool {
+    error.kind() == ErrorKind::WouldBlock
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Instant;
+
+    fn heard(socket: &UnixDatagram) -> Vec<String> {
+        socket.set_nonblocking(true).expect("a mode");
+        let mut buffer = [0; 4096];
+        let mut all = Vec::new();
+        while let Ok(length) = socket.recv(&mut buffer) {
+            all.push(String::from_utf8_lossy(&buffer[..length]).into_owned());
+        }
+        all
+    }
+
+    fn abstract_name(tag: &str) -> (UnixDatagram, String) {
+        let name = format!("saffronpaddle-{}-{tag}", std::process::id());
+        let address = SocketAddr::from_abstract_name(&name).expect("a name");
+        (UnixDatagram::bind_addr(&address).expect("a socket"), format!("@{name}"))
+    }
+
+    #[test]
+    fn words_have_the_protocols_form_on_an_abstract_socket() {
+        let (socket, name) = abstract_name("words");
+        let manager = Manager::at(OsStr::new(&name), None).expect("an address");
+        let words = [
+            Word::Ready,
+            Word::Reloading,
+            Word::Stopping,
+            Word::Status("not ready: clock".to_owned()),
+            Word::Extend(Duration::from_millis(4600)),
+        ];
+        words.iter().for_each(|word| manager.say(word));
+        let heard = heard(&socket);
+        assert_eq!((&heard[0][..], &heard[2][..]), ("READY=1", "STOPPING=1"));
+        assert_eq!(
+            (&heard[3][..], &heard[4][..]),
+            ("STATUS=not ready: clock", "EXTEND_TIMEOUT_USEC=4600000")
+        );
+        let lines: Vec<&str> = heard[1].lines().collect();
+        let usec = lines[1].strip_prefix("MONOTONIC_USEC=").and_then(|usec| usec.parse::<u64>().ok());
+        assert!(lines[0] == "RELOADING=1" && usec.is_some_and(|usec| usec > 0), "{heard:?}");
+    }
+
+    /// A manager that does not read must not stop the node; what it must know waits, in its order, and no more than
+    /// the bound.
+    #[test]
+    fn a_full_notify_socket_holds_nobody_up_and_keeps_what_must_be_told() {
+        let (socket, name) = abstract_name("full");
+        let manager = Manager::at(OsStr::new(&name), None).expect("an address");
+        let begun = Instant::now();
+        let mut fed = 0;
+        while !manager.waits() {
+            manager.say(&Word::Extend(Duration::from_micros(fed)));
+            fed += 1;
+            assert!(fed < 100_000, "the socket is never full");
+        }
+        (0..1000).for_each(|_| manager.feed());
+        manager.say(&Word::Stopping);
+        assert!(begun.elapsed() < Duration::from_secs(30), "it blocked");
+        assert!(manager.waiting.borrow().len() <= WAITING_MOST);
+        assert!(!heard(&socket).iter().any(|text| text == "STOPPING=1"));
+        manager.retry();
+        let later = heard(&socket);
+        assert_eq!(later.last().map(String::as_str), Some("STOPPING=1"), "{later:?}");
+        assert!(!later.iter().any(|text| text.starts_with("WATCHDOG")), "signs of life do not wait");
+    }
+
+    #[test]
+    fn a_notify_socket_that_is_missing_or_gone_is_passed_over_and_found_again() {
+        let path = std::env::temp_dir().join(format!("saffronpaddle-{}-notify", std::process::id()));
+        let _ = std::fs::remove_file(&path);
+        let manager = Manager::at(path.as_os_str(), None).expect("an address");
+        manager.say(&Word::Ready);
+        assert!(!manager.waits() && manager.told.get(), "missing");
+        let socket = UnixDatagram::bind(&path).expect("a socket");
+        manager.say(&Word::Stopping);
+        assert_eq!(heard(&socket), ["STOPPING=1"]);
+        drop(socket);
+        manager.say(&Word::Ready);
+        assert!(!manager.waits() && manager.told.get(), "gone");
+        std::fs::remove_file(&path).expect("it was there");
+        assert!(Manager::at(OsStr::new("notify"), None).is_err(), "neither a path nor abstract");
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,13 +6,13 @@
 use crate::upstream::{Forward, Upstream};
 use bytes::Bytes;
 use saffronpaddle_decision::interface::{
-    Action, AttemptNo, CellId, Event, ListKind, Micros, Outcome, RequestId, ServerEntry, ServerId, Standing,
-    ZoneId,
+    Action, AttemptNo, CellId, Event, GatewayId, ListKind, Micros, Outcome, RequestId, ServerEntry, ServerId,
+    Standing, ZoneId,
 };
 use saffronpaddle_decision::setup::Named;
 use saffronpaddle_decision::Gateway;
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
@@ -59,6 +59,12 @@
     requests: RefCell<HashMap<RequestId, Pending>>,
     /// Attempts that are out, one of a request at the most; a word, or its loss, calls one off.
     out: RefCell<HashMap<RequestId, (AttemptNo, oneshot::Sender<()>)>>,
+    /// When the module was last woken, as it had asked.
+    woken: Cell<Instant>,
+    /// When a source of the list last said something.
+    list_heard: Cell<Option<Instant>>,
+    /// Peers that were heard in this life, by their numbers.
+    peers_heard: RefCell<BTreeSet<GatewayId>>,
 }
 
 impl Node {
@@ -75,6 +81,9 @@
             gateway: RefCell::new(gateway),
             requests: RefCell::default(),
             out: RefCell::default(),
+            woken: Cell::new(Instant::now()),
+            list_heard: Cell::new(None),
+            peers_heard: RefCell::default(),
         }))
     }
 
@@ -86,6 +95,33 @@
         actions.into_iter().for_each(|action| self.apply(action));
     }
 
+    /// How long ago the module was last woken.
+    pub fn progressed(&self) -> Duration {
+        self.woken.get().elapsed()
+    }
+
+    /// A source of the list has said something, if only that nothing has changed.
+    pub fn heard_list(&self) {
+        self.list_heard.set(Some(Instant::now()));
+    }
+
+    /// How long ago a source of the list last said something; `None` if none has yet.
+    pub fn list_heard(&self) -> Option<Duration> {
+        self.list_heard.get().map(|at| at.elapsed())
+    }
+
+    /// Hands a peer's datagram to the module.
+    pub fn heard_peer(self: &Rc<Self>, from: GatewayId, bytes: Vec<u8>) {
+        self.peers_heard.borrow_mut().insert(from);
+        self.post(Event::Peer { from, bytes });
+    }
+
+    /// How many peers were heard in this life, and how many there are.
+    pub fn peers_heard(&self) -> (usize, usize) {
+        let all = self.named.settings.gateways.saturating_sub(1) as usize;
+        (self.peers_heard.borrow().len(), if self.peers.is_some() { all } else { 0 })
+    }
+
     fn apply(self: &Rc<Self>, action: Action) {
         match action {
             Action::Send { id, server, time_out } => self.send(id, server, time_out),
@@ -108,6 +144,7 @@
                 let node = Rc::clone(self);
                 tokio::task::spawn_local(async move {
                     tokio::time::sleep(Duration::from_micros(after)).await;
+                    node.woken.set(Instant::now());
                     node.post(Event::Woke { token });
                 });
             }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,7 +3,8 @@
 use crate::config::PeerAddresses;
 use crate::node::Node;
 use anyhow::{Context, Result};
-use saffronpaddle_decision::interface::{Event, GatewayId};
+use saffronpaddle_decision::interface::GatewayId;
+use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -18,10 +19,19 @@
     me: usize,
 }
 
+/// With `reuse` a successor may bind the same address; what comes goes to whoever bound it last (`socket(7)`).
+fn bind_datagrams(listen: SocketAddr, reuse: bool) -> std::io::Result<UdpSocket> {
+    let socket = Socket::new(Domain::for_address(listen), Type::DGRAM, None)?;
+    socket.set_reuse_address(reuse)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&listen.into())?;
+    UdpSocket::from_std(socket.into())
+}
+
 impl Peers {
-    pub async fn bind(addresses: PeerAddresses, me: GatewayId) -> Result<Peers> {
+    pub async fn bind(addresses: PeerAddresses, me: GatewayId, reuse: bool) -> Result<Peers> {
         let PeerAddresses { listen, each, all } = addresses;
-        let socket = UdpSocket::bind(listen).await.with_context(|| format!("peer_listen {listen}"))?;
+        let socket = bind_datagrams(listen, reuse).with_context(|| format!("peer_listen {listen}"))?;
         Ok(Peers { socket, each, all, me: me.0 as usize })
     }
 
@@ -61,7 +71,7 @@
     let Some(peers) = &node.peers else { return };
     loop {
         if let Some((from, bytes)) = peers.receive().await {
-            node.post(Event::Peer { from, bytes });
+            node.heard_peer(from, bytes);
         }
     }
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,85 +1,260 @@
 //! One edge node from its start to its end: what is bound, what runs, and how it leaves.
 
-use crate::clients::{self, Phase};
+use crate::clients::{self, Standing};
 use crate::config::Config;
 use crate::discovery;
+use crate::facts::Facing;
+use crate::handed;
+use crate::life::{self, Life, Word};
+use crate::manager::Manager;
 use crate::node::Node;
 use crate::peers::{self, Peers};
 use crate::upstream::{Room, Upstream};
 use anyhow::{Context, Result};
+use saffronpaddle_lifecycle::{Lifecycle, Limits};
+use saffronpaddle_operator::Operator;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
-/// After SIGTERM new connections go on coming for so long at the least.
-const LEAVING_FOR: Duration = Duration::from_millis(600);
 /// Descriptors for all but clients and app servers: listener, discovery, peers, the runtime's own.
 const RESERVED: usize = 32;
 /// One part in so many of the memory is for large bodies: each is held twice for a moment, and once more on its way out.
 const LARGE_SHARE: usize = 8;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
 
-/// Runs one edge node as `LB_*` have it, until it is told to end.
+/// The operator file that a node was given.
+#[derive(Clone, Debug)]
+pub struct OperatorFile {
+    /// Where it stands, to be read again.
+    pub path: PathBuf,
+    /// What it says.
+    pub says: Operator,
+}
+
+impl OperatorFile {
+    /// Reads it.
+    ///
+    /// # Errors
+    /// All that is wrong with it, in one line that names the file and the keys.
+    pub fn read(path: &Path) -> Result<OperatorFile> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).with_context(|| shown.clone())?;
+        let says = Operator::parse(&text).with_context(|| shown)?;
+        Ok(OperatorFile { path: path.to_owned(), says })
+    }
+}
+
+/// What one node is made of.
+pub struct Options {
+    /// What the platform tells it.
+    pub config: Config,
+    /// What the operator sets; `None` leaves all of that off.
+    pub operator: Option<OperatorFile>,
+    /// A listener that is handed over, in place of one of the node's own.
+    pub handed: Option<std::net::TcpListener>,
+    /// Who is told how it goes.
+    pub manager: Manager,
+}
+
+/// Runs one edge node as the environment has it, until it is told to end.
 ///
 /// # Errors
 /// What could not be bound or read.
-pub fn run() -> Result<()> {
+pub fn run(operator: Option<PathBuf>) -> Result<()> {
     let config = Config::from_environment(|key| std::env::var(key).ok())?;
+    let operator = operator.as_deref().map(OperatorFile::read).transpose()?;
+    let (mut handed, mut manager) = (None, Manager::none());
+    if let Some(OperatorFile { says, .. }) = &operator {
+        if says.listen.handed_over {
+            handed = handed::take(&says.listen.name)?;
+        }
+        let socket = std::env::var_os("NOTIFY_SOCKET").filter(|_| says.manager.notify);
+        if let Some(address) = socket.filter(|address| !address.is_empty()) {
+            let watchdog = sd_notify::watchdog_enabled().filter(|_| says.manager.watchdog);
+            // A node that can't tell how it goes still serves.
+            manager = Manager::at(&address, watchdog).unwrap_or_else(|error| {
+                eprintln!("NOTIFY_SOCKET: {error}");
+                Manager::none()
+            });
+        }
+    }
+    let options = Options { config, operator, handed, manager };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve(config))
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let words = signals()?;
+        let edge = Edge::bind(options).await?;
+        edge.run(words).await;
+        Ok(())
+    })
 }
 
-/// Serves until SIGTERM, then serves out what was taken.
-///
-/// # Errors
-/// What could not be bound or read.
-pub async fn serve(config: Config) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("SIGTERM")?;
-    // Guards against ending on SIGHUP, which is what it does to a process that does not ask for it.
-    let hangup = signal(SignalKind::hangup()).context("SIGHUP")?;
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.with_context(|| format!("listen {}", config.listen))?;
-    let peers = match config.peers {
-        Some(addresses) => Some(Peers::bind(addresses, config.named.settings.me).await?),
-        None => None,
-    };
-    let each_side = (config.sockets - RESERVED) / 2;
-    let longest = Duration::from_micros(config.named.longest_deadline);
-    let room = Room::new(config.memory / LARGE_SHARE);
-    let upstream = Upstream::new(room, each_side, config.named.conn_idle, config.named.connect_timeout);
-    let node = Node::new(config.seed, config.named, upstream, peers)?;
-    eprintln!("{}: listening on {}", config.name, listener.local_addr().context("listen")?);
-
-    let (phase, seen) = watch::channel(Phase::Serving);
-    let (moved, discovery) = watch::channel(config.discovery);
-    tokio::task::spawn_local(reload(hangup, config.path, moved));
-    tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, config.known));
-    tokio::task::spawn_local(peers::listen(Rc::clone(&node)));
-    tokio::task::spawn_local(retire(Rc::clone(&node)));
-    let clients = tokio::task::spawn_local(clients::serve(listener, node, each_side, seen));
-
-    terminate.recv().await;
-    phase.send_replace(Phase::Leaving);
-    tokio::time::sleep(LEAVING_FOR).await;
-    phase.send_replace(Phase::Closing);
-    // All that was taken ends by its own deadline; a client that never reads must not hold up the exit.
-    let _ = tokio::time::timeout(longest, clients).await;
-    Ok(())
+/// The words that signals stand for, from now on.
+fn signals() -> Result<mpsc::UnboundedReceiver<Word>> {
+    let (tell, words) = mpsc::unbounded_channel();
+    // SIGHUP ends a process that does not ask for it.
+    let kinds = [(SignalKind::terminate(), Word::Stop), (SignalKind::hangup(), Word::Reload)];
+    for (kind, word) in kinds {
+        let mut signal = signal(kind).context("signals")?;
+        let tell = tell.clone();
+        tokio::task::spawn_local(
+            async move { while signal.recv().await.is_some() && tell.send(word).is_ok() {} },
+        );
+    }
+    Ok(words)
+}
+
+/// A node that is bound: connections wait in its backlog, but nothing runs yet.
+pub struct Edge {
+    node: Rc<Node>,
+    listener: TcpListener,
+    shared: bool,
+    address: SocketAddr,
+    discovery: SocketAddr,
+    known: Option<crate::config::List>,
+    each_side: usize,
+    sockets: usize,
+    memory: usize,
+    files: Files,
+    manager: Rc<Manager>,
 }
 
-/// Rereads the configuration on each SIGHUP, for ever. Only discovery's address can change in service.
-async fn reload(mut hangup: Signal, path: PathBuf, discovery: watch::Sender<SocketAddr>) {
-    while hangup.recv().await.is_some() {
-        match Config::read(&path) {
-            Ok(config) => {
-                // Also when it is the same address as before: its numbering may have begun anew.
-                discovery.send_replace(config.discovery);
-                eprintln!("reloaded: discovery at {}", config.discovery);
+/// The files that a reload reads, and what the operator file last said.
+#[derive(Clone)]
+struct Files {
+    config: PathBuf,
+    operator: Option<OperatorFile>,
+}
+
+impl Edge {
+    /// Binds a node's sockets.
+    ///
+    /// # Errors
+    /// What could not be bound.
+    pub async fn bind(options: Options) -> Result<Edge> {
+        let Options { config, operator, handed, manager } = options;
+        let shared = handed.is_some();
+        let reuse = operator.as_ref().is_some_and(|file| file.says.listen.reuse_port);
+        let listener = match handed {
+            Some(listener) => TcpListener::from_std(listener),
+            None if reuse => bind_reusing(config.listen),
+            None => TcpListener::bind(config.listen).await,
+        };
+        let listener = listener.with_context(|| format!("listen {}", config.listen))?;
+        let peers = match config.peers {
+            Some(addresses) => Some(Peers::bind(addresses, config.named.settings.me, reuse || shared).await?),
+            None => None,
+        };
+        let each_side = (config.sockets - RESERVED) / 2;
+        let room = Room::new(config.memory / LARGE_SHARE);
+        let upstream = Upstream::new(room, each_side, config.named.conn_idle, config.named.connect_timeout);
+        let node = Node::new(config.seed, config.named, upstream, peers)?;
+        let address = listener.local_addr().context("listen")?;
+        eprintln!("{}: listening on {address}", config.name);
+        Ok(Edge {
+            node,
+            listener,
+            shared,
+            address,
+            discovery: config.discovery,
+            known: config.known,
+            each_side,
+            sockets: config.sockets,
+            memory: config.memory,
+            files: Files { config: config.path, operator },
+            manager: Rc::new(manager),
+        })
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// A task that the node's loop runs. Tests use it to make the loop stick.
+    pub fn beside(&self, task: impl std::future::Future<Output = ()> + 'static) {
+        tokio::task::spawn_local(task);
+    }
+
+    /// Runs it until its life cycle ends. Inside a `LocalSet` only.
+    pub async fn run(self, words: mpsc::UnboundedReceiver<Word>) {
+        let Edge { node, manager, files, .. } = self;
+        let longest = Duration::from_micros(node.named.longest_deadline);
+        let limits = limits(files.operator.as_ref().map(|file| &file.says), longest, self.shared);
+        let facing = Facing::new(Rc::clone(&node), self.sockets, self.memory);
+        let born = Instant::now();
+        let (standing, seen) = watch::channel(Standing::unready());
+        let (moved, discovery) = watch::channel(self.discovery);
+        let beside = [
+            tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, self.known)),
+            tokio::task::spawn_local(peers::listen(Rc::clone(&node))),
+            tokio::task::spawn_local(retire(Rc::clone(&node))),
+            tokio::task::spawn_local(life::feed(Rc::clone(&node), Rc::clone(&manager))),
+        ];
+        let clients = clients::serve(self.listener, self.shared, node, self.each_side, seen);
+        let clients = tokio::task::spawn_local(clients);
+        let machine = Lifecycle::new(limits, Duration::ZERO);
+        let life = Life { machine, manager, standing, facing, born };
+        let moved = Rc::new(moved);
+        let shared = self.shared;
+        let reload = move || {
+            let (files, moved) = (files.clone(), Rc::clone(&moved));
+            async move {
+                let operator = reread(files, moved).await?;
+                Some(self::limits(operator.as_ref(), longest, shared))
             }
-            Err(error) => eprintln!("the old configuration stays: {error:#}"),
+        };
+        life.run(words, reload, clients).await;
+        beside.iter().for_each(|task| task.abort());
+    }
+}
+
+/// A listener that a successor can bind beside this node.
+fn bind_reusing(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// What binds the life cycle. A listener that is shared is left at once: what comes waits for its next owner.
+fn limits(operator: Option<&Operator>, longest_deadline: Duration, shared: bool) -> Limits {
+    let Some(operator) = operator else { return Limits::immediate(longest_deadline) };
+    Limits {
+        readiness: operator.ready.clone(),
+        leave_for: if shared { Duration::ZERO } else { operator.stop.leave_for },
+        finish_within: operator.stop.finish_within.unwrap_or(longest_deadline),
+        reload_within: operator.reload.within,
+    }
+}
+
+/// Reads the files again; what the operator's says, or nothing if one of them is bad: then none is taken. Only
+/// discovery's address and the operator's limits can change in service.
+async fn reread(files: Files, discovery: Rc<watch::Sender<SocketAddr>>) -> Option<Option<Operator>> {
+    let read = tokio::task::spawn_blocking(move || -> Result<(Config, Option<Operator>)> {
+        let config = Config::read(&files.config)?;
+        let operator = files.operator.as_ref().map(|file| OperatorFile::read(&file.path)).transpose()?;
+        Ok((config, operator.map(|file| file.says)))
+    });
+    match read.await.map_err(anyhow::Error::from).and_then(|config| config) {
+        Ok((config, operator)) => {
+            // Also when it is the same address as before: its numbering may have begun anew.
+            discovery.send_replace(config.discovery);
+            eprintln!("reloaded: discovery at {}", config.discovery);
+            Some(operator)
+        }
+        Err(error) => {
+            eprintln!("the old configuration stays: {error:#}");
+            None
         }
     }
 }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -168,6 +168,11 @@
         places.retain(|_, place| place.ready);
     }
 
+    /// How many servers are ready.
+    pub fn ready(&self) -> usize {
+        self.places.borrow().len()
+    }
+
     /// Retires connections that have stood idle for long, for ever.
     pub async fn retire(&self) {
         loop {
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,153 @@
+//! The operator file (`deploy/operator.toml`): what an installation sets beyond what the platform tells a node.
+//!
+//! Every key has a default, a unit and bounds, which stand in the file itself. Unknown keys are refused, and all
+//! faults are told at once, each with its key. No input or output: the text comes in as an argument.
+//!
+//! ```
+//! let faults = saffronpaddle_operator::Operator::parse("[ready]\nlag = 5\nmemory_share = 7").unwrap_err();
+//! assert_eq!(
+//!     faults.to_string(),
+//!     "ready.memory_share: must be a number from 0.1 to 1, not 7; ready.lag: unknown key"
+//! );
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod reader;
+
+pub use reader::{Fault, Faults, Section};
+
+use saffronpaddle_lifecycle::readiness::Conditions;
+use std::time::Duration;
+
+/// The name that listeners for clients have among those handed over (`LISTEN_FDNAMES`), unless the file says
+/// otherwise.
+const CLIENTS: &str = "clients";
+
+/// All that the file sets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Operator {
+    /// `[listen]`
+    pub listen: Listen,
+    /// `[ready]`
+    pub ready: Conditions,
+    /// `[stop]`
+    pub stop: Stop,
+    /// `[reload]`
+    pub reload: Reload,
+    /// `[manager]`
+    pub manager: Manager,
+}
+
+/// How the node comes to its listener.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listen {
+    /// Whether a listener that the service manager hands over is taken (`sd_listen_fds(3)`).
+    pub handed_over: bool,
+    /// Its name in `LISTEN_FDNAMES`; without names the first one is taken.
+    pub name: String,
+    /// Whether a listener of the node's own is bound with `SO_REUSEPORT`, so that a successor can bind it too.
+    pub reuse_port: bool,
+}
+
+/// How the node ends.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stop {
+    /// For how long new work is still taken after the word to stop.
+    pub leave_for: Duration,
+    /// How long what was taken may take after that; `None` for the longest deadline in the settings.
+    pub finish_within: Option<Duration>,
+}
+
+/// How the node reloads.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reload {
+    /// After so long a reload is given up.
+    pub within: Duration,
+}
+
+/// What the service manager is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Manager {
+    /// Whether `NOTIFY_SOCKET` is spoken to, where it is set.
+    pub notify: bool,
+    /// Whether the watchdog is fed, where `WATCHDOG_USEC` is set.
+    pub watchdog: bool,
+}
+
+impl Operator {
+    /// Reads the file's text.
+    ///
+    /// # Errors
+    /// All that is wrong with it. A text that is no TOML has one fault, which names the line.
+    pub fn parse(text: &str) -> Result<Operator, Faults> {
+        let table = text.parse::<toml::Table>().map_err(|error| {
+            let line =
+                error.span().map_or(0, |span| text[..span.start.min(text.len())].matches('\n').count());
+            let reason = format!("line {}: {}", line + 1, error.message().replace('\n', ", "));
+            Faults(vec![Fault { key: String::new(), reason }])
+        })?;
+        let mut file = Section::whole(table);
+        let operator = Operator {
+            listen: file.section("listen", listen),
+            ready: file.section("ready", ready),
+            stop: file.section("stop", stop),
+            reload: file.section("reload", |section| Reload {
+                within: section.span_ms("within_ms", 10_000, 100..=600_000),
+            }),
+            manager: file.section("manager", |section| Manager {
+                notify: section.flag("notify", true),
+                watchdog: section.flag("watchdog", true),
+            }),
+        };
+        let faults = file.rest();
+        if faults.is_empty() {
+            return Ok(operator);
+        }
+        Err(Faults(faults))
+    }
+}
+
+fn listen(section: &mut Section) -> Listen {
+    let name = |text: &str| (!text.is_empty() && !text.contains(':')).then(|| text.to_owned());
+    Listen {
+        handed_over: section.flag("handed_over", true),
+        name: section.parsed("name", "a name without a colon", name).unwrap_or_else(|| CLIENTS.to_owned()),
+        reuse_port: section.flag("reuse_port", false),
+    }
+}
+
+fn ready(section: &mut Section) -> Conditions {
+    let free = section.number("free_descriptors", 16, 0..=1_000_000);
+    Conditions {
+        list_within: section.span_ms_or_none("list_within_ms", 5_000, 600_000),
+        list_stale_after: section.span_ms_or_none("list_stale_after_ms", 0, 86_400_000),
+        peers_within: section.span_ms_or_none("peers_within_ms", 2_000, 600_000),
+        free_descriptors: (free > 0).then_some(free),
+        memory_share: Some(section.figure("memory_share", 0.95, 0.1..=1.0)).filter(|share| *share < 1.0),
+        clock_step: section.span_ms_or_none("clock_step_ms", 2_000, 3_600_000),
+        lag: section.span_ms_or_none("lag_ms", 1_000, 60_000),
+        lose_after: section.span_ms("lose_after_ms", 2_000, 0..=600_000),
+        regain_after: section.span_ms("regain_after_ms", 1_000, 0..=600_000),
+    }
+}
+
+fn stop(section: &mut Section) -> Stop {
+    Stop {
+        leave_for: section.span_ms("leave_for_ms", 600, 0..=600_000),
+        finish_within: section.span_ms_or_none("finish_within_ms", 0, 3_600_000),
+    }
+}
+
+impl Default for Operator {
+    /// What an empty file says.
+    fn default() -> Operator {
+        Operator {
+            listen: Listen { handed_over: true, name: CLIENTS.to_owned(), reuse_port: false },
+            ready: ready(&mut Section::whole(toml::Table::new())),
+            stop: stop(&mut Section::whole(toml::Table::new())),
+            reload: Reload { within: Duration::from_secs(10) },
+            manager: Manager { notify: true, watchdog: true },
+        }
+    }
+}
--- a/crates/saffronpaddle/src/main.rs
+++ b/crates/saffronpaddle/src/main.rs
@@ -1,14 +1,80 @@
-//! The edge node's program.
+//! The edge node's program: which of its jobs is wanted, and with what.
 #![forbid(unsafe_code)]
 
+use anyhow::{Context, Result};
+use lexopt::prelude::*;
+use saffronpaddle_node::serve;
+use std::ffi::OsString;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+const USAGE: &str = "\
+saffronpaddle: an edge node that holds customers to their quotas before a shared back end
+
+  saffronpaddle [run] [--operator FILE]   one edge node, as LB_CONFIG, LB_NAME, LB_LISTEN and LB_DISCOVERY have it;
+                                          SAFFRONPADDLE_OPERATOR names the operator file as --operator does
+  saffronpaddle check FILE                tells all that is wrong with an operator file
+  saffronpaddle --help | --version
+";
+
 fn main() -> ExitCode {
-    match saffronpaddle_node::serve::run() {
-        Ok(()) => ExitCode::SUCCESS,
+    match act() {
+        Ok(code) => code,
         Err(error) => {
             eprintln!("saffronpaddle: {error:#}");
             ExitCode::FAILURE
         }
     }
 }
+
+fn act() -> Result<ExitCode> {
+    let mut arguments = lexopt::Parser::from_env();
+    let job = match arguments.next()? {
+        None => "run".to_owned(),
+        Some(Long("help") | Short('h')) => {
+            print!("{USAGE}");
+            return Ok(ExitCode::SUCCESS);
+        }
+        Some(Long("version") | Short('V')) => {
+            println!("saffronpaddle {}", env!("CARGO_PKG_VERSION"));
+            return Ok(ExitCode::SUCCESS);
+        }
+        Some(Value(job)) => job.to_string_lossy().into_owned(),
+        // Options without a job are those of `run`.
+        Some(Long("operator")) => return run(Some(arguments.value()?), arguments),
+        Some(other) => return Err(other.unexpected().into()),
+    };
+    match &job[..] {
+        "run" => run(None, arguments),
+        "check" => check(arguments),
+        _ => anyhow::bail!("unknown job {job:?}; --help tells which there are"),
+    }
+}
+
+fn run(operator: Option<OsString>, mut arguments: lexopt::Parser) -> Result<ExitCode> {
+    let mut operator = operator;
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Long("operator") => operator = Some(arguments.value()?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let named = || std::env::var_os("SAFFRONPADDLE_OPERATOR").filter(|name| !name.is_empty());
+    serve::run(operator.or_else(named).map(PathBuf::from))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn check(mut arguments: lexopt::Parser) -> Result<ExitCode> {
+    let path = PathBuf::from(arguments.value().context("check takes a file")?);
+    let text = std::fs::read_to_string(&path).with_context(|| path.display().to_string())?;
+    match saffronpaddle_operator::Operator::parse(&text) {
+        Ok(_) => {
+            println!("{}: good", path.display());
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(faults) => {
+            faults.0.iter().for_each(|fault| eprintln!("{}: {fault}", path.display()));
+            Ok(ExitCode::FAILURE)
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/ledger.rs
@@ -0,0 +1,636 @@
+//! The ledger: all that clients, app servers and discovery saw of a run, and its judgement by the five rules.
+//!
+//! It does no input or output and reads no clock: each entry bears its time, counted from the run's start.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+/// What a run is judged by.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// After a node was told that a server drains or is gone, new work may reach it for so long.
+    pub drain_grace: Duration,
+    /// What is added to each time limit for the way from one process to another.
+    pub slack: Duration,
+    /// How long a group of servers drops repeats of a key.
+    pub key_window: Duration,
+    /// Share of its capacity at which a server starts.
+    pub cold_from: f64,
+    /// After so long it has all of it.
+    pub cold_for: Duration,
+    /// More work than this multiple of what it can do ...
+    pub fall_multiple: f64,
+    /// ... within this span makes it fall.
+    pub fall_window: Duration,
+    /// Slack of a ceiling: a share of its depth, or so many units, whichever is more.
+    pub ceiling_slack: (f64, f64),
+    /// The slack is wider by what the ceiling's rate gives in this span.
+    pub ceiling_late: Duration,
+}
+
+impl Default for Bounds {
+    /// The platform's figures.
+    fn default() -> Bounds {
+        Bounds {
+            drain_grace: Duration::from_millis(250),
+            slack: Duration::from_millis(50),
+            key_window: Duration::from_secs(2),
+            cold_from: 0.21,
+            cold_for: Duration::from_secs(17),
+            fall_multiple: 3.0,
+            fall_window: Duration::from_secs(1),
+            ceiling_slack: (0.1, 1.0),
+            ceiling_late: Duration::from_millis(150),
+        }
+    }
+}
+
+/// What a repeat of a request does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    /// Nothing.
+    Safe,
+    /// It is dropped by servers of the same group, for a while.
+    Keyed,
+    /// Harm.
+    Unsafe,
+}
+
+/// A try of a client, as it sends it.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// `X-Request-Id`.
+    pub id: String,
+    /// `Idempotency-Key`.
+    pub key: Option<String>,
+    /// What a repeat does.
+    pub repeats: Repeats,
+    /// The edge node that it was sent to.
+    pub node: usize,
+    /// The customer.
+    pub customer: u64,
+    /// Units that it takes.
+    pub units: f64,
+    /// How long the client waits.
+    pub patience: Duration,
+}
+
+/// A final answer, as a client reads it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// 200.
+    Served,
+    /// 429 or 503: trying again is harmless.
+    Refused,
+    /// Any other.
+    Failed,
+}
+
+/// Why a try has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unanswered {
+    /// Its node was killed with it.
+    Killed,
+    /// It was never taken: the connection was refused or closed before it was read.
+    NotTaken,
+    /// The client went away by itself.
+    Left,
+    /// None of these: it is lost.
+    Lost,
+}
+
+/// A rule that was broken, in a line.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Breach {
+    /// A try that was taken got no answer.
+    NoAnswer(String),
+    /// A second answer, or bytes behind the first.
+    AnsweredTwice(String),
+    /// An answer after the client's time was up.
+    LateAnswer(String),
+    /// Two attempts of a request out at once.
+    TwoAttempts(String),
+    /// An effect that took place twice.
+    TwiceEffect(String),
+    /// A refusal of what may have run.
+    RefusedAfterEffect(String),
+    /// New work reached a server too long after the drain was told.
+    SentAfterDrain(String),
+    /// A cold server fell over.
+    Fell(String),
+    /// A ceiling was passed.
+    CeilingPassed(String),
+    /// Served with what no server made for it.
+    ForeignAnswer(String),
+}
+
+#[derive(Debug)]
+struct Try {
+    asked: Asked,
+    at: Duration,
+    answer: Option<(Answer, Duration)>,
+    unanswered: Option<Unanswered>,
+    attempts: u32,
+    out: u32,
+    effects: u32,
+}
+
+#[derive(Debug)]
+struct Limit {
+    rate: f64,
+    depth: f64,
+    level: f64,
+    at: Duration,
+    /// Farthest below nothing that it ever was.
+    worst: f64,
+    beyond: f64,
+}
+
+impl Limit {
+    fn new(rate: f64, depth: f64) -> Limit {
+        Limit { rate, depth, level: depth, at: Duration::ZERO, worst: 0.0, beyond: 0.0 }
+    }
+
+    fn fill(&mut self, now: Duration) {
+        let span = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.level = (self.level + self.rate * span).min(self.depth);
+    }
+
+    /// Takes units whether or not they are there, as a ceiling is judged.
+    fn take(&mut self, now: Duration, units: f64) {
+        self.fill(now);
+        self.level -= units;
+        self.worst = self.worst.max(-self.level);
+    }
+
+    /// Takes units if they are there; otherwise they are beyond the quota and take nothing.
+    fn draw(&mut self, now: Duration, units: f64) {
+        self.fill(now);
+        if self.level >= units {
+            self.level -= units;
+        } else {
+            self.beyond += units;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Cold {
+    born: Duration,
+    /// Seconds of work a second at full capacity.
+    capacity: f64,
+    work: VecDeque<(Duration, f64)>,
+    worst: f64,
+    fell: bool,
+}
+
+/// The keys that a group has run, and when first.
+type Keys = HashMap<(u64, String), Duration>;
+
+/// The ledger of one run.
+#[derive(Debug)]
+pub struct Ledger {
+    bounds: Bounds,
+    tries: HashMap<String, Try>,
+    keys: Keys,
+    /// By key: how many of its effects took place in all groups.
+    effects: HashMap<String, u32>,
+    /// When a node was last told that a server drains or is gone.
+    told: HashMap<(usize, String), Duration>,
+    ceilings: BTreeMap<u64, Limit>,
+    quotas: BTreeMap<u64, Limit>,
+    cold: BTreeMap<String, Cold>,
+    late_sends: Vec<Duration>,
+    after_drain: u64,
+    unasked: u64,
+    double: Vec<Breach>,
+}
+
+/// Attempts by how they ended at servers, answers by kind and what broke: a run in figures.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Verdict {
+    /// Tries that were sent, each counted once.
+    pub tries: u64,
+    /// By final answer.
+    pub served: u64,
+    /// Refused: trying again is harmless.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Unanswered as their node was killed with them.
+    pub killed: u64,
+    /// Unanswered as they were never taken.
+    pub not_taken: u64,
+    /// Unanswered as the client left.
+    pub left: u64,
+    /// Unanswered for no such reason.
+    pub lost: u64,
+    /// Attempts that reached a server whole.
+    pub attempts: u64,
+    /// Attempts whose first byte came after a node was told of a drain, and how late at the most, in ms.
+    pub after_drain: u64,
+    /// The latest of them.
+    pub after_drain_most_ms: f64,
+    /// Effects of keyed requests that took place, and keys with more than one over all groups (a client that retried
+    /// what had failed may cause these; they break no rule).
+    pub effects: u64,
+    /// Keys with several effects.
+    pub keys_repeated: u64,
+    /// Worst load of a cold server: work sent within the window, as a share of what makes it fall.
+    pub cold_worst: f64,
+    /// Units sent beyond quotas, as a share of all units sent.
+    pub beyond_quota: f64,
+    /// Farthest that a ceiling was passed, in units over its slack-free bound.
+    pub ceiling_over_most: f64,
+    /// Attempts that no client asked for.
+    pub unasked: u64,
+    /// What broke, sorted.
+    pub breaches: Vec<Breach>,
+}
+
+impl Ledger {
+    /// An empty one.
+    pub fn new(bounds: Bounds) -> Ledger {
+        Ledger {
+            bounds,
+            tries: HashMap::new(),
+            keys: HashMap::new(),
+            effects: HashMap::new(),
+            told: HashMap::new(),
+            ceilings: BTreeMap::new(),
+            quotas: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            late_sends: Vec::new(),
+            after_drain: 0,
+            unasked: 0,
+            double: Vec::new(),
+        }
+    }
+
+    /// A customer's quota, and its hard ceiling if there is one: units a second, and units at once.
+    pub fn limit(&mut self, customer: u64, quota: (f64, f64), ceiling: Option<(f64, f64)>) {
+        self.quotas.insert(customer, Limit::new(quota.0, quota.1));
+        if let Some((rate, depth)) = ceiling {
+            self.ceilings.insert(customer, Limit::new(rate, depth));
+        }
+    }
+
+    /// A try's last byte is written. The same try, sent once more as its connection had closed unread, counts once.
+    pub fn asked(&mut self, now: Duration, asked: Asked) {
+        let id = asked.id.clone();
+        let entry = Try { asked, at: now, answer: None, unanswered: None, attempts: 0, out: 0, effects: 0 };
+        self.tries.entry(id).or_insert(entry);
+    }
+
+    /// A try's final answer has come whole.
+    pub fn answered(&mut self, now: Duration, id: &str, answer: Answer) {
+        let bounds = &self.bounds;
+        let Some(entry) = self.tries.get_mut(id) else {
+            return self.double.push(Breach::ForeignAnswer(format!("{id}: an answer to nothing")));
+        };
+        if entry.answer.is_some() || entry.unanswered.is_some() {
+            return self.double.push(Breach::AnsweredTwice(id.to_owned()));
+        }
+        entry.answer = Some((answer, now));
+        if now > entry.at + entry.asked.patience + bounds.slack {
+            let late = (now - entry.at - entry.asked.patience).as_millis();
+            self.double.push(Breach::LateAnswer(format!("{id}: {late} ms")));
+        }
+    }
+
+    /// Bytes came behind an answer.
+    pub fn more(&mut self, id: &str) {
+        self.double.push(Breach::AnsweredTwice(format!("{id}: bytes behind the answer")));
+    }
+
+    /// A served answer was not what a server made for this try.
+    pub fn foreign(&mut self, id: &str) {
+        self.double.push(Breach::ForeignAnswer(id.to_owned()));
+    }
+
+    /// A try will get no answer.
+    pub fn unanswered(&mut self, id: &str, why: Unanswered) {
+        if let Some(entry) = self.tries.get_mut(id) {
+            entry.unanswered.get_or_insert(why);
+        }
+    }
+
+    /// A node was told a server's standing: ready, or else draining or gone.
+    pub fn told(&mut self, now: Duration, node: usize, server: &str, ready: bool) {
+        let place = (node, server.to_owned());
+        if ready {
+            self.told.remove(&place);
+        } else {
+            self.told.entry(place).or_insert(now);
+        }
+    }
+
+    /// A node's process has started anew: it knows nothing of what its predecessor was told.
+    pub fn restarted(&mut self, node: usize) {
+        self.told.retain(|(other, _), _| *other != node);
+    }
+
+    /// A server has started cold; `capacity` in seconds of work a second once it is warm.
+    pub fn cold(&mut self, now: Duration, server: &str, capacity: f64) {
+        let cold = Cold { born: now, capacity, work: VecDeque::new(), worst: 0.0, fell: false };
+        self.cold.insert(server.to_owned(), cold);
+    }
+
+    /// Share of its capacity that a server has.
+    pub fn warmth(&self, now: Duration, server: &str) -> f64 {
+        let Some(cold) = self.cold.get(server) else { return 1.0 };
+        warmth(&self.bounds, now.saturating_sub(cold.born))
+    }
+
+    /// Whether a server has fallen over.
+    pub fn fell(&self, server: &str) -> bool {
+        self.cold.get(server).is_some_and(|cold| cold.fell)
+    }
+
+    /// An attempt has come whole to a server. `first` is when its first byte came, `work` the seconds that it takes on
+    /// a warm server.
+    pub fn arrived(&mut self, now: Duration, first: Duration, server: &str, id: &str, work: f64) {
+        let bounds = &self.bounds;
+        let Some(entry) = self.tries.get_mut(id) else {
+            // The client may have written its last byte in this very moment; then it is known a little later.
+            self.unasked += 1;
+            return;
+        };
+        entry.attempts += 1;
+        entry.out += 1;
+        if entry.out > 1 {
+            self.double.push(Breach::TwoAttempts(id.to_owned()));
+        }
+        if let Some(told) = self.told.get(&(entry.asked.node, server.to_owned())) {
+            if let Some(late) = first.checked_sub(*told) {
+                self.after_drain += 1;
+                self.late_sends.push(late);
+                if late > bounds.drain_grace + bounds.slack {
+                    let line = format!("{id} to {server} after {} ms", late.as_millis());
+                    self.double.push(Breach::SentAfterDrain(line));
+                }
+            }
+        }
+        if entry.attempts == 1 {
+            let (customer, units) = (entry.asked.customer, entry.asked.units);
+            if let Some(ceiling) = self.ceilings.get_mut(&customer) {
+                ceiling.take(now, units);
+                let (share, least) = bounds.ceiling_slack;
+                let slack =
+                    (ceiling.depth * share).max(least) + ceiling.rate * bounds.ceiling_late.as_secs_f64();
+                if ceiling.level < -slack {
+                    let over = -ceiling.level - slack;
+                    let line = format!("customer {customer:x} by {over:.2} units beyond the slack");
+                    self.double.push(Breach::CeilingPassed(line));
+                }
+            }
+            if let Some(quota) = self.quotas.get_mut(&customer) {
+                quota.draw(now, units);
+            }
+        }
+        if let Some(cold) = self.cold.get_mut(server) {
+            let age = now.saturating_sub(cold.born);
+            if age < bounds.cold_for {
+                cold.work.push_back((now, work));
+                while cold.work.front().is_some_and(|(at, _)| *at + bounds.fall_window < now) {
+                    cold.work.pop_front();
+                }
+                let sent: f64 = cold.work.iter().map(|(_, work)| work).sum();
+                let can = cold.capacity * warmth(bounds, age) * bounds.fall_window.as_secs_f64();
+                // One heavy request alone is chance, not a push.
+                let load = if cold.work.len() > 1 { sent / (can * bounds.fall_multiple) } else { 0.0 };
+                cold.worst = cold.worst.max(load);
+                if load > 1.0 && !std::mem::replace(&mut cold.fell, true) {
+                    let line = format!("{server}, {} ms old, at {load:.2} of its bound", age.as_millis());
+                    self.double.push(Breach::Fell(line));
+                }
+            }
+        }
+    }
+
+    /// An attempt's work was done. Whether its effect took place: a keyed one that its group remembers does nothing.
+    pub fn ran(&mut self, now: Duration, group: u64, id: &str) -> bool {
+        let window = self.bounds.key_window;
+        let Some(entry) = self.tries.get_mut(id) else { return false };
+        match (entry.asked.repeats, entry.asked.key.clone()) {
+            (Repeats::Safe, _) => return false,
+            (Repeats::Keyed, Some(key)) => {
+                let known = self.keys.get(&(group, key.clone()));
+                if known.is_some_and(|at| now.saturating_sub(*at) <= window) {
+                    return false;
+                }
+                self.keys.insert((group, key.clone()), now);
+                *self.effects.entry(key).or_default() += 1;
+            }
+            _ => {}
+        }
+        entry.effects += 1;
+        if entry.effects > 1 {
+            self.double.push(Breach::TwiceEffect(id.to_owned()));
+        }
+        true
+    }
+
+    /// An attempt is over at its server: its answer is written, or its connection has ended.
+    pub fn over(&mut self, id: &str) {
+        if let Some(entry) = self.tries.get_mut(id) {
+            entry.out = entry.out.saturating_sub(1);
+        }
+    }
+
+    /// Tries that have no end yet.
+    pub fn open(&self) -> usize {
+        self.tries.values().filter(|entry| entry.answer.is_none() && entry.unanswered.is_none()).count()
+    }
+
+    /// Judges the run, which is over: what has no end by now is lost.
+    pub fn judge(&self) -> Verdict {
+        let mut breaches = self.double.clone();
+        let mut count = [0_u64; 3];
+        let mut unanswered = [0_u64; 4];
+        for (id, entry) in &self.tries {
+            match (entry.answer, entry.unanswered) {
+                (Some((answer, _)), _) => {
+                    count[answer as usize] += 1;
+                    if answer == Answer::Refused && entry.effects > 0 {
+                        breaches.push(Breach::RefusedAfterEffect(id.clone()));
+                    }
+                }
+                (None, why) => {
+                    let why = why.unwrap_or(Unanswered::Lost);
+                    unanswered[why as usize] += 1;
+                    if why == Unanswered::Lost {
+                        breaches.push(Breach::NoAnswer(format!("{id} at node {}", entry.asked.node)));
+                    }
+                }
+            }
+        }
+        breaches.sort();
+        let sent: f64 =
+            self.tries.values().filter(|entry| entry.attempts > 0).map(|entry| entry.asked.units).sum();
+        let beyond: f64 = self.quotas.values().map(|quota| quota.beyond).sum();
+        Verdict {
+            tries: self.tries.len() as u64,
+            served: count[Answer::Served as usize],
+            refused: count[Answer::Refused as usize],
+            failed: count[Answer::Failed as usize],
+            killed: unanswered[Unanswered::Killed as usize],
+            not_taken: unanswered[Unanswered::NotTaken as usize],
+            left: unanswered[Unanswered::Left as usize],
+            lost: unanswered[Unanswered::Lost as usize],
+            attempts: self.tries.values().map(|entry| u64::from(entry.attempts)).sum(),
+            after_drain: self.after_drain,
+            after_drain_most_ms: self.late_sends.iter().max().map_or(0.0, |late| late.as_secs_f64() * 1e3),
+            effects: self.effects.values().map(|count| u64::from(*count)).sum(),
+            keys_repeated: self.effects.values().filter(|count| **count > 1).count() as u64,
+            cold_worst: self.cold.values().map(|cold| cold.worst).fold(0.0, f64::max),
+            beyond_quota: if sent > 0.0 { beyond / sent } else { 0.0 },
+            ceiling_over_most: self.ceilings.values().map(|ceiling| ceiling.worst).fold(0.0, f64::max),
+            unasked: self.unasked,
+            breaches,
+        }
+    }
+}
+
+fn warmth(bounds: &Bounds, age: Duration) -> f64 {
+    let grown = age.as_secs_f64() / bounds.cold_for.as_secs_f64().max(1e-9);
+    (bounds.cold_from + (1.0 - bounds.cold_from) * grown).min(1.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const fn ms(span: u64) -> Duration {
+        Duration::from_millis(span)
+    }
+
+    fn asked(id: &str, repeats: Repeats) -> Asked {
+        let key = (repeats == Repeats::Keyed).then(|| "k".to_owned());
+        let (id, patience) = (id.to_owned(), ms(1000));
+        Asked { id, key, repeats, node: 0, customer: 7, units: 1.0, patience }
+    }
+
+    fn one(repeats: Repeats) -> Ledger {
+        let mut ledger = Ledger::new(Bounds::default());
+        ledger.asked(ms(0), asked("a", repeats));
+        ledger
+    }
+
+    fn breaches(ledger: &Ledger) -> Vec<Breach> {
+        ledger.judge().breaches
+    }
+
+    #[test]
+    fn a_run_that_keeps_the_rules_has_no_breach() {
+        let mut ledger = one(Repeats::Keyed);
+        ledger.arrived(ms(10), ms(10), "s", "a", 0.1);
+        assert!(ledger.ran(ms(100), 1, "a"));
+        ledger.over("a");
+        ledger.answered(ms(101), "a", Answer::Served);
+        let verdict = ledger.judge();
+        assert!(verdict.breaches.is_empty(), "{verdict:?}");
+        assert_eq!((verdict.tries, verdict.served, verdict.attempts, verdict.effects), (1, 1, 1, 1));
+    }
+
+    #[test]
+    fn each_breach_of_the_first_rule_is_seen() {
+        assert_eq!(breaches(&one(Repeats::Safe)), [Breach::NoAnswer("a at node 0".to_owned())]);
+        let mut ledger = one(Repeats::Safe);
+        ledger.answered(ms(10), "a", Answer::Served);
+        ledger.answered(ms(11), "a", Answer::Failed);
+        assert_eq!(breaches(&ledger), [Breach::AnsweredTwice("a".to_owned())]);
+        let mut ledger = one(Repeats::Safe);
+        ledger.answered(ms(1051), "a", Answer::Failed);
+        assert_eq!(breaches(&ledger), [Breach::LateAnswer("a: 51 ms".to_owned())]);
+        for (why, lost) in [(Unanswered::Killed, 0), (Unanswered::Left, 0), (Unanswered::Lost, 1)] {
+            let mut ledger = one(Repeats::Safe);
+            ledger.unanswered("a", why);
+            assert_eq!(breaches(&ledger).len(), lost, "{why:?}");
+        }
+    }
+
+    #[test]
+    fn each_breach_of_the_second_rule_is_seen() {
+        let mut ledger = one(Repeats::Safe);
+        ledger.arrived(ms(10), ms(10), "s", "a", 0.1);
+        ledger.arrived(ms(20), ms(20), "t", "a", 0.1);
+        ledger.answered(ms(30), "a", Answer::Served);
+        assert_eq!(breaches(&ledger), [Breach::TwoAttempts("a".to_owned())]);
+        // One after the other, into another group: its key is not known there.
+        let mut ledger = one(Repeats::Keyed);
+        for (group, server) in [(1, "s"), (2, "t")] {
+            ledger.arrived(ms(10), ms(10), server, "a", 0.1);
+            ledger.ran(ms(20), group, "a");
+            ledger.over("a");
+        }
+        ledger.answered(ms(30), "a", Answer::Served);
+        assert_eq!(breaches(&ledger), [Breach::TwiceEffect("a".to_owned())]);
+        // In the same group it is dropped while the group remembers.
+        for (at, twice) in [(2019, false), (2021, true)] {
+            let mut ledger = one(Repeats::Keyed);
+            assert!(ledger.ran(ms(20), 1, "a"));
+            assert_eq!(ledger.ran(ms(at), 1, "a"), twice);
+        }
+        let mut ledger = one(Repeats::Unsafe);
+        ledger.ran(ms(20), 1, "a");
+        ledger.answered(ms(30), "a", Answer::Refused);
+        assert_eq!(breaches(&ledger), [Breach::RefusedAfterEffect("a".to_owned())]);
+    }
+
+    #[test]
+    fn sends_after_a_drain_count_from_when_this_node_was_told() {
+        for (first, breach) in [(1299, false), (1301, true)] {
+            let mut ledger = one(Repeats::Safe);
+            ledger.told(ms(1000), 0, "s", false);
+            ledger.told(ms(1200), 0, "s", false);
+            ledger.told(ms(0), 1, "s", false);
+            ledger.arrived(ms(first + 50), ms(first), "s", "a", 0.1);
+            ledger.answered(ms(999), "a", Answer::Served);
+            let verdict = ledger.judge();
+            assert_eq!(!verdict.breaches.is_empty(), breach, "{verdict:?}");
+            assert_eq!(verdict.after_drain, 1);
+        }
+        let mut ledger = one(Repeats::Safe);
+        ledger.told(ms(0), 0, "s", false);
+        ledger.told(ms(500), 0, "s", true);
+        ledger.arrived(ms(700), ms(700), "s", "a", 0.1);
+        assert_eq!(ledger.judge().after_drain, 0, "it is ready again");
+    }
+
+    #[test]
+    fn a_cold_server_falls_by_what_all_nodes_send_it_together() {
+        let fill = |count: u64| {
+            let mut ledger = Ledger::new(Bounds::default());
+            ledger.cold(ms(0), "s", 2.0);
+            for number in 0..count {
+                let mut asked = asked(&number.to_string(), Repeats::Safe);
+                asked.node = number as usize % 3;
+                ledger.asked(ms(0), asked);
+                ledger.arrived(ms(10 + number), ms(10), "s", &number.to_string(), 0.1);
+            }
+            (ledger.fell("s"), ledger.judge().cold_worst)
+        };
+        // 2 s of work a second, of which 0.21 are there, times 3: 1.26 s of work in the first second.
+        assert!(!fill(12).0 && fill(13).0, "{:?} {:?}", fill(12), fill(13));
+        assert!((fill(12).1 - 1.2 / 1.26).abs() < 0.01);
+    }
+
+    #[test]
+    fn a_ceiling_is_judged_over_all_nodes_with_its_slack_and_a_quota_only_counted() {
+        let mut ledger = Ledger::new(Bounds::default());
+        ledger.limit(7, (1.0, 2.0), Some((2.0, 4.0)));
+        for number in 0..6_u64 {
+            let id = number.to_string();
+            ledger.asked(ms(0), Asked { node: number as usize, ..asked(&id, Repeats::Safe) });
+            ledger.arrived(ms(0), ms(0), "s", &id, 0.1);
+            ledger.answered(ms(1), &id, Answer::Served);
+            // 4 units at once, one for the slack and 0.3 for lateness.
+            assert_eq!(ledger.judge().breaches.len(), usize::from(number >= 5), "{number}");
+        }
+        let verdict = ledger.judge();
+        assert!((verdict.beyond_quota - 4.0 / 6.0).abs() < 1e-9, "{verdict:?}");
+        assert!((verdict.ceiling_over_most - 2.0).abs() < 1e-9, "{verdict:?}");
+    }
+}
