--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -316,6 +316,12 @@
 }
 
 impl Gateway {
+    /// Whether all peers are told of what is sent on, unasked, so that a silent one is a sign. In wide fleets the
+    /// customers' homes are asked instead.
+    pub fn tells_all(&self) -> bool {
+        !self.wide && self.settings.allowed.messages
+    }
+
     /// A gateway that has seen nothing.
     pub(crate) fn blank(seed: u64, settings: Settings, now: Micros) -> Self {
         let classes = settings.classes.len();
--- /dev/null
+++ b/crates/fleet/src/instance.rs
@@ -0,0 +1,233 @@
+//! One instance: a real process of the program, its listener, its manager and what it has cost.
+
+use crate::manager::Manager;
+use anyhow::{Context, Result};
+use command_fds::{CommandFdExt, FdMapping};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::process::Child;
+use tokio::time::timeout;
+
+/// An instance that was told to stop must have ended by then: its bound is 3.6 s.
+const END_WITHIN: Duration = Duration::from_secs(15);
+/// Ticks of the machine's CPU accounting in a second (`proc(5)`, `sysconf(_SC_CLK_TCK)`; 100 on Linux).
+const TICKS: f64 = 100.0;
+
+/// What an instance's processes have cost and how they went.
+#[derive(Clone, Debug, Default)]
+pub struct Cost {
+    /// Spans from exec to ready.
+    pub ready: Vec<Duration>,
+    /// Bytes of memory when it was first ready, and the most that was seen.
+    pub memory_idle: u64,
+    /// See there.
+    pub memory_most: u64,
+    /// CPU seconds of processes that have ended, and of the one that runs.
+    pub cpu_before: f64,
+    /// See there.
+    pub cpu_now: f64,
+    /// Processes that were started.
+    pub processes: u64,
+    /// What went wrong, each in a line.
+    pub faults: Vec<String>,
+}
+
+/// One instance.
+pub struct Instance {
+    /// Its number.
+    pub number: usize,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// What it tells its manager.
+    pub manager: Arc<Manager>,
+    listener: Option<TcpListener>,
+    program: PathBuf,
+    folder: PathBuf,
+    process: Mutex<Option<Arc<Process>>>,
+    cost: Mutex<Cost>,
+}
+
+/// A process of an instance.
+struct Process {
+    pid: Pid,
+    child: tokio::sync::Mutex<Child>,
+    /// Whether it was told to end.
+    told: Mutex<bool>,
+}
+
+impl Instance {
+    /// An instance that does not run yet. `listener` is kept here and handed over, or its address is bound by the
+    /// instance itself.
+    pub fn new(
+        number: usize, address: SocketAddr, listener: Option<TcpListener>, manager: Arc<Manager>,
+        program: &Path, folder: &Path,
+    ) -> Instance {
+        let (program, folder) = (program.to_owned(), folder.to_owned());
+        let (process, cost) = Default::default();
+        Instance { number, address, manager, listener, program, folder, process, cost }
+    }
+
+    fn process(&self) -> Option<Arc<Process>> {
+        self.process.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// What it has cost.
+    pub fn cost(&self) -> MutexGuard<'_, Cost> {
+        self.cost.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a process of it runs.
+    pub fn runs(&self) -> bool {
+        self.process().is_some()
+    }
+
+    /// Where its configuration stands.
+    pub fn configuration(&self) -> PathBuf {
+        self.folder.join(format!("node-{}.json", self.number))
+    }
+
+    fn fault(&self, line: impl Into<String>) {
+        self.cost().faults.push(format!("instance {}: {}", self.number, line.into()));
+    }
+
+    /// Starts a process and waits until it is ready; a fault where it is not in time.
+    ///
+    /// # Errors
+    /// It could not be started at all.
+    pub async fn start(self: &Arc<Self>, ready_within: Duration) -> Result<()> {
+        let log = self.folder.join(format!("node-{}.log", self.number));
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+        let mut command = Command::new(&self.program);
+        command.arg("run").arg("--operator").arg(self.folder.join("operator.toml"));
+        for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LISTEN_FDS", "LISTEN_PID", "LISTEN_FDNAMES"] {
+            command.env_remove(key);
+        }
+        command.env("LB_CONFIG", self.configuration()).env("NOTIFY_SOCKET", &self.manager.address);
+        command.env("WATCHDOG_USEC", "4000000");
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        if let Some(listener) = &self.listener {
+            let parent_fd = OwnedFd::from(listener.try_clone()?);
+            command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 3 }])?;
+            command.env("LISTEN_FDS", "1").env("LISTEN_FDNAMES", "clients");
+        }
+        self.manager.forget();
+        let begun = Instant::now();
+        let mut command = tokio::process::Command::from(command);
+        // Danger: instances that outlive a rig that was ended.
+        command.kill_on_drop(true);
+        let child = command.spawn().context("an instance is started")?;
+        let pid = child.id().and_then(|pid| i32::try_from(pid).ok()).context("it has ended already")?;
+        let child = tokio::sync::Mutex::new(child);
+        let process = Arc::new(Process { pid: Pid::from_raw(pid), child, told: Mutex::new(false) });
+        *self.process.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(&process));
+        {
+            let mut cost = self.cost();
+            cost.processes += 1;
+            cost.cpu_before += cost.cpu_now;
+            cost.cpu_now = 0.0;
+        }
+        tokio::spawn(Arc::clone(self).watch(Arc::clone(&process)));
+        match timeout(ready_within, self.manager.ready()).await {
+            Ok(at) => {
+                let memory = memory(process.pid);
+                let mut cost = self.cost();
+                cost.ready.push(at.saturating_duration_since(begun));
+                if cost.memory_idle == 0 {
+                    cost.memory_idle = memory;
+                }
+            }
+            Err(_) if *process.told.lock().unwrap_or_else(PoisonError::into_inner) => {}
+            Err(_) => self.fault(format!("not ready in time: {}", self.manager.heard().status)),
+        }
+        Ok(())
+    }
+
+    /// Watches a process to its end: an end that nobody ordered is a fault, and so is a bad one.
+    async fn watch(self: Arc<Self>, process: Arc<Process>) {
+        let status = loop {
+            {
+                let mut cost = self.cost();
+                if let Some(spent) = spent(process.pid) {
+                    cost.cpu_now = cost.cpu_now.max(spent);
+                }
+                cost.memory_most = cost.memory_most.max(memory(process.pid));
+            }
+            let mut child = process.child.lock().await;
+            match timeout(Duration::from_millis(500), child.wait()).await {
+                Ok(status) => break status.ok(),
+                Err(_) => drop(child),
+            }
+        };
+        {
+            let mut current = self.process.lock().unwrap_or_else(PoisonError::into_inner);
+            if current.as_ref().is_some_and(|current| Arc::ptr_eq(current, &process)) {
+                *current = None;
+            }
+        }
+        let told = *process.told.lock().unwrap_or_else(PoisonError::into_inner);
+        match status {
+            _ if !told => self.fault(format!("ended by itself: {status:?}")),
+            Some(status) if !status.success() && !killed(status) => {
+                self.fault(format!("ended badly: {status}"))
+            }
+            _ => {}
+        }
+    }
+
+    /// Sends a signal to the process that runs, if one does.
+    pub fn signal(&self, signal: Signal) -> bool {
+        let Some(process) = self.process() else { return false };
+        if matches!(signal, Signal::SIGKILL | Signal::SIGTERM) {
+            *process.told.lock().unwrap_or_else(PoisonError::into_inner) = true;
+        }
+        kill(process.pid, signal).is_ok()
+    }
+
+    /// Tells the process that runs to stop, and waits until it has ended; a fault where that takes too long.
+    pub async fn stop(&self) {
+        let Some(process) = self.process() else { return };
+        self.signal(Signal::SIGTERM);
+        let ended = async {
+            loop {
+                let mut child = process.child.lock().await;
+                if !matches!(child.try_wait(), Ok(None)) {
+                    return;
+                }
+                drop(child);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        if timeout(END_WITHIN, ended).await.is_err() {
+            self.fault("told to stop and did not end");
+            self.signal(Signal::SIGKILL);
+        }
+    }
+}
+
+fn killed(status: ExitStatus) -> bool {
+    use std::os::unix::process::ExitStatusExt;
+    status.signal() == Some(Signal::SIGKILL as i32)
+}
+
+/// CPU seconds that a process has spent (`proc(5)`: fields 14 and 15 of `stat`).
+fn spent(pid: Pid) -> Option<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The name may hold anything, but it ends with the last bracket.
+    let mut fields = stat.rsplit_once(')')?.1.split_whitespace().skip(11);
+    let user: f64 = fields.next()?.parse().ok()?;
+    let system: f64 = fields.next()?.parse().ok()?;
+    Some((user + system) / TICKS)
+}
+
+/// Bytes of memory that a process has in use.
+fn memory(pid: Pid) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok()).unwrap_or(0) * 1024
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,15 @@
+//! The fleet rig: real instances of the program on one machine, before stand-ins, played by a written scenario and
+//! judged by the stand-ins' ledger.
+#![recursion_limit = "256"]
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod instance;
+pub mod manager;
+pub mod report;
+pub mod rig;
+pub mod scenario;
+
+pub use report::Report;
+pub use rig::{play, Options};
+pub use scenario::Scenario;
--- /dev/null
+++ b/crates/fleet/src/report.rs
@@ -0,0 +1,178 @@
+//! What a run showed, for people and as JSON.
+
+use saffronpaddle_standins::ledger::{Breach, Verdict};
+use saffronpaddle_standins::load::Counts;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// What one instance did.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// Milliseconds from exec to ready, for each of its processes.
+    pub ready_ms: Vec<f64>,
+    /// Memory when it was first ready, and the most that was seen, in MB.
+    pub memory_idle_mb: f64,
+    /// See there.
+    pub memory_most_mb: f64,
+    /// CPU seconds of all of its processes.
+    pub cpu_s: f64,
+    /// Datagrams that it sent, and those that reached it, a second.
+    pub sent_s: f64,
+    /// See there.
+    pub received_s: f64,
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// The scenario's name.
+    pub scenario: String,
+    /// The seed.
+    pub seed: u64,
+    /// Seconds in which load was offered.
+    pub seconds: f64,
+    /// The ledger's verdict.
+    pub verdict: Verdict,
+    /// What the front counted.
+    pub counts: Counts,
+    /// Each instance.
+    pub rows: Vec<Row>,
+    /// Datagrams that were longer than allowed, and bytes of all.
+    pub too_long: u64,
+    /// See there.
+    pub peer_bytes: u64,
+    /// Processes that were started, and words to reload that were answered by READY.
+    pub processes: u64,
+    /// See there.
+    pub reloads: u64,
+    /// Instances that crashed, were not ready or did not end, each in a line.
+    pub faults: Vec<String>,
+}
+
+impl Report {
+    /// Whether the rules were kept and all instances did what they were told.
+    pub fn good(&self) -> bool {
+        self.verdict.breaches.is_empty() && self.faults.is_empty() && self.too_long == 0
+    }
+
+    /// Breaches by their kind.
+    pub fn kinds(&self) -> BTreeMap<String, usize> {
+        let mut kinds = BTreeMap::new();
+        for breach in &self.verdict.breaches {
+            let name = format!("{breach:?}");
+            *kinds.entry(name.split('(').next().unwrap_or_default().to_owned()).or_default() += 1;
+        }
+        kinds
+    }
+
+    fn ready(&self) -> Vec<f64> {
+        let mut all: Vec<f64> = self.rows.iter().flat_map(|row| row.ready_ms.iter().copied()).collect();
+        all.sort_by(f64::total_cmp);
+        all
+    }
+
+    fn mean(&self, of: impl Fn(&Row) -> f64) -> f64 {
+        self.rows.iter().map(of).sum::<f64>() / self.rows.len().max(1) as f64
+    }
+
+    /// CPU µs of all instances together, a try.
+    pub fn cpu_us_per_try(&self) -> f64 {
+        self.rows.iter().map(|row| row.cpu_s).sum::<f64>() * 1e6 / (self.verdict.tries.max(1) as f64)
+    }
+
+    /// All of it as JSON.
+    pub fn json(&self) -> Value {
+        let verdict = &self.verdict;
+        let breaches: Vec<String> = verdict.breaches.iter().map(|breach| format!("{breach:?}")).collect();
+        let ready = self.ready();
+        json!({
+            "scenario": self.scenario, "seed": self.seed, "seconds": self.seconds, "good": self.good(),
+            "instances": self.rows.len(), "processes": self.processes, "reloads": self.reloads,
+            "tries": verdict.tries, "served": verdict.served, "refused": verdict.refused, "failed": verdict.failed,
+            "killed": verdict.killed, "paused": verdict.paused, "not_taken": verdict.not_taken, "lost": verdict.lost,
+            "attempts": verdict.attempts, "after_drain": verdict.after_drain,
+            "after_drain_most_ms": verdict.after_drain_most_ms, "effects": verdict.effects,
+            "keys_repeated": verdict.keys_repeated, "cold_worst": verdict.cold_worst,
+            "beyond_quota": verdict.beyond_quota, "ceiling_over_most": verdict.ceiling_over_most,
+            "unasked": verdict.unasked, "breaches": breaches, "faults": self.faults,
+            "refused_connections": self.counts.refused_connections, "resent": self.counts.resent,
+            "retries": self.counts.retries, "nobody": self.counts.nobody,
+            "p50_ms": self.counts.p50_ms, "p99_ms": self.counts.p99_ms,
+            "ready_ms": {"first": ready.first(), "last": ready.last(), "median": ready.get(ready.len() / 2)},
+            "memory_idle_mb": self.mean(|row| row.memory_idle_mb),
+            "memory_most_mb": self.rows.iter().map(|row| row.memory_most_mb).fold(0.0, f64::max),
+            "cpu_us_per_try": self.cpu_us_per_try(), "cpu_s_per_instance": self.mean(|row| row.cpu_s),
+            "cpu_share_per_instance": self.mean(|row| row.cpu_s) / self.seconds.max(0.001),
+            "peer_sent_s": self.mean(|row| row.sent_s), "peer_received_s": self.mean(|row| row.received_s),
+            "peer_received_s_most": self.rows.iter().map(|row| row.received_s).fold(0.0, f64::max),
+            "peer_bytes": self.peer_bytes, "peer_too_long": self.too_long,
+        })
+    }
+}
+
+/// Breaches that are shown one by one.
+const SHOWN: usize = 10;
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let verdict = &self.verdict;
+        let ready = self.ready();
+        let at = |share: f64| ready.get((ready.len() as f64 * share) as usize).copied().unwrap_or(0.0);
+        writeln!(
+            f,
+            "{} (seed {}): {} instances, {} processes, {} reloads, {:.0} s",
+            self.scenario,
+            self.seed,
+            self.rows.len(),
+            self.processes,
+            self.reloads,
+            self.seconds
+        )?;
+        writeln!(
+            f,
+            "tries {}: served {}, refused {}, failed {}; held by a killed instance {}, by a stopped one {}; lost {}",
+            verdict.tries, verdict.served, verdict.refused, verdict.failed, verdict.killed, verdict.paused, verdict.lost
+        )?;
+        writeln!(
+            f,
+            "attempts {}; keyed effects {}, keys with more than one {}; to draining servers {} (latest {:.0} ms)",
+            verdict.attempts, verdict.effects, verdict.keys_repeated, verdict.after_drain, verdict.after_drain_most_ms
+        )?;
+        writeln!(
+            f,
+            "cold servers at most {:.2} of what makes them fall; beyond quotas {:.3} of the units; ceilings by {:.1} units",
+            verdict.cold_worst, verdict.beyond_quota, verdict.ceiling_over_most
+        )?;
+        writeln!(
+            f,
+            "front: {} connections refused, {} tries with nobody, {} resent, {} retries; served in {:.0} ms, p99 {:.0} ms",
+            self.counts.refused_connections, self.counts.nobody, self.counts.resent, self.counts.retries,
+            self.counts.p50_ms, self.counts.p99_ms
+        )?;
+        writeln!(
+            f,
+            "instances: ready in {:.0} to {:.0} ms, median {:.0}; memory {:.1} MB idle; CPU {:.0} µs a try, {:.4} of a core each",
+            at(0.0), ready.last().copied().unwrap_or(0.0), at(0.5), self.mean(|row| row.memory_idle_mb),
+            self.cpu_us_per_try(), self.mean(|row| row.cpu_s) / self.seconds.max(0.001)
+        )?;
+        writeln!(
+            f,
+            "peers: each sends {:.1} and is sent {:.1} datagrams a second (at most {:.1}; intake 60)",
+            self.mean(|row| row.sent_s),
+            self.mean(|row| row.received_s),
+            self.rows.iter().map(|row| row.received_s).fold(0.0, f64::max)
+        )?;
+        for (kind, count) in self.kinds() {
+            writeln!(f, "BROKEN {kind}: {count}")?;
+        }
+        let shown = |breach: &&Breach| format!("  {breach:?}");
+        for line in verdict.breaches.iter().take(SHOWN).map(|breach| shown(&breach)) {
+            writeln!(f, "{line}")?;
+        }
+        for fault in &self.faults {
+            writeln!(f, "FAULT {fault}")?;
+        }
+        write!(f, "{}", if self.good() { "rules kept" } else { "RULES BROKEN" })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/rig.rs
@@ -0,0 +1,360 @@
+//! Plays a scenario: starts everything, lets befall it what the steps say, and judges.
+
+use crate::instance::Instance;
+use crate::manager::Manager;
+use crate::report::{Report, Row};
+use crate::scenario::{Deed, Scenario, Step};
+use anyhow::{Context, Result};
+use nix::sys::signal::Signal;
+use saffronpaddle_standins::discovery::{Discovery, Entry};
+use saffronpaddle_standins::load::{Customer, Front};
+use saffronpaddle_standins::peers::Network;
+use saffronpaddle_standins::servers::{AppServer, Spec};
+use saffronpaddle_standins::settings::{configuration, Fleet, Places};
+use saffronpaddle_standins::World;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How a scenario is played.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program whose instances run.
+    pub program: PathBuf,
+    /// Draws all that the scenario leaves open, customers' behaviour and the nodes' seeds.
+    pub seed: u64,
+    /// Where configurations and logs go; it must be there.
+    pub folder: PathBuf,
+    /// More lines for the operator file of all instances.
+    pub operator: String,
+    /// Told of each step as it is taken.
+    pub say: bool,
+}
+
+/// How long a drained server's process goes on after its list entry was changed.
+const DRAINS_FOR: Duration = Duration::from_millis(1500);
+/// All clients have ended by then: the longest deadline and its retries.
+const CLIENTS_END: Duration = Duration::from_secs(20);
+/// Share of its quota that a usual customer uses, and that of each fifth one, which is beyond its quota.
+const USUAL: f64 = 0.7;
+const GREEDY: f64 = 1.6;
+/// Descriptors and memory of an instance, as on the platform's scored days.
+const SOCKETS: usize = 1024;
+const MEMORY_MB: usize = 192;
+
+static RUNS: AtomicU64 = AtomicU64::new(0);
+
+/// A fleet that runs.
+struct Rig {
+    world: Arc<World>,
+    discovery: Arc<Discovery>,
+    servers: Vec<AppServer>,
+    network: Arc<Network>,
+    front: Arc<Front>,
+    instances: Vec<Arc<Instance>>,
+    scenario: Scenario,
+}
+
+/// Plays a scenario to its end.
+///
+/// # Errors
+/// The rig itself could not be set up; what goes wrong with the fleet stands in the report.
+pub async fn play(scenario: Scenario, options: &Options) -> Result<Report> {
+    let rig = Rig::set_up(scenario, options).await?;
+    rig.start().await?;
+    let (before, begun) = (rig.datagrams(), rig.world.now());
+    let duration = rig.scenario.duration;
+    let offered = rig.offer(options.seed);
+    let befallen = rig.befall(options.say);
+    let (offered, ()) = tokio::join!(timeout(duration + CLIENTS_END, offered), befallen);
+    let mut faults = Vec::new();
+    if offered.is_err() {
+        faults.push(format!("{} tries had no end", rig.world.ledger().open()));
+    }
+    let seconds = (rig.world.now() - begun).as_secs_f64();
+    let after = rig.datagrams();
+    let mut stops = tokio::task::JoinSet::new();
+    for instance in rig.instances.clone() {
+        stops.spawn(async move { instance.stop().await });
+    }
+    while stops.join_next().await.is_some() {}
+    // The watch over each process sees its end and what it cost a moment later.
+    sleep(Duration::from_millis(700)).await;
+    let row = |instance: &Arc<Instance>| {
+        let cost = instance.cost().clone();
+        let (was, is) = (before[instance.number], after[instance.number]);
+        Row {
+            ready_ms: cost.ready.iter().map(|span| span.as_secs_f64() * 1e3).collect(),
+            memory_idle_mb: cost.memory_idle as f64 / 1e6,
+            memory_most_mb: cost.memory_most as f64 / 1e6,
+            cpu_s: cost.cpu_before + cost.cpu_now,
+            sent_s: (is.0 - was.0) as f64 / seconds,
+            received_s: (is.1 - was.1) as f64 / seconds,
+        }
+    };
+    faults.extend(rig.instances.iter().flat_map(|instance| instance.cost().faults.clone()));
+    let verdict = rig.world.ledger().judge();
+    Ok(Report {
+        scenario: rig.scenario.name.clone(),
+        seed: options.seed,
+        seconds,
+        verdict,
+        counts: rig.front.counts(),
+        rows: rig.instances.iter().map(row).collect(),
+        too_long: rig.network.too_long(),
+        peer_bytes: rig.network.bytes(),
+        processes: rig.instances.iter().map(|instance| instance.cost().processes).sum(),
+        reloads: rig.instances.iter().map(|instance| instance.manager.heard().reloads).sum(),
+        faults,
+    })
+}
+
+impl Rig {
+    async fn set_up(scenario: Scenario, options: &Options) -> Result<Rig> {
+        let fleet = Fleet::usual(scenario.instances);
+        let world = World::begin(fleet.bounds.clone());
+        let discovery = Discovery::new(Arc::clone(&world));
+        let servers = servers(&scenario, &fleet, &world, &discovery)?;
+        // Ports are held until all of the rig's own sockets have theirs.
+        let held = (0..scenario.instances).map(|_| UdpSocket::bind("127.0.0.1:0"));
+        let held = held.collect::<std::io::Result<Vec<_>>>().context("ports for datagrams")?;
+        let datagrams = held.iter().map(UdpSocket::local_addr).collect::<std::io::Result<Vec<_>>>()?;
+        let network = Network::start(datagrams.clone()).await.context("the network between instances")?;
+        drop(held);
+        std::fs::write(options.folder.join("operator.toml"), &options.operator)?;
+        // Several runs of one process must not share their managers' names.
+        let run = RUNS.fetch_add(1, Ordering::Relaxed);
+        let mut instances = Vec::new();
+        for (number, peer_listen) in datagrams.into_iter().enumerate() {
+            let listener = TcpListener::bind("127.0.0.1:0").context("a listener")?;
+            let address = listener.local_addr()?;
+            let manager =
+                Manager::start(&format!("saffronpaddle-fleet-{}-{run}-{number}", std::process::id()))?;
+            let listener = scenario.handed_over.then_some(listener);
+            let instance =
+                Instance::new(number, address, listener, manager, &options.program, &options.folder);
+            let places = Places {
+                name: format!("n{number}"),
+                listen: address,
+                discovery: discovery.agent(number).await?,
+                peer_listen,
+                peers: network.peers_of(number)?,
+                sockets: SOCKETS,
+                memory_mb: MEMORY_MB,
+            };
+            let seed = options.seed.wrapping_add(number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let settings = fleet.settings(number);
+            let text = configuration(&places, &settings, Some(&discovery.known()), seed);
+            std::fs::write(instance.configuration(), text)?;
+            instances.push(Arc::new(instance));
+        }
+        let addresses: Vec<SocketAddr> = instances.iter().map(|instance| instance.address).collect();
+        let front = Front::new(Arc::clone(&world), fleet, &addresses, options.seed);
+        Ok(Rig { world, discovery, servers, network, front, instances, scenario })
+    }
+
+    /// Starts all instances and waits until the front takes all of them for ready.
+    async fn start(&self) -> Result<()> {
+        let within = self.scenario.ready_within;
+        let mut starts = tokio::task::JoinSet::new();
+        for instance in self.instances.clone() {
+            if self.scenario.together {
+                starts.spawn(async move { instance.start(within).await });
+            } else {
+                instance.start(within).await?;
+            }
+        }
+        while let Some(started) = starts.join_next().await {
+            started.context("a start")??;
+        }
+        Arc::clone(&self.front).watch().await;
+        let all = async {
+            while self.front.open() < self.instances.len() {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        // One that is not ready is a fault of its own already.
+        let _ = timeout(within, all).await;
+        Ok(())
+    }
+
+    fn datagrams(&self) -> Vec<(u64, u64)> {
+        (0..self.instances.len()).map(|node| self.network.counts(node)).collect()
+    }
+
+    /// Offers all customers' tries, and comes back when the last has ended.
+    async fn offer(&self, seed: u64) {
+        let fleet = Fleet::usual(self.scenario.instances);
+        let mut random = fastrand::Rng::with_seed(seed);
+        let usual = |place: usize| if place % 5 == 4 { GREEDY } else { USUAL };
+        let customers = 0..self.scenario.customers;
+        let plans = fleet.plans.len();
+        let whole: f64 = customers.clone().map(|place| fleet.plans[place % plans].rate * usual(place)).sum();
+        let mut clients = tokio::task::JoinSet::new();
+        for place in customers {
+            let plan = &fleet.plans[place % plans];
+            let customer = Customer {
+                id: random.u64(1..1 << 33),
+                plan: place % plans,
+                first: random.usize(..self.scenario.instances),
+                spread: random.usize(2..=4).min(self.scenario.instances),
+                rate: plan.rate * usual(place) / whole * self.scenario.rate,
+            };
+            self.world.ledger().limit(customer.id, (plan.rate, plan.burst), plan.ceiling);
+            clients.spawn(Arc::clone(&self.front).offer(customer, self.scenario.duration));
+        }
+        while clients.join_next().await.is_some() {}
+    }
+
+    async fn befall(&self, say: bool) {
+        let begun = self.world.now();
+        let mut deeds = tokio::task::JoinSet::new();
+        for step in &self.scenario.steps {
+            sleep((begun + step.at).saturating_sub(self.world.now())).await;
+            if say {
+                eprintln!("{:>7.2} s  {:?}", (self.world.now() - begun).as_secs_f64(), step.deed);
+            }
+            deeds.spawn(self.deed(step));
+            while deeds.try_join_next().is_some() {}
+        }
+        while deeds.join_next().await.is_some() {}
+    }
+
+    /// What one step does, by itself.
+    fn deed(&self, step: &Step) -> impl std::future::Future<Output = ()> + Send + 'static {
+        let (world, discovery) = (Arc::clone(&self.world), Arc::clone(&self.discovery));
+        let (network, front) = (Arc::clone(&self.network), Arc::clone(&self.front));
+        let (instances, servers) = (self.instances.clone(), self.servers.clone());
+        let (within, lateness) = (self.scenario.ready_within, self.scenario.lateness);
+        let deed = step.deed.clone();
+        async move {
+            match deed {
+                Deed::Start(who) if !instances[who].runs() => start(&instances[who], within).await,
+                Deed::Start(_) => {}
+                Deed::Reload(who) => {
+                    instances[who].signal(Signal::SIGHUP);
+                }
+                Deed::Restart(who) if instances[who].runs() => {
+                    let old = Arc::clone(&instances[who]);
+                    world.ledger().restarted(who);
+                    // Its listener is kept here, so its successor starts while it finishes; else it must end first.
+                    old.stop().await;
+                    start(&old, within).await;
+                }
+                Deed::Restart(_) => {}
+                Deed::Kill(who, lasts) if instances[who].runs() => {
+                    front.killed_or_back(who);
+                    instances[who].signal(Signal::SIGKILL);
+                    sleep(lasts).await;
+                    world.ledger().restarted(who);
+                    front.killed_or_back(who);
+                    if !instances[who].runs() {
+                        start(&instances[who], within).await;
+                    }
+                }
+                Deed::Kill(..) => {}
+                Deed::Pause(who, lasts) => {
+                    let stopped = world.now();
+                    front.paused(who);
+                    if instances[who].signal(Signal::SIGSTOP) {
+                        sleep(lasts).await;
+                        instances[who].signal(Signal::SIGCONT);
+                        world.ledger().resumed(world.now(), who, stopped);
+                    }
+                    front.paused(who);
+                }
+                Deed::Peers(loss, delay) => {
+                    network.set(|faults| (faults.loss, faults.delay) = (loss, (delay / 4, delay)));
+                }
+                Deed::Cut(who, lasts) => {
+                    network.set(|faults| _ = faults.cut.insert(who));
+                    sleep(lasts).await;
+                    network.set(|faults| _ = faults.cut.remove(&who));
+                }
+                Deed::Drain(who, lasts) => {
+                    list(&discovery, &servers[who], "draining", None);
+                    sleep(lateness + DRAINS_FOR).await;
+                    crash(&world, &discovery, &servers[who], lasts).await;
+                }
+                Deed::Crash(who, lasts) => crash(&world, &discovery, &servers[who], lasts).await,
+                Deed::Silent(who, lasts) => {
+                    servers[who].set(|temper| temper.silent = true);
+                    sleep(lasts).await;
+                    servers[who].set(|temper| temper.silent = false);
+                }
+                Deed::Slow(times, lasts) => {
+                    servers.iter().for_each(|server| server.set(|temper| temper.slow = times));
+                    sleep(lasts).await;
+                    servers.iter().for_each(|server| server.set(|temper| temper.slow = 1.0));
+                }
+                Deed::Undiscovered(lasts) => {
+                    discovery.set_silent(true);
+                    sleep(lasts).await;
+                    discovery.set_silent(false);
+                }
+            }
+        }
+    }
+}
+
+async fn start(instance: &Arc<Instance>, within: Duration) {
+    if let Err(error) = instance.start(within).await {
+        instance.cost().faults.push(format!("instance {}: {error:#}", instance.number));
+    }
+}
+
+fn list(discovery: &Discovery, server: &AppServer, health: &'static str, born_ms: Option<u64>) {
+    if let Some(entry) = discovery.entry(server.name()) {
+        let born_ms = born_ms.unwrap_or(entry.born_ms);
+        discovery.change(vec![Entry { health, born_ms, ..entry }]);
+    }
+}
+
+async fn crash(world: &World, discovery: &Discovery, server: &AppServer, lasts: Duration) {
+    server.kill();
+    list(discovery, server, "gone", None);
+    sleep(lasts).await;
+    match server.start_cold() {
+        Ok(()) => list(discovery, server, "ready", Some(world.unix_ms())),
+        Err(error) => eprintln!("{} does not start: {error}", server.name()),
+    }
+}
+
+fn servers(
+    scenario: &Scenario, fleet: &Fleet, world: &Arc<World>, discovery: &Discovery,
+) -> Result<Vec<AppServer>> {
+    let needed = scenario.rate * fleet.mean_work() / scenario.servers as f64;
+    let cores = if scenario.cores > 0 { scenario.cores } else { (needed * 2.0).ceil().max(1.0) as usize };
+    let mut servers = Vec::new();
+    let mut entries = Vec::new();
+    for number in 0..scenario.servers {
+        let spec = Spec {
+            name: format!("s-{number}"),
+            block: number as u64 / 3,
+            cores,
+            slots: cores * 16,
+            work: fleet.classes.iter().map(|class| (class.name.to_owned(), class.work)).collect(),
+        };
+        let block = spec.block;
+        let server = AppServer::start(Arc::clone(world), spec).context("an app server")?;
+        let born_ms = if scenario.cold { world.unix_ms() } else { 0 };
+        if scenario.cold {
+            world.ledger().cold(world.now(), server.name(), server.capacity());
+        }
+        entries.push(Entry {
+            host: server.name().to_owned(),
+            dial: server.address(),
+            site: fleet.sites[number % fleet.sites.len()].to_owned(),
+            block,
+            health: "ready",
+            born_ms,
+        });
+        servers.push(server);
+    }
+    discovery.change(entries);
+    discovery.set_lateness(scenario.lateness);
+    Ok(servers)
+}
--- /dev/null
+++ b/crates/fleet/src/scenario.rs
@@ -0,0 +1,261 @@
+//! A scenario: how large the fleet is, what it is offered, and what befalls it when. Typed and checked like the
+//! operator file; a seed draws all that it leaves open, so that the same seed gives the same run of steps.
+
+use saffronpaddle_operator::{Fault, Faults, Section};
+use std::time::Duration;
+use toml::{Table, Value};
+
+/// What befalls the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Deed {
+    /// Start an instance that does not run.
+    Start(usize),
+    /// SIGHUP.
+    Reload(usize),
+    /// SIGTERM, and once it has ended, a new process.
+    Restart(usize),
+    /// SIGKILL, and a new process after a while.
+    Kill(usize, Duration),
+    /// SIGSTOP, and SIGCONT after a while.
+    Pause(usize, Duration),
+    /// Share of peers' datagrams that is lost, and their longest delay, from now on.
+    Peers(f64, Duration),
+    /// No datagrams from or to an instance for a while.
+    Cut(usize, Duration),
+    /// An app server drains, then its process ends, and it starts anew and cold after a while.
+    Drain(usize, Duration),
+    /// An app server dies and starts anew, cold, after a while.
+    Crash(usize, Duration),
+    /// An app server takes requests and answers none for a while.
+    Silent(usize, Duration),
+    /// All app servers take so many times as long for a while.
+    Slow(f64, Duration),
+    /// Discovery is silent for a while.
+    Undiscovered(Duration),
+}
+
+/// A deed and its time, counted from when the fleet is up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// When.
+    pub at: Duration,
+    /// What.
+    pub deed: Deed,
+}
+
+/// A scenario, drawn.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scenario {
+    /// Its name.
+    pub name: String,
+    /// Instances.
+    pub instances: usize,
+    /// App servers.
+    pub servers: usize,
+    /// Customers.
+    pub customers: usize,
+    /// Requests that are offered a second, over all customers.
+    pub rate: f64,
+    /// For how long they are offered.
+    pub duration: Duration,
+    /// Whether all instances start at once, or one after the other.
+    pub together: bool,
+    /// Requests in work at once at each app server; 0 for twice what the offered load needs.
+    pub cores: usize,
+    /// Whether app servers are cold when the fleet starts.
+    pub cold: bool,
+    /// How late discovery tells of changes.
+    pub lateness: Duration,
+    /// Whether listeners are kept by the rig and handed over.
+    pub handed_over: bool,
+    /// An instance that does not become ready by then has failed.
+    pub ready_within: Duration,
+    /// What befalls it, in order.
+    pub steps: Vec<Step>,
+}
+
+/// What a step may be, by name: whom it is about, and whether it lasts.
+const DEEDS: [(&str, Whom, bool); 12] = [
+    ("start", Whom::Instance, false),
+    ("reload", Whom::Instance, false),
+    ("restart", Whom::Instance, false),
+    ("kill", Whom::Instance, true),
+    ("pause", Whom::Instance, true),
+    ("peers", Whom::All, false),
+    ("cut", Whom::Instance, true),
+    ("drain", Whom::Server, true),
+    ("crash", Whom::Server, true),
+    ("silent", Whom::Server, true),
+    ("slow", Whom::All, true),
+    ("undiscovered", Whom::All, true),
+];
+
+#[derive(Clone, Copy, PartialEq)]
+enum Whom {
+    Instance,
+    Server,
+    All,
+}
+
+impl Scenario {
+    /// Reads a scenario and draws what it leaves open.
+    ///
+    /// # Errors
+    /// All that is wrong with it.
+    pub fn parse(text: &str, seed: u64) -> Result<Scenario, Faults> {
+        let table = text.parse::<Table>().map_err(|error| {
+            Faults(vec![Fault { key: String::new(), reason: error.message().replace('\n', ", ") }])
+        })?;
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut table = table;
+        let written = table.remove("step");
+        let mut file = Section::whole(table);
+        let mut scenario = Scenario {
+            name: file.parsed("name", "a text", |name| Some(name.to_owned())).unwrap_or_default(),
+            instances: file.number("instances", 3, 1..=64) as usize,
+            servers: file.number("servers", 12, 1..=64) as usize,
+            customers: file.number("customers", 60, 1..=10_000) as usize,
+            rate: file.figure("rate", 160.0, 0.0..=5000.0),
+            duration: file.span_ms("duration_ms", 30_000, 1000..=3_600_000),
+            together: file.flag("together", true),
+            cores: file.number("cores", 0, 0..=1000) as usize,
+            cold: file.flag("cold", false),
+            lateness: file.span_ms("lateness_ms", 500, 0..=10_000),
+            handed_over: file.flag("handed_over", true),
+            ready_within: file.span_ms("ready_within_ms", 30_000, 1000..=600_000),
+            steps: Vec::new(),
+        };
+        let mut faults = Vec::new();
+        let written = match written {
+            None => Vec::new(),
+            Some(Value::Array(steps)) => steps,
+            Some(_) => {
+                file.fault("step", "must be a list of sections");
+                Vec::new()
+            }
+        };
+        for (place, step) in written.into_iter().enumerate() {
+            let Value::Table(table) = step else {
+                file.fault("step", "must be a list of sections");
+                break;
+            };
+            let mut section = Section::whole(table);
+            scenario.draw(&mut section, &mut random);
+            let key = |fault: Fault| Fault { key: format!("step[{place}].{}", fault.key), ..fault };
+            faults.extend(section.rest().into_iter().map(key));
+        }
+        let mut all = file.rest();
+        all.extend(faults);
+        if !all.is_empty() {
+            return Err(Faults(all));
+        }
+        scenario.steps.sort_by_key(|step| step.at);
+        Ok(scenario)
+    }
+
+    /// Draws the steps of one section.
+    fn draw(&mut self, section: &mut Section, random: &mut fastrand::Rng) {
+        let names: Vec<&str> = DEEDS.iter().map(|(name, _, _)| *name).collect();
+        let known = |name: &str| DEEDS.iter().find(|(other, _, _)| *other == name).copied();
+        let deed = section.parsed("do", &format!("one of {}", names.join(", ")), known);
+        let at = section.span_ms("at_ms", 0, 0..=3_600_000);
+        let every = section.span_ms_or_none("every_ms", 0, 3_600_000);
+        let gap = section.span_ms("gap_ms", 0, 0..=600_000);
+        let lasts = section.span_ms("for_ms", 2_000, 0..=600_000);
+        let times = section.figure("times", 2.0, 0.1..=100.0);
+        let loss = section.figure("loss", 0.0, 0.0..=1.0);
+        let delay = section.span_ms("delay_ms", 0, 0..=10_000);
+        let wanted = section.number("count", 1, 1..=64) as usize;
+        let fixed = section.has("who").then(|| section.number("who", 0, 0..=63) as usize);
+        let Some((name, whom, _)) = deed else {
+            if !section.has("do") {
+                section.fault("do", "is missing, or not known");
+            }
+            return;
+        };
+        let all = match whom {
+            Whom::Instance => self.instances,
+            Whom::Server => self.servers,
+            Whom::All => 1,
+        };
+        if fixed.is_some_and(|who| who >= all) {
+            section.fault("who", format!("must be below {all}"));
+            return;
+        }
+        let mut begin = at;
+        loop {
+            let mut everyone: Vec<usize> = (0..all).collect();
+            random.shuffle(&mut everyone);
+            let chosen: Vec<usize> = match fixed {
+                Some(who) => vec![who],
+                None => everyone.into_iter().take(wanted).collect(),
+            };
+            for (place, who) in chosen.into_iter().enumerate() {
+                let deed = match name {
+                    "start" => Deed::Start(who),
+                    "reload" => Deed::Reload(who),
+                    "restart" => Deed::Restart(who),
+                    "kill" => Deed::Kill(who, lasts),
+                    "pause" => Deed::Pause(who, lasts),
+                    "peers" => Deed::Peers(loss, delay),
+                    "cut" => Deed::Cut(who, lasts),
+                    "drain" => Deed::Drain(who, lasts),
+                    "crash" => Deed::Crash(who, lasts),
+                    "silent" => Deed::Silent(who, lasts),
+                    "slow" => Deed::Slow(times, lasts),
+                    _ => Deed::Undiscovered(lasts),
+                };
+                self.steps.push(Step { at: begin + gap * place as u32, deed });
+            }
+            let Some(every) = every else { break };
+            begin += every;
+            if begin >= self.duration {
+                break;
+            }
+        }
+    }
+}
+
+/// The scenarios that come with the program, by name.
+pub const SHIPPED: [(&str, &str); 5] = [
+    ("thirty", include_str!("../scenarios/thirty.toml")),
+    ("short", include_str!("../scenarios/short.toml")),
+    ("forty-cold", include_str!("../scenarios/forty-cold.toml")),
+    ("calm", include_str!("../scenarios/calm.toml")),
+    ("drains", include_str!("../scenarios/drains.toml")),
+];
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn all_shipped_scenarios_are_good_and_a_seed_draws_the_same_steps() {
+        for (name, text) in SHIPPED {
+            let one = Scenario::parse(text, 7).unwrap_or_else(|faults| panic!("{name}: {faults}"));
+            assert_eq!(one.name, name);
+            assert_eq!(Ok(one.clone()), Scenario::parse(text, 7));
+            assert!(one.steps.windows(2).all(|two| two[0].at <= two[1].at), "in order");
+            let last = one.steps.last().map_or(Duration::ZERO, |step| step.at);
+            assert!(last <= one.duration, "{name}: a step after the end");
+        }
+        let (_, thirty) = SHIPPED[0];
+        assert_ne!(Scenario::parse(thirty, 7), Scenario::parse(thirty, 8));
+    }
+
+    #[test]
+    fn faults_of_steps_are_told_by_their_place() {
+        let text =
+            "instances = 0\n[[step]]\ndo = \"kil\"\n[[step]]\ndo = \"kill\"\nwho = 9\nwhen = 3\n[[step]]\n";
+        let faults = Scenario::parse(text, 1).expect_err("it is bad").to_string();
+        for part in [
+            "instances: ",
+            "step[0].do: ",
+            "step[1].who: must be below 3",
+            "step[1].when: unknown",
+            "step[2].do",
+        ] {
+            assert!(faults.contains(part), "{part} in {faults}");
+        }
+    }
+}
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -86,7 +86,7 @@
 pub enum Event {
     /// Its listener is up: connections come in, or wait in the backlog.
     Listening,
-    /// What is known of the conditions now; told at least once a [`Lifecycle::NEXT`].
+    /// What is known of the conditions now; wanted after each [`Lifecycle::look_after`].
     Seen(Facts),
     /// The word to stop (SIGTERM).
     Stop,
@@ -156,8 +156,10 @@
 }
 
 impl Lifecycle {
-    /// How often [`Event::Seen`] or [`Event::Tick`] must come at the least for the bounds to hold to this span.
+    /// How often [`Event::Seen`] must come in service for the bounds to hold to this span.
     pub const NEXT: Duration = Duration::from_millis(100);
+    /// The same while it starts: what it waits for is mostly a matter of milliseconds.
+    pub const NEXT_STARTING: Duration = Duration::from_millis(10);
 
     /// A node that has just started.
     pub fn new(limits: Limits, now: Time) -> Lifecycle {
@@ -334,9 +336,10 @@
         }
     }
 
-    /// Whether readiness hangs on something that must be looked at: [`Event::Seen`] is wanted.
-    pub fn looks(&self) -> bool {
-        !self.limits.readiness.is_none()
+    /// After how long [`Event::Seen`] is wanted again; `None` where readiness hangs on nothing.
+    pub fn look_after(&self) -> Option<Duration> {
+        let span = if self.state == State::Starting { Self::NEXT_STARTING } else { Self::NEXT };
+        (!self.limits.readiness.is_none() && self.state < State::Draining).then_some(span)
     }
 
     /// When the state ends by itself, if it does.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -132,7 +132,11 @@
         Config::parse(path, &text).with_context(|| format!("LB_CONFIG: {}", path.display()))
     }
 
-    fn parse(path: &Path, text: &str) -> Result<Config> {
+    /// Reads its text; `path` is where it would be read again.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    pub fn parse(path: &Path, text: &str) -> Result<Config> {
         let file: File = serde_json::from_str(text)?;
         let named = setup::read(file.settings.get()).map_err(anyhow::Error::msg).context("settings")?;
         named.settings.check().context("settings")?;
--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -45,7 +45,7 @@
     /// When something must be looked at or ends by itself.
     fn next(&self, looked: Instant) -> Option<Instant> {
         let until = self.machine.until().map(|until| self.born + until);
-        let look = self.machine.looks().then(|| looked + Lifecycle::NEXT);
+        let look = self.machine.look_after().map(|span| looked + span);
         let retry = self.manager.waits().then(|| Instant::now() + RETRY);
         [until, look, retry].into_iter().flatten().min()
     }
@@ -59,7 +59,7 @@
         tokio::pin!(served);
         let (mut clients_left, mut words_left) = (true, true);
         // The first look is due at once.
-        let mut looked = Instant::now().checked_sub(Lifecycle::NEXT).unwrap_or_else(Instant::now);
+        let mut looked = self.born.checked_sub(Lifecycle::NEXT).unwrap_or(self.born);
         let mut event = Event::Listening;
         loop {
             let mut out = Vec::new();
@@ -114,13 +114,13 @@
                 }
                 () = until(next) => {
                     self.manager.retry();
-                    let due = looked + Lifecycle::NEXT;
-                    let lag = Instant::now().saturating_duration_since(due);
-                    if self.machine.looks() && Instant::now() >= due {
-                        looked = Instant::now();
-                        Event::Seen(self.facing.look(lag))
-                    } else {
-                        Event::Tick
+                    let due = self.machine.look_after().map(|span| looked + span);
+                    match due.map(|due| Instant::now().checked_duration_since(due)) {
+                        Some(Some(lag)) => {
+                            looked = Instant::now();
+                            Event::Seen(self.facing.look(lag))
+                        }
+                        _ => Event::Tick,
                     }
                 }
             };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -95,6 +95,11 @@
         actions.into_iter().for_each(|action| self.apply(action));
     }
 
+    /// Lets the module's clock begin, before any list is known.
+    pub fn begin(self: &Rc<Self>) {
+        self.post(Event::ListFailed);
+    }
+
     /// How long ago the module was last woken.
     pub fn progressed(&self) -> Duration {
         self.woken.get().elapsed()
@@ -116,10 +121,11 @@
         self.post(Event::Peer { from, bytes });
     }
 
-    /// How many peers were heard in this life, and how many there are.
+    /// How many peers were heard in this life, and how many there are that speak unasked.
     pub fn peers_heard(&self) -> (usize, usize) {
         let all = self.named.settings.gateways.saturating_sub(1) as usize;
-        (self.peers_heard.borrow().len(), if self.peers.is_some() { all } else { 0 })
+        let speak = self.peers.is_some() && self.gateway.borrow().tells_all();
+        (self.peers_heard.borrow().len(), if speak { all } else { 0 })
     }
 
     fn apply(self: &Rc<Self>, action: Action) {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -185,6 +185,8 @@
     /// Runs it until its life cycle ends. Inside a `LocalSet` only.
     pub async fn run(self, words: mpsc::UnboundedReceiver<Word>) {
         let Edge { node, manager, files, .. } = self;
+        // Danger: a module that was told nothing yet asks for no wake-up, and a loop without one looks stuck.
+        node.begin();
         let longest = Duration::from_micros(node.named.longest_deadline);
         let limits = limits(files.operator.as_ref().map(|file| &file.says), longest, self.shared);
         let facing = Facing::new(Rc::clone(&node), self.sockets, self.memory);
--- a/crates/saffronpaddle/src/main.rs
+++ b/crates/saffronpaddle/src/main.rs
@@ -1,6 +1,9 @@
 //! The edge node's program: which of its jobs is wanted, and with what.
 #![forbid(unsafe_code)]
 
+mod demo;
+mod fleet;
+
 use anyhow::{Context, Result};
 use lexopt::prelude::*;
 use saffronpaddle_node::serve;
@@ -14,6 +17,11 @@
   saffronpaddle [run] [--operator FILE]   one edge node, as LB_CONFIG, LB_NAME, LB_LISTEN and LB_DISCOVERY have it;
                                           SAFFRONPADDLE_OPERATOR names the operator file as --operator does
   saffronpaddle check FILE                tells all that is wrong with an operator file
+  saffronpaddle demo [--listen ADDRESS]   one edge node before stand-in app servers on loopback, nothing to set up
+  saffronpaddle fleet SCENARIO            plays a scenario on real instances before stand-ins, all on loopback;
+        [--seed N] [--json FILE]          a file, or the name of one that comes with the program:
+        [--instances N] [--rate N]        thirty, short, forty-cold, calm, drains
+        [--seconds N] [--keep FOLDER]
   saffronpaddle --help | --version
 ";
 
@@ -47,6 +55,8 @@
     match &job[..] {
         "run" => run(None, arguments),
         "check" => check(arguments),
+        "demo" => demo::demo(arguments),
+        "fleet" => fleet::fleet(arguments),
         _ => anyhow::bail!("unknown job {job:?}; --help tells which there are"),
     }
 }
--- a/crates/saffronpaddle/tests/edge.rs
+++ b/crates/saffronpaddle/tests/edge.rs
@@ -1,9 +1,7 @@
 //! The edge node over loopback sockets. Each test stands for something that can go wrong there; none asserts
 //! on speed.
 
-mod stand;
-
-use stand::*;
+use saffronpaddle_standins::scripted::*;
 use std::io::Write;
 use std::time::Instant;
 
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -91,6 +91,8 @@
 pub enum Unanswered {
     /// Its node was killed with it.
     Killed,
+    /// Its node stood still, by order, while it waited.
+    Paused,
     /// It was never taken: the connection was refused or closed before it was read.
     NotTaken,
     /// The client went away by itself.
@@ -132,6 +134,8 @@
     unanswered: Option<Unanswered>,
     attempts: u32,
     out: u32,
+    /// When an attempt came while another was out.
+    beside: Option<Duration>,
     effects: u32,
 }
 
@@ -220,6 +224,8 @@
     pub failed: u64,
     /// Unanswered as their node was killed with them.
     pub killed: u64,
+    /// Unanswered as their node stood still by order.
+    pub paused: u64,
     /// Unanswered as they were never taken.
     pub not_taken: u64,
     /// Unanswered as the client left.
@@ -279,8 +285,18 @@
     /// A try's last byte is written. The same try, sent once more as its connection had closed unread, counts once.
     pub fn asked(&mut self, now: Duration, asked: Asked) {
         let id = asked.id.clone();
-        let entry = Try { asked, at: now, answer: None, unanswered: None, attempts: 0, out: 0, effects: 0 };
-        self.tries.entry(id).or_insert(entry);
+        let entry = Try {
+            asked,
+            at: now,
+            answer: None,
+            unanswered: None,
+            attempts: 0,
+            out: 0,
+            beside: None,
+            effects: 0,
+        };
+        let node = entry.asked.node;
+        self.tries.entry(id).or_insert(entry).asked.node = node;
     }
 
     /// A try's final answer has come whole.
@@ -360,7 +376,8 @@
         entry.attempts += 1;
         entry.out += 1;
         if entry.out > 1 {
-            self.double.push(Breach::TwoAttempts(id.to_owned()));
+            // The end of the earlier one may be on its way; it clears this if it comes at once.
+            entry.beside = Some(now);
         }
         if let Some(told) = self.told.get(&(entry.asked.node, server.to_owned())) {
             if let Some(late) = first.checked_sub(*told) {
@@ -439,6 +456,27 @@
         }
     }
 
+    /// The node has closed an attempt's connection: it is not out any more. Ends of connections are seen a little late,
+    /// so one that comes within the slack after another attempt's arrival stands for an end before it.
+    pub fn closed(&mut self, now: Duration, id: &str) {
+        let slack = self.bounds.slack;
+        if let Some(entry) = self.tries.get_mut(id) {
+            entry.out = entry.out.saturating_sub(1);
+            entry.beside = entry.beside.filter(|at| now > *at + slack);
+        }
+    }
+
+    /// How many attempts of a try have reached a server.
+    pub fn attempts(&self, id: &str) -> u32 {
+        self.tries.get(id).map_or(0, |entry| entry.attempts)
+    }
+
+    /// A node that stood still goes on: what was written to it meanwhile counts as told now.
+    pub fn resumed(&mut self, now: Duration, node: usize, stopped: Duration) {
+        let of = self.told.iter_mut().filter(|((other, _), at)| *other == node && **at >= stopped);
+        of.for_each(|(_, at)| *at = now);
+    }
+
     /// Tries that have no end yet.
     pub fn open(&self) -> usize {
         self.tries.values().filter(|entry| entry.answer.is_none() && entry.unanswered.is_none()).count()
@@ -448,8 +486,9 @@
     pub fn judge(&self) -> Verdict {
         let mut breaches = self.double.clone();
         let mut count = [0_u64; 3];
-        let mut unanswered = [0_u64; 4];
+        let mut unanswered = [0_u64; 5];
         for (id, entry) in &self.tries {
+            breaches.extend(entry.beside.map(|_| Breach::TwoAttempts(id.clone())));
             match (entry.answer, entry.unanswered) {
                 (Some((answer, _)), _) => {
                     count[answer as usize] += 1;
@@ -476,6 +515,7 @@
             refused: count[Answer::Refused as usize],
             failed: count[Answer::Failed as usize],
             killed: unanswered[Unanswered::Killed as usize],
+            paused: unanswered[Unanswered::Paused as usize],
             not_taken: unanswered[Unanswered::NotTaken as usize],
             left: unanswered[Unanswered::Left as usize],
             lost: unanswered[Unanswered::Lost as usize],
@@ -558,6 +598,11 @@
         ledger.arrived(ms(20), ms(20), "t", "a", 0.1);
         ledger.answered(ms(30), "a", Answer::Served);
         assert_eq!(breaches(&ledger), [Breach::TwoAttempts("a".to_owned())]);
+        // The end of the first is seen a little late, or it comes too late.
+        ledger.closed(ms(71), "a");
+        assert_eq!(breaches(&ledger), [Breach::TwoAttempts("a".to_owned())]);
+        ledger.closed(ms(70), "a");
+        assert!(breaches(&ledger).is_empty());
         // One after the other, into another group: its key is not known there.
         let mut ledger = one(Repeats::Keyed);
         for (group, server) in [(1, "s"), (2, "t")] {
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,366 @@
+//! Clients, and the front that deals them out among the edge nodes of their customer's set.
+//!
+//! Arrivals are drawn ahead and wait for nothing. A client keeps its connections, waits as long as it says, and tries
+//! again a little later what was refused, failed or lost with its node, as a new request under the same key.
+
+use crate::ledger::{Answer, Asked, Repeats, Unanswered};
+use crate::servers::made_for;
+use crate::settings::{Class, Fleet};
+use crate::wire::Wire;
+use crate::{lock, World};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Between the front's looks at a node's readiness.
+const POLL: Duration = Duration::from_millis(250);
+/// How long a connection may take to come up.
+const CONNECT: Duration = Duration::from_secs(1);
+/// For how long a set's busiest node stays the same.
+const SHIFT: Duration = Duration::from_secs(8);
+/// Share of a customer's tries that goes to its busiest node.
+const BUSIEST: f64 = 0.6;
+/// Idle connections kept to one node.
+const IDLE_MOST: usize = 64;
+
+/// A customer.
+#[derive(Clone, Debug)]
+pub struct Customer {
+    /// Its number, below 2^33.
+    pub id: u64,
+    /// Place of its plan.
+    pub plan: usize,
+    /// First node of its set.
+    pub first: usize,
+    /// Nodes in its set.
+    pub spread: usize,
+    /// Tries a second that it sends.
+    pub rate: f64,
+}
+
+/// The way to one node, as the front sees it.
+#[derive(Debug)]
+struct Door {
+    address: SocketAddr,
+    /// Whether the front deals it clients.
+    open: AtomicBool,
+    idle: Mutex<Vec<Wire>>,
+    /// Times that it was killed, or that its process was back.
+    kills: AtomicU64,
+    /// Times that it was made to stand still, or went on.
+    pauses: AtomicU64,
+}
+
+/// The front, with all its clients.
+#[derive(Debug)]
+pub struct Front {
+    world: Arc<World>,
+    fleet: Fleet,
+    doors: Vec<Door>,
+    next: AtomicU64,
+    seed: u64,
+    figures: Figures,
+}
+
+#[derive(Debug, Default)]
+struct Figures {
+    refused_connections: AtomicU64,
+    resent: AtomicU64,
+    retries: AtomicU64,
+    nobody: AtomicU64,
+    late_us: Mutex<Vec<u32>>,
+}
+
+/// What the front counted beside the ledger.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Counts {
+    /// Connections that a node, or nobody, refused.
+    pub refused_connections: u64,
+    /// Tries written once more as their kept connection had closed unread.
+    pub resent: u64,
+    /// Retries by clients.
+    pub retries: u64,
+    /// Tries for which no node of the set was open.
+    pub nobody: u64,
+    /// Median and 99th percentile of the time to a served answer, in ms.
+    pub p50_ms: f64,
+    /// See there.
+    pub p99_ms: f64,
+}
+
+/// A try that a client sends.
+struct Request {
+    id: String,
+    key: Option<String>,
+    class: usize,
+    customer: Customer,
+}
+
+enum End {
+    Answered(Answer),
+    Unanswered(Unanswered),
+}
+
+impl Front {
+    /// A front before nodes at these addresses, none of which it has seen ready yet.
+    pub fn new(world: Arc<World>, fleet: Fleet, nodes: &[SocketAddr], seed: u64) -> Arc<Front> {
+        let door = |address: &SocketAddr| Door {
+            address: *address,
+            open: AtomicBool::new(false),
+            idle: Mutex::default(),
+            kills: AtomicU64::new(0),
+            pauses: AtomicU64::new(0),
+        };
+        let doors = nodes.iter().map(door).collect();
+        let (next, figures) = (AtomicU64::new(1), Figures::default());
+        Arc::new(Front { world, fleet, doors, next, seed, figures })
+    }
+
+    /// Notes that a node is killed in this moment, or that its process runs again: what it held or what waits for it
+    /// meanwhile is lost with it.
+    pub fn killed_or_back(&self, node: usize) {
+        self.doors[node].kills.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Notes that a node stands still from now on, or goes on.
+    pub fn paused(&self, node: usize) {
+        self.doors[node].pauses.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Nodes that the front takes for ready.
+    pub fn open(&self) -> usize {
+        self.doors.iter().filter(|door| door.open.load(Ordering::Relaxed)).count()
+    }
+
+    /// Looks at all nodes' readiness for ever.
+    pub async fn watch(self: Arc<Self>) {
+        for node in 0..self.doors.len() {
+            let front = Arc::clone(&self);
+            tokio::spawn(async move {
+                loop {
+                    let open = matches!(tokio::time::timeout(CONNECT, front.look(node)).await, Ok(Some(200)));
+                    front.doors[node].open.store(open, Ordering::Relaxed);
+                    tokio::time::sleep(POLL).await;
+                }
+            });
+        }
+    }
+
+    async fn look(&self, node: usize) -> Option<u16> {
+        let mut wire = Wire::new(TcpStream::connect(self.doors[node].address).await.ok()?);
+        wire.write(b"GET /-/ready HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\n\r\n").await.ok()?;
+        wire.message(&self.world).await.ok()?.map(|message| message.status())
+    }
+
+    /// Offers a customer's tries for a span, each in its own time; comes back when the last has ended.
+    pub async fn offer(self: Arc<Self>, customer: Customer, span: Duration) {
+        let mut random = fastrand::Rng::with_seed(self.seed ^ customer.id.wrapping_mul(0x9e37_79b9));
+        let mut clients = tokio::task::JoinSet::new();
+        let mut at = self.world.now();
+        let end = at + span;
+        if customer.rate <= 0.0 {
+            return;
+        }
+        loop {
+            // Arrivals of many independent clients: the gaps are exponential.
+            at += Duration::from_secs_f64(-(1.0 - random.f64()).ln() / customer.rate);
+            if at >= end {
+                break;
+            }
+            tokio::time::sleep(at.saturating_sub(self.world.now())).await;
+            let draw = random.f64();
+            let share =
+                |class: usize| self.fleet.classes[..=class].iter().map(|class| class.share).sum::<f64>();
+            let class = (0..self.fleet.classes.len()).find(|class| draw < share(*class));
+            let class = class.unwrap_or(self.fleet.classes.len() - 1);
+            let (front, customer) = (Arc::clone(&self), customer.clone());
+            clients.spawn(async move { front.client(customer, class).await });
+            while clients.try_join_next().is_some() {}
+        }
+        while clients.join_next().await.is_some() {}
+    }
+
+    /// One client's request, with its retries.
+    async fn client(&self, customer: Customer, class: usize) {
+        let key = self.fleet.classes[class].keyed.then(|| format!("{:032x}", fastrand::u128(..)));
+        for retry in 0..3 {
+            let number = self.next.fetch_add(1, Ordering::Relaxed);
+            let id = format!("{:08x}{number:08x}", self.seed as u32);
+            let request = Request { id, key: key.clone(), class, customer: customer.clone() };
+            match self.send(&request).await {
+                Some(End::Answered(Answer::Served)) => return,
+                Some(End::Answered(_)) | Some(End::Unanswered(_)) | None => {}
+            }
+            if retry < 2 {
+                self.figures.retries.fetch_add(1, Ordering::Relaxed);
+                tokio::time::sleep(Duration::from_millis(100 + fastrand::u64(0..400))).await;
+            }
+        }
+    }
+
+    /// Sends one try to a node of its set; `None` where no connection came up at all.
+    async fn send(&self, request: &Request) -> Option<End> {
+        let mut shut = Vec::new();
+        loop {
+            let Some(node) = self.pick(&request.customer, &shut) else {
+                self.figures.nobody.fetch_add(1, Ordering::Relaxed);
+                return None;
+            };
+            let kept = lock(&self.doors[node].idle).pop();
+            let fresh = kept.is_none();
+            let wire = match kept {
+                Some(wire) => wire,
+                None => match self.connect(node).await {
+                    Some(wire) => wire,
+                    None => {
+                        shut.push(node);
+                        continue;
+                    }
+                },
+            };
+            let end = self.exchange(request, node, wire, fresh).await;
+            let (id, world) = (&request.id, &self.world);
+            match &end {
+                End::Answered(answer) => world.ledger().answered(world.now(), id, *answer),
+                // Its connection closed unread: the client sends it once more on a new one.
+                End::Unanswered(Unanswered::NotTaken) if !fresh => {
+                    self.figures.resent.fetch_add(1, Ordering::Relaxed);
+                    lock(&self.doors[node].idle).clear();
+                    continue;
+                }
+                End::Unanswered(why) => world.ledger().unanswered(id, *why),
+            }
+            return Some(end);
+        }
+    }
+
+    async fn connect(&self, node: usize) -> Option<Wire> {
+        let connect = TcpStream::connect(self.doors[node].address);
+        match tokio::time::timeout(CONNECT, connect).await {
+            Ok(Ok(stream)) => Some(Wire::new(stream)),
+            _ => {
+                self.figures.refused_connections.fetch_add(1, Ordering::Relaxed);
+                None
+            }
+        }
+    }
+
+    /// A node of the customer's set that the front takes for open, most often the busiest of the moment.
+    fn pick(&self, customer: &Customer, shut: &[usize]) -> Option<usize> {
+        let spread = customer.spread.clamp(1, self.doors.len());
+        let turn = self.world.now().as_secs() / SHIFT.as_secs().max(1) + customer.id;
+        let busiest = (turn.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) as usize % spread;
+        let place = if fastrand::f64() < BUSIEST { busiest } else { fastrand::usize(..spread) };
+        let nodes = (0..spread).map(|step| (customer.first + (place + step) % spread) % self.doors.len());
+        let mut nodes = nodes.filter(|node| !shut.contains(node));
+        nodes.find(|node| self.doors[*node].open.load(Ordering::Relaxed))
+    }
+
+    async fn exchange(&self, request: &Request, node: usize, mut wire: Wire, fresh: bool) -> End {
+        let (world, door) = (&self.world, &self.doors[node]);
+        let class = &self.fleet.classes[request.class];
+        let kills = door.kills.load(Ordering::SeqCst);
+        let pauses = door.pauses.load(Ordering::SeqCst);
+        let repeats = if class.keyed { Repeats::Keyed } else { Repeats::Safe };
+        let asked = Asked {
+            id: request.id.clone(),
+            key: request.key.clone(),
+            repeats,
+            node,
+            customer: request.customer.id,
+            units: 1.0,
+            patience: class.deadline,
+        };
+        // Noted before the last byte is written, or the node may be quicker than the ledger.
+        world.ledger().asked(world.now(), asked);
+        let sent = world.now();
+        let begun = match wire.write(self.head(request, class).as_bytes()).await {
+            // It may have answered and closed before it had read all.
+            Ok(()) | Err(_) => tokio::time::timeout(class.deadline + self.fleet.bounds.slack * 2, async {
+                wire.message(world).await
+            }),
+        };
+        let excuse = || match (door.kills.load(Ordering::SeqCst), door.pauses.load(Ordering::SeqCst)) {
+            // An odd count: it is dead, or stands still.
+            (now, _) if now != kills || kills % 2 == 1 => Some(Unanswered::Killed),
+            (_, now) if now != pauses || pauses % 2 == 1 => Some(Unanswered::Paused),
+            _ => None,
+        };
+        match begun.await {
+            Ok(Ok(Some(message))) => {
+                let answer = match message.status() {
+                    200 => Answer::Served,
+                    429 | 503 => Answer::Refused,
+                    _ => Answer::Failed,
+                };
+                if wire.has_more() {
+                    world.ledger().more(&request.id);
+                }
+                if answer == Answer::Served {
+                    if message.body != made_for(&request.id).as_bytes() {
+                        world.ledger().foreign(&request.id);
+                    }
+                    let took = (world.now() - sent).as_micros().min(u128::from(u32::MAX)) as u32;
+                    lock(&self.figures.late_us).push(took);
+                }
+                if message.header("connection") != "close" {
+                    let mut idle = lock(&door.idle);
+                    if idle.len() < IDLE_MOST {
+                        idle.push(wire);
+                    }
+                }
+                if world.now() > sent + class.deadline + self.fleet.bounds.slack {
+                    if let Some(why) = excuse() {
+                        return End::Unanswered(why);
+                    }
+                }
+                End::Answered(answer)
+            }
+            ended => {
+                let closed = matches!(ended, Ok(Ok(None) | Err(_)));
+                let unread = world.ledger().attempts(&request.id) == 0;
+                match excuse() {
+                    Some(why) => End::Unanswered(why),
+                    // Closed between two requests: that crossed this one, and no attempt was made of it.
+                    None if closed && !fresh && unread => End::Unanswered(Unanswered::NotTaken),
+                    None => End::Unanswered(Unanswered::Lost),
+                }
+            }
+        }
+    }
+
+    fn head(&self, request: &Request, class: &Class) -> String {
+        let Customer { id, plan, first, spread, .. } = &request.customer;
+        let plan = self.fleet.plans[*plan].name;
+        let (method, more, body) = match &request.key {
+            Some(key) => ("POST", format!("Idempotency-Key: {key}\r\nContent-Length: 8\r\n"), "time=1:1"),
+            None => ("GET", String::new(), ""),
+        };
+        let deadline = class.deadline.as_millis();
+        format!(
+            "{method} /{0}/{id:016x} HTTP/1.1\r\nHost: fleet\r\nX-Request-Id: {1}\r\nX-Class: {0}\r\nX-Tier: {plan}\r\n\
+             X-Deadline: {deadline}m\r\nX-Call-Terms: units=1,spread={spread},first={first}\r\n{more}\r\n{body}",
+            class.name, request.id
+        )
+    }
+
+    /// What was counted.
+    pub fn counts(&self) -> Counts {
+        let mut late = lock(&self.figures.late_us).clone();
+        late.sort_unstable();
+        let at = |share: f64| {
+            let place = (late.len() as f64 * share) as usize;
+            late.get(place.min(late.len().saturating_sub(1))).map_or(0.0, |us| f64::from(*us) / 1e3)
+        };
+        Counts {
+            refused_connections: self.figures.refused_connections.load(Ordering::Relaxed),
+            resent: self.figures.resent.load(Ordering::Relaxed),
+            retries: self.figures.retries.load(Ordering::Relaxed),
+            nobody: self.figures.nobody.load(Ordering::Relaxed),
+            p50_ms: at(0.5),
+            p99_ms: at(0.99),
+        }
+    }
+}
--- a/crates/saffronpaddle/tests/stand/mod.rs
+++ b/crates/standins/src/scripted.rs
@@ -1,4 +1,6 @@
-//! Stand-ins on loopback for what an edge node talks to: app servers, discovery, clients.
+//! Stand-ins that do as a test tells them, turn by turn: app servers, discovery, clients, and one edge node as a process.
+//!
+//! Made for tests: what can't go on panics.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -15,8 +17,11 @@
 /// A message of HTTP/1.1 with a body of known length.
 #[derive(Clone, Debug)]
 pub struct Message {
+    /// Its first line.
     pub start: String,
+    /// Its headers, their names in lower case.
     pub headers: HashMap<String, String>,
+    /// Its body.
     pub body: Vec<u8>,
 }
 
@@ -41,10 +46,12 @@
         Some(Message { start, headers, body })
     }
 
+    /// A header's value; empty where there is none.
     pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).map_or("", String::as_str)
     }
 
+    /// The status of an answer.
     pub fn status(&self) -> u16 {
         self.start.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status")
     }
@@ -53,6 +60,7 @@
 /// What an app server does with a request.
 #[derive(Clone, Debug)]
 pub enum Does {
+    /// Says this.
     Answers(&'static str),
     /// Closes the connection, without a word, after what it says.
     Ends(&'static str),
@@ -60,17 +68,24 @@
     IsSilent,
 }
 
+/// Serves.
 pub const SERVES: Does = Does::Answers("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks");
+/// Answers with an error.
 pub const ERRS: Does = Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
+/// Turns away unseen.
 pub const IS_FULL: Does = Does::Answers("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
 
 /// A request that came whole to an app server, and the connection on which it came.
 pub struct Got {
+    /// Which server.
     pub server: String,
+    /// The request.
     pub message: Message,
+    /// Number of the connection at that server, from 0.
     pub connection: usize,
     /// No earlier attempt of the request was still out.
     pub alone: bool,
+    /// The connection.
     pub stream: TcpStream,
 }
 
@@ -85,7 +100,14 @@
     unanswered: Arc<Mutex<Vec<(String, TcpStream)>>>,
 }
 
+impl Default for Servers {
+    fn default() -> Self {
+        Servers::new()
+    }
+}
+
 impl Servers {
+    /// None yet.
     pub fn new() -> Servers {
         let (tell, got) = mpsc::channel();
         Servers { got, tell, unanswered: Arc::default() }
@@ -115,6 +137,7 @@
         address
     }
 
+    /// The next request that has come to any of them.
     pub fn next(&self) -> Got {
         let got = self.got.recv_timeout(PATIENCE).expect("a request comes to an app server");
         assert!(got.alone, "two attempts of a request are out at once");
@@ -172,11 +195,13 @@
 
 /// An agent of discovery. Watches come to the test, which writes to them.
 pub struct Discovery {
+    /// Where it listens.
     pub address: SocketAddr,
     watches: Receiver<(String, TcpStream)>,
 }
 
 impl Discovery {
+    /// Starts one.
     pub fn start() -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
@@ -199,6 +224,7 @@
     }
 }
 
+/// Writes a line of a watch.
 pub fn write_list(watch: &mut TcpStream, list: &str) {
     write!(watch, "{:x}\r\n{list}\n\r\n", list.len() + 1).expect("the watch is open");
 }
@@ -210,6 +236,7 @@
     )
 }
 
+/// A list in discovery's form.
 pub fn list(seq: u64, whole: bool, hosts: &[String]) -> String {
     format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
 }
@@ -219,43 +246,67 @@
 /// An edge node that runs, with its peers' and its own datagrams' addresses.
 pub struct Node {
     child: Child,
+    /// Where clients connect.
     pub address: SocketAddr,
-    /// Where the peer's datagrams come in, and the node's.
+    /// Where the peer's datagrams come in.
     pub peer: UdpSocket,
+    /// Where the node's come in.
     pub datagrams: SocketAddr,
     config: std::path::PathBuf,
 }
 
+/// The edge node's program, which is built beside the tests of its package.
+pub fn program() -> std::path::PathBuf {
+    let test = std::env::current_exe().expect("this test's program");
+    let folder = test.ancestors().nth(2).expect("it stands in the folder of tests");
+    folder.join("saffronpaddle")
+}
+
 /// Starts the program with a configuration; it may fail.
 pub fn start(tag: &str, config: &str) -> (Child, std::path::PathBuf) {
+    start_with(tag, config, |_| {})
+}
+
+fn start_with(tag: &str, config: &str, change: impl FnOnce(&mut Command)) -> (Child, std::path::PathBuf) {
     let file = format!("saffronpaddle-{}-{tag}.json", std::process::id());
     let path = std::env::temp_dir().join(file);
     std::fs::write(&path, config).expect("the configuration is written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_saffronpaddle"));
+    let mut command = Command::new(program());
     for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
         command.env_remove(key);
     }
-    let child = command.env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("it starts");
-    (child, path)
+    command.env("LB_CONFIG", &path).stderr(Stdio::piped());
+    change(&mut command);
+    (command.spawn().expect("it starts"), path)
 }
 
 impl Node {
+    /// Starts one that knows these app servers.
     pub fn start(tag: &str, discovery: SocketAddr, hosts: &[String]) -> Node {
         Node::with_sockets(tag, discovery, hosts, 1024)
     }
 
+    /// The same with so many descriptors.
     pub fn with_sockets(tag: &str, discovery: SocketAddr, hosts: &[String], sockets: usize) -> Node {
+        Node::launch(tag, discovery, hosts, sockets, |_| {})
+    }
+
+    /// The same, with the command changed before it is run.
+    pub fn launch(
+        tag: &str, discovery: SocketAddr, hosts: &[String], sockets: usize, change: impl FnOnce(&mut Command),
+    ) -> Node {
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
         peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         // A port that was free a moment ago; another process would have to take it just now.
         let free = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
         let datagrams = free.expect("an address");
-        let known = list(1, true, hosts);
+        let known =
+            if hosts.is_empty() { String::new() } else { format!(r#""known":{},"#, list(1, true, hosts)) };
         let peer_address = peer.local_addr().expect("an address");
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"peer_listen":"{datagrams}","peers":["{datagrams}","{peer_address}"],"known":{known},"settings":{SETTINGS}}}"#
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"peer_listen":"{datagrams}","peers":["{datagrams}","{peer_address}"],{known}"settings":{SETTINGS}}}"#
         );
-        let (mut child, config) = start(tag, &config);
+        let (mut child, config) = start_with(tag, &config, change);
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
@@ -265,6 +316,20 @@
         Node { child, address, peer, datagrams, config }
     }
 
+    /// Another process with the same configuration, which takes its place as this one's successor.
+    pub fn successor(&self, change: impl FnOnce(&mut Command)) -> Node {
+        let text = std::fs::read_to_string(&self.config).expect("the configuration is there");
+        let tag = format!("{}-successor", self.child.id());
+        let (mut child, config) = start_with(&tag, &text, change);
+        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a line");
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        let peer = self.peer.try_clone().expect("a clone");
+        Node { child, address: self.address, peer, datagrams: self.datagrams, config }
+    }
+
+    /// A client's connection to it.
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.address).expect("the edge node accepts");
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
@@ -272,6 +337,7 @@
         Client { stream, reader }
     }
 
+    /// Tells it to stop.
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -285,15 +351,18 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    /// Sends it a signal, as `kill` names it.
+    pub fn signal(&self, name: &str) {
         let kill = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(kill.expect("kill runs").success());
     }
 
+    /// Waits for its end.
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("it ends")
     }
 
+    /// Whether it runs.
     pub fn runs(&mut self) -> bool {
         self.child.try_wait().expect("its state is known").is_none()
     }
@@ -307,7 +376,9 @@
     }
 }
 
+/// A client's connection.
 pub struct Client {
+    /// The connection.
     pub stream: TcpStream,
     reader: BufReader<TcpStream>,
 }
@@ -328,6 +399,7 @@
 }
 
 impl Client {
+    /// Writes.
     pub fn write(&mut self, words: &str) {
         self.stream.write_all(words.as_bytes()).expect("the connection is open");
     }
@@ -337,6 +409,7 @@
         Message::read(&mut self.reader)
     }
 
+    /// Writes a request and reads its answer.
     pub fn ask(&mut self, words: &str) -> Message {
         self.write(words);
         self.answer().expect("a whole answer")
--- /dev/null
+++ b/crates/standins/src/servers.rs
@@ -0,0 +1,269 @@
+//! App servers: each has cores, a waiting room and a temper that a script may change, and starts cold.
+
+use crate::wire::{answer, Wire};
+use crate::{lock, World};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{watch, Semaphore};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// A socket that others may bind beside it.
+fn bound(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// What a server does with its requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Temper {
+    /// Times its usual work that a request takes.
+    pub slow: f64,
+    /// It takes requests and answers none.
+    pub silent: bool,
+    /// Share of its requests that end in a reset, after they ran.
+    pub resets: f64,
+    /// Share of them that are answered 500, after they ran.
+    pub errors: f64,
+}
+
+impl Default for Temper {
+    fn default() -> Temper {
+        Temper { slow: 1.0, silent: false, resets: 0.0, errors: 0.0 }
+    }
+}
+
+/// What a server is.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Its name on the list.
+    pub name: String,
+    /// The group that drops repeats.
+    pub block: u64,
+    /// Requests in work at once.
+    pub cores: usize,
+    /// Requests held at once, beyond which it turns away unseen.
+    pub slots: usize,
+    /// Mean work by class, which is the first part of the path.
+    pub work: Vec<(String, Duration)>,
+}
+
+#[derive(Debug)]
+struct Inside {
+    world: Arc<World>,
+    spec: Spec,
+    temper: Mutex<Temper>,
+    cores: Semaphore,
+    held: AtomicUsize,
+    /// Its life: each process has a number, 0 while none runs.
+    life: watch::Sender<u64>,
+    _keeper: TcpSocket,
+}
+
+/// A server. Its address stays the same over its restarts.
+#[derive(Clone, Debug)]
+pub struct AppServer {
+    inside: Arc<Inside>,
+    address: SocketAddr,
+}
+
+impl AppServer {
+    /// Starts one, warm, on a port of its own.
+    ///
+    /// # Errors
+    /// No port could be had.
+    pub fn start(world: Arc<World>, spec: Spec) -> std::io::Result<AppServer> {
+        // Bound but never listening: nobody else gets the port while no process runs, and connections are refused.
+        let keeper = bound("127.0.0.1:0".parse().map_err(std::io::Error::other)?)?;
+        let address = keeper.local_addr()?;
+        let listener = bound(address)?.listen(BACKLOG)?;
+        let (life, _) = watch::channel(1);
+        let cores = Semaphore::new(spec.cores);
+        let (temper, held) = (Mutex::default(), AtomicUsize::new(0));
+        let inside = Arc::new(Inside { world, spec, temper, cores, held, life, _keeper: keeper });
+        let server = AppServer { inside, address };
+        tokio::spawn(server.clone().accept(listener));
+        Ok(server)
+    }
+
+    /// Its name on the list.
+    pub fn name(&self) -> &str {
+        &self.inside.spec.name
+    }
+
+    /// The group that drops repeats.
+    pub fn block(&self) -> u64 {
+        self.inside.spec.block
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Seconds of work a second that it can do once it is warm.
+    pub fn capacity(&self) -> f64 {
+        self.inside.spec.cores as f64
+    }
+
+    /// Changes its temper.
+    pub fn set(&self, change: impl FnOnce(&mut Temper)) {
+        change(&mut lock(&self.inside.temper));
+    }
+
+    /// Ends its process: connections are reset, new ones refused.
+    pub fn kill(&self) {
+        self.inside.life.send_replace(0);
+    }
+
+    /// Starts its process anew after [`AppServer::kill`]; it is cold, and the ledger watches whether it falls.
+    ///
+    /// # Errors
+    /// Its port could not be had again.
+    pub fn start_cold(&self) -> std::io::Result<()> {
+        let listener = bound(self.address)?.listen(BACKLOG)?;
+        let world = &self.inside.world;
+        world.ledger().cold(world.now(), self.name(), self.capacity());
+        let number = world.now().as_nanos() as u64 | 1;
+        self.inside.life.send_replace(number);
+        tokio::spawn(self.clone().accept(listener));
+        Ok(())
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        let mut life = self.inside.life.subscribe();
+        let mine = *life.borrow_and_update();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        tokio::spawn(self.clone().serve(stream, mine));
+                    }
+                }
+                _ = life.wait_for(|now| *now != mine) => return,
+            }
+        }
+    }
+
+    async fn serve(self, stream: TcpStream, mine: u64) {
+        let mut life = self.inside.life.subscribe();
+        let mut wire = Wire::new(stream);
+        let died = async move {
+            let _ = life.wait_for(|now| *now != mine).await;
+        };
+        tokio::pin!(died);
+        loop {
+            let message = tokio::select! {
+                message = wire.message(&self.inside.world) => message,
+                () = &mut died => None.ok_or(std::io::ErrorKind::ConnectionReset.into()),
+            };
+            let Ok(Some(message)) = message else { break };
+            let id = message.header("x-request-id").to_owned();
+            let class = message.target().trim_start_matches('/').split('/').next().unwrap_or("").to_owned();
+            let inside = Arc::clone(&self.inside);
+            let work = inside.work(&class);
+            let world = &inside.world;
+            world.ledger().arrived(world.now(), message.first, &inside.spec.name, &id, work);
+            let held = Held::take(Arc::clone(&inside));
+            if held.count > inside.spec.slots || world.ledger().fell(&inside.spec.name) {
+                world.ledger().over(&id);
+                if wire.write(&answer("503 Full", "X-Not-Run: 1\r\n", "")).await.is_err() {
+                    break;
+                }
+                continue;
+            }
+            // The work goes on when nobody waits for it any more.
+            let job = tokio::spawn(run(Arc::clone(&inside), id.clone(), work, held, mine));
+            tokio::pin!(job);
+            let done = tokio::select! {
+                done = &mut job => done.ok(),
+                () = wire.ended() => {
+                    world.ledger().closed(world.now(), &id);
+                    return;
+                }
+                () = &mut died => None,
+            };
+            match done {
+                Some(Done::Answer(words)) => {
+                    // Over once it is written: the node may send elsewhere from then on.
+                    world.ledger().over(&id);
+                    if wire.write(&words).await.is_err() {
+                        break;
+                    }
+                }
+                Some(Done::Reset) | None => {
+                    world.ledger().over(&id);
+                    break;
+                }
+            }
+        }
+        // A process that dies resets its connections: an end in the middle would look like an answer's.
+        let _ = wire.stream.set_zero_linger();
+    }
+}
+
+enum Done {
+    Answer(Vec<u8>),
+    Reset,
+}
+
+async fn run(inside: Arc<Inside>, id: String, work: f64, _held: Held, mine: u64) -> Done {
+    let world = &inside.world;
+    let temper = *lock(&inside.temper);
+    if temper.silent {
+        let mut life = inside.life.subscribe();
+        let _ = life.wait_for(|now| *now != mine).await;
+        return Done::Reset;
+    }
+    // It is never closed.
+    let Ok(_core) = inside.cores.acquire().await else { return Done::Reset };
+    let warmth = world.ledger().warmth(world.now(), &inside.spec.name);
+    tokio::time::sleep(Duration::from_secs_f64(work * temper.slow / warmth)).await;
+    if *inside.life.borrow() != mine {
+        return Done::Reset;
+    }
+    world.ledger().ran(world.now(), inside.spec.block, &id);
+    match fastrand::f64() {
+        chance if chance < temper.resets => Done::Reset,
+        chance if chance < temper.resets + temper.errors => Done::Answer(answer("500 Oh", "", "")),
+        _ => Done::Answer(answer("200 OK", "", &made_for(&id))),
+    }
+}
+
+/// What a server answers to a request: no other has the same.
+pub fn made_for(id: &str) -> String {
+    format!("ranks for {id}\n")
+}
+
+impl Inside {
+    /// Seconds of work that a request takes, half to one and a half of its class's mean.
+    fn work(&self, class: &str) -> f64 {
+        let mean = self.spec.work.iter().find(|(name, _)| name == class);
+        mean.map_or(0.0, |(_, mean)| mean.as_secs_f64()) * (0.5 + fastrand::f64())
+    }
+}
+
+/// A place in a server, in work or waiting.
+struct Held {
+    inside: Arc<Inside>,
+    count: usize,
+}
+
+impl Held {
+    fn take(inside: Arc<Inside>) -> Held {
+        let count = inside.held.fetch_add(1, Ordering::Relaxed) + 1;
+        Held { inside, count }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.inside.held.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/settings.rs
@@ -0,0 +1,152 @@
+//! Settings as the platform gives them to an edge node, for fleets of stand-ins.
+
+use crate::ledger::Bounds;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name, the first part of the path.
+    pub name: &'static str,
+    /// Whether it bears a key; without one it is safe to repeat.
+    pub keyed: bool,
+    /// Share of all requests.
+    pub share: f64,
+    /// Mean work at a server.
+    pub work: Duration,
+    /// An answer within this span is worth most.
+    pub aim: Duration,
+    /// How long clients wait.
+    pub deadline: Duration,
+}
+
+/// A plan of customers.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Its name.
+    pub name: &'static str,
+    /// Units a second.
+    pub rate: f64,
+    /// Units at once.
+    pub burst: f64,
+    /// Hard ceiling: units a second, and at once.
+    pub ceiling: Option<(f64, f64)>,
+}
+
+/// What all nodes of a fleet are told alike.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    /// How many nodes there are.
+    pub nodes: usize,
+    /// Classes of requests.
+    pub classes: Vec<Class>,
+    /// Plans of customers.
+    pub plans: Vec<Plan>,
+    /// The rules' figures.
+    pub bounds: Bounds,
+    /// Names of the halls.
+    pub sites: Vec<&'static str>,
+}
+
+impl Fleet {
+    /// Reads and keyed writes, and four plans of which one has a hard ceiling: the shape of the platform's days.
+    pub fn usual(nodes: usize) -> Fleet {
+        let ms = Duration::from_millis;
+        let class =
+            |name, keyed, share, work, aim, deadline| Class { name, keyed, share, work, aim, deadline };
+        let plan = |name, rate, burst, ceiling| Plan { name, rate, burst, ceiling };
+        Fleet {
+            nodes,
+            classes: vec![
+                class("read", false, 0.62, ms(100), ms(800), ms(3000)),
+                class("submit", true, 0.38, ms(60), ms(600), ms(2000)),
+            ],
+            plans: vec![
+                plan("small", 0.8, 4.0, None),
+                plan("medium", 1.6, 7.0, None),
+                plan("capped", 5.0, 10.0, Some((10.0, 20.0))),
+                plan("large", 12.0, 24.0, None),
+            ],
+            bounds: Bounds::default(),
+            sites: vec!["north", "south"],
+        }
+    }
+
+    /// Mean seconds of work of a request.
+    pub fn mean_work(&self) -> f64 {
+        self.classes.iter().map(|class| class.share * class.work.as_secs_f64()).sum()
+    }
+
+    /// The settings of one node.
+    pub fn settings(&self, me: usize) -> Value {
+        let micros = |span: Duration| span.as_micros() as u64;
+        let class = |class: &Class| {
+            let repeat = if class.keyed { "idempotency_key" } else { "read_like" };
+            json!({
+                "name": class.name, "aimUs": micros(class.aim), "deadlineUs": micros(class.deadline),
+                "lateValue": 0.1, "worth": if class.keyed { 2.0 } else { 3.0 }, "repeat": repeat,
+                "group": "cell", "windowUs": micros(self.bounds.key_window),
+            })
+        };
+        let plan = |plan: &Plan| {
+            let (rate, depth) = plan.ceiling.unwrap_or((0.0, 0.0));
+            json!({
+                "name": plan.name, "rate": plan.rate, "storeSize": plan.burst, "price": 1.0, "overWorth": 0.0,
+                "overrunCost": 0.6, "capRate": rate, "neverOverDepth": depth,
+            })
+        };
+        json!({
+            "balancers": self.nodes, "me": me, "zone": self.sites[me % self.sites.len()], "zones": self.sites,
+            "periodUs": 2000, "discovery": "automatic",
+            "ceilings": {
+                "cancel": true, "probes": false, "mayTell": true, "secondCopies": false, "sendCap": 6,
+                "connIdleUs": 15_000_000, "connectTimeoutUs": 250_000,
+            },
+            "classes": self.classes.iter().map(class).collect::<Vec<_>>(),
+            "packages": self.plans.iter().map(plan).collect::<Vec<_>>(),
+            "rules": {
+                "coldFrom": self.bounds.cold_from, "coldUs": micros(self.bounds.cold_for),
+                "fallMultiple": self.bounds.fall_multiple, "overloadForUs": micros(self.bounds.fall_window),
+            },
+            "deductions": {"crossZone": 0.02},
+            "extra": {"peerInPerS": 60.0, "maxUnits": 1},
+        })
+    }
+}
+
+/// Where one node finds what it talks to.
+#[derive(Clone, Debug)]
+pub struct Places {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// Where it takes datagrams.
+    pub peer_listen: SocketAddr,
+    /// Where they come from and go, by number, its own address among them.
+    pub peers: Vec<SocketAddr>,
+    /// Descriptors that it may hold.
+    pub sockets: usize,
+    /// Memory that it may use, in MB.
+    pub memory_mb: usize,
+}
+
+/// The configuration of one node as the platform writes it. `known` is a list in discovery's form.
+pub fn configuration(places: &Places, settings: &Value, known: Option<&str>, seed: u64) -> String {
+    let known: Option<Value> = known.and_then(|known| serde_json::from_str(known).ok());
+    let peers: Vec<String> = places.peers.iter().map(SocketAddr::to_string).collect();
+    let mut config = json!({
+        "name": places.name, "listen": places.listen.to_string(), "discovery": places.discovery.to_string(),
+        "seed": format!("{seed:016x}"),
+        "limits": {"cores": 1.0, "memory_mb": places.memory_mb, "sockets": places.sockets},
+        "peer_listen": places.peer_listen.to_string(), "peers": peers, "settings": settings,
+    });
+    if let Some(known) = known {
+        config["known"] = known;
+    }
+    config.to_string()
+}
--- /dev/null
+++ b/crates/standins/src/wire.rs
@@ -0,0 +1,126 @@
+//! HTTP/1.1 as far as the stand-ins need it: messages with a body of known length, and when their first byte came.
+
+use crate::World;
+use std::io::{self, ErrorKind};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Most bytes of a head. Guards the stand-in's memory.
+const HEAD_MOST: usize = 64 * 1024;
+/// Most bytes of a body.
+const BODY_MOST: usize = 4 << 20;
+
+/// A message, whole.
+#[derive(Clone, Debug)]
+pub struct Message {
+    /// Its first line.
+    pub start: String,
+    /// Its headers, their names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// When its first byte was read, since the run's beginning.
+    pub first: Duration,
+}
+
+impl Message {
+    /// A header's value; empty where there is none.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.iter().find(|(other, _)| other == name).map_or("", |(_, value)| value)
+    }
+
+    /// The status of an answer; 0 where it has none.
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+    }
+
+    /// The path and query of a request.
+    pub fn target(&self) -> &str {
+        self.start.split(' ').nth(1).unwrap_or("")
+    }
+}
+
+/// A connection on which messages come one after the other.
+#[derive(Debug)]
+pub struct Wire {
+    /// The connection.
+    pub stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Wire {
+    /// A connection on which nothing has been read.
+    pub fn new(stream: TcpStream) -> Wire {
+        // Works all the same without it.
+        let _ = stream.set_nodelay(true);
+        Wire { stream, buffer: Vec::new() }
+    }
+
+    /// Whether bytes have come that no message took.
+    pub fn has_more(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// The next message; `None` where the connection ends before one begins.
+    ///
+    /// # Errors
+    /// The connection broke, ended inside a message, or the message can't be read.
+    pub async fn message(&mut self, world: &World) -> io::Result<Option<Message>> {
+        let mut first = (!self.buffer.is_empty()).then(|| world.now());
+        let head = loop {
+            if let Some(end) = self.buffer.windows(4).position(|four| four == b"\r\n\r\n") {
+                break end + 4;
+            }
+            if self.buffer.len() > HEAD_MOST {
+                return Err(ErrorKind::InvalidData.into());
+            }
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                let cut = if first.is_some() { Err(ErrorKind::UnexpectedEof.into()) } else { Ok(None) };
+                return cut;
+            }
+            first.get_or_insert_with(|| world.now());
+        };
+        let text = String::from_utf8_lossy(&self.buffer[..head]).into_owned();
+        let mut lines = text.split("\r\n");
+        let start = lines.next().unwrap_or("").to_owned();
+        let pair = |line: &str| {
+            let (name, value) = line.split_once(':')?;
+            Some((name.to_ascii_lowercase(), value.trim().to_owned()))
+        };
+        let headers: Vec<_> = lines.filter_map(pair).collect();
+        let length = headers.iter().find(|(name, _)| name == "content-length");
+        let length = length.map_or(Ok(0), |(_, length)| length.parse::<usize>());
+        let length = length.ok().filter(|length| *length <= BODY_MOST).ok_or(ErrorKind::InvalidData)?;
+        while self.buffer.len() < head + length {
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
+        }
+        let rest = self.buffer.split_off(head + length);
+        let body = std::mem::replace(&mut self.buffer, rest).split_off(head);
+        Ok(Some(Message { start, headers, body, first: first.unwrap_or_default() }))
+    }
+
+    /// Writes bytes.
+    ///
+    /// # Errors
+    /// The connection has ended.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Comes back once the other side has ended the connection. What it still sends is kept.
+    pub async fn ended(&mut self) {
+        while !matches!(self.stream.read_buf(&mut self.buffer).await, Ok(0) | Err(_)) {
+            if self.buffer.len() > BODY_MOST {
+                return;
+            }
+        }
+    }
+}
+
+/// An answer with a body of known length.
+pub fn answer(status: &str, more: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
