Add the roster module, measurements, units and pages for operators

Change: saffronpaddle-roster (follower: resume, compaction, fragments, lag, restored and wiped clusters, spoilt values; merge of two sources), etcd's messages, saffronpaddle-bench (cost, idle, size), commented systemd units, docs.

--- /dev/null
+++ b/crates/bench/src/cost.rs
@@ -0,0 +1,128 @@
+//! CPU a request of one node, against the bare relay on the same core in the same run.
+
+use crate::process::{self, Measured};
+use anyhow::{ensure, Context, Result};
+use lexopt::prelude::*;
+use saffronpaddle_standins::discovery::{Discovery, Entry};
+use saffronpaddle_standins::ledger::Bounds;
+use saffronpaddle_standins::wire::Wire;
+use saffronpaddle_standins::World;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+
+/// The core that node and relay have to themselves in turn.
+const CORE: usize = 0;
+
+pub fn measure(mut arguments: lexopt::Parser) -> Result<()> {
+    let (mut servers, mut connections, mut requests, mut rounds) = (10_usize, 16_usize, 40_000_u64, 3_usize);
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Long("servers") => servers = arguments.value()?.parse()?,
+            Long("connections") => connections = arguments.value()?.parse()?,
+            Long("requests") => requests = arguments.value()?.parse()?,
+            Long("rounds") => rounds = arguments.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    ensure!(servers > 0 && connections > 0 && requests > 0 && rounds > 0, "nothing to measure");
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    runtime.block_on(async {
+        let world = World::begin(Bounds::default());
+        let discovery = Discovery::new(Arc::clone(&world));
+        let mut addresses = Vec::new();
+        for number in 0..servers {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            addresses.push(listener.local_addr()?);
+            tokio::spawn(answer(Arc::clone(&world), listener));
+            discovery.change(vec![Entry {
+                host: format!("s-{number}"),
+                dial: addresses[number],
+                site: "north".to_owned(),
+                block: 1,
+                health: "ready",
+                born_ms: 0,
+            }]);
+        }
+        let agent = discovery.agent(0).await?;
+        let fleet = process::unbound();
+        let (mut nodes, mut relays) = (Vec::new(), Vec::new());
+        for _ in 0..rounds {
+            let node = process::node(&crate::program()?, &fleet, agent, &discovery.known())?;
+            nodes.push(round(&world, &node, connections, requests).await.context("the node")?);
+            drop(node);
+            let relay = process::relay(&addresses)?;
+            relays.push(round(&world, &relay, connections, requests).await.context("the relay")?);
+        }
+        let median = |figures: &mut Vec<f64>| {
+            figures.sort_by(f64::total_cmp);
+            figures[figures.len() / 2]
+        };
+        let (node, relay) = (median(&mut nodes), median(&mut relays));
+        println!("{servers} servers, {connections} connections, {requests} requests, {rounds} rounds each");
+        println!("edge node {node:.1} µs of CPU a request {nodes:.1?}");
+        println!("bare relay {relay:.1} µs {relays:.1?}");
+        println!("ratio {:.2}", node / relay);
+        Ok(())
+    })
+}
+
+/// A server that answers at once.
+async fn answer(world: Arc<World>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let world = Arc::clone(&world);
+        tokio::spawn(async move {
+            let mut wire = Wire::new(stream);
+            while let Ok(Some(_)) = wire.message(&world).await {
+                if wire.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nranks").await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// One round of requests, one at a time on each connection: µs of CPU that each cost the process.
+async fn round(world: &Arc<World>, process: &Measured, connections: usize, requests: u64) -> Result<f64> {
+    process.pin(CORE)?;
+    let up = Instant::now();
+    while TcpStream::connect(process.address).await.is_err() {
+        ensure!(up.elapsed() < Duration::from_secs(20), "it does not come up");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // The first requests open connections; they count for nothing.
+    offer(world, process.address, connections, requests / 8).await?;
+    let before = process.spent()?;
+    offer(world, process.address, connections, requests).await?;
+    Ok((process.spent()? - before) as f64 / 1e3 / requests as f64)
+}
+
+async fn offer(world: &Arc<World>, address: SocketAddr, connections: usize, requests: u64) -> Result<()> {
+    let left = Arc::new(AtomicU64::new(requests));
+    let mut clients = tokio::task::JoinSet::new();
+    for client in 0..connections {
+        let (left, world) = (Arc::clone(&left), Arc::clone(world));
+        clients.spawn(async move {
+            let mut wire = Wire::new(TcpStream::connect(address).await?);
+            let next = || left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1));
+            while let Ok(number) = next() {
+                let words = format!(
+                    "GET /read/{client:016x} HTTP/1.1\r\nHost: bench\r\nX-Request-Id: {client:x}-{number:x}-{0:x}\r\n\
+                     X-Class: read\r\nX-Tier: free\r\nX-Deadline: 3000m\r\n\
+                     X-Call-Terms: units=1,spread=1,first=0\r\n\r\n",
+                    world.now().as_nanos() as u64
+                );
+                wire.write(words.as_bytes()).await?;
+                let answer = wire.message(&world).await?.context("an answer")?;
+                ensure!(answer.status() == 200, "answered {}", answer.start);
+            }
+            Ok::<(), anyhow::Error>(())
+        });
+    }
+    while let Some(ended) = clients.join_next().await {
+        ended??;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,49 @@
+//! Measurements of the edge node, each a command. All of it stays on loopback and stops by itself.
+#![forbid(unsafe_code)]
+
+mod cost;
+mod idle;
+mod process;
+mod relay;
+mod size;
+
+use anyhow::{bail, Result};
+use lexopt::prelude::*;
+use std::path::PathBuf;
+
+const USAGE: &str = "\
+saffronpaddle-bench: measurements of the edge node (build with --release first)
+
+  cost [--servers N] [--connections N] [--requests N] [--rounds N]
+        CPU a request of one node, and of a bare hyper relay on the same core in the same run, as a ratio
+  idle [--starts N]
+        time from exec to the first answer, and memory of an idle instance
+  size [--seconds N]
+        peer traffic and CPU of fleets of 3, 10 and 30 instances
+  relay LISTEN SERVER...
+        the bare hyper relay itself
+";
+
+fn main() -> Result<()> {
+    let mut arguments = lexopt::Parser::from_env();
+    let Some(Value(job)) = arguments.next()? else {
+        print!("{USAGE}");
+        return Ok(());
+    };
+    match &*job.to_string_lossy() {
+        "cost" => cost::measure(arguments),
+        "idle" => idle::measure(arguments),
+        "size" => size::measure(arguments),
+        "relay" => relay::serve(arguments),
+        other => bail!("unknown job {other:?}\n{USAGE}"),
+    }
+}
+
+/// The edge node's program, which is built beside this one.
+fn program() -> Result<PathBuf> {
+    let program = std::env::current_exe()?.with_file_name("saffronpaddle");
+    if !program.exists() {
+        bail!("{} is not there: cargo build --release", program.display());
+    }
+    Ok(program)
+}
--- /dev/null
+++ b/crates/bench/src/process.rs
@@ -0,0 +1,89 @@
+//! Processes that are measured: what they cost, and on which core they run.
+
+use anyhow::{Context, Result};
+use nix::sched::{sched_setaffinity, CpuSet};
+use nix::unistd::Pid;
+use saffronpaddle_standins::settings::{configuration, Fleet, Places, Plan};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// A process that ends with this value.
+pub struct Measured {
+    child: Child,
+    pub address: SocketAddr,
+    config: Option<PathBuf>,
+}
+
+impl Measured {
+    fn pid(&self) -> Result<Pid> {
+        Ok(Pid::from_raw(i32::try_from(self.child.id()).context("a process id")?))
+    }
+
+    /// CPU time of its main thread, in ns (`/proc/PID/schedstat`); it has no other that works.
+    pub fn spent(&self) -> Result<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/schedstat", self.child.id()))?;
+        text.split(' ').next().and_then(|word| word.parse().ok()).context("schedstat")
+    }
+
+    /// Memory in use, in bytes.
+    pub fn memory(&self) -> Result<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).context("VmRSS")?;
+        let kilobytes: u64 = line.split_whitespace().next().context("VmRSS")?.parse()?;
+        Ok(kilobytes * 1024)
+    }
+
+    /// Keeps it to one core.
+    pub fn pin(&self, core: usize) -> Result<()> {
+        let mut set = CpuSet::new();
+        set.set(core)?;
+        sched_setaffinity(self.pid()?, &set).context("one core")
+    }
+}
+
+impl Drop for Measured {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.config.iter().for_each(|path| _ = std::fs::remove_file(path));
+    }
+}
+
+/// A fleet of one node whose customers' quotas bind nobody.
+pub fn unbound() -> Fleet {
+    let plan = Plan { name: "free", rate: 1e9, burst: 1e9, ceiling: None };
+    Fleet { plans: vec![plan], ..Fleet::usual(1) }
+}
+
+/// Starts one node that knows these servers.
+pub fn node(program: &Path, fleet: &Fleet, discovery: SocketAddr, known: &str) -> Result<Measured> {
+    let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let datagrams = UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
+    let places = Places {
+        name: "n0".to_owned(),
+        listen: address,
+        discovery,
+        peer_listen: datagrams,
+        peers: vec![datagrams],
+        sockets: 4096,
+        memory_mb: 192,
+    };
+    let text = configuration(&places, &fleet.settings(0), Some(known), 1);
+    let path = std::env::temp_dir().join(format!("saffronpaddle-bench-{}.json", address.port()));
+    std::fs::write(&path, text)?;
+    let mut command = Command::new(program);
+    command.env("LB_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+    let child = command.spawn().context("the node")?;
+    Ok(Measured { child, address, config: Some(path) })
+}
+
+/// Starts the bare relay before these servers.
+pub fn relay(servers: &[SocketAddr]) -> Result<Measured> {
+    let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let mut command = Command::new(std::env::current_exe()?);
+    command.arg("relay").arg(address.to_string()).args(servers.iter().map(SocketAddr::to_string));
+    let child = command.stdin(Stdio::null()).spawn().context("the relay")?;
+    Ok(Measured { child, address, config: None })
+}
--- /dev/null
+++ b/crates/roster/src/follower.rs
@@ -0,0 +1,445 @@
+//! Follows one prefix of an etcd cluster by its revisions (etcd v3 API: `KV.Range`, `Watch`; "MVCC" in etcd's
+//! documentation: a revision counts all changes of the store, and a watch gives all events from a revision on, in order,
+//! each revision whole).
+
+use crate::entry::{self, Entry, Standing};
+use crate::{Change, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most hosts that are kept. Guards memory against a prefix that is shared with something else.
+const HOSTS_MOST: usize = 100_000;
+/// Most events that wait for the last fragment of their response. Guards memory against fragments without end.
+const FRAGMENTS_MOST: usize = 200_000;
+
+/// What every response of etcd says of its sender (`etcdserverpb.ResponseHeader`).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Header {
+    /// The cluster.
+    pub cluster_id: u64,
+    /// The member.
+    pub member_id: u64,
+    /// The store's revision when the response was made.
+    pub revision: i64,
+    /// The raft term then.
+    pub raft_term: u64,
+}
+
+/// A key as a range or an event has it (`mvccpb.KeyValue`).
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct KeyValue {
+    /// The key.
+    pub key: Vec<u8>,
+    /// The value; empty in a delete.
+    pub value: Vec<u8>,
+    /// The revision in which it was created.
+    pub create_revision: i64,
+    /// The revision of its last change.
+    pub mod_revision: i64,
+}
+
+/// An event of a watch (`mvccpb.Event`).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WatchEvent {
+    /// Whether the key was deleted, or its lease expired; else it was put.
+    pub delete: bool,
+    /// The key after the event.
+    pub kv: KeyValue,
+}
+
+/// What to do after something was taken in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Go on with the watch.
+    Continue,
+    /// The watch can't be gone on with: range over the whole prefix again, then watch from there.
+    Reread(&'static str),
+    /// Leave this member for another, and go on there from the same revision.
+    Leave(&'static str),
+}
+
+/// When an empty list is believed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rules {
+    /// A list of two hosts or more that is empty at one stroke is believed once it has stayed so for so long.
+    pub empty_after: Time,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules { empty_after: Time::from_secs(30) }
+    }
+}
+
+/// What has been seen, for logs and metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Values that could not be read.
+    pub unreadable: u64,
+    /// Events that were known already.
+    pub old: u64,
+    /// Whole lists that were read.
+    pub ranges: u64,
+    /// Clusters that were not the one before, or that had gone back.
+    pub replaced: u64,
+    /// Lists that were empty at one stroke and not believed.
+    pub doubted: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    entry: Entry,
+    create_revision: i64,
+    mod_revision: i64,
+    /// Its newest value can't be read; the entry is the last good one.
+    spoilt: bool,
+}
+
+/// Follows one prefix.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    prefix: String,
+    rules: Rules,
+    hosts: BTreeMap<String, Held>,
+    /// Hosts whose value could never be read, with the revision that was told.
+    unreadable: BTreeMap<String, i64>,
+    /// All events up to this revision are in `hosts`; `None` before the first range.
+    revision: Option<i64>,
+    header: Option<Header>,
+    fragments: Vec<WatchEvent>,
+    /// When the first fragment was read.
+    fragments_told: Option<Time>,
+    /// Hosts that were told to be draining by a fragment, until the whole response has come.
+    provisional: BTreeSet<String>,
+    /// Since when the list is in doubt: it was empty at one stroke.
+    emptied: Option<Time>,
+    /// Hosts that are kept although they were wiped, until the doubt is over or they are put again.
+    wiped: BTreeSet<String>,
+    logs: Vec<String>,
+    seen: Seen,
+}
+
+impl Follower {
+    /// Follows a prefix of which nothing is known.
+    pub fn new(prefix: impl Into<String>, rules: Rules) -> Follower {
+        Follower {
+            prefix: prefix.into(),
+            rules,
+            hosts: BTreeMap::new(),
+            unreadable: BTreeMap::new(),
+            revision: None,
+            header: None,
+            fragments: Vec::new(),
+            fragments_told: None,
+            provisional: BTreeSet::new(),
+            emptied: None,
+            wiped: BTreeSet::new(),
+            logs: Vec::new(),
+            seen: Seen::default(),
+        }
+    }
+
+    /// The prefix.
+    pub fn prefix(&self) -> &str {
+        &self.prefix
+    }
+
+    /// From which revision a watch goes on; `None` if the whole prefix must be ranged over first.
+    pub fn resume(&self) -> Option<i64> {
+        self.revision.map(|revision| revision + 1)
+    }
+
+    /// What has been seen.
+    pub fn seen(&self) -> Seen {
+        self.seen
+    }
+
+    /// Lines for the log since the last call.
+    pub fn logs(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.logs)
+    }
+
+    /// Hosts that are held, gone ones not among them.
+    pub fn hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// A connection to a member has ended or begins anew: fragments without their rest are void. What they told of
+    /// drains stands, and the events come again, as the revision was not counted.
+    pub fn reconnected(&mut self) {
+        self.fragments.clear();
+        self.fragments_told = None;
+    }
+
+    /// Takes in the header of any response but a range's. A member that lags is left; another cluster, or one that has
+    /// gone back, is never half-believed: it is read whole.
+    pub fn header(&mut self, header: Header) -> Next {
+        let Some(known) = self.header else {
+            self.header = Some(header);
+            return Next::Continue;
+        };
+        if header.cluster_id != known.cluster_id {
+            return Next::Reread("another cluster");
+        }
+        if let Some(revision) = self.revision.filter(|revision| header.revision < *revision) {
+            // It may lag, or all of it may have gone back; a range tells, as a member answers that only when it has
+            // caught up with its leader.
+            self.logs.push(format!(
+                "member {:x} is at revision {}, behind {revision}",
+                header.member_id, header.revision
+            ));
+            return Next::Leave("the member lags");
+        }
+        if header.raft_term < known.raft_term {
+            return Next::Leave("the member is in an older term");
+        }
+        self.header = Some(header);
+        Next::Continue
+    }
+
+    /// Takes in a whole, linearizable range over the prefix, of one revision. Who is held and not in it is gone, and
+    /// counts as told now. `now` is Unix time in milliseconds, for servers that came anew without a start of their own.
+    pub fn range(&mut self, header: Header, kvs: &[KeyValue], told: Time, now: u64) -> Change {
+        self.seen.ranges += 1;
+        let first = self.revision.is_none();
+        if let Some(known) = self.header {
+            let back = self.revision.is_some_and(|revision| header.revision < revision);
+            if header.cluster_id != known.cluster_id || back || header.raft_term < known.raft_term {
+                self.seen.replaced += 1;
+                self.logs.push(format!(
+                    "the cluster was replaced or restored: {:x} at revision {}, before {:x} at {}",
+                    header.cluster_id,
+                    header.revision,
+                    known.cluster_id,
+                    self.revision.unwrap_or(0)
+                ));
+            }
+        }
+        self.reconnected();
+        (self.header, self.revision) = (Some(header), Some(header.revision));
+        let mut change = Change { entries: Vec::new(), told, whole: first };
+        let listed: BTreeMap<&str, &KeyValue> =
+            kvs.iter().filter_map(|kv| Some((entry::host(&self.prefix, &kv.key)?, kv))).collect();
+        if listed.is_empty() && self.hosts.len() > 1 {
+            self.doubt(told);
+            return change;
+        }
+        let absent = |host: &&String| !listed.contains_key(host.as_str()) && !self.wiped.contains(*host);
+        let gone: Vec<String> = self.hosts.keys().filter(absent).cloned().collect();
+        gone.iter().for_each(|host| self.remove(host, &mut change));
+        self.unreadable.retain(|host, _| listed.contains_key(host.as_str()));
+        for (host, kv) in listed {
+            // What came first is as old as its value says; what came anew is not.
+            self.put(host, kv, if first { 0 } else { now }, &mut change);
+        }
+        self.resolve(&mut change);
+        change
+    }
+
+    /// Takes in one response of the watch, or a fragment of one. Events of one response are one change. A drain or a
+    /// removal in a fragment is told at once; everything else when the last fragment has come.
+    pub fn events(
+        &mut self, header: Header, events: Vec<WatchEvent>, fragment: bool, told: Time, now: u64,
+    ) -> (Change, Next) {
+        let mut change = Change { told, ..Change::default() };
+        match self.header(header) {
+            Next::Continue => {}
+            other => return (change, other),
+        }
+        let Some(revision) = self.revision else {
+            return (change, Next::Reread("nothing was ranged over yet"));
+        };
+        let count = events.len();
+        let events: Vec<WatchEvent> =
+            events.into_iter().filter(|event| event.kv.mod_revision > revision).collect();
+        self.seen.old += (count - events.len()) as u64;
+        let begun = *self.fragments_told.get_or_insert(told);
+        if fragment {
+            self.careful(&events, &mut change);
+            self.fragments.extend(events);
+            if self.fragments.len() > FRAGMENTS_MOST {
+                return (change, Next::Reread("a response of the watch has no end"));
+            }
+            return (change, Next::Continue);
+        }
+        let mut all = std::mem::take(&mut self.fragments);
+        self.fragments_told = None;
+        all.extend(events);
+        change.told = begun;
+        let newest = all.iter().map(|event| event.kv.mod_revision).max();
+        self.apply(&all, now, &mut change);
+        // A response holds whole revisions, up to the newest of its events; the store itself may be further.
+        self.revision = Some(newest.unwrap_or(revision).max(revision));
+        (change, Next::Continue)
+    }
+
+    /// Takes in a response without events: a sign of life that says how far the watch is (`progress_notify`, or the
+    /// answer to a progress request): all events up to its revision have been sent.
+    pub fn progress(&mut self, header: Header) -> Next {
+        let next = self.header(header);
+        if next == Next::Continue && self.fragments.is_empty() {
+            self.revision = self.revision.map(|revision| revision.max(header.revision));
+        }
+        next
+    }
+
+    /// The watch was cancelled as it asked for a revision that is compacted.
+    pub fn compacted(&mut self, compact_revision: i64) -> Next {
+        self.logs.push(format!(
+            "revisions up to {compact_revision} are compacted, this node was at {}: the list is read whole",
+            self.revision.unwrap_or(0)
+        ));
+        Next::Reread("compacted")
+    }
+
+    /// Whether an empty list that is not believed yet has stayed so for long enough that a range should settle it;
+    /// after that range [`Follower::believe`] is asked.
+    pub fn doubts(&self, now: Time) -> bool {
+        self.emptied.is_some_and(|since| now.saturating_sub(since) >= self.rules.empty_after)
+    }
+
+    /// Believes that hosts are gone which were wiped at one stroke and which a range has just shown to be missing still,
+    /// if that has lasted for long enough.
+    pub fn believe(&mut self, now: Time) -> Option<Change> {
+        if !self.doubts(now) {
+            return None;
+        }
+        self.emptied = None;
+        let wiped = std::mem::take(&mut self.wiped);
+        self.logs.push(format!("the wiped prefix stays so: {} servers are gone", wiped.len()));
+        let mut change = Change { told: now, ..Change::default() };
+        wiped.iter().for_each(|host| self.remove(host, &mut change));
+        Some(change)
+    }
+
+    fn doubt(&mut self, told: Time) {
+        if self.emptied.is_none() {
+            self.seen.doubted += 1;
+            self.logs.push(format!(
+                "the prefix is empty at one stroke: {} servers are kept until that has lasted {} s",
+                self.hosts.len(),
+                self.rules.empty_after.as_secs()
+            ));
+        }
+        self.emptied.get_or_insert(told);
+        self.wiped.extend(self.hosts.keys().cloned());
+    }
+
+    /// All events of a whole response, in order.
+    fn apply(&mut self, events: &[WatchEvent], now: u64, change: &mut Change) {
+        // What it comes to, host by host: the last event counts.
+        let mut last: BTreeMap<&str, &WatchEvent> = BTreeMap::new();
+        for event in events {
+            if let Some(host) = entry::host(&self.prefix, &event.kv.key) {
+                last.insert(host, event);
+            }
+        }
+        let removed = |host: &String| last.get(host.as_str()).is_some_and(|event| event.delete);
+        let left = self.hosts.keys().filter(|host| !removed(host) && !self.wiped.contains(*host)).count();
+        let put = last.values().any(|event| !event.delete);
+        // Danger: a prefix that was wiped by mistake, and with it the whole fleet. One host alone may go.
+        if left == 0 && !put && self.hosts.len() > 1 && !last.is_empty() {
+            return self.doubt(change.told);
+        }
+        for (host, event) in last {
+            if event.delete {
+                self.unreadable.remove(host);
+                // Wiped before: it is kept until that is believed.
+                if !self.wiped.contains(host) {
+                    self.remove(host, change);
+                }
+            } else {
+                self.put(host, &event.kv, now, change);
+            }
+        }
+        self.resolve(change);
+    }
+
+    /// A whole response, or the whole list, is there: what fragments told of drains gives way to it.
+    fn resolve(&mut self, change: &mut Change) {
+        for host in std::mem::take(&mut self.provisional) {
+            let told = change.entries.iter().any(|entry| entry.host == host);
+            if let Some(held) = self.hosts.get(&host).filter(|_| !told) {
+                change.entries.push(held.entry.clone());
+            }
+        }
+    }
+
+    /// What of a fragment makes a server's standing more careful. Its removal too, unless it empties the list: the
+    /// rest of the response may put it back, and then it comes back with it.
+    fn careful(&mut self, events: &[WatchEvent], change: &mut Change) {
+        let mut careful: BTreeMap<&str, Standing> = BTreeMap::new();
+        for event in events {
+            let Some(host) = entry::host(&self.prefix, &event.kv.key) else { continue };
+            let read = entry::read(host, &event.kv.value).map(|entry| entry.standing);
+            let standing = if event.delete { Ok(Standing::Gone) } else { read };
+            if let Ok(standing) = standing {
+                careful.insert(host, standing);
+            }
+        }
+        let gone = careful.values().filter(|standing| **standing == Standing::Gone).count();
+        let wiped = gone >= self.hosts.len() && self.hosts.len() > 1;
+        for (host, standing) in careful {
+            let Some(held) = self.hosts.get(host) else { continue };
+            // A removal is told as a drain until the whole response is there.
+            let standing = standing.min(Standing::Draining);
+            if standing > held.entry.standing && !wiped {
+                change.entries.push(Entry { standing, ..held.entry.clone() });
+                self.provisional.insert(host.to_owned());
+            }
+        }
+    }
+
+    fn remove(&mut self, host: &str, change: &mut Change) {
+        self.wiped.remove(host);
+        if let Some(held) = self.hosts.remove(host) {
+            change.entries.push(Entry { standing: Standing::Gone, ..held.entry });
+        }
+    }
+
+    fn put(&mut self, host: &str, kv: &KeyValue, now: u64, change: &mut Change) {
+        self.wiped.remove(host);
+        let known = self.hosts.get(host);
+        if known.is_some_and(|held| held.mod_revision == kv.mod_revision && !held.spoilt) {
+            return;
+        }
+        match entry::read(host, &kv.value) {
+            Ok(mut entry) => {
+                // A key that was created anew without a start of its own is a process that has just started: cold.
+                let anew = known.is_none_or(|held| held.create_revision != kv.create_revision);
+                if entry.born_ms == 0 {
+                    entry.born_ms = if anew { now } else { known.map_or(0, |held| held.entry.born_ms) };
+                }
+                if known.is_none_or(|held| held.entry != entry) {
+                    change.entries.push(entry.clone());
+                }
+                if self.hosts.len() >= HOSTS_MOST && known.is_none() {
+                    change.entries.pop();
+                    return;
+                }
+                self.unreadable.remove(host);
+                let (create_revision, mod_revision) = (kv.create_revision, kv.mod_revision);
+                let held = Held { entry, create_revision, mod_revision, spoilt: false };
+                self.hosts.insert(host.to_owned(), held);
+            }
+            Err(why) => self.spoilt(host, kv, &why),
+        }
+    }
+
+    /// A value that can't be read: the last good entry stays. It is counted each time and told once, until it is good.
+    fn spoilt(&mut self, host: &str, kv: &KeyValue, why: &str) {
+        self.seen.unreadable += 1;
+        let kept = self.hosts.contains_key(host);
+        let told = match self.hosts.get_mut(host) {
+            Some(held) => {
+                held.mod_revision = kv.mod_revision;
+                std::mem::replace(&mut held.spoilt, true)
+            }
+            None if self.unreadable.len() >= HOSTS_MOST => true,
+            None => self.unreadable.insert(host.to_owned(), kv.mod_revision).is_some(),
+        };
+        if !told {
+            let then = if kept { "its last good entry stays" } else { "it is not listed" };
+            self.logs.push(format!("{}{host} can't be read ({why}): {then}", self.prefix));
+        }
+    }
+}
--- /dev/null
+++ b/crates/roster/src/lib.rs
@@ -0,0 +1,31 @@
+//! The roster of app servers: from etcd's snapshots and watch events, with their revisions, to the list that the
+//! decision module is told. No input or output and no clock; what was read comes in with the moment at which it was
+//! read, and that moment is when the 250 ms of a drain begin.
+//!
+//! - [`follower`]: one etcd prefix, through breaks, compaction, lag, fragments, restored and wiped clusters.
+//! - [`merge`]: several sources at once; the more careful standing wins.
+//! - [`entry`]: what stands under a key.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod entry;
+pub mod follower;
+pub mod merge;
+
+pub use entry::{Entry, Standing};
+pub use follower::{Follower, Header, KeyValue, Next, Rules, WatchEvent};
+pub use merge::{Merge, Source};
+
+/// A point in time: the span since some fixed moment of a clock that never goes back.
+pub type Time = std::time::Duration;
+
+/// News of the roster from one source: each host at most once.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Change {
+    /// Entries that changed; one that is gone is among them as such.
+    pub entries: Vec<Entry>,
+    /// The moment at which the first byte of it was read off the socket: when it was told.
+    pub told: Time,
+    /// Whether hosts that are not among the entries are unknown to this source: its first whole list.
+    pub whole: bool,
+}
