--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -2,6 +2,7 @@
 
 use anyhow::{ensure, Context, Result};
 use saffronpaddle_decision::setup::{self, Named};
+use saffronpaddle_roster::{Entry, Standing};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
@@ -110,6 +111,30 @@
 /// Fewer descriptors than this leave no room for clients beside app servers.
 const FEWEST_SOCKETS: usize = 64;
 
+impl From<Health> for Standing {
+    fn from(health: Health) -> Standing {
+        match health {
+            Health::Ready => Standing::Ready,
+            Health::Draining => Standing::Draining,
+            Health::Gone => Standing::Gone,
+        }
+    }
+}
+
+impl From<&Host> for Entry {
+    fn from(host: &Host) -> Entry {
+        Entry {
+            host: host.host.clone(),
+            dial: host.dial,
+            site: host.site.clone(),
+            block: host.block,
+            standing: host.health.into(),
+            share: host.share,
+            born_ms: host.born_ms,
+        }
+    }
+}
+
 impl Config {
     /// Reads the file that `LB_CONFIG` names; the other variables overrule what it says.
     pub fn from_environment(variable: impl Fn(&str) -> Option<String>) -> Result<Config> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod manager;
 mod node;
 mod peers;
+mod roster;
 pub mod serve;
 mod upstream;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module and all that it speaks of: the clock, the open requests and their attempts.
 //! Only here is the module called; what it asks for is done in the order in which it asks.
 
-use crate::config::{Health, List};
+use crate::config::List;
 use crate::peers::Peers;
 use crate::upstream::{Forward, Upstream};
 use bytes::Bytes;
@@ -11,6 +11,7 @@
 };
 use saffronpaddle_decision::setup::Named;
 use saffronpaddle_decision::Gateway;
+use saffronpaddle_roster::{Change, Entry, Merge, Source};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -59,6 +60,8 @@
     requests: RefCell<HashMap<RequestId, Pending>>,
     /// Attempts that are out, one of a request at the most; a word, or its loss, calls one off.
     out: RefCell<HashMap<RequestId, (AttemptNo, oneshot::Sender<()>)>>,
+    /// Where there is more than one source of the list.
+    merge: RefCell<Option<Merge>>,
     /// When the module was last woken, as it had asked.
     woken: Cell<Instant>,
     /// When a source of the list last said something.
@@ -81,6 +84,7 @@
             gateway: RefCell::new(gateway),
             requests: RefCell::default(),
             out: RefCell::default(),
+            merge: RefCell::default(),
             woken: Cell::new(Instant::now()),
             list_heard: Cell::new(None),
             peers_heard: RefCell::default(),
@@ -221,28 +225,50 @@
         self.post(Event::Ended { id, attempt, outcome, closed });
     }
 
-    /// Follows discovery: the addresses first, so that nothing waiting for a connection goes to who left.
+    /// Follows the platform's discovery.
     pub fn listed(self: &Rc<Self>, list: &List) {
-        let kind = if list.whole { ListKind::Complete } else { ListKind::Changes };
+        let entries = list.hosts.iter().map(Entry::from).collect();
+        self.roster(Source::Discovery, Change { entries, told: Duration::ZERO, whole: list.whole });
+    }
+
+    /// Follows a source of the list. Where there are several, they are merged.
+    pub fn roster(self: &Rc<Self>, source: Source, change: Change) {
+        let change = match &mut *self.merge.borrow_mut() {
+            Some(merge) => merge.take(source, change),
+            None => change,
+        };
+        if !change.entries.is_empty() || change.whole {
+            self.take_list(&change.entries, change.whole);
+        }
+    }
+
+    /// The addresses first, so that nothing waiting for a connection goes to who left.
+    fn take_list(self: &Rc<Self>, list: &[Entry], whole: bool) {
+        let kind = if whole { ListKind::Complete } else { ListKind::Changes };
         let zone = |name: &String| self.named.zones.iter().position(|zone| zone == name);
-        let entries = list.hosts.iter().map(|host| ServerEntry {
-            server: server_id(&host.host),
-            zone: ZoneId(zone(&host.site).map_or(u32::MAX, |place| place as u32)),
-            cell: CellId(host.block),
-            standing: match host.health {
-                Health::Ready => Standing::Ready,
-                Health::Draining => Standing::Draining,
-                Health::Gone => Standing::Gone,
+        let entries = list.iter().map(|entry| ServerEntry {
+            server: server_id(&entry.host),
+            zone: ZoneId(zone(&entry.site).map_or(u32::MAX, |place| place as u32)),
+            cell: CellId(entry.block),
+            standing: match entry.standing {
+                saffronpaddle_roster::Standing::Ready => Standing::Ready,
+                saffronpaddle_roster::Standing::Draining => Standing::Draining,
+                saffronpaddle_roster::Standing::Gone => Standing::Gone,
             },
-            size: host.share,
-            started: (host.born_ms > 0).then_some(host.born_ms.saturating_mul(1000)),
+            size: entry.share,
+            started: (entry.born_ms > 0).then_some(entry.born_ms.saturating_mul(1000)),
         });
         let entries = entries.collect();
-        let hosts = list.hosts.iter();
-        let dials = hosts.map(|host| (server_id(&host.host), host.dial, host.health == Health::Ready));
-        self.upstream.listed(list.whole, dials);
+        let ready = |entry: &Entry| entry.standing == saffronpaddle_roster::Standing::Ready;
+        let dials = list.iter().map(|entry| (server_id(&entry.host), entry.dial, ready(entry)));
+        self.upstream.listed(whole, dials);
         self.post(Event::Servers { kind, entries });
     }
+
+    /// Several sources of the list will be followed: from now on they are merged.
+    pub fn merge_sources(&self) {
+        self.merge.borrow_mut().get_or_insert_with(Merge::new);
+    }
 }
 
 /// A server's id, the same at every edge node: FNV-1a of its name.
--- /dev/null
+++ b/crates/node/src/roster.rs
@@ -0,0 +1,159 @@
+//! The sources of the list of app servers: the platform's discovery, etcd, or both.
+
+use crate::config::List;
+use crate::discovery;
+use crate::node::Node;
+use saffronpaddle_operator::Etcd;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::watch;
+
+/// Follows what the operator file names, for ever. Without etcd that is the platform's discovery alone.
+pub async fn follow(
+    node: Rc<Node>, etcd: Option<Etcd>, address: watch::Receiver<SocketAddr>, known: Option<List>,
+) {
+    let Some(etcd) = etcd else { return discovery::follow(node, address, known).await };
+    #[cfg(not(feature = "etcd"))]
+    {
+        let _ = etcd;
+        eprintln!("etcd: this program was built without it; the platform's discovery is followed");
+        discovery::follow(node, address, known).await
+    }
+    #[cfg(feature = "etcd")]
+    {
+        node.merge_sources();
+        if etcd.instead {
+            // The configuration's list stands until etcd has spoken, and has no say from then on.
+            let known = known.map(|known| List { whole: true, ..known });
+            known.iter().for_each(|known| by_etcd::begin_with(&node, known));
+            by_etcd::follow(node, etcd).await
+        } else {
+            tokio::join!(discovery::follow(Rc::clone(&node), address, known), by_etcd::follow(node, etcd));
+        }
+    }
+}
+
+#[cfg(feature = "etcd")]
+mod by_etcd {
+    use super::{Etcd, List, Node, Rc};
+    use saffronpaddle_etcd::client::NEWS_MOST;
+    use saffronpaddle_etcd::{News, Settings, Timing};
+    use saffronpaddle_roster::{Change, Entry, Rules, Source};
+    use std::collections::BTreeMap;
+    use std::io;
+    use std::time::{Duration, Instant};
+    use tokio::sync::mpsc;
+
+    /// A change that waited for longer between socket and decision module is told in the log: it is time off the 250 ms
+    /// of a drain.
+    const LATE: Duration = Duration::from_millis(50);
+    /// Changes that are taken in at one stroke at the most, so that requests have their turn between.
+    const STROKE: usize = 4096;
+
+    /// Takes the configuration's list for etcd's first word.
+    pub fn begin_with(node: &Rc<Node>, known: &List) {
+        let entries = known.hosts.iter().map(Entry::from).collect();
+        node.roster(Source::Etcd, Change { entries, told: Duration::ZERO, whole: true });
+    }
+
+    fn settings(etcd: &Etcd) -> io::Result<Settings> {
+        let user = match &etcd.user {
+            Some((name, file)) => {
+                Some((name.clone(), std::fs::read_to_string(file)?.trim_end_matches(['\r', '\n']).to_owned()))
+            }
+            None => None,
+        };
+        #[cfg(feature = "tls")]
+        let tls = match &etcd.tls {
+            Some((file, name)) => Some((std::fs::read(file)?, name.clone())),
+            None => None,
+        };
+        #[cfg(not(feature = "tls"))]
+        if etcd.tls.is_some() {
+            return Err(io::Error::other("this program was built without TLS"));
+        }
+        Ok(Settings {
+            endpoints: etcd.endpoints.clone(),
+            prefix: etcd.prefix.clone(),
+            user,
+            timing: Timing {
+                answer_within: etcd.answer_within,
+                probe_every: etcd.probe_every,
+                silent_after: etcd.silent_after,
+                backoff: (Timing::default().backoff.0, etcd.backoff_most),
+            },
+            rules: Rules { empty_after: etcd.empty_after },
+            #[cfg(feature = "tls")]
+            tls,
+        })
+    }
+
+    /// Follows etcd for ever. What comes is read and decoded by a thread of its own, so that ten thousand changes hold up
+    /// no request; here they are taken in, all that wait at one stroke.
+    pub async fn follow(node: Rc<Node>, etcd: Etcd) {
+        let settings = match settings(&etcd) {
+            Ok(settings) => settings,
+            Err(error) => return eprintln!("etcd: not followed: {error}"),
+        };
+        let (tell, mut news) = mpsc::channel(NEWS_MOST);
+        let thread = std::thread::Builder::new().name("etcd".to_owned()).spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            match runtime {
+                Ok(runtime) => runtime.block_on(saffronpaddle_etcd::follow(settings, tell)),
+                Err(error) => eprintln!("etcd: not followed: {error}"),
+            }
+        });
+        if let Err(error) = thread {
+            return eprintln!("etcd: not followed: {error}");
+        }
+        let mut waiting = Vec::new();
+        while news.recv_many(&mut waiting, NEWS_MOST).await > 0 {
+            let mut changes = Changes::default();
+            for news in waiting.drain(..) {
+                match news {
+                    News::Changed { change, read } => changes.take(&node, change, read),
+                    News::Alive => node.heard_list(),
+                    News::Log(line) => eprintln!("{line}"),
+                }
+            }
+            changes.flush(&node);
+            // Others have their turn between two strokes.
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Changes that wait: host by host the last one.
+    #[derive(Default)]
+    struct Changes {
+        entries: BTreeMap<String, Entry>,
+        first: Option<Instant>,
+    }
+
+    impl Changes {
+        fn take(&mut self, node: &Rc<Node>, change: Change, read: Instant) {
+            node.heard_list();
+            self.first.get_or_insert(read);
+            if change.whole {
+                self.flush(node);
+                node.roster(Source::Etcd, change);
+                return;
+            }
+            self.entries.extend(change.entries.into_iter().map(|entry| (entry.host.clone(), entry)));
+            if self.entries.len() >= STROKE {
+                self.flush(node);
+            }
+        }
+
+        fn flush(&mut self, node: &Rc<Node>) {
+            let Some(first) = self.first.take() else { return };
+            let waited = first.elapsed();
+            if waited > LATE {
+                eprintln!("etcd: a change waited {} ms for its turn", waited.as_millis());
+            }
+            let entries: Vec<Entry> = std::mem::take(&mut self.entries).into_values().collect();
+            if !entries.is_empty() {
+                node.roster(Source::Etcd, Change { entries, told: Duration::ZERO, whole: false });
+            }
+        }
+    }
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -2,13 +2,13 @@
 
 use crate::clients::{self, Standing};
 use crate::config::Config;
-use crate::discovery;
 use crate::facts::Facing;
 use crate::handed;
 use crate::life::{self, Life, Word};
 use crate::manager::Manager;
 use crate::node::Node;
 use crate::peers::{self, Peers};
+use crate::roster;
 use crate::upstream::{Room, Upstream};
 use anyhow::{Context, Result};
 use saffronpaddle_lifecycle::{Lifecycle, Limits};
@@ -193,8 +193,9 @@
         let born = Instant::now();
         let (standing, seen) = watch::channel(Standing::unready());
         let (moved, discovery) = watch::channel(self.discovery);
+        let etcd = files.operator.as_ref().and_then(|file| file.says.etcd.clone());
         let beside = [
-            tokio::task::spawn_local(discovery::follow(Rc::clone(&node), discovery, self.known)),
+            tokio::task::spawn_local(roster::follow(Rc::clone(&node), etcd, discovery, self.known)),
             tokio::task::spawn_local(peers::listen(Rc::clone(&node))),
             tokio::task::spawn_local(retire(Rc::clone(&node))),
             tokio::task::spawn_local(life::feed(Rc::clone(&node), Rc::clone(&manager))),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -18,6 +18,8 @@
 pub use reader::{Fault, Faults, Section};
 
 use saffronpaddle_lifecycle::readiness::Conditions;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// The name that listeners for clients have among those handed over (`LISTEN_FDNAMES`), unless the file says
@@ -37,6 +39,8 @@
     pub reload: Reload,
     /// `[manager]`
     pub manager: Manager,
+    /// `[etcd]`; `None` while it names no endpoints.
+    pub etcd: Option<Etcd>,
 }
 
 /// How the node comes to its listener.
@@ -75,6 +79,31 @@
     pub watchdog: bool,
 }
 
+/// The roster of app servers in etcd.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Etcd {
+    /// Client addresses of the cluster's members.
+    pub endpoints: Vec<SocketAddr>,
+    /// What the servers' keys begin with.
+    pub prefix: String,
+    /// Whether it stands instead of the platform's discovery, which is not followed then; else both are merged.
+    pub instead: bool,
+    /// A user, and the file that holds its password.
+    pub user: Option<(String, PathBuf)>,
+    /// Certificates (PEM) by which members are trusted, and the name that theirs must bear; none for no TLS.
+    pub tls: Option<(PathBuf, String)>,
+    /// A connection to come up, and a call to be answered.
+    pub answer_within: Duration,
+    /// A member is asked for a sign of life this often.
+    pub probe_every: Duration,
+    /// One that has said nothing for so long is left.
+    pub silent_after: Duration,
+    /// Between one member and the next, at the most.
+    pub backoff_most: Duration,
+    /// A list that is empty at one stroke is believed after so long.
+    pub empty_after: Duration,
+}
+
 impl Operator {
     /// Reads the file's text.
     ///
@@ -99,6 +128,7 @@
                 notify: section.flag("notify", true),
                 watchdog: section.flag("watchdog", true),
             }),
+            etcd: file.section("etcd", etcd),
         };
         let faults = file.rest();
         if faults.is_empty() {
@@ -132,6 +162,44 @@
     }
 }
 
+fn etcd(section: &mut Section) -> Option<Etcd> {
+    let text = |text: &str| (!text.is_empty()).then(|| text.to_owned());
+    let prefix =
+        |text: &str| (text.starts_with('/') && text.len() > 1 && text.len() <= 1000).then(|| text.to_owned());
+    let endpoints = section.list("endpoints", "an address with a port", |text| text.parse().ok());
+    let user = section.parsed("user", "a name", text);
+    let password = section.parsed("password_file", "a path", |path| text(path).map(PathBuf::from));
+    if user.is_some() != password.is_some() {
+        section
+            .fault(if user.is_some() { "password_file" } else { "user" }, "goes with the other of the two");
+    }
+    let ca = section.parsed("tls_ca_file", "a path", |path| text(path).map(PathBuf::from));
+    let name = section.parsed("tls_name", "a name", text);
+    if ca.is_some() != name.is_some() {
+        section
+            .fault(if ca.is_some() { "tls_name" } else { "tls_ca_file" }, "goes with the other of the two");
+    }
+    let wants = "a text that begins with a slash, up to 1000 bytes";
+    let etcd = Etcd {
+        prefix: section
+            .parsed("prefix", wants, prefix)
+            .unwrap_or_else(|| "/saffronpaddle/servers/".to_owned()),
+        instead: section.flag("instead", false),
+        user: user.zip(password),
+        tls: ca.zip(name),
+        answer_within: section.span_ms("answer_within_ms", 2_000, 10..=60_000),
+        probe_every: section.span_ms("probe_every_ms", 1_000, 10..=60_000),
+        silent_after: section.span_ms("silent_after_ms", 3_000, 20..=600_000),
+        backoff_most: section.span_ms("backoff_most_ms", 2_000, 50..=600_000),
+        empty_after: section.span_ms("empty_after_ms", 30_000, 0..=86_400_000),
+        endpoints,
+    };
+    if etcd.silent_after <= etcd.probe_every {
+        section.fault("silent_after_ms", "must be more than probe_every_ms");
+    }
+    (!etcd.endpoints.is_empty()).then_some(etcd)
+}
+
 fn stop(section: &mut Section) -> Stop {
     Stop {
         leave_for: section.span_ms("leave_for_ms", 600, 0..=600_000),
@@ -148,6 +216,7 @@
             stop: stop(&mut Section::whole(toml::Table::new())),
             reload: Reload { within: Duration::from_secs(10) },
             manager: Manager { notify: true, watchdog: true },
+            etcd: None,
         }
     }
 }
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -29,7 +29,7 @@
     });
     let uncommented: String = uncommented.collect();
     assert_eq!(Operator::parse(&uncommented), Ok(Operator::default()));
-    assert!(keys >= 17, "{keys} keys");
+    assert!(keys >= 25, "{keys} keys");
 }
 
 #[test]
@@ -68,3 +68,19 @@
     assert!(Operator::parse(text).expect("it is good").ready.is_none());
     assert!(!Operator::default().ready.is_none());
 }
+
+#[test]
+fn etcd_is_on_once_it_has_endpoints_and_its_pairs_go_together() {
+    let operator =
+        Operator::parse("[etcd]\nendpoints = [\"127.0.0.1:2379\", \"[::1]:2379\"]\ninstead = true")
+            .expect("good");
+    let etcd = operator.etcd.expect("on");
+    assert!(etcd.endpoints.len() == 2 && etcd.instead && etcd.prefix == "/saffronpaddle/servers/");
+    let told = faults(
+        "[etcd]\nendpoints = [\"nowhere\"]\nuser = \"u\"\ntls_name = \"n\"\nsilent_after_ms = 500\nprefix = \"x\"",
+    );
+    for key in ["endpoints", "password_file", "tls_ca_file", "silent_after_ms", "prefix"] {
+        assert!(told.iter().any(|fault| fault.starts_with(&format!("etcd.{key}: "))), "{key} in {told:?}");
+    }
+    assert_eq!(told.len(), 5, "{told:?}");
+}
--- a/crates/roster/src/follower.rs
+++ b/crates/roster/src/follower.rs
@@ -114,6 +114,8 @@
     emptied: Option<Time>,
     /// Hosts that are kept although they were wiped, until the doubt is over or they are put again.
     wiped: BTreeSet<String>,
+    /// The first list was empty, and is not believed yet.
+    unlisted: bool,
     logs: Vec<String>,
     seen: Seen,
 }
@@ -133,6 +135,7 @@
             provisional: BTreeSet::new(),
             emptied: None,
             wiped: BTreeSet::new(),
+            unlisted: false,
             logs: Vec::new(),
             seen: Seen::default(),
         }
@@ -219,8 +222,12 @@
         let mut change = Change { entries: Vec::new(), told, whole: first };
         let listed: BTreeMap<&str, &KeyValue> =
             kvs.iter().filter_map(|kv| Some((entry::host(&self.prefix, &kv.key)?, kv))).collect();
-        if listed.is_empty() && self.hosts.len() > 1 {
-            self.doubt(told);
+        if listed.is_empty() && (first || self.hosts.len() > 1) {
+            // A first list too: what the node was told at its start stands against a prefix that is empty, or misspelt.
+            self.unlisted |= first;
+            change.whole = false;
+            let all = self.hosts.keys().cloned().collect();
+            self.doubt(told, all);
             return change;
         }
         let absent = |host: &&String| !listed.contains_key(host.as_str()) && !self.wiped.contains(*host);
@@ -304,6 +311,11 @@
             return None;
         }
         self.emptied = None;
+        if std::mem::take(&mut self.unlisted) {
+            self.logs.push("the prefix is empty, and was so from the start".to_owned());
+            let entries = self.hosts.values().map(|held| held.entry.clone()).collect();
+            return Some(Change { entries, told: now, whole: true });
+        }
         let wiped = std::mem::take(&mut self.wiped);
         self.logs.push(format!("the wiped prefix stays so: {} servers are gone", wiped.len()));
         let mut change = Change { told: now, ..Change::default() };
@@ -311,17 +323,17 @@
         Some(change)
     }
 
-    fn doubt(&mut self, told: Time) {
+    fn doubt(&mut self, told: Time, wiped: BTreeSet<String>) {
         if self.emptied.is_none() {
             self.seen.doubted += 1;
             self.logs.push(format!(
-                "the prefix is empty at one stroke: {} servers are kept until that has lasted {} s",
+                "the prefix is empty: {} servers, or those known at the start, are kept until that has lasted {} s",
                 self.hosts.len(),
                 self.rules.empty_after.as_secs()
             ));
         }
         self.emptied.get_or_insert(told);
-        self.wiped.extend(self.hosts.keys().cloned());
+        self.wiped.extend(wiped.into_iter().filter(|host| self.hosts.contains_key(host)));
     }
 
     /// All events of a whole response, in order.
@@ -333,13 +345,7 @@
                 last.insert(host, event);
             }
         }
-        let removed = |host: &String| last.get(host.as_str()).is_some_and(|event| event.delete);
-        let left = self.hosts.keys().filter(|host| !removed(host) && !self.wiped.contains(*host)).count();
-        let put = last.values().any(|event| !event.delete);
-        // Danger: a prefix that was wiped by mistake, and with it the whole fleet. One host alone may go.
-        if left == 0 && !put && self.hosts.len() > 1 && !last.is_empty() {
-            return self.doubt(change.told);
-        }
+        self.wipes(events, change.told);
         for (host, event) in last {
             if event.delete {
                 self.unreadable.remove(host);
@@ -354,6 +360,30 @@
         self.resolve(change);
     }
 
+    /// Looks for a revision that leaves none of several hosts. Danger: a prefix that was wiped by mistake, and with it the
+    /// whole fleet. Hosts that go one after the other, each in a revision of its own, are an operator's doing.
+    fn wipes(&mut self, events: &[WatchEvent], told: Time) {
+        let mut alive: BTreeSet<String> =
+            self.hosts.keys().filter(|host| !self.wiped.contains(*host)).cloned().collect();
+        let revisions = events.chunk_by(|one, other| one.kv.mod_revision == other.kv.mod_revision);
+        for events in revisions {
+            let mut deleted = BTreeSet::new();
+            let before = alive.len();
+            for event in events {
+                let Some(host) = entry::host(&self.prefix, &event.kv.key) else { continue };
+                if !event.delete {
+                    alive.insert(host.to_owned());
+                    self.wiped.remove(host);
+                } else if alive.remove(host) {
+                    deleted.insert(host.to_owned());
+                }
+            }
+            if alive.is_empty() && before > 1 {
+                self.doubt(told, deleted);
+            }
+        }
+    }
+
     /// A whole response, or the whole list, is there: what fragments told of drains gives way to it.
     fn resolve(&mut self, change: &mut Change) {
         for host in std::mem::take(&mut self.provisional) {
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -271,6 +271,18 @@
     }
 }
 
+/// A node that starts against an empty, or misspelt, prefix keeps the list of its configuration for a while.
+#[test]
+fn a_first_list_that_is_empty_is_not_believed_at_once() {
+    let mut follower = Follower::new("/board/", Rules::default());
+    let change = follower.range(header(10), &[], ms(1), NOW);
+    assert!(!change.whole && change.entries.is_empty());
+    let change = take(&mut follower, 11, vec![put("a", 11, 11, "ready")]);
+    assert!(!change.whole && standings(&change) == [("a", Standing::Ready)].into());
+    let change = follower.believe(ms(1) + Duration::from_secs(30)).expect("it has lasted");
+    assert!(change.whole && standings(&change) == [("a", Standing::Ready)].into(), "{change:?}");
+}
+
 #[test]
 fn progress_moves_the_revision_so_that_quiet_watches_are_not_compacted_away() {
     let mut follower = three();
--- /dev/null
+++ b/crates/standins/src/etcd.rs
@@ -0,0 +1,986 @@
+//! A stand-in for an etcd cluster, written from the public v3 API: one MVCC store with revisions, compaction, leases and
+//! watches, served by several members, each of which may lag, fall silent, cut its connections or refuse them.
+//!
+//! It has no raft: all members serve one store, and a member that lags shows an older revision of it. Of transactions it
+//! knows those without comparisons.
+
+use crate::lock;
+use http::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::service::TowerToHyperService;
+use saffronpaddle_etcd::api::{self, path, Event, EventType, KeyValue, ResponseHeader};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tonic::body::Body;
+use tonic::codegen::tokio_stream::wrappers::ReceiverStream;
+use tonic::server::{Grpc, StreamingService, UnaryService};
+use tonic::{Code, Status, Streaming};
+use tonic_prost::ProstCodec;
+
+/// Leases are looked at this often.
+const LEASES_EVERY: Duration = Duration::from_millis(20);
+/// Responses that may wait for a slow reader of a watch.
+const WAITING_MOST: usize = 16;
+
+#[derive(Clone, Debug)]
+struct Lease {
+    ttl: i64,
+    until: Instant,
+    keys: BTreeSet<Vec<u8>>,
+}
+
+/// One key's history: its value from each revision on, or none where it was deleted then.
+type Versions = Vec<(i64, Option<KeyValue>)>;
+
+#[derive(Debug)]
+struct Store {
+    cluster_id: u64,
+    raft_term: u64,
+    revision: i64,
+    compacted: i64,
+    keys: BTreeMap<Vec<u8>, Versions>,
+    /// Events by revision; those up to `compacted` are dropped.
+    events: BTreeMap<i64, Vec<Event>>,
+    leases: HashMap<i64, Lease>,
+    next_lease: i64,
+    /// A user that calls must bear the token of; none where there is no authentication.
+    user: Option<(String, String)>,
+}
+
+impl Store {
+    fn new(cluster_id: u64) -> Store {
+        Store {
+            cluster_id,
+            raft_term: 2,
+            revision: 1,
+            compacted: 0,
+            keys: BTreeMap::new(),
+            events: BTreeMap::new(),
+            leases: HashMap::new(),
+            next_lease: 1,
+            user: None,
+        }
+    }
+
+    fn live(&self, key: &[u8], revision: i64) -> Option<&KeyValue> {
+        let versions = self.keys.get(key)?;
+        let at = versions.iter().rev().find(|(since, _)| *since <= revision)?;
+        at.1.as_ref()
+    }
+
+    fn within<'a>(&'a self, key: &[u8], end: &[u8]) -> impl Iterator<Item = &'a Vec<u8>> + 'a {
+        let (key, end) = (key.to_vec(), end.to_vec());
+        self.keys.keys().filter(move |other| inside(&key, &end, other))
+    }
+
+    /// Puts a key as part of the change of a revision.
+    fn put(&mut self, revision: i64, put: &api::PutRequest) -> Result<Option<KeyValue>, Status> {
+        if put.lease != 0 && !self.leases.contains_key(&put.lease) {
+            return Err(Status::not_found("etcdserver: requested lease not found"));
+        }
+        let before = self.live(&put.key, revision).cloned();
+        let (create_revision, version) =
+            before.as_ref().map_or((revision, 1), |kv| (kv.create_revision, kv.version + 1));
+        let value = match (&before, put.ignore_value) {
+            (Some(before), true) => before.value.clone(),
+            _ => put.value.clone(),
+        };
+        let lease = match (&before, put.ignore_lease) {
+            (Some(before), true) => before.lease,
+            _ => put.lease,
+        };
+        let kv =
+            KeyValue { key: put.key.clone(), create_revision, mod_revision: revision, version, value, lease };
+        if let Some(old) = before.as_ref().and_then(|kv| self.leases.get_mut(&kv.lease)) {
+            old.keys.remove(&put.key);
+        }
+        if let Some(lease) = self.leases.get_mut(&lease) {
+            lease.keys.insert(put.key.clone());
+        }
+        self.keys.entry(put.key.clone()).or_default().push((revision, Some(kv.clone())));
+        let event = Event { r#type: EventType::Put as i32, kv: Some(kv), prev_kv: before.clone() };
+        self.events.entry(revision).or_default().push(event);
+        Ok(before)
+    }
+
+    fn delete(&mut self, revision: i64, key: &[u8], end: &[u8]) -> Vec<KeyValue> {
+        let keys: Vec<Vec<u8>> = self.within(key, end).cloned().collect();
+        let mut deleted = Vec::new();
+        for key in keys {
+            let Some(before) = self.live(&key, revision).cloned() else { continue };
+            if let Some(lease) = self.leases.get_mut(&before.lease) {
+                lease.keys.remove(&key);
+            }
+            self.keys.entry(key.clone()).or_default().push((revision, None));
+            let kv = KeyValue { key, mod_revision: revision, ..KeyValue::default() };
+            let event =
+                Event { r#type: EventType::Delete as i32, kv: Some(kv), prev_kv: Some(before.clone()) };
+            self.events.entry(revision).or_default().push(event);
+            deleted.push(before);
+        }
+        deleted
+    }
+
+    fn range(&self, ask: &api::RangeRequest, seen: i64) -> Result<(Vec<KeyValue>, bool, i64), Status> {
+        let revision = if ask.revision > 0 { ask.revision } else { seen };
+        if revision > self.revision {
+            return Err(Status::out_of_range("etcdserver: mvcc: required revision is a future revision"));
+        }
+        if revision < self.compacted {
+            return Err(Status::out_of_range("etcdserver: mvcc: required revision has been compacted"));
+        }
+        let live = self.within(&ask.key, &ask.range_end).filter_map(|key| self.live(key, revision));
+        let mut kvs: Vec<KeyValue> = live.cloned().collect();
+        let count = kvs.len() as i64;
+        // Sorted by key, ascending, as without a sort; descending is 2.
+        if ask.sort_order == 2 {
+            kvs.reverse();
+        }
+        let more = ask.limit > 0 && count > ask.limit;
+        if more {
+            kvs.truncate(ask.limit as usize);
+        }
+        if ask.count_only {
+            kvs.clear();
+        }
+        if ask.keys_only {
+            kvs.iter_mut().for_each(|kv| kv.value.clear());
+        }
+        Ok((kvs, more, count))
+    }
+
+    fn compact(&mut self, revision: i64) -> Result<(), Status> {
+        if revision <= self.compacted {
+            return Err(Status::out_of_range("etcdserver: mvcc: required revision has been compacted"));
+        }
+        if revision > self.revision {
+            return Err(Status::out_of_range("etcdserver: mvcc: required revision is a future revision"));
+        }
+        self.compacted = revision;
+        self.events = self.events.split_off(&(revision + 1));
+        self.keys.retain(|_, versions| {
+            let last = versions.iter().rposition(|(since, _)| *since <= revision).unwrap_or(0);
+            versions.drain(..last);
+            !matches!(&versions[..], [(since, None)] if *since <= revision)
+        });
+        Ok(())
+    }
+}
+
+/// Whether a key lies in a range: no end is the key alone, and an end of one nought is everything from the key on.
+fn inside(key: &[u8], end: &[u8], other: &[u8]) -> bool {
+    match end {
+        [] => other == key,
+        [0] => other >= key,
+        end => other >= key && other < end,
+    }
+}
+
+/// What befalls a member.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// It shows no revision beyond this one, and answers no linearizable range until it is lifted.
+    pub stuck_at: Option<i64>,
+    /// Nothing is read or written on its connections, which stay open.
+    pub frozen: bool,
+    /// New connections are refused, by closing them at once.
+    pub refuses: bool,
+    /// Most events of one response where the watcher asked for fragments; 0 for all in one.
+    pub fragment_at: usize,
+    /// Each fragment waits for so long.
+    pub between_fragments: Duration,
+    /// After so many fragments in all the connection is cut, once.
+    pub cut_after_fragments: Option<u64>,
+    /// After so many bytes more on any connection, all are cut in the middle of whatever they write, once.
+    pub cut_after_bytes: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Inside {
+    store: Arc<Mutex<Store>>,
+    changed: watch::Sender<i64>,
+    id: u64,
+    faults: Mutex<Faults>,
+    /// Changed whenever faults are; connections look again.
+    stirred: watch::Sender<u64>,
+    /// Raised to cut all connections.
+    cuts: watch::Sender<u64>,
+    connections: AtomicU64,
+    watches: AtomicU64,
+    ranges: AtomicU64,
+}
+
+/// One member of the cluster.
+#[derive(Clone, Debug)]
+pub struct Member {
+    inside: Arc<Inside>,
+    /// Where clients connect.
+    pub address: SocketAddr,
+}
+
+/// The cluster.
+#[derive(Clone, Debug)]
+pub struct Etcd {
+    store: Arc<Mutex<Store>>,
+    changed: watch::Sender<i64>,
+    /// Its members.
+    pub members: Vec<Member>,
+}
+
+impl Etcd {
+    /// Starts a cluster of so many members with an empty store.
+    ///
+    /// # Errors
+    /// No port could be had.
+    pub async fn start(members: usize) -> io::Result<Etcd> {
+        let store = Arc::new(Mutex::new(Store::new(fastrand::u64(1..))));
+        let (changed, _) = watch::channel(1);
+        let mut all = Vec::new();
+        for number in 0..members {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let address = listener.local_addr()?;
+            let inside = Arc::new(Inside {
+                store: Arc::clone(&store),
+                changed: changed.clone(),
+                id: number as u64 + 0x100,
+                faults: Mutex::default(),
+                stirred: watch::channel(0).0,
+                cuts: watch::channel(0).0,
+                connections: AtomicU64::new(0),
+                watches: AtomicU64::new(0),
+                ranges: AtomicU64::new(0),
+            });
+            let member = Member { inside, address };
+            tokio::spawn(member.clone().accept(listener));
+            all.push(member);
+        }
+        let etcd = Etcd { store, changed, members: all };
+        tokio::spawn(etcd.clone().expire());
+        Ok(etcd)
+    }
+
+    /// Where its members listen.
+    pub fn endpoints(&self) -> Vec<SocketAddr> {
+        self.members.iter().map(|member| member.address).collect()
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut Store, i64) -> T) -> T {
+        change_store(&self.store, &self.changed, change)
+    }
+
+    /// Puts a key; the revision.
+    pub fn put(&self, key: &str, value: &str) -> i64 {
+        self.put_all(&[(key, Some(value))])
+    }
+
+    /// Deletes a key; the revision.
+    pub fn delete(&self, key: &str) -> i64 {
+        self.put_all(&[(key, None)])
+    }
+
+    /// Puts and deletes several keys in one revision.
+    pub fn put_all(&self, changes: &[(&str, Option<&str>)]) -> i64 {
+        self.change(|store, revision| {
+            for (key, value) in changes {
+                let key = key.as_bytes().to_vec();
+                match value {
+                    Some(value) => {
+                        let value = value.as_bytes().to_vec();
+                        // Without a lease nothing can be missing.
+                        let _ = store.put(revision, &api::PutRequest { key, value, ..Default::default() });
+                    }
+                    None => _ = store.delete(revision, &key, &[]),
+                }
+            }
+        });
+        self.revision()
+    }
+
+    /// Grants a lease of so many seconds and puts a key under it.
+    pub fn put_leased(&self, key: &str, value: &str, ttl: Duration) -> i64 {
+        let mut store = lock(&self.store);
+        let id = store.next_lease;
+        store.next_lease += 1;
+        let until = Instant::now() + ttl;
+        store.leases.insert(id, Lease { ttl: ttl.as_secs() as i64, until, keys: BTreeSet::new() });
+        drop(store);
+        let (key, value) = (key.as_bytes().to_vec(), value.as_bytes().to_vec());
+        self.change(|store, revision| {
+            // The lease is there.
+            let _ = store.put(revision, &api::PutRequest { key, value, lease: id, ..Default::default() });
+        });
+        id
+    }
+
+    /// The store's revision.
+    pub fn revision(&self) -> i64 {
+        lock(&self.store).revision
+    }
+
+    /// Drops all history up to a revision.
+    pub fn compact(&self, revision: i64) {
+        // A revision that is compacted already stays so.
+        let _ = lock(&self.store).compact(revision);
+    }
+
+    /// Deletes all keys under a prefix in one revision.
+    pub fn wipe(&self, prefix: &str) {
+        let end = api::prefix_end(prefix.as_bytes());
+        self.change(|store, revision| store.delete(revision, prefix.as_bytes(), &end));
+    }
+
+    /// The cluster is restored from a backup that holds these keys: its history begins anew, under another id if it is
+    /// `recreated`. All connections are cut, as its processes start anew.
+    pub fn restore(&self, keys: &[(&str, &str)], recreated: bool) {
+        {
+            let mut store = lock(&self.store);
+            let id = if recreated { store.cluster_id.wrapping_add(1) } else { store.cluster_id };
+            let user = store.user.clone();
+            *store = Store { user, ..Store::new(id) };
+        }
+        for (key, value) in keys {
+            self.put(key, value);
+        }
+        self.members.iter().for_each(Member::cut);
+    }
+
+    /// Calls must bear the token of this user from now on.
+    pub fn protect(&self, name: &str, password: &str) {
+        lock(&self.store).user = Some((name.to_owned(), password.to_owned()));
+    }
+
+    async fn expire(self) {
+        loop {
+            tokio::time::sleep(LEASES_EVERY).await;
+            let now = Instant::now();
+            let over: Vec<i64> = {
+                let store = lock(&self.store);
+                store.leases.iter().filter(|(_, lease)| lease.until <= now).map(|(id, _)| *id).collect()
+            };
+            over.into_iter().for_each(|id| _ = revoke(&self.store, &self.changed, id));
+        }
+    }
+}
+
+fn change_store<T>(
+    store: &Mutex<Store>, changed: &watch::Sender<i64>, change: impl FnOnce(&mut Store, i64) -> T,
+) -> T {
+    let (revision, result) = {
+        let mut store = lock(store);
+        let next = store.revision + 1;
+        let result = change(&mut store, next);
+        if store.events.contains_key(&next) {
+            store.revision = next;
+        }
+        (store.revision, result)
+    };
+    changed.send_replace(revision);
+    result
+}
+
+fn revoke(store: &Mutex<Store>, changed: &watch::Sender<i64>, id: i64) -> bool {
+    let Some(lease) = lock(store).leases.remove(&id) else { return false };
+    change_store(store, changed, |store, revision| {
+        lease.keys.iter().for_each(|key| _ = store.delete(revision, key, &[]));
+    });
+    true
+}
+
+impl Member {
+    /// Changes what befalls it from now on.
+    pub fn set(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut lock(&self.inside.faults));
+        self.inside.stirred.send_modify(|count| *count += 1);
+        self.inside.changed.send_modify(|_| {});
+    }
+
+    /// Cuts all its connections, in the middle of whatever they do.
+    pub fn cut(&self) {
+        self.inside.cuts.send_modify(|count| *count += 1);
+    }
+
+    /// Connections that it has taken so far.
+    pub fn connections(&self) -> u64 {
+        self.inside.connections.load(Ordering::Relaxed)
+    }
+
+    /// Watches that were created at it so far.
+    pub fn watches(&self) -> u64 {
+        self.inside.watches.load(Ordering::Relaxed)
+    }
+
+    /// Ranges that it has answered so far.
+    pub fn ranges(&self) -> u64 {
+        self.inside.ranges.load(Ordering::Relaxed)
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            self.inside.connections.fetch_add(1, Ordering::Relaxed);
+            if lock(&self.inside.faults).refuses {
+                continue;
+            }
+            let _ = stream.set_nodelay(true);
+            let inside = Arc::clone(&self.inside);
+            tokio::spawn(async move {
+                let mut cuts = inside.cuts.subscribe();
+                cuts.borrow_and_update();
+                let mut stirred = inside.stirred.subscribe();
+                let pace = Box::pin(async move { _ = stirred.changed().await });
+                let io = Faulty { stream, inside: Arc::clone(&inside), pace };
+                let service = TowerToHyperService::new(Api(inside));
+                let http = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
+                tokio::select! {
+                    // How it ended is the client's concern.
+                    _ = http.serve_connection(TokioIo::new(io), service) => {}
+                    _ = cuts.changed() => {}
+                }
+            });
+        }
+    }
+}
+
+/// A connection that its member's faults act on.
+struct Faulty {
+    stream: TcpStream,
+    inside: Arc<Inside>,
+    /// Ends when the faults have changed.
+    pace: Pin<Box<dyn Future<Output = ()> + Send>>,
+}
+
+impl Faulty {
+    /// Whether the member stands still; whoever asks is woken when that may have changed.
+    fn frozen(&mut self, context: &mut Context<'_>) -> bool {
+        loop {
+            if !lock(&self.inside.faults).frozen {
+                return false;
+            }
+            if self.pace.as_mut().poll(context).is_pending() {
+                return true;
+            }
+            let mut stirred = self.inside.stirred.subscribe();
+            self.pace = Box::pin(async move { _ = stirred.changed().await });
+        }
+    }
+}
+
+impl AsyncRead for Faulty {
+    fn poll_read(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.frozen(context) {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Faulty {
+    fn poll_write(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.frozen(context) {
+            return Poll::Pending;
+        }
+        let left = lock(&self.inside.faults).cut_after_bytes;
+        let part = left.map_or(bytes.len(), |left| bytes.len().min(left as usize));
+        if part == 0 && !bytes.is_empty() {
+            lock(&self.inside.faults).cut_after_bytes = None;
+            self.inside.cuts.send_modify(|count| *count += 1);
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        let written = Pin::new(&mut self.stream).poll_write(context, &bytes[..part]);
+        if let (Poll::Ready(Ok(count)), Some(left)) =
+            (&written, &mut lock(&self.inside.faults).cut_after_bytes)
+        {
+            *left = left.saturating_sub(*count as u64);
+        }
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+impl Inside {
+    fn store(&self) -> MutexGuard<'_, Store> {
+        lock(&self.store)
+    }
+
+    /// The revision that this member shows.
+    fn seen(&self) -> i64 {
+        let stuck = lock(&self.faults).stuck_at;
+        let revision = self.store().revision;
+        stuck.map_or(revision, |stuck| stuck.min(revision))
+    }
+
+    fn header(&self) -> ResponseHeader {
+        let revision = self.seen();
+        let store = self.store();
+        ResponseHeader {
+            cluster_id: store.cluster_id,
+            member_id: self.id,
+            revision,
+            raft_term: store.raft_term,
+        }
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut Store, i64) -> T) -> T {
+        change_store(&self.store, &self.changed, change)
+    }
+
+    fn allow(&self, metadata: &tonic::metadata::MetadataMap) -> Result<(), Status> {
+        let store = self.store();
+        let Some((name, _)) = &store.user else { return Ok(()) };
+        let token = metadata.get("token").or(metadata.get("authorization"));
+        if token.and_then(|token| token.to_str().ok()) == Some(&format!("{name}.{}", store.cluster_id)[..]) {
+            return Ok(());
+        }
+        Err(Status::new(Code::Unauthenticated, "etcdserver: invalid auth token"))
+    }
+
+    async fn range(&self, ask: api::RangeRequest) -> Result<api::RangeResponse, Status> {
+        if !ask.serializable {
+            // Linearizable: a member that lags answers when it has caught up.
+            let mut stirred = self.stirred.subscribe();
+            while lock(&self.faults).stuck_at.is_some() {
+                let _ = stirred.changed().await;
+            }
+        }
+        self.ranges.fetch_add(1, Ordering::Relaxed);
+        let seen = self.seen();
+        let (kvs, more, count) = self.store().range(&ask, seen)?;
+        Ok(api::RangeResponse { header: Some(self.header()), kvs, more, count })
+    }
+
+    async fn unary(&self, call: Call) -> Result<Answered, Status> {
+        Ok(match call {
+            Call::Range(ask) => Answered::Range(self.range(ask).await?),
+            Call::Put(ask) => {
+                let before = self.change(|store, revision| store.put(revision, &ask))?;
+                let prev_kv = before.filter(|_| ask.prev_kv);
+                Answered::Put(api::PutResponse { header: Some(self.header()), prev_kv })
+            }
+            Call::Delete(ask) => {
+                let prev_kvs =
+                    self.change(|store, revision| store.delete(revision, &ask.key, &ask.range_end));
+                let deleted = prev_kvs.len() as i64;
+                let prev_kvs = if ask.prev_kv { prev_kvs } else { Vec::new() };
+                Answered::Delete(api::DeleteRangeResponse { header: Some(self.header()), deleted, prev_kvs })
+            }
+            Call::Txn(ask) => Answered::Txn(self.txn(ask)?),
+            Call::Compact(ask) => {
+                self.store().compact(ask.revision)?;
+                // Watches behind it are cancelled.
+                self.changed.send_modify(|_| {});
+                Answered::Compact(api::CompactionResponse { header: Some(self.header()) })
+            }
+            Call::Grant(ask) => {
+                let mut store = self.store();
+                let id = if ask.id == 0 { store.next_lease } else { ask.id };
+                store.next_lease = store.next_lease.max(id) + 1;
+                let until = Instant::now() + Duration::from_secs(ask.ttl.max(1) as u64);
+                store.leases.insert(id, Lease { ttl: ask.ttl, until, keys: BTreeSet::new() });
+                drop(store);
+                let header = Some(self.header());
+                Answered::Grant(api::LeaseGrantResponse { header, id, ttl: ask.ttl, error: String::new() })
+            }
+            Call::Revoke(ask) => {
+                if !revoke(&self.store, &self.changed, ask.id) {
+                    return Err(Status::not_found("etcdserver: requested lease not found"));
+                }
+                Answered::Revoke(api::LeaseRevokeResponse { header: Some(self.header()) })
+            }
+            Call::TimeToLive(ask) => {
+                let header = Some(self.header());
+                let store = self.store();
+                let lease = store.leases.get(&ask.id);
+                let left = lease.map(|lease| lease.until.saturating_duration_since(Instant::now()).as_secs());
+                let keys = lease.filter(|_| ask.keys).map(|lease| lease.keys.iter().cloned().collect());
+                Answered::TimeToLive(api::LeaseTimeToLiveResponse {
+                    header,
+                    id: ask.id,
+                    ttl: left.map_or(-1, |left| left as i64),
+                    granted_ttl: lease.map_or(0, |lease| lease.ttl),
+                    keys: keys.unwrap_or_default(),
+                })
+            }
+            Call::Authenticate(ask) => {
+                let header = Some(self.header());
+                let store = self.store();
+                if store.user != Some((ask.name.clone(), ask.password)) {
+                    return Err(Status::invalid_argument(
+                        "etcdserver: authentication failed, invalid user ID or password",
+                    ));
+                }
+                let token = format!("{}.{}", ask.name, store.cluster_id);
+                Answered::Authenticate(api::AuthenticateResponse { header, token })
+            }
+            Call::Status => {
+                let header = self.header();
+                Answered::Status(api::StatusResponse {
+                    header: Some(header),
+                    version: "3.5.0".to_owned(),
+                    db_size: 1,
+                    leader: 0x100,
+                    raft_index: header.revision as u64,
+                    raft_term: header.raft_term,
+                })
+            }
+        })
+    }
+
+    fn txn(&self, ask: api::TxnRequest) -> Result<api::TxnResponse, Status> {
+        if !ask.compare.is_empty() {
+            return Err(Status::unimplemented("the stand-in knows no comparisons"));
+        }
+        let seen = self.seen();
+        let responses = self.change(|store, revision| {
+            let mut responses = Vec::new();
+            for op in ask.success {
+                let response = match op.request {
+                    Some(api::request_op::Request::Put(put)) => {
+                        store.put(revision, &put)?;
+                        api::response_op::Response::Put(api::PutResponse::default())
+                    }
+                    Some(api::request_op::Request::Delete(ask)) => {
+                        let deleted = store.delete(revision, &ask.key, &ask.range_end).len() as i64;
+                        let answer = api::DeleteRangeResponse { deleted, ..Default::default() };
+                        api::response_op::Response::Delete(answer)
+                    }
+                    Some(api::request_op::Request::Range(ask)) => {
+                        let (kvs, more, count) = store.range(&ask, seen)?;
+                        api::response_op::Response::Range(api::RangeResponse {
+                            header: None,
+                            kvs,
+                            more,
+                            count,
+                        })
+                    }
+                    None => continue,
+                };
+                responses.push(api::ResponseOp { response: Some(response) });
+            }
+            Ok::<_, Status>(responses)
+        })?;
+        Ok(api::TxnResponse { header: Some(self.header()), succeeded: true, responses })
+    }
+}
+
+/// One watcher of a stream.
+struct Watcher {
+    ask: api::WatchCreateRequest,
+    /// The revision from which events are still to be sent.
+    next: i64,
+}
+
+type Responses = mpsc::Sender<Result<api::WatchResponse, Status>>;
+
+/// One watch stream, which may hold several watchers.
+struct Watching {
+    inside: Arc<Inside>,
+    watchers: BTreeMap<i64, Watcher>,
+    next_id: i64,
+    responses: Responses,
+}
+
+impl Watching {
+    async fn run(mut self, mut asks: Streaming<api::WatchRequest>) {
+        let mut changed = self.inside.changed.subscribe();
+        loop {
+            changed.borrow_and_update();
+            if self.catch_up().await.is_none() {
+                return;
+            }
+            let ask = tokio::select! {
+                ask = asks.message() => match ask {
+                    Ok(Some(ask)) => ask,
+                    _ => return,
+                },
+                _ = changed.changed() => continue,
+                () = self.responses.closed() => return,
+            };
+            if self.take(ask).await.is_none() {
+                return;
+            }
+        }
+    }
+
+    async fn send(&self, response: api::WatchResponse) -> Option<()> {
+        let response = api::WatchResponse { header: Some(self.inside.header()), ..response };
+        self.responses.send(Ok(response)).await.ok()
+    }
+
+    async fn take(&mut self, ask: api::WatchRequest) -> Option<()> {
+        match ask.request {
+            Some(api::watch_request::Request::Create(ask)) => {
+                self.inside.watches.fetch_add(1, Ordering::Relaxed);
+                let free = ask.watch_id == 0 || self.watchers.contains_key(&ask.watch_id);
+                let watch_id = if free { self.next_id } else { ask.watch_id };
+                self.next_id = self.next_id.max(watch_id) + 1;
+                let next = if ask.start_revision > 0 { ask.start_revision } else { self.inside.seen() + 1 };
+                self.send(api::WatchResponse { watch_id, created: true, ..Default::default() }).await?;
+                self.watchers.insert(watch_id, Watcher { ask, next });
+                Some(())
+            }
+            Some(api::watch_request::Request::Cancel(ask)) => {
+                let watch_id = ask.watch_id;
+                self.watchers.remove(&watch_id);
+                self.send(api::WatchResponse { watch_id, canceled: true, ..Default::default() }).await
+            }
+            Some(api::watch_request::Request::Progress(_)) => {
+                // All watchers have been sent everything by now.
+                self.send(api::WatchResponse { watch_id: -1, ..Default::default() }).await
+            }
+            None => Some(()),
+        }
+    }
+
+    /// Sends each watcher what it has not been sent yet.
+    async fn catch_up(&mut self) -> Option<()> {
+        let ids: Vec<i64> = self.watchers.keys().copied().collect();
+        for watch_id in ids {
+            let seen = self.inside.seen();
+            let watcher = self.watchers.get_mut(&watch_id)?;
+            let (events, compacted) = {
+                let store = self.inside.store();
+                let ask = &watcher.ask;
+                let wanted = |event: &&Event| {
+                    let key = event.kv.as_ref().map_or(&[][..], |kv| &kv.key);
+                    inside(&ask.key, &ask.range_end, key) && !ask.filters.contains(&event.r#type)
+                };
+                let range = watcher.next..=seen.max(watcher.next - 1);
+                let events: Vec<Event> = match watcher.next <= seen {
+                    true => store
+                        .events
+                        .range(range)
+                        .flat_map(|(_, events)| events.iter().filter(wanted))
+                        .cloned()
+                        .collect(),
+                    false => Vec::new(),
+                };
+                (events, (watcher.next <= store.compacted).then_some(store.compacted))
+            };
+            if let Some(compact_revision) = compacted {
+                self.watchers.remove(&watch_id);
+                let cancel_reason = "etcdserver: mvcc: required revision has been compacted".to_owned();
+                let response = api::WatchResponse {
+                    watch_id,
+                    canceled: true,
+                    compact_revision,
+                    cancel_reason,
+                    ..Default::default()
+                };
+                self.send(response).await?;
+                continue;
+            }
+            watcher.next = watcher.next.max(seen + 1);
+            if events.is_empty() {
+                continue;
+            }
+            let (prev_kv, fragment) = (watcher.ask.prev_kv, watcher.ask.fragment);
+            self.send_events(watch_id, events, prev_kv, fragment).await?;
+        }
+        Some(())
+    }
+
+    async fn send_events(
+        &self, watch_id: i64, events: Vec<Event>, prev_kv: bool, fragment: bool,
+    ) -> Option<()> {
+        let mut events = events;
+        if !prev_kv {
+            events.iter_mut().for_each(|event| event.prev_kv = None);
+        }
+        let (at, between) = {
+            let faults = lock(&self.inside.faults);
+            (faults.fragment_at, faults.between_fragments)
+        };
+        let at = if fragment && at > 0 { at } else { events.len() };
+        let mut parts = events.chunks(at).peekable();
+        while let Some(part) = parts.next() {
+            let (events, fragment) = (part.to_vec(), parts.peek().is_some());
+            self.send(api::WatchResponse { watch_id, fragment, events, ..Default::default() }).await?;
+            if fragment {
+                // Time for it to be written before whatever comes next.
+                tokio::time::sleep(between).await;
+                let mut faults = lock(&self.inside.faults);
+                if let Some(left) = &mut faults.cut_after_fragments {
+                    *left = left.saturating_sub(1);
+                    if *left == 0 {
+                        faults.cut_after_fragments = None;
+                        self.inside.cuts.send_modify(|count| *count += 1);
+                        return None;
+                    }
+                }
+            }
+        }
+        Some(())
+    }
+}
+
+enum Call {
+    Range(api::RangeRequest),
+    Put(api::PutRequest),
+    Delete(api::DeleteRangeRequest),
+    Txn(api::TxnRequest),
+    Compact(api::CompactionRequest),
+    Grant(api::LeaseGrantRequest),
+    Revoke(api::LeaseRevokeRequest),
+    TimeToLive(api::LeaseTimeToLiveRequest),
+    Authenticate(api::AuthenticateRequest),
+    Status,
+}
+
+enum Answered {
+    Range(api::RangeResponse),
+    Put(api::PutResponse),
+    Delete(api::DeleteRangeResponse),
+    Txn(api::TxnResponse),
+    Compact(api::CompactionResponse),
+    Grant(api::LeaseGrantResponse),
+    Revoke(api::LeaseRevokeResponse),
+    TimeToLive(api::LeaseTimeToLiveResponse),
+    Authenticate(api::AuthenticateResponse),
+    Status(api::StatusResponse),
+}
+
+/// One unary call: which it is, and how its answer is told from the others.
+struct Unary<A, B>(Arc<Inside>, fn(A) -> Call, fn(Answered) -> Option<B>);
+
+type Boxed<T> = Pin<Box<dyn Future<Output = Result<T, Status>> + Send>>;
+
+impl<A: Send + 'static, B: Send + 'static> UnaryService<A> for Unary<A, B> {
+    type Response = B;
+    type Future = Boxed<tonic::Response<B>>;
+
+    fn call(&mut self, request: tonic::Request<A>) -> Self::Future {
+        let (inside, call, answer) = (Arc::clone(&self.0), self.1, self.2);
+        Box::pin(async move {
+            let (metadata, _, ask) = request.into_parts();
+            let call = call(ask);
+            if !matches!(call, Call::Authenticate(_)) {
+                inside.allow(&metadata)?;
+            }
+            let answered = answer(inside.unary(call).await?);
+            answered.map(tonic::Response::new).ok_or_else(|| Status::internal("another call's answer"))
+        })
+    }
+}
+
+struct Watches(Arc<Inside>);
+
+impl StreamingService<api::WatchRequest> for Watches {
+    type Response = api::WatchResponse;
+    type ResponseStream = ReceiverStream<Result<api::WatchResponse, Status>>;
+    type Future = Boxed<tonic::Response<Self::ResponseStream>>;
+
+    fn call(&mut self, request: tonic::Request<Streaming<api::WatchRequest>>) -> Self::Future {
+        let inside = Arc::clone(&self.0);
+        Box::pin(async move {
+            inside.allow(request.metadata())?;
+            let (responses, stream) = mpsc::channel(WAITING_MOST);
+            let watching = Watching { inside, watchers: BTreeMap::new(), next_id: 0, responses };
+            tokio::spawn(watching.run(request.into_inner()));
+            Ok(tonic::Response::new(ReceiverStream::new(stream)))
+        })
+    }
+}
+
+struct KeepAlives(Arc<Inside>);
+
+impl StreamingService<api::LeaseKeepAliveRequest> for KeepAlives {
+    type Response = api::LeaseKeepAliveResponse;
+    type ResponseStream = ReceiverStream<Result<api::LeaseKeepAliveResponse, Status>>;
+    type Future = Boxed<tonic::Response<Self::ResponseStream>>;
+
+    fn call(&mut self, request: tonic::Request<Streaming<api::LeaseKeepAliveRequest>>) -> Self::Future {
+        let inside = Arc::clone(&self.0);
+        Box::pin(async move {
+            inside.allow(request.metadata())?;
+            let (responses, stream) = mpsc::channel(WAITING_MOST);
+            let mut asks = request.into_inner();
+            tokio::spawn(async move {
+                while let Ok(Some(ask)) = asks.message().await {
+                    let ttl = {
+                        let mut store = inside.store();
+                        store.leases.get_mut(&ask.id).map_or(0, |lease| {
+                            lease.until = Instant::now() + Duration::from_secs(lease.ttl.max(1) as u64);
+                            lease.ttl
+                        })
+                    };
+                    let header = Some(inside.header());
+                    let response = api::LeaseKeepAliveResponse { header, id: ask.id, ttl };
+                    if responses.send(Ok(response)).await.is_err() {
+                        return;
+                    }
+                }
+            });
+            Ok(tonic::Response::new(ReceiverStream::new(stream)))
+        })
+    }
+}
+
+/// All calls of one connection.
+#[derive(Clone)]
+struct Api(Arc<Inside>);
+
+macro_rules! unary {
+    ($inside:expr, $request:expr, $variant:ident, $call:expr) => {{
+        let service = Unary($inside, $call, |answered| match answered {
+            Answered::$variant(answer) => Some(answer),
+            _ => None,
+        });
+        Grpc::new(ProstCodec::default()).unary(service, $request).await
+    }};
+}
+
+impl tower::Service<Request<hyper::body::Incoming>> for Api {
+    type Response = Response<Body>;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Response<Body>, Infallible>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<hyper::body::Incoming>) -> Self::Future {
+        let inside = Arc::clone(&self.0);
+        Box::pin(async move {
+            let called = request.uri().path().to_owned();
+            Ok(match &called[..] {
+                path::RANGE => unary!(inside, request, Range, Call::Range),
+                path::PUT => unary!(inside, request, Put, Call::Put),
+                path::DELETE_RANGE => unary!(inside, request, Delete, Call::Delete),
+                path::TXN => unary!(inside, request, Txn, Call::Txn),
+                path::COMPACT => unary!(inside, request, Compact, Call::Compact),
+                path::LEASE_GRANT => unary!(inside, request, Grant, Call::Grant),
+                path::LEASE_REVOKE => unary!(inside, request, Revoke, Call::Revoke),
+                path::LEASE_TIME_TO_LIVE => unary!(inside, request, TimeToLive, Call::TimeToLive),
+                path::AUTHENTICATE => unary!(inside, request, Authenticate, Call::Authenticate),
+                path::STATUS => unary!(inside, request, Status, |_: api::StatusRequest| Call::Status),
+                path::WATCH => Grpc::new(ProstCodec::default()).streaming(Watches(inside), request).await,
+                path::LEASE_KEEP_ALIVE => {
+                    Grpc::new(ProstCodec::default()).streaming(KeepAlives(inside), request).await
+                }
+                _ => Status::unimplemented(called).into_http(),
+            })
+        })
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 pub mod discovery;
+pub mod etcd;
 pub mod ledger;
 pub mod load;
 pub mod peers;
