--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -92,7 +92,8 @@
             "tries": verdict.tries, "served": verdict.served, "refused": verdict.refused, "failed": verdict.failed,
             "killed": verdict.killed, "paused": verdict.paused, "not_taken": verdict.not_taken, "lost": verdict.lost,
             "attempts": verdict.attempts, "after_drain": verdict.after_drain,
-            "after_drain_most_ms": verdict.after_drain_most_ms, "effects": verdict.effects,
+            "after_drain_most_ms": verdict.after_drain_most_ms, "drains": verdict.drains,
+            "drain_median_ms": verdict.drain_median_ms, "effects": verdict.effects,
             "keys_repeated": verdict.keys_repeated, "cold_worst": verdict.cold_worst,
             "beyond_quota": verdict.beyond_quota, "ceiling_over_most": verdict.ceiling_over_most,
             "unasked": verdict.unasked, "breaches": breaches, "faults": self.faults,
@@ -136,8 +137,8 @@
         )?;
         writeln!(
             f,
-            "attempts {}; keyed effects {}, keys with more than one {}; to draining servers {} (latest {:.0} ms)",
-            verdict.attempts, verdict.effects, verdict.keys_repeated, verdict.after_drain, verdict.after_drain_most_ms
+            "attempts {}; keyed effects {}, keys with more than one {}; drains told {}: {} attempts after that, latest {:.1} ms, median of drains {:.1} ms",
+            verdict.attempts, verdict.effects, verdict.keys_repeated, verdict.drains, verdict.after_drain, verdict.after_drain_most_ms, verdict.drain_median_ms
         )?;
         writeln!(
             f,
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -3,10 +3,11 @@
 use crate::instance::Instance;
 use crate::manager::Manager;
 use crate::report::{Report, Row};
-use crate::scenario::{Deed, Scenario, Step};
+use crate::scenario::{Deed, Roster, Scenario, Step};
 use anyhow::{Context, Result};
 use nix::sys::signal::Signal;
 use saffronpaddle_standins::discovery::{Discovery, Entry};
+use saffronpaddle_standins::etcd::Etcd;
 use saffronpaddle_standins::load::{Customer, Front};
 use saffronpaddle_standins::peers::Network;
 use saffronpaddle_standins::servers::{AppServer, Spec};
@@ -55,9 +56,39 @@
     network: Arc<Network>,
     front: Arc<Front>,
     instances: Vec<Arc<Instance>>,
+    roster: Lists,
     scenario: Scenario,
 }
 
+/// Where changes of the list of app servers are written.
+#[derive(Clone)]
+struct Lists {
+    world: Arc<World>,
+    discovery: Arc<Discovery>,
+    etcd: Option<Etcd>,
+    instances: usize,
+}
+
+/// What servers' keys begin with.
+const PREFIX: &str = "/saffronpaddle/servers/";
+
+impl Lists {
+    fn change(&self, entry: Entry) {
+        if let Some(etcd) = &self.etcd {
+            let key = format!("{PREFIX}{}", entry.host);
+            // Told to all from the write of the event on, whatever befalls their connections.
+            for node in 0..self.instances {
+                self.world.ledger().told(self.world.now(), node, &entry.host, entry.health == "ready");
+            }
+            match entry.health {
+                "gone" => _ = etcd.delete(&key),
+                _ => _ = etcd.put(&key, &entry.value()),
+            }
+        }
+        self.discovery.change(vec![entry]);
+    }
+}
+
 /// Plays a scenario to its end.
 ///
 /// # Errors
@@ -124,7 +155,24 @@
         let datagrams = held.iter().map(UdpSocket::local_addr).collect::<std::io::Result<Vec<_>>>()?;
         let network = Network::start(datagrams.clone()).await.context("the network between instances")?;
         drop(held);
-        std::fs::write(options.folder.join("operator.toml"), &options.operator)?;
+        let mut operator = options.operator.clone();
+        let etcd = match scenario.roster {
+            Roster::Discovery => None,
+            _ => Some(Etcd::start(scenario.members).await.context("the etcd cluster")?),
+        };
+        if let Some(etcd) = &etcd {
+            let endpoints: Vec<String> =
+                etcd.endpoints().iter().map(|address| format!("\"{address}\"")).collect();
+            let instead = scenario.roster == Roster::Etcd;
+            operator.push_str(&format!(
+                "\n[etcd]\nendpoints = [{}]\ninstead = {instead}\nprobe_every_ms = 200\nsilent_after_ms = 800\n",
+                endpoints.join(", ")
+            ));
+            servers.iter().filter_map(|server| discovery.entry(server.name())).for_each(|entry| {
+                etcd.put(&format!("{PREFIX}{}", entry.host), &entry.value());
+            });
+        }
+        std::fs::write(options.folder.join("operator.toml"), operator)?;
         // Several runs of one process must not share their managers' names.
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let mut instances = Vec::new();
@@ -153,7 +201,13 @@
         }
         let addresses: Vec<SocketAddr> = instances.iter().map(|instance| instance.address).collect();
         let front = Front::new(Arc::clone(&world), fleet, &addresses, options.seed);
-        Ok(Rig { world, discovery, servers, network, front, instances, scenario })
+        let roster = Lists {
+            world: Arc::clone(&world),
+            discovery: Arc::clone(&discovery),
+            etcd,
+            instances: scenario.instances,
+        };
+        Ok(Rig { world, discovery, servers, network, front, instances, roster, scenario })
     }
 
     /// Starts all instances and waits until the front takes all of them for ready.
@@ -226,7 +280,8 @@
     /// What one step does, by itself.
     fn deed(&self, step: &Step) -> impl std::future::Future<Output = ()> + Send + 'static {
         let (world, discovery) = (Arc::clone(&self.world), Arc::clone(&self.discovery));
-        let (network, front) = (Arc::clone(&self.network), Arc::clone(&self.front));
+        let (network, front, roster) =
+            (Arc::clone(&self.network), Arc::clone(&self.front), self.roster.clone());
         let (instances, servers) = (self.instances.clone(), self.servers.clone());
         let (within, lateness) = (self.scenario.ready_within, self.scenario.lateness);
         let deed = step.deed.clone();
@@ -275,11 +330,25 @@
                     network.set(|faults| _ = faults.cut.remove(&who));
                 }
                 Deed::Drain(who, lasts) => {
-                    list(&discovery, &servers[who], "draining", None);
+                    list(&roster, &servers[who], "draining", None);
                     sleep(lateness + DRAINS_FOR).await;
-                    crash(&world, &discovery, &servers[who], lasts).await;
+                    crash(&world, &roster, &servers[who], lasts).await;
+                }
+                Deed::Flip(who, lasts) => {
+                    list(&roster, &servers[who], "draining", None);
+                    sleep(lasts).await;
+                    list(&roster, &servers[who], "ready", None);
+                }
+                Deed::Crash(who, lasts) => crash(&world, &roster, &servers[who], lasts).await,
+                Deed::Etcdcut(who) => roster.etcd.iter().for_each(|etcd| etcd.members[who].cut()),
+                Deed::Etcdfreeze(who, lasts) => {
+                    let members = roster.etcd.iter().map(|etcd| etcd.members[who].clone());
+                    let members: Vec<_> = members.collect();
+                    members.iter().for_each(|member| member.set(|faults| faults.frozen = true));
+                    sleep(lasts).await;
+                    members.iter().for_each(|member| member.set(|faults| faults.frozen = false));
                 }
-                Deed::Crash(who, lasts) => crash(&world, &discovery, &servers[who], lasts).await,
+                Deed::Etcdcompact => roster.etcd.iter().for_each(|etcd| etcd.compact(etcd.revision())),
                 Deed::Silent(who, lasts) => {
                     servers[who].set(|temper| temper.silent = true);
                     sleep(lasts).await;
@@ -306,19 +375,19 @@
     }
 }
 
-fn list(discovery: &Discovery, server: &AppServer, health: &'static str, born_ms: Option<u64>) {
-    if let Some(entry) = discovery.entry(server.name()) {
+fn list(roster: &Lists, server: &AppServer, health: &'static str, born_ms: Option<u64>) {
+    if let Some(entry) = roster.discovery.entry(server.name()) {
         let born_ms = born_ms.unwrap_or(entry.born_ms);
-        discovery.change(vec![Entry { health, born_ms, ..entry }]);
+        roster.change(Entry { health, born_ms, ..entry });
     }
 }
 
-async fn crash(world: &World, discovery: &Discovery, server: &AppServer, lasts: Duration) {
+async fn crash(world: &World, roster: &Lists, server: &AppServer, lasts: Duration) {
     server.kill();
-    list(discovery, server, "gone", None);
+    list(roster, server, "gone", None);
     sleep(lasts).await;
     match server.start_cold() {
-        Ok(()) => list(discovery, server, "ready", Some(world.unix_ms())),
+        Ok(()) => list(roster, server, "ready", Some(world.unix_ms())),
         Err(error) => eprintln!("{} does not start: {error}", server.name()),
     }
 }
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -24,6 +24,8 @@
     Cut(usize, Duration),
     /// An app server drains, then its process ends, and it starts anew and cold after a while.
     Drain(usize, Duration),
+    /// An app server is listed as draining for a while, and then as ready again.
+    Flip(usize, Duration),
     /// An app server dies and starts anew, cold, after a while.
     Crash(usize, Duration),
     /// An app server takes requests and answers none for a while.
@@ -32,6 +34,12 @@
     Slow(f64, Duration),
     /// Discovery is silent for a while.
     Undiscovered(Duration),
+    /// A member of the etcd cluster cuts all its connections.
+    Etcdcut(usize),
+    /// One stands still for a while.
+    Etcdfreeze(usize, Duration),
+    /// The cluster drops all its history.
+    Etcdcompact,
 }
 
 /// A deed and its time, counted from when the fleet is up.
@@ -43,6 +51,29 @@
     pub deed: Deed,
 }
 
+/// Where instances learn of app servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Roster {
+    /// From the platform's discovery.
+    #[default]
+    Discovery,
+    /// From etcd alone.
+    Etcd,
+    /// From both.
+    Both,
+}
+
+impl Roster {
+    fn read(text: &str) -> Option<Roster> {
+        match text {
+            "discovery" => Some(Roster::Discovery),
+            "etcd" => Some(Roster::Etcd),
+            "both" => Some(Roster::Both),
+            _ => None,
+        }
+    }
+}
+
 /// A scenario, drawn.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Scenario {
@@ -66,6 +97,10 @@
     pub cold: bool,
     /// How late discovery tells of changes.
     pub lateness: Duration,
+    /// Where instances learn of app servers.
+    pub roster: Roster,
+    /// Members of the etcd cluster, where there is one.
+    pub members: usize,
     /// Whether listeners are kept by the rig and handed over.
     pub handed_over: bool,
     /// An instance that does not become ready by then has failed.
@@ -75,7 +110,7 @@
 }
 
 /// What a step may be, by name: whom it is about, and whether it lasts.
-const DEEDS: [(&str, Whom, bool); 12] = [
+const DEEDS: [(&str, Whom, bool); 16] = [
     ("start", Whom::Instance, false),
     ("reload", Whom::Instance, false),
     ("restart", Whom::Instance, false),
@@ -84,16 +119,21 @@
     ("peers", Whom::All, false),
     ("cut", Whom::Instance, true),
     ("drain", Whom::Server, true),
+    ("flip", Whom::Server, true),
     ("crash", Whom::Server, true),
     ("silent", Whom::Server, true),
     ("slow", Whom::All, true),
     ("undiscovered", Whom::All, true),
+    ("etcd-cut", Whom::Member, false),
+    ("etcd-freeze", Whom::Member, true),
+    ("etcd-compact", Whom::All, false),
 ];
 
 #[derive(Clone, Copy, PartialEq)]
 enum Whom {
     Instance,
     Server,
+    Member,
     All,
 }
 
@@ -121,6 +161,8 @@
             cores: file.number("cores", 0, 0..=1000) as usize,
             cold: file.flag("cold", false),
             lateness: file.span_ms("lateness_ms", 500, 0..=10_000),
+            roster: file.parsed("roster", "discovery, etcd or both", Roster::read).unwrap_or_default(),
+            members: file.number("members", 3, 1..=9) as usize,
             handed_over: file.flag("handed_over", true),
             ready_within: file.span_ms("ready_within_ms", 30_000, 1000..=600_000),
             steps: Vec::new(),
@@ -176,6 +218,7 @@
         let all = match whom {
             Whom::Instance => self.instances,
             Whom::Server => self.servers,
+            Whom::Member => self.members,
             Whom::All => 1,
         };
         if fixed.is_some_and(|who| who >= all) {
@@ -200,9 +243,13 @@
                     "peers" => Deed::Peers(loss, delay),
                     "cut" => Deed::Cut(who, lasts),
                     "drain" => Deed::Drain(who, lasts),
+                    "flip" => Deed::Flip(who, lasts),
                     "crash" => Deed::Crash(who, lasts),
                     "silent" => Deed::Silent(who, lasts),
                     "slow" => Deed::Slow(times, lasts),
+                    "etcd-cut" => Deed::Etcdcut(who),
+                    "etcd-freeze" => Deed::Etcdfreeze(who, lasts),
+                    "etcd-compact" => Deed::Etcdcompact,
                     _ => Deed::Undiscovered(lasts),
                 };
                 self.steps.push(Step { at: begin + gap * place as u32, deed });
@@ -217,12 +264,14 @@
 }
 
 /// The scenarios that come with the program, by name.
-pub const SHIPPED: [(&str, &str); 5] = [
+pub const SHIPPED: [(&str, &str); 7] = [
     ("thirty", include_str!("../scenarios/thirty.toml")),
     ("short", include_str!("../scenarios/short.toml")),
     ("forty-cold", include_str!("../scenarios/forty-cold.toml")),
     ("calm", include_str!("../scenarios/calm.toml")),
     ("drains", include_str!("../scenarios/drains.toml")),
+    ("etcd", include_str!("../scenarios/etcd.toml")),
+    ("flips", include_str!("../scenarios/flips.toml")),
 ];
 
 #[cfg(test)]
--- a/crates/saffronpaddle/src/fleet.rs
+++ b/crates/saffronpaddle/src/fleet.rs
@@ -10,7 +10,7 @@
 
 pub fn fleet(mut arguments: lexopt::Parser) -> Result<ExitCode> {
     let (mut named, mut seed, mut json, mut keep) = (None, 1, None, None);
-    let (mut instances, mut rate, mut seconds) = (None, None, None);
+    let (mut instances, mut rate, mut seconds, mut roster) = (None, None, None, None);
     while let Some(argument) = arguments.next()? {
         match argument {
             Value(name) if named.is_none() => named = Some(name.to_string_lossy().into_owned()),
@@ -19,6 +19,7 @@
             Long("keep") => keep = Some(PathBuf::from(arguments.value()?)),
             Long("instances") => instances = Some(arguments.value()?.parse::<usize>()?),
             Long("rate") => rate = Some(arguments.value()?.parse::<f64>()?),
+            Long("roster") => roster = Some(arguments.value()?.parse::<String>()?),
             Long("seconds") => seconds = Some(arguments.value()?.parse::<u64>()?),
             other => return Err(other.unexpected().into()),
         }
@@ -34,6 +35,7 @@
     for (key, value) in [
         ("instances", instances.map(|value| value.to_string())),
         ("rate", rate.map(|value| format!("{value:?}"))),
+        ("roster", roster.map(|value| format!("{value:?}"))),
         ("duration_ms", seconds.map(|value| (value * 1000).to_string())),
     ] {
         let Some(value) = value else { continue };
--- a/crates/saffronpaddle/src/main.rs
+++ b/crates/saffronpaddle/src/main.rs
@@ -20,8 +20,8 @@
   saffronpaddle demo [--listen ADDRESS]   one edge node before stand-in app servers on loopback, nothing to set up
   saffronpaddle fleet SCENARIO            plays a scenario on real instances before stand-ins, all on loopback;
         [--seed N] [--json FILE]          a file, or the name of one that comes with the program:
-        [--instances N] [--rate N]        thirty, short, forty-cold, calm, drains
-        [--seconds N] [--keep FOLDER]
+        [--instances N] [--rate N]        thirty, short, forty-cold, calm, drains, etcd, flips
+        [--seconds N] [--keep FOLDER]   [--roster] reads from discovery, etcd or both, whatever the scenario says
   saffronpaddle --help | --version
 ";
 
--- /dev/null
+++ b/crates/saffronpaddle/tests/etcd.rs
@@ -0,0 +1,182 @@
+//! An edge node whose roster comes from etcd, before a stand-in cluster and scripted app servers.
+
+use saffronpaddle_fleet::{play, Options, Report, Scenario};
+use saffronpaddle_standins::etcd::Etcd;
+use saffronpaddle_standins::scripted::*;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+
+const PREFIX: &str = "/saffronpaddle/servers/";
+
+struct File(PathBuf);
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// An operator file that follows these members.
+fn operator(tag: &str, endpoints: &[SocketAddr], more: &str) -> File {
+    let path = std::env::temp_dir().join(format!("saffronpaddle-{}-{tag}.toml", std::process::id()));
+    let endpoints: Vec<String> = endpoints.iter().map(|address| format!("\"{address}\"")).collect();
+    let text = format!(
+        "[ready]\npeers_within_ms = 1\nlist_within_ms = 600000\n[etcd]\nendpoints = [{}]\nprobe_every_ms = 100\n\
+         silent_after_ms = 500\n{more}\n",
+        endpoints.join(", ")
+    );
+    std::fs::write(&path, text).expect("it is written");
+    File(path)
+}
+
+fn value(dial: SocketAddr, health: &str) -> String {
+    format!(
+        r#"{{"dial":"{dial}","site":"a","class":"k","block":1,"health":"{health}","share":1.0,"born_ms":1}}"#
+    )
+}
+
+fn key(host: &str) -> String {
+    format!("{PREFIX}{host}")
+}
+
+fn cluster(members: usize) -> (Runtime, Etcd) {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = runtime.expect("a runtime");
+    let etcd = runtime.block_on(Etcd::start(members)).expect("a cluster");
+    (runtime, etcd)
+}
+
+fn node(tag: &str, discovery: SocketAddr, hosts: &[String], file: &File) -> Node {
+    Node::launch(tag, discovery, hosts, 1024, |command| {
+        command.arg("run").arg("--operator").arg(&file.0);
+    })
+}
+
+/// Asks until an answer comes from this server, and from it alone so many times.
+fn until_only(client: &mut Client, servers: &Servers, name: &str, tag: &str) {
+    let (begun, mut row, mut number) = (Instant::now(), 0, 0);
+    while row < 12 {
+        number += 1;
+        let answer = client.ask(&request(&format!("{tag}{number}"), "read", "20000m"));
+        if answer.status() != 200 {
+            assert!(begun.elapsed() < PATIENCE, "only {name}: {}", answer.start);
+            std::thread::sleep(Duration::from_millis(5));
+            continue;
+        }
+        row = if servers.next().server == name { row + 1 } else { 0 };
+        assert!(begun.elapsed() < PATIENCE, "only {name}");
+    }
+}
+
+#[test]
+fn a_node_follows_etcd_instead_of_discovery() {
+    let (_runtime, etcd) = cluster(2);
+    let (servers, silent) = (Servers::new(), Discovery::start());
+    let (one, two) = (servers.start("s-1", &[SERVES]), servers.start("s-2", &[SERVES]));
+    etcd.put(&key("s-1"), &value(one, "ready"));
+    let file = operator("instead", &etcd.endpoints(), "instead = true");
+    let node = node("instead", silent.address, &[], &file);
+    let mut client = node.client();
+    until_only(&mut client, &servers, "s-1", "a");
+    assert_eq!(client.ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200, "etcd has told a list");
+    etcd.put(&key("s-2"), &value(two, "ready"));
+    etcd.put(&key("s-1"), &value(one, "draining"));
+    until_only(&mut client, &servers, "s-2", "b");
+    // Compacted past, with a removal in the gap, and every member cut.
+    etcd.members.iter().for_each(|member| member.set(|faults| faults.refuses = true));
+    etcd.members.iter().for_each(|member| member.cut());
+    etcd.put(&key("s-1"), &value(one, "ready"));
+    etcd.compact(etcd.delete(&key("s-2")));
+    etcd.members.iter().for_each(|member| member.set(|faults| faults.refuses = false));
+    until_only(&mut client, &servers, "s-1", "c");
+}
+
+/// Discovery and etcd contradict each other: the more careful one is believed, whichever it is.
+#[test]
+fn of_two_sources_that_contradict_each_other_the_more_careful_is_followed() {
+    let (_runtime, etcd) = cluster(1);
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let (one, two) = (servers.start("s-1", &[SERVES]), servers.start("s-2", &[SERVES]));
+    etcd.put_all(&[(&key("s-1"), Some(&value(one, "ready"))), (&key("s-2"), Some(&value(two, "ready")))]);
+    let file = operator("both", &etcd.endpoints(), "");
+    let hosts = [host("s-1", one, 1, "ready"), host("s-2", two, 1, "ready")];
+    let node = node("both", discovery.address, &hosts, &file);
+    let (_, mut watch) = discovery.watch();
+    let mut client = node.client();
+    // Discovery drains one that etcd has as ready.
+    write_list(&mut watch, &list(2, false, &[host("s-1", one, 1, "draining")]));
+    until_only(&mut client, &servers, "s-2", "a");
+    // Etcd drains the other, and discovery takes its word back.
+    write_list(&mut watch, &list(3, false, &[host("s-1", one, 1, "ready")]));
+    etcd.put(&key("s-2"), &value(two, "draining"));
+    until_only(&mut client, &servers, "s-1", "b");
+    // Removed in etcd, ready in discovery.
+    etcd.put(&key("s-2"), &value(two, "ready"));
+    etcd.delete(&key("s-1"));
+    until_only(&mut client, &servers, "s-2", "c");
+}
+
+/// Ten thousand changes of other servers come while requests flow: each is answered, and a drain behind them is kept.
+#[test]
+fn an_event_storm_holds_up_no_request() {
+    let (_runtime, etcd) = cluster(1);
+    let (servers, silent) = (Servers::new(), Discovery::start());
+    let (one, two) = (servers.start("s-1", &[SERVES]), servers.start("s-2", &[SERVES]));
+    etcd.put_all(&[(&key("s-1"), Some(&value(one, "ready"))), (&key("s-2"), Some(&value(two, "ready")))]);
+    let file = operator("storm", &etcd.endpoints(), "instead = true");
+    let node = node("storm", silent.address, &[], &file);
+    let mut client = node.client();
+    let begun = Instant::now();
+    while client.ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status() != 200 {
+        assert!(begun.elapsed() < PATIENCE, "never ready");
+    }
+    let writer = etcd.clone();
+    let storm = std::thread::spawn(move || {
+        for number in 0..10_000 {
+            // They are known and drain at once: nothing goes to them.
+            writer.put(&key(&format!("x-{}", number % 1000)), &value(one, "draining"));
+        }
+    });
+    let (mut during, mut after) = (0, 0);
+    while after < 20 {
+        let answer = client.ask(&request(&format!("r{during}-{after}"), "read", "20000m"));
+        assert_eq!(answer.status(), 200, "{during} and {after}");
+        servers.next();
+        if storm.is_finished() {
+            after += 1
+        } else {
+            during += 1
+        }
+    }
+    storm.join().expect("it ends");
+    etcd.put(&key("s-1"), &value(one, "draining"));
+    until_only(&mut client, &servers, "s-2", "d");
+}
+
+fn fleet(tag: &str, text: &str) -> Report {
+    let scenario = Scenario::parse(text, 1).expect("a good scenario");
+    let folder = std::env::temp_dir().join(format!("saffronpaddle-{}-{tag}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let options =
+        Options { program: program(), seed: 1, folder: folder.clone(), operator: String::new(), say: false };
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
+    let report = runtime.block_on(play(scenario, &options)).expect("it is played");
+    runtime.shutdown_timeout(Duration::from_secs(1));
+    let _ = std::fs::remove_dir_all(folder);
+    report
+}
+
+/// Drains are told through etcd alone while its members cut their connections: from the write of the event on, 250 ms.
+#[test]
+fn no_new_work_reaches_a_drained_server_after_its_grace_across_forced_reconnects() {
+    let text =
+        "name = \"drained\"\ninstances = 2\nservers = 6\ncustomers = 48\nrate = 120\nduration_ms = 9000\n\
+                roster = \"etcd\"\nmembers = 3\n\
+                [[step]]\ndo = \"flip\"\nat_ms = 500\nevery_ms = 300\nfor_ms = 900\n\
+                [[step]]\ndo = \"etcd-cut\"\nat_ms = 490\nevery_ms = 600\ncount = 3\n";
+    let report = fleet("drained", text);
+    assert!(report.good(), "{report}");
+    assert!(report.verdict.drains > 20 && report.verdict.served * 2 > report.verdict.tries, "{report}");
+}
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -33,6 +33,11 @@
 }
 
 impl Entry {
+    /// As it is written under an etcd key.
+    pub fn value(&self) -> String {
+        self.json().to_string()
+    }
+
     fn json(&self) -> serde_json::Value {
         json!({
             "host": self.host, "dial": self.dial.to_string(), "site": self.site, "class": "k",
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -200,8 +200,10 @@
     keys: Keys,
     /// By key: how many of its effects took place in all groups.
     effects: HashMap<String, u32>,
-    /// When a node was last told that a server drains or is gone.
-    told: HashMap<(usize, String), Duration>,
+    /// When a node was last told that a server drains or is gone, and how late the latest new work reached it after that.
+    told: HashMap<(usize, String), (Duration, Duration)>,
+    /// The same of drains that are over.
+    drains: Vec<Duration>,
     ceilings: BTreeMap<u64, Limit>,
     quotas: BTreeMap<u64, Limit>,
     cold: BTreeMap<String, Cold>,
@@ -238,6 +240,11 @@
     pub after_drain: u64,
     /// The latest of them.
     pub after_drain_most_ms: f64,
+    /// Drains that nodes were told, each counted once a node, and the median over them of how late the latest new work
+    /// came, in ms; nought where none came.
+    pub drains: u64,
+    /// See there.
+    pub drain_median_ms: f64,
     /// Effects of keyed requests that took place, and keys with more than one over all groups (a client that retried
     /// what had failed may cause these; they break no rule).
     pub effects: u64,
@@ -264,6 +271,7 @@
             keys: HashMap::new(),
             effects: HashMap::new(),
             told: HashMap::new(),
+            drains: Vec::new(),
             ceilings: BTreeMap::new(),
             quotas: BTreeMap::new(),
             cold: BTreeMap::new(),
@@ -336,9 +344,9 @@
     pub fn told(&mut self, now: Duration, node: usize, server: &str, ready: bool) {
         let place = (node, server.to_owned());
         if ready {
-            self.told.remove(&place);
+            self.drains.extend(self.told.remove(&place).map(|(_, latest)| latest));
         } else {
-            self.told.entry(place).or_insert(now);
+            self.told.entry(place).or_insert((now, Duration::ZERO));
         }
     }
 
@@ -379,8 +387,9 @@
             // The end of the earlier one may be on its way; it clears this if it comes at once.
             entry.beside = Some(now);
         }
-        if let Some(told) = self.told.get(&(entry.asked.node, server.to_owned())) {
+        if let Some((told, latest)) = self.told.get_mut(&(entry.asked.node, server.to_owned())) {
             if let Some(late) = first.checked_sub(*told) {
+                *latest = late.max(*latest);
                 self.after_drain += 1;
                 self.late_sends.push(late);
                 if late > bounds.drain_grace + bounds.slack {
@@ -473,8 +482,8 @@
 
     /// A node that stood still goes on: what was written to it meanwhile counts as told now.
     pub fn resumed(&mut self, now: Duration, node: usize, stopped: Duration) {
-        let of = self.told.iter_mut().filter(|((other, _), at)| *other == node && **at >= stopped);
-        of.for_each(|(_, at)| *at = now);
+        let of = self.told.iter_mut().filter(|((other, _), (at, _))| *other == node && *at >= stopped);
+        of.for_each(|(_, (at, _))| *at = now);
     }
 
     /// Tries that have no end yet.
@@ -506,6 +515,9 @@
             }
         }
         breaches.sort();
+        let mut drains: Vec<Duration> = self.told.values().map(|(_, latest)| *latest).collect();
+        drains.extend(&self.drains);
+        drains.sort();
         let sent: f64 =
             self.tries.values().filter(|entry| entry.attempts > 0).map(|entry| entry.asked.units).sum();
         let beyond: f64 = self.quotas.values().map(|quota| quota.beyond).sum();
@@ -521,6 +533,8 @@
             lost: unanswered[Unanswered::Lost as usize],
             attempts: self.tries.values().map(|entry| u64::from(entry.attempts)).sum(),
             after_drain: self.after_drain,
+            drains: drains.len() as u64,
+            drain_median_ms: drains.get(drains.len() / 2).map_or(0.0, |late| late.as_secs_f64() * 1e3),
             after_drain_most_ms: self.late_sends.iter().max().map_or(0.0, |late| late.as_secs_f64() * 1e3),
             effects: self.effects.values().map(|count| u64::from(*count)).sum(),
             keys_repeated: self.effects.values().filter(|count| **count > 1).count() as u64,
