Measure the roster through etcd: first list, memory and CPU at ten thousand hosts

Need: what following etcd costs, as a command in the repository. Change: saffronpaddle-bench roster.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 mod idle;
 mod process;
 mod relay;
+mod roster;
 mod size;
 
 use anyhow::{bail, Result};
@@ -20,6 +21,8 @@
         time from exec to the first answer, and memory of an idle instance
   size [--seconds N]
         peer traffic and CPU of fleets of 3, 10 and 30 instances
+  roster [--hosts N] [--changes N] [--seconds N]
+        a roster in etcd: time to the whole list, memory and CPU at so many changes a second
   relay LISTEN SERVER...
         the bare hyper relay itself
 ";
@@ -33,6 +36,7 @@
     match &*job.to_string_lossy() {
         "cost" => cost::measure(arguments),
         "idle" => idle::measure(arguments),
+        "roster" => roster::measure(arguments),
         "size" => size::measure(arguments),
         "relay" => relay::serve(arguments),
         other => bail!("unknown job {other:?}\n{USAGE}"),
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -26,6 +26,14 @@
         text.split(' ').next().and_then(|word| word.parse().ok()).context("schedstat")
     }
 
+    /// CPU seconds of all its threads, in the machine's ticks of 10 ms (`proc(5)`, `stat`).
+    pub fn spent_all(&self) -> Result<f64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        let fields = text.rsplit_once(')').context("stat")?.1.split_whitespace().skip(11);
+        let ticks: Vec<f64> = fields.take(2).filter_map(|field| field.parse().ok()).collect();
+        Ok(ticks.iter().sum::<f64>() / 100.0)
+    }
+
     /// Memory in use, in bytes.
     pub fn memory(&self) -> Result<u64> {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
@@ -59,6 +67,19 @@
 
 /// Starts one node that knows these servers.
 pub fn node(program: &Path, fleet: &Fleet, discovery: SocketAddr, known: &str) -> Result<Measured> {
+    start(program, fleet, discovery, Some(known), None)
+}
+
+/// Starts one node with an operator file, which knows no servers.
+pub fn operated(
+    program: &Path, fleet: &Fleet, discovery: SocketAddr, operator: Option<&Path>,
+) -> Result<Measured> {
+    start(program, fleet, discovery, None, operator)
+}
+
+fn start(
+    program: &Path, fleet: &Fleet, discovery: SocketAddr, known: Option<&str>, operator: Option<&Path>,
+) -> Result<Measured> {
     let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
     let datagrams = UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
     let places = Places {
@@ -70,10 +91,11 @@
         sockets: 4096,
         memory_mb: 192,
     };
-    let text = configuration(&places, &fleet.settings(0), Some(known), 1);
+    let text = configuration(&places, &fleet.settings(0), known, 1);
     let path = std::env::temp_dir().join(format!("saffronpaddle-bench-{}.json", address.port()));
     std::fs::write(&path, text)?;
     let mut command = Command::new(program);
+    operator.iter().for_each(|file| _ = command.arg("run").arg("--operator").arg(file));
     command.env("LB_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
     let child = command.spawn().context("the node")?;
     Ok(Measured { child, address, config: Some(path) })
--- /dev/null
+++ b/crates/bench/src/roster.rs
@@ -0,0 +1,84 @@
+//! The roster through etcd: time to the first whole list, memory and CPU with ten thousand hosts at a hundred changes a
+//! second, and how long each change takes from its write to the follower's taker.
+
+use crate::process;
+use anyhow::{ensure, Context, Result};
+use lexopt::prelude::*;
+use saffronpaddle_standins::discovery::Discovery;
+use saffronpaddle_standins::etcd::Etcd;
+use saffronpaddle_standins::ledger::Bounds;
+use saffronpaddle_standins::wire::Wire;
+use saffronpaddle_standins::World;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+pub fn measure(mut arguments: lexopt::Parser) -> Result<()> {
+    let (mut hosts, mut changes_s, mut seconds) = (10_000_usize, 100_u32, 10_u32);
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Long("hosts") => hosts = arguments.value()?.parse()?,
+            Long("changes") => changes_s = arguments.value()?.parse::<u32>()?.max(1),
+            Long("seconds") => seconds = arguments.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    runtime.block_on(async {
+        let world = World::begin(Bounds::default());
+        let discovery = Discovery::new(Arc::clone(&world));
+        let etcd = Etcd::start(3).await?;
+        let key = |number: usize| format!("/saffronpaddle/servers/s-{number}");
+        let value = |number: usize, health: &str| {
+            let dial = format!("127.1.{}.{}:9", number / 250 % 250, number % 250 + 1);
+            format!(r#"{{"dial":"{dial}","site":"north","block":{},"health":"{health}","born_ms":1}}"#, number / 3)
+        };
+        for number in 0..hosts {
+            etcd.put(&key(number), &value(number, "ready"));
+        }
+        let endpoints: Vec<String> = etcd.endpoints().iter().map(|address| format!("\"{address}\"")).collect();
+        let file = std::env::temp_dir().join(format!("saffronpaddle-roster-{}.toml", std::process::id()));
+        std::fs::write(
+            &file,
+            format!(
+                "[ready]\nlist_within_ms = 600000\npeers_within_ms = 0\n[etcd]\ninstead = true\nendpoints = [{}]\n",
+                endpoints.join(", ")
+            ),
+        )?;
+        let agent = discovery.agent(0).await?;
+        let begun = Instant::now();
+        let node = process::operated(&crate::program()?, &process::unbound(), agent, Some(&file))?;
+        while !ready(&world, &node).await {
+            ensure!(begun.elapsed() < Duration::from_secs(60), "it does not come up");
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        println!("{hosts} hosts: exec to ready with the whole list {:.0} ms", begun.elapsed().as_secs_f64() * 1e3);
+        println!("memory then {:.1} MB", node.memory()? as f64 / 1e6);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let idle = node.spent_all()?;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let idle = (node.spent_all()? - idle) / 3.0;
+        let (before, begun) = (node.spent_all()?, Instant::now());
+        let mut tick = tokio::time::interval(Duration::from_secs(1) / changes_s);
+        for number in 0..(changes_s * seconds) as usize {
+            tick.tick().await;
+            let health = if number / hosts % 2 == 0 { "draining" } else { "ready" };
+            etcd.put(&key(number % hosts), &value(number % hosts, health));
+        }
+        let busy = (node.spent_all()? - before) / begun.elapsed().as_secs_f64();
+        println!("idle {:.2}% of a core; at {changes_s} changes a second {:.2}%", idle * 100.0, busy * 100.0);
+        println!("a change costs {:.0} µs of CPU", (busy - idle) * 1e6 / f64::from(changes_s));
+        println!("memory after {} changes {:.1} MB", changes_s * seconds, node.memory()? as f64 / 1e6);
+        let _ = std::fs::remove_file(&file);
+        Ok(())
+    })
+}
+
+async fn ready(world: &World, node: &process::Measured) -> bool {
+    let asked = async {
+        let mut wire = Wire::new(TcpStream::connect(node.address).await?);
+        wire.write(b"GET /-/ready HTTP/1.1\r\nHost: bench\r\n\r\n").await?;
+        wire.message(world).await?.context("an answer")
+    };
+    asked.await.is_ok_and(|answer| answer.status() == 200)
+}
