Believe a member's progress once it has said it twice; count wipes without a walk

Seen in a test that cut frames: a change was lost. The stand-in answered a progress request with a revision whose events it had not sent yet, as etcd before 3.4.25 and 3.5.8 did, and the follower then passed them over as old. Both are mended: the stand-in tells only what it has sent, the follower believes the progress before last.

--- a/crates/roster/src/follower.rs
+++ b/crates/roster/src/follower.rs
@@ -105,6 +105,8 @@
     /// All events up to this revision are in `hosts`; `None` before the first range.
     revision: Option<i64>,
     header: Option<Header>,
+    /// How far this connection's member last said that it was.
+    progressed: Option<i64>,
     fragments: Vec<WatchEvent>,
     /// When the first fragment was read.
     fragments_told: Option<Time>,
@@ -130,6 +132,7 @@
             unreadable: BTreeMap::new(),
             revision: None,
             header: None,
+            progressed: None,
             fragments: Vec::new(),
             fragments_told: None,
             provisional: BTreeSet::new(),
@@ -170,7 +173,7 @@
     /// drains stands, and the events come again, as the revision was not counted.
     pub fn reconnected(&mut self) {
         self.fragments.clear();
-        self.fragments_told = None;
+        (self.fragments_told, self.progressed) = (None, None);
     }
 
     /// Takes in the header of any response but a range's. A member that lags is left; another cluster, or one that has
@@ -284,7 +287,10 @@
     pub fn progress(&mut self, header: Header) -> Next {
         let next = self.header(header);
         if next == Next::Continue && self.fragments.is_empty() {
-            self.revision = self.revision.map(|revision| revision.max(header.revision));
+            // Danger: a member that says how far it is before it has sent all events up to there (etcd before 3.4.25 and
+            // 3.5.8 did). It is believed once it has said so again; until then such events are neither old nor skipped.
+            let before = self.progressed.replace(header.revision).unwrap_or(0);
+            self.revision = self.revision.map(|revision| revision.max(before));
         }
         next
     }
@@ -363,22 +369,26 @@
     /// Looks for a revision that leaves none of several hosts. Danger: a prefix that was wiped by mistake, and with it the
     /// whole fleet. Hosts that go one after the other, each in a revision of its own, are an operator's doing.
     fn wipes(&mut self, events: &[WatchEvent], told: Time) {
-        let mut alive: BTreeSet<String> =
-            self.hosts.keys().filter(|host| !self.wiped.contains(*host)).cloned().collect();
-        let revisions = events.chunk_by(|one, other| one.kv.mod_revision == other.kv.mod_revision);
-        for events in revisions {
+        // Counted, and not listed anew: a response costs what it touches, however many hosts there are.
+        let mut alive = self.hosts.len() - self.wiped.len();
+        let mut touched: BTreeMap<String, bool> = BTreeMap::new();
+        for events in events.chunk_by(|one, other| one.kv.mod_revision == other.kv.mod_revision) {
             let mut deleted = BTreeSet::new();
-            let before = alive.len();
+            let before = alive;
             for event in events {
                 let Some(host) = entry::host(&self.prefix, &event.kv.key) else { continue };
+                let known = || self.hosts.contains_key(host) && !self.wiped.contains(host);
+                let was = touched.get(host).copied().unwrap_or_else(known);
+                touched.insert(host.to_owned(), !event.delete);
                 if !event.delete {
-                    alive.insert(host.to_owned());
+                    alive += usize::from(!was);
                     self.wiped.remove(host);
-                } else if alive.remove(host) {
+                } else if was {
+                    alive -= 1;
                     deleted.insert(host.to_owned());
                 }
             }
-            if alive.is_empty() && before > 1 {
+            if alive == 0 && before > 1 {
                 self.doubt(told, deleted);
             }
         }
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -287,6 +287,8 @@
 fn progress_moves_the_revision_so_that_quiet_watches_are_not_compacted_away() {
     let mut follower = three();
     assert_eq!(follower.progress(header(90)), Next::Continue);
+    assert_eq!(follower.resume(), Some(11), "once it has said so again");
+    assert_eq!(follower.progress(header(95)), Next::Continue);
     assert_eq!(follower.resume(), Some(91));
     // But not past a response of which the rest is still to come.
     follower.events(header(95), vec![put("a", 2, 92, "ready")], true, ms(5), NOW);
@@ -294,6 +296,20 @@
     assert_eq!(follower.resume(), Some(91));
 }
 
+/// A member that says how far it is before it has sent the events up to there, as etcd before 3.5.8 may.
+#[test]
+fn a_progress_that_overtakes_its_events_loses_none() {
+    let mut follower = three();
+    follower.progress(header(12));
+    assert_eq!(
+        standings(&take(&mut follower, 12, vec![put("a", 2, 11, "draining")]))["a"],
+        Standing::Draining
+    );
+    follower.progress(header(14));
+    follower.reconnected();
+    assert_eq!(follower.resume(), Some(13), "what it may not have sent, 13 and 14, is asked for again");
+}
+
 fn said(host: &str, standing: Standing, dial: u16, born_ms: u64) -> Change {
     let dial = format!("127.0.0.1:{dial}").parse().expect("an address");
     let (host, site) = (host.to_owned(), "a".to_owned());
--- a/crates/standins/src/etcd.rs
+++ b/crates/standins/src/etcd.rs
@@ -746,8 +746,17 @@
                 self.send(api::WatchResponse { watch_id, canceled: true, ..Default::default() }).await
             }
             Some(api::watch_request::Request::Progress(_)) => {
-                // All watchers have been sent everything by now.
-                self.send(api::WatchResponse { watch_id: -1, ..Default::default() }).await
+                // It tells a revision up to which all watchers have been sent everything, and none beyond.
+                let header = loop {
+                    let header = self.inside.header();
+                    self.catch_up().await?;
+                    if self.watchers.values().all(|watcher| watcher.next > header.revision) {
+                        break header;
+                    }
+                };
+                let response =
+                    api::WatchResponse { header: Some(header), watch_id: -1, ..Default::default() };
+                self.responses.send(Ok(response)).await.ok()
             }
             None => Some(()),
         }
