--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -253,6 +253,16 @@
     /// Where the node's come in.
     pub datagrams: SocketAddr,
     config: std::path::PathBuf,
+    /// Lines of its log.
+    log: Receiver<String>,
+}
+
+/// Reads lines for as long as there are any.
+fn lines(log: impl BufRead + Send + 'static) -> Receiver<String> {
+    let (tell, lines) = mpsc::channel();
+    // Read on when nobody listens any more: a full pipe would hold the node up.
+    thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| _ = tell.send(line)));
+    lines
 }
 
 /// The edge node's program, which is built beside the tests of its package.
@@ -312,8 +322,8 @@
         log.read_line(&mut line).expect("a line");
         let address = line.trim_end().rsplit(' ').next().and_then(|word| word.parse().ok());
         let address = address.unwrap_or_else(|| panic!("it listens: {line}"));
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Node { child, address, peer, datagrams, config }
+        let log = lines(log);
+        Node { child, address, peer, datagrams, config, log }
     }
 
     /// Another process with the same configuration, which takes its place as this one's successor.
@@ -324,9 +334,9 @@
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        let log = lines(log);
         let peer = self.peer.try_clone().expect("a clone");
-        Node { child, address: self.address, peer, datagrams: self.datagrams, config }
+        Node { child, address: self.address, peer, datagrams: self.datagrams, config, log }
     }
 
     /// A client's connection to it.
@@ -342,13 +352,21 @@
         self.signal("-TERM");
     }
 
-    /// Puts another text in place of its configuration, then has it read again.
+    /// Puts another text in place of its configuration, then has it read again; comes back once that is done.
     pub fn reload(&self, change: impl FnOnce(String) -> String) {
         let text = std::fs::read_to_string(&self.config).expect("the configuration is there");
         let new = self.config.with_extension("new");
         std::fs::write(&new, change(text)).expect("the configuration is written");
         std::fs::rename(new, &self.config).expect("the configuration is replaced");
         self.signal("-HUP");
+        // Two words that overlap are one more reload than a test expects.
+        let done = ["reloaded", "the old configuration stays", "no reload"];
+        loop {
+            let line = self.log_line();
+            if done.iter().any(|word| line.starts_with(word)) {
+                return;
+            }
+        }
     }
 
     /// Sends it a signal, as `kill` names it.
@@ -357,6 +375,11 @@
         assert!(kill.expect("kill runs").success());
     }
 
+    /// The next line of its log.
+    pub fn log_line(&self) -> String {
+        self.log.recv_timeout(PATIENCE).expect("a line of the log")
+    }
+
     /// Waits for its end.
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("it ends")
