Answer the first request of a connection that comes as the node is told to stop

Change: once the node closes, a connection that has never asked has 500 ms for its first request, and what the machine holds for an older one is read before it counts as idle.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -39,6 +39,9 @@
 const BUFFER_MOST: usize = 32 * 1024;
 /// Ended connections that may wait to be forgotten together.
 const ENDED_KEPT: usize = 32;
+/// How long a connection that has never asked may still ask once the edge node closes. Guards a request that is on its
+/// way when the node that the machine gave the connection to is told to stop.
+const FIRST_WITHIN: Duration = Duration::from_millis(500);
 /// Pause after a connection that could not be accepted, for lack of descriptors mostly.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -172,7 +175,10 @@
 async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Rc<Seat>) {
     let _ = stream.set_nodelay(true);
     let seen = phase.clone();
+    let asked = Rc::new(Cell::new(false));
+    let asks = Rc::clone(&asked);
     let service = service_fn(move |request| {
+        asks.set(true);
         let (node, seen, seat) = (Rc::clone(&node), seen.clone(), Rc::clone(&seat));
         async move {
             let _busy = Busy::new(&seat);
@@ -189,9 +195,17 @@
     let connection = http.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
+        biased;
         _ = &mut connection => return,
-        () = closing(phase) => connection.as_mut().graceful_shutdown(),
+        () = closing(phase) => {}
     }
+    // What the machine holds is read before the connection counts as idle.
+    tokio::task::yield_now().await;
+    let wait = if asked.get() { Duration::ZERO } else { FIRST_WITHIN };
+    if tokio::time::timeout(wait, &mut connection).await.is_ok() {
+        return;
+    }
+    connection.as_mut().graceful_shutdown();
     // A client that broke off has been told to the node by the request's guard.
     let _ = connection.await;
 }
--- a/crates/saffronpaddle/tests/life.rs
+++ b/crates/saffronpaddle/tests/life.rs
@@ -253,6 +253,29 @@
     until_ready(&third);
 }
 
+/// A connection that the machine gave to the node has its request answered, if that is on its way as the node is told to
+/// stop: whoever waits for idle connections to close sees them closed first.
+#[test]
+fn a_request_on_its_way_when_the_node_is_told_to_stop_is_answered() {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let dial = servers.start("s-1", &[SERVES]);
+    let hosts = [host("s-1", dial, 1, "ready")];
+    let mut node = Node::launch("on-its-way", discovery.address, &hosts, 1024, |_| {});
+    until_ready(&node);
+    let mut early: Vec<_> =
+        (0..20).map(|_| TcpStream::connect(node.address).expect("a connection")).collect();
+    let mut kept = node.client();
+    assert_eq!(kept.ask(&request("kept", "read", "20000m")).status(), 200);
+    node.terminate();
+    // It knows by now: idle connections close.
+    kept.ends();
+    for (number, stream) in early.iter_mut().enumerate() {
+        stream.write_all(request(&format!("late{number}"), "read", "20000m").as_bytes()).expect("written");
+    }
+    early.into_iter().for_each(served);
+    assert!(node.wait().success());
+}
+
 /// With `reuse_port` a successor binds the same address while the old node still serves.
 #[test]
 fn old_and_new_overlap_on_one_address() {
