Put the life of requests, attempts and connections into a machine that is explored whole

Need: what decides it is spread over async code, where the worst bugs are rare interleavings that no test orders. The node does not use the machine yet. The module derives Clone and Debug; control.rs is untouched.

--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -239,7 +239,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
     /// Served.
     Ok,
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -10,7 +10,7 @@
 pub(crate) type AttemptKey = (RequestId, AttemptNo);
 
 /// Where and when an attempt went that may have run.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Ran {
     pub place: ServerEntry,
     pub sent: Micros,
@@ -22,7 +22,7 @@
     Refuse,
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Request {
     pub class: ClassId,
     pub plan: PlanId,
@@ -68,7 +68,7 @@
 }
 
 /// How a try fares with its customer's homes.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Asking {
     /// The home asked last, by its place and by its number among gateways.
     pub home: (u32, GatewayId),
@@ -87,6 +87,7 @@
     }
 }
 
+#[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub server: ServerId,
     pub customer: CustomerId,
@@ -98,7 +99,7 @@
 }
 
 /// What a peer has been heard to send on for a customer: its running count, and when how much came.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Heard {
     pub birth: u32,
     pub count: u16,
@@ -127,7 +128,7 @@
 }
 
 /// A customer's store, or the part of it that a home keeps.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Store {
     pub plan: PlanId,
     pub first: GatewayId,
@@ -184,7 +185,7 @@
 }
 
 /// State of the self-tuning fuzzy controller.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Fuzzy {
     pub cap: Option<f64>,
     pub error: Option<f64>,
@@ -209,7 +210,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Server {
     pub entry: ServerEntry,
     pub open: u32,
@@ -223,7 +224,7 @@
 }
 
 /// How a server fares with one class.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Health {
     pub failing: f64,
     pub answered: Micros,
@@ -270,6 +271,7 @@
 }
 
 /// Decides for one gateway. It does no input or output, and reads no clock.
+#[derive(Clone, Debug)]
 pub struct Gateway {
     pub(crate) settings: Settings,
     pub(crate) random: fastrand::Rng,
--- /dev/null
+++ b/crates/exchange/src/lib.rs
@@ -0,0 +1,191 @@
+//! The life of requests, of their attempts and of the connections that carry these, as one state machine: events in,
+//! commands out, no input or output, time as an argument.
+//!
+//! [`Exchange`] owns what a front (the HTTP/1.1 one today) and the links to app servers have in common: which requests
+//! are open, which attempt of each is out, on which connection, until when, and which connections stand idle. It asks a
+//! [`Module`] which server, whether to try again and what to turn away, and does not trust it: what would break a rule
+//! is not done, whatever the module says. The shell carries out [`Command`]s and tells what happened as [`Event`]s;
+//! `saffronpaddle-explore` does the same in a small world and visits all of its states.
+//!
+//! The properties that hold are listed in `docs/properties.md`, by the names that the checker uses.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod bugs;
+mod exchange;
+mod table;
+
+pub use bugs::{Bug, Bugs, Sound};
+pub use exchange::Exchange;
+
+use saffronpaddle_decision::interface::{
+    Action, Effect, Event as ModuleEvent, Micros, Outcome, RequestId, ServerEntry,
+};
+
+/// Decides which server, whether to try again and what to turn away.
+pub trait Module {
+    /// Takes an event in and adds what is to be done, in its order.
+    fn handle(&mut self, now: Micros, event: ModuleEvent, actions: &mut Vec<Action>);
+}
+
+impl Module for saffronpaddle_decision::Gateway {
+    fn handle(&mut self, now: Micros, event: ModuleEvent, actions: &mut Vec<Action>) {
+        saffronpaddle_decision::Gateway::handle(self, now, event, actions);
+    }
+}
+
+/// A connection to an app server, from the command to connect until it is closed. Numbers are never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
+
+/// One taking of a request. Ids come from clients, who may use one again; tickets are never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// What binds an exchange.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// Connections to app servers that may be open together, those that are being made or closed among them. Guards
+    /// against running out of descriptors.
+    pub links: usize,
+    /// Idle connections that are kept at one server.
+    pub idle_at_one: usize,
+    /// How long a connection may stand idle, µs. Guards against a request written to a connection that the server is
+    /// closing: it would end as a reset, which may have run.
+    pub idle_for: Micros,
+    /// How long a connection stands after an answer before it is used again, µs. Guards against what comes right behind
+    /// an answer: a second copy that arrives just after the next request was written would pass for its answer.
+    pub settle: Micros,
+    /// How long a connection may take to come up, µs.
+    pub connect_within: Micros,
+    /// How much later than its deadline a request that the module forgot fails here, µs.
+    pub overdue: Micros,
+    /// Attempts of one request. Guards against a module that sends for ever what is never sent.
+    pub attempts: u32,
+}
+
+/// What happened. Instants are µs of the same clock as `now`.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event<A> {
+    /// A request has come whole, its head read and found good. One whose id is in use is passed over: ask
+    /// [`Exchange::knows`] first.
+    Asked {
+        /// What it may do.
+        effect: Effect,
+        /// When its client stops waiting.
+        deadline: Micros,
+        /// What the module is told: a [`ModuleEvent::Request`].
+        tell: ModuleEvent,
+    },
+    /// Nobody waits for the answer any more.
+    ClientGone {
+        /// The request.
+        id: RequestId,
+        /// Which taking of it.
+        ticket: Ticket,
+    },
+    /// A connection has come up.
+    Connected {
+        /// Which.
+        link: LinkId,
+    },
+    /// A connection could not be made; nothing is left of it.
+    ConnectFailed {
+        /// Which.
+        link: LinkId,
+        /// This process lacked something (descriptors, ports, memory): the server is not to blame.
+        lack: bool,
+    },
+    /// The first byte of the request is about to be written.
+    Begin {
+        /// On which connection.
+        link: LinkId,
+        /// Nothing has come on it since the last answer, not even an end.
+        quiet: bool,
+    },
+    /// An answer has come whole.
+    Replied {
+        /// On which connection.
+        link: LinkId,
+        /// What it says.
+        outcome: Outcome,
+    },
+    /// The exchange on a connection came to nothing: it broke, or what came is no answer to the request.
+    Broken {
+        /// Which.
+        link: LinkId,
+    },
+    /// The other side has ended the connection, or said something unasked.
+    Gone {
+        /// Which.
+        link: LinkId,
+    },
+    /// A connection that was to be closed is closed.
+    Closed {
+        /// Which.
+        link: LinkId,
+    },
+    /// News of the list of servers, with the address of each.
+    Listed {
+        /// The whole list; who is not on it is gone.
+        whole: bool,
+        /// The entries.
+        entries: Vec<(ServerEntry, A)>,
+    },
+    /// The node leaves: idle connections are closed, and none is kept any more. What is open goes on.
+    Stop,
+    /// The time of [`Exchange::next_alarm`] has come.
+    Tick,
+    /// Something for the module alone.
+    Tell(ModuleEvent),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command<A> {
+    /// Make a connection. [`Event::Connected`] or [`Event::ConnectFailed`] follows, or, after a close, `Closed` alone.
+    Connect {
+        /// By this number.
+        link: LinkId,
+        /// To whom.
+        dial: A,
+    },
+    /// Get the request ready on a connection. [`Event::Begin`] follows before its first byte, `Replied` or `Broken` at
+    /// its end; after a close, `Closed` alone.
+    Send {
+        /// On which connection.
+        link: LinkId,
+        /// Which request.
+        id: RequestId,
+    },
+    /// The first byte may be written, now.
+    Write {
+        /// On which connection.
+        link: LinkId,
+    },
+    /// Close a connection, whatever is on it. [`Event::Closed`] follows.
+    Close {
+        /// Which.
+        link: LinkId,
+    },
+    /// Give the client its final answer.
+    Answer {
+        /// The request.
+        id: RequestId,
+        /// Which.
+        verdict: Verdict,
+    },
+    /// Something that the module asks for and that is none of the exchange's.
+    Module(Action),
+}
+
+/// A final answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// What the server answered; it came with the [`Event::Replied`] that is being handled.
+    Served,
+    /// Refused, and trying again is harmless; come back after so many µs.
+    Refused(Option<Micros>),
+    /// Failed, with no promise.
+    Failed,
+}
--- /dev/null
+++ b/crates/exchange/src/table.rs
@@ -0,0 +1,101 @@
+//! What an exchange keeps of requests, attempts, connections and servers.
+
+use crate::{LinkId, Ticket};
+use saffronpaddle_decision::interface::{CellId, Effect, Micros, Outcome, RequestId, ServerId, ZoneId};
+use std::collections::BTreeSet;
+
+/// A request that has no final answer yet, or whose attempt is still out.
+#[derive(Clone, Debug)]
+pub(crate) struct Row {
+    pub ticket: Ticket,
+    pub effect: Effect,
+    pub deadline: Micros,
+    /// It has no final answer, and somebody waits for one.
+    pub open: bool,
+    /// Attempts that the module was given numbers for.
+    pub attempts: u32,
+    pub out: Option<Out>,
+    /// The first attempt that may have run.
+    pub ran: Option<Ran>,
+    /// Where it stands in the order of alarms.
+    pub alarm: Option<Micros>,
+}
+
+/// Where a repeat of a keyed request is dropped, and from when on that is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Ran {
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub at: Micros,
+}
+
+/// The attempt of a request that is out.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Out {
+    pub number: u32,
+    pub server: ServerId,
+    /// When it is given up.
+    pub until: Micros,
+    /// When the step at hand is given up: sooner than that while its connection is made.
+    pub limit: Micros,
+    /// Where and when its first byte was let through.
+    pub began: Option<Ran>,
+    pub stage: Stage,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Stage {
+    /// Waits until this connection, which carries something else's end, is closed.
+    Waiting(LinkId),
+    /// On this connection, which is made, has the request, or is written to.
+    On(LinkId),
+    /// Ends so when this connection is closed.
+    Ending(LinkId, Outcome),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Link<A> {
+    pub server: ServerId,
+    pub dial: A,
+    pub state: State,
+    /// It has carried an answer before.
+    pub used: bool,
+    /// The other side has ended it.
+    pub gone: bool,
+    /// Whose attempt it carries, or whose waits for its end.
+    pub of: Option<RequestId>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum State {
+    Connecting,
+    Idle(Micros),
+    /// It has a request, of which nothing is written yet.
+    Queued,
+    /// Bytes of a request may have been written.
+    Written,
+    Closing,
+}
+
+/// A server that is ready.
+#[derive(Clone, Debug)]
+pub(crate) struct Place<A> {
+    pub dial: A,
+    pub zone: ZoneId,
+    pub cell: CellId,
+    /// Connections that stand idle there, in the order in which they came back.
+    pub idle: Vec<LinkId>,
+}
+
+/// Who is to be looked at when.
+pub(crate) type Alarms = BTreeSet<(Micros, RequestId)>;
+
+impl Row {
+    /// When something has to be done about it, if nothing happens.
+    pub fn due(&self, overdue: Micros) -> Option<Micros> {
+        let attempt = self.out.as_ref().filter(|out| !matches!(out.stage, Stage::Ending(..)));
+        let attempt = attempt.map(|out| out.limit);
+        let last = self.open.then(|| self.deadline.saturating_add(overdue));
+        attempt.into_iter().chain(last).min()
+    }
+}
--- /dev/null
+++ b/crates/explore/src/planted.rs
@@ -0,0 +1,31 @@
+//! The faults that the checker must find, and in which world it looks for each.
+
+use crate::search::{search, Found, Limits};
+use crate::setups;
+use crate::world::{Anything, Setup};
+use saffronpaddle_exchange::Bug;
+
+/// The world in which a fault shows.
+pub fn home(bug: Bug) -> &'static str {
+    match bug {
+        Bug::AnswerAfterCancel | Bug::CancelWithoutClose | Bug::EndToldTwice | Bug::EndNeverTold => {
+            "one-keyed"
+        }
+        Bug::GroupForgotten | Bug::SlotLost | Bug::TwoAttemptsOut => "one-keyed",
+        Bug::RefusalAfterRun | Bug::UnsafeResent => "one-unsafe",
+        Bug::DrainCheckedBeforeConnectOnly | Bug::AddressNotCompared => "list",
+        Bug::WindowFromLastSend | Bug::WindowCheckedAtChoiceOnly => "window",
+        Bug::ReuseWithBytesWaiting | Bug::NoSettling | Bug::DoubleRelease => "copies",
+        Bug::TicketIgnored => "one-id",
+        Bug::IdleNotCounted | Bug::ResendAfterFirstByte => "one-wire",
+        Bug::KeptAfterStop => "stop",
+        Bug::DeadlineRacedByReply | Bug::AlarmForgotten => "late",
+    }
+}
+
+/// Looks for a planted fault.
+pub fn hunt(bug: Bug, threads: usize) -> Option<(Setup, Found)> {
+    let setup = setups::small().into_iter().find(|setup| setup.name == home(bug))?;
+    let found = search(&setup, Anything, Some(bug), Limits::default(), threads);
+    Some((setup, found))
+}
--- /dev/null
+++ b/crates/explore/tests/explored.rs
@@ -0,0 +1,85 @@
+//! The worlds that are visited whole, the faults that must be found in them, and walks through a large one.
+
+use saffronpaddle_decision::interface::{Effect, Group};
+use saffronpaddle_exchange::Bug;
+use saffronpaddle_explore::search::{search, Limits};
+use saffronpaddle_explore::world::{Anything, Step};
+use saffronpaddle_explore::{chart, planted, setups, walk};
+
+const THREADS: usize = 4;
+/// No world of CI is as small as this: one that is has lost its events.
+const FEWEST: usize = 10_000;
+
+#[test]
+fn every_small_world_is_visited_whole_and_keeps_its_properties() {
+    for setup in setups::small() {
+        let found = search(&setup, Anything, None, Limits::default(), THREADS);
+        if let Some((trace, breach)) = &found.breach {
+            panic!("{}\n{}", setup.name, chart::draw(&setup, Anything, None, trace, breach));
+        }
+        assert!(found.whole, "{}", setup.name);
+        assert!(found.states > FEWEST, "{}: {} states", setup.name, found.states);
+    }
+}
+
+#[test]
+fn every_planted_fault_is_found_with_its_trace() {
+    for bug in Bug::ALL {
+        let (setup, found) = planted::hunt(bug, THREADS).expect("a world for each fault");
+        let Some((trace, breach)) = found.breach else { panic!("{bug:?} is not found in {}", setup.name) };
+        let drawn = chart::draw(&setup, Anything, Some(bug), &trace, &breach);
+        assert!(drawn.contains("broken: "), "{drawn}");
+        // The same steps without the fault break nothing: it is the fault that was found.
+        let mut sound = saffronpaddle_explore::world::World::new(&setup, Anything, None);
+        for step in &trace {
+            let possible = sound.steps(&setup).contains(step) || sound.left_alone(&setup) == Some(*step);
+            if !possible {
+                break;
+            }
+            assert_eq!(sound.take(&setup, *step), Ok(()), "{bug:?}: {step:?} breaks the sound machine too");
+        }
+    }
+}
+
+/// What can't be proved, as README says: an answer without its request's id may be a copy of the one before.
+#[test]
+fn a_copy_that_comes_late_passes_for_an_answer_where_answers_bear_no_id() {
+    let found = search(&setups::late_copies(), Anything, None, Limits::default(), THREADS);
+    let (trace, breach) = found.breach.expect("the gap");
+    assert_eq!(breach.property, "own answer");
+    assert!(trace.contains(&Step::Repeats(0)));
+}
+
+#[test]
+fn the_decision_module_itself_is_visited_to_a_depth() {
+    let keyed = Effect::Keyed { group: Group::Cell, window: 0 };
+    for effect in [Effect::Safe, keyed, Effect::Unsafe] {
+        let setup = setups::real(effect);
+        let module = setups::module(&setup).expect("settings that make sense");
+        let found = search(&setup, module.clone(), None, Limits { depth: 9, ..Limits::default() }, THREADS);
+        if let Some((trace, breach)) = &found.breach {
+            panic!("{}\n{}", setup.name, chart::draw(&setup, module, None, trace, breach));
+        }
+        assert!(found.states > FEWEST, "{}: {} states", setup.name, found.states);
+    }
+}
+
+#[test]
+fn random_walks_through_a_large_world_break_nothing() {
+    for seed in 0..60 {
+        let found = walk::walk(&setups::wide(seed), Anything, seed, 3_000);
+        let broken = found.breach.map(|(trace, breach)| format!("{breach} after {} steps", trace.len()));
+        assert_eq!(broken, None, "saffronpaddle-explore walk --seed {seed} --walks 1 --steps 3000");
+    }
+}
+
+/// A walk that meets a fault says so: planted in the large world, each of these shows within a few seeds.
+#[test]
+fn random_walks_find_faults_too() {
+    for bug in [Bug::UnsafeResent, Bug::CancelWithoutClose, Bug::SlotLost, Bug::AddressNotCompared] {
+        let found = (0..40).any(|seed| {
+            walk::walk_with(&setups::wide(seed), Anything, Some(bug), seed, 3_000).breach.is_some()
+        });
+        assert!(found, "{bug:?}");
+    }
+}
