Have the node execute the exchange, and look once more before each first byte

Need: the code that is explored must be the code that runs. Change: node and upstream only carry out the exchange's commands; one alarm stands for all time-outs; before a request's first byte, from inside the write, drain, address, time, key's window and the socket are looked at again. A client that has gone ends its own taking of an id, not a later one. Test nodes take datagram ports that the machine does not hand out.

--- a/crates/bench/src/cost.rs
+++ b/crates/bench/src/cost.rs
@@ -8,6 +8,7 @@
 use saffronpaddle_standins::wire::Wire;
 use saffronpaddle_standins::World;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,12 +19,14 @@
 
 pub fn measure(mut arguments: lexopt::Parser) -> Result<()> {
     let (mut servers, mut connections, mut requests, mut rounds) = (10_usize, 16_usize, 40_000_u64, 3_usize);
+    let mut against: Option<PathBuf> = None;
     while let Some(argument) = arguments.next()? {
         match argument {
             Long("servers") => servers = arguments.value()?.parse()?,
             Long("connections") => connections = arguments.value()?.parse()?,
             Long("requests") => requests = arguments.value()?.parse()?,
             Long("rounds") => rounds = arguments.value()?.parse()?,
+            Long("against") => against = Some(arguments.value()?.into()),
             other => return Err(other.unexpected().into()),
         }
     }
@@ -48,14 +51,20 @@
         }
         let agent = discovery.agent(0).await?;
         let fleet = process::unbound();
-        let (mut nodes, mut relays) = (Vec::new(), Vec::new());
+        let (mut nodes, mut relays, mut others) = (Vec::new(), Vec::new(), Vec::new());
         for _ in 0..rounds {
             let node = process::node(&crate::program()?, &fleet, agent, &discovery.known())?;
             nodes.push(round(&world, &node, connections, requests).await.context("the node")?);
             drop(node);
+            if let Some(other) = &against {
+                let node = process::node(other, &fleet, agent, &discovery.known())?;
+                others.push(round(&world, &node, connections, requests).await.context("the other build")?);
+            }
             let relay = process::relay(&addresses)?;
             relays.push(round(&world, &relay, connections, requests).await.context("the relay")?);
         }
+        // Round by round: the machine's pace changes between rounds more than within one.
+        let mut by_round: Vec<f64> = nodes.iter().zip(&others).map(|(node, other)| node / other).collect();
         let median = |figures: &mut Vec<f64>| {
             figures.sort_by(f64::total_cmp);
             figures[figures.len() / 2]
@@ -65,6 +74,11 @@
         println!("edge node {node:.1} µs of CPU a request {nodes:.1?}");
         println!("bare relay {relay:.1} µs {relays:.1?}");
         println!("ratio {:.2}", node / relay);
+        if against.is_some() {
+            let (other, more) = (median(&mut others), (median(&mut by_round) - 1.0) * 100.0);
+            println!("other build {other:.1} µs {others:.1?}");
+            println!("this build costs {more:+.1}% (median over rounds)");
+        }
         Ok(())
     })
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -15,8 +15,9 @@
 const USAGE: &str = "\
 saffronpaddle-bench: measurements of the edge node (build with --release first)
 
-  cost [--servers N] [--connections N] [--requests N] [--rounds N]
-        CPU a request of one node, and of a bare hyper relay on the same core in the same run, as a ratio
+  cost [--servers N] [--connections N] [--requests N] [--rounds N] [--against PROGRAM]
+        CPU a request of one node, of a bare hyper relay and, if asked, of another build of the node, on the same core
+        in the same run, as ratios
   idle [--starts N]
         time from exec to the first answer, and memory of an idle instance
   size [--seconds N]
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -1,6 +1,6 @@
 //! The machine itself.
 
-use crate::table::{Alarms, Link, Out, Place, Ran, Row, Stage, State};
+use crate::table::{Alarms, ByNumber, Link, Out, Place, Ran, Row, Stage, State};
 use crate::{Bounds, Bug, Bugs, Command, Event, LinkId, Module, Sound, Ticket, Verdict};
 use saffronpaddle_decision::interface::{
     Action, AttemptNo, Effect, Event as ModuleEvent, Group, ListKind, Micros, Outcome, RequestId,
@@ -16,8 +16,8 @@
     module: M,
     bugs: B,
     rows: HashMap<RequestId, Row>,
-    links: HashMap<LinkId, Link<A>>,
-    places: HashMap<ServerId, Place<A>>,
+    links: ByNumber<LinkId, Link<A>>,
+    places: ByNumber<ServerId, Place<A>>,
     alarms: Alarms,
     /// Idle connections in the order in which they came back.
     idle: BTreeSet<(Micros, LinkId)>,
@@ -46,8 +46,8 @@
             module,
             bugs,
             rows: HashMap::new(),
-            links: HashMap::new(),
-            places: HashMap::new(),
+            links: ByNumber::default(),
+            places: ByNumber::default(),
             alarms: Alarms::new(),
             idle: BTreeSet::new(),
             stopped: false,
@@ -72,8 +72,8 @@
         self.rows.contains_key(id)
     }
 
-    /// The ticket of the request that was taken last.
-    pub fn last_ticket(&self) -> Ticket {
+    /// The ticket of the request that is taken next.
+    pub fn next_ticket(&self) -> Ticket {
         Ticket(self.next_ticket)
     }
 
@@ -156,8 +156,8 @@
         if self.knows(id) {
             return;
         }
+        let ticket = self.next_ticket();
         self.next_ticket += 1;
-        let ticket = Ticket(self.next_ticket);
         let row =
             Row { ticket, effect, deadline, open: true, attempts: 0, out: None, ran: None, alarm: None };
         self.rows.insert(id.clone(), row);
@@ -582,6 +582,7 @@
         if whole {
             let ready: BTreeSet<ServerId> = entries.iter().map(|(entry, _)| entry.server).collect();
             lost.extend(self.places.keys().filter(|server| !ready.contains(server)));
+            lost.sort();
         }
         for (entry, dial) in &entries {
             let (server, ready) = (entry.server, entry.standing == Standing::Ready);
@@ -613,7 +614,9 @@
             let made = self.links.iter().filter(|(link, row)| {
                 row.state == State::Connecting && lost.contains(&row.server) && !self.leads(**link)
             });
-            let made: Vec<RequestId> = made.filter_map(|(link, _)| self.on(*link)).collect();
+            let mut made: Vec<LinkId> = made.map(|(link, _)| *link).collect();
+            made.sort();
+            let made: Vec<RequestId> = made.into_iter().filter_map(|link| self.on(link)).collect();
             made.iter().for_each(|id| self.give_up(id, Outcome::Cancelled, commands));
         }
     }
--- a/crates/exchange/src/table.rs
+++ b/crates/exchange/src/table.rs
@@ -2,7 +2,31 @@
 
 use crate::{LinkId, Ticket};
 use saffronpaddle_decision::interface::{CellId, Effect, Micros, Outcome, RequestId, ServerId, ZoneId};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
+use std::hash::{BuildHasherDefault, Hasher};
+
+/// Hashes numbers that this process, or the list of servers, gave out: clients have no say in them, and so no way to have
+/// them collide.
+#[derive(Clone, Default)]
+pub(crate) struct Numbers(u64);
+
+impl Hasher for Numbers {
+    fn write(&mut self, bytes: &[u8]) {
+        bytes.iter().for_each(|byte| self.write_u64(u64::from(*byte)));
+    }
+
+    fn write_u64(&mut self, number: u64) {
+        // Fibonacci hashing; the table takes its bits from both ends.
+        self.0 = (self.0 ^ number).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29);
+    }
+
+    fn finish(&self) -> u64 {
+        self.0
+    }
+}
+
+/// A table by such numbers.
+pub(crate) type ByNumber<K, V> = HashMap<K, V, BuildHasherDefault<Numbers>>;
 
 /// A request that has no final answer yet, or whose attempt is still out.
 #[derive(Clone, Debug)]
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -604,11 +604,15 @@
                 Event::Stop
             }
         };
-        self.exchange.handle(now, event, &mut commands);
         if let Step::Asks(r) = step {
-            self.clients[usize::from(r)].ticket = self.exchange.last_ticket().0;
+            self.clients[usize::from(r)].ticket = self.exchange.next_ticket().0;
+        }
+        self.exchange.handle(now, event, &mut commands);
+        self.carry_out(setup, commands, read)?;
+        if step == Step::Rings && self.due(setup) {
+            return breach("liveness", "the alarm rings again at once");
         }
-        self.carry_out(setup, commands, read)
+        Ok(())
     }
 
     fn with(&mut self, link: LinkId, change: impl FnOnce(&mut Wire)) {
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -14,6 +14,7 @@
     ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId, Settings,
 };
 use saffronpaddle_decision::setup::Named;
+use saffronpaddle_exchange::Ticket;
 use saffronpaddle_lifecycle::Reasons;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -26,8 +27,6 @@
 
 /// Time kept back for an answer's way to the client.
 const DELIVERY: Duration = Duration::from_millis(5);
-/// How much later than the module's own last word a request is ended here.
-const OVERDUE: Duration = Duration::from_millis(2);
 /// How long a connection may stand without a whole head: from its first moment on, and after each answer. Guards
 /// against clients that connect and say nothing, or dribble a head without end.
 const HEAD_WITHIN: Duration = Duration::from_millis(2200);
@@ -163,6 +162,7 @@
         // Ended connections are let go of.
         while crowd.tasks.try_join_next().is_some() {}
     }
+    node.leave();
     // What the machine has accepted counts as taken. Guards against resetting it with the listener.
     let left = async || tokio::time::timeout(Duration::ZERO, listener.accept()).await;
     while let Some(Ok(Ok((stream, _)))) = if shared { None } else { Some(left().await) } {
@@ -234,8 +234,9 @@
         Ok(Ok(body)) => body.to_bytes(),
         _ => return turned_away(StatusCode::BAD_REQUEST, "the body did not come whole\n"),
     };
+    let effect = node.named.settings.classes[asked.class.0].effect;
     let (event, forward) = asked.arrived(head, body);
-    decide(node, event, forward).await
+    decide(node, event, effect, forward).await
 }
 
 /// An answer to what can't be served, after which nothing that comes on the connection is believed.
@@ -249,23 +250,24 @@
 struct Waiting<'a> {
     node: &'a Rc<Node>,
     id: RequestId,
+    ticket: Ticket,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.node.abandon(&self.id);
+        self.node.abandon(&self.id, self.ticket);
     }
 }
 
-async fn decide(node: &Rc<Node>, event: Event, forward: Forward) -> Reply {
-    let (id, overdue) = (forward.id.clone(), forward.deadline + OVERDUE);
-    let Some(answered) = node.take(event, forward) else {
+async fn decide(node: &Rc<Node>, event: Event, effect: Effect, forward: Forward) -> Reply {
+    let id = forward.id.clone();
+    let Some((answered, ticket)) = node.take(event, effect, forward) else {
         return turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n");
     };
-    let _waiting = Waiting { node, id };
-    match tokio::time::timeout_at(overdue, answered).await {
-        Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
-        Ok(Ok(Answer::Refused(retry_in))) => {
+    let _waiting = Waiting { node, id, ticket };
+    match answered.await {
+        Ok(Answer::Served(body)) => Response::new(Full::new(body)),
+        Ok(Answer::Refused(retry_in)) => {
             let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "");
             let seconds = retry_in.map(|span| format!("{:.3}", span.as_secs_f64()));
             if let Some(value) = seconds.and_then(|seconds| HeaderValue::try_from(seconds).ok()) {
@@ -273,8 +275,7 @@
             }
             reply
         }
-        // Guards against a request that nothing ends: past its time it fails, whatever the module says.
-        Ok(Ok(Answer::Failed) | Err(_)) | Err(_) => plain(StatusCode::BAD_GATEWAY, ""),
+        Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, ""),
     }
 }
 
--- a/crates/node/src/facts.rs
+++ b/crates/node/src/facts.rs
@@ -38,7 +38,7 @@
         let expected = self.began.0 + self.began.1.elapsed();
         let (peers_heard, peers) = self.node.peers_heard();
         Facts {
-            servers: self.node.upstream.ready(),
+            servers: self.node.ready(),
             list_heard: self.node.list_heard(),
             peers_heard,
             peers,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,24 +1,43 @@
-//! Owns the decision module and all that it speaks of: the clock, the open requests and their attempts.
-//! Only here is the module called; what it asks for is done in the order in which it asks.
+//! Owns the exchange, with the decision module inside, and carries out what it asks for: the clock, the alarm, and
+//! whose answer goes where. Only here is the exchange entered.
 
 use crate::config::List;
 use crate::peers::Peers;
 use crate::upstream::{Forward, Upstream};
 use bytes::Bytes;
 use saffronpaddle_decision::interface::{
-    Action, AttemptNo, CellId, Event, GatewayId, ListKind, Micros, Outcome, RequestId, ServerEntry, ServerId,
+    Action, CellId, Effect, Event as ModuleEvent, GatewayId, Micros, RequestId, ServerEntry, ServerId,
     Standing, ZoneId,
 };
 use saffronpaddle_decision::setup::Named;
 use saffronpaddle_decision::Gateway;
+use saffronpaddle_exchange::{Bounds, Command, Event, Exchange, Ticket, Verdict};
 use saffronpaddle_roster::{Change, Entry, Merge, Source};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
+/// Idle connections kept at one server.
+const IDLE_MOST: usize = 64;
+/// Share of the settings' idle limit for which a connection is kept. Guards against a request written to a
+/// connection that the server is closing: it would end as a reset, which may have run.
+const IDLE_SHARE: f64 = 0.6;
+/// How long a connection stands after an answer before it is used again, µs. Guards against what comes right behind an
+/// answer: a second copy that arrives just after the next request was written would pass for its answer.
+const SETTLE: Micros = 10_000;
+/// How much later than the module's own last word a request is ended here, µs.
+const OVERDUE: Micros = 2_000;
+/// Attempts of one request. Guards against a module that sends for ever what is never sent.
+const ATTEMPTS_MOST: u32 = 256;
+/// Rounds of the loop between an alarm and what comes of it: the driver's, the connection's, the exchange's.
+const LATE_LOOKS: usize = 3;
+/// How long the alarm sleeps where nothing is due.
+const FOR_LONG: Duration = Duration::from_secs(3600);
+
 /// The final answer to a client's request.
 #[derive(Debug)]
 pub enum Answer {
@@ -29,9 +48,9 @@
 
 /// A request that has no final answer yet.
 struct Pending {
+    ticket: Ticket,
     forward: Rc<Forward>,
     answer: oneshot::Sender<Answer>,
-    attempts: u32,
 }
 
 /// Unix time in µs that never goes back: what discovery says of starts needs no conversion but of units.
@@ -56,10 +75,12 @@
     pub upstream: Upstream,
     pub peers: Option<Peers>,
     clock: Clock,
-    gateway: RefCell<Gateway>,
+    exchange: RefCell<Exchange<SocketAddr, Gateway>>,
+    /// Whose answer goes where.
     requests: RefCell<HashMap<RequestId, Pending>>,
-    /// Attempts that are out, one of a request at the most; a word, or its loss, calls one off.
-    out: RefCell<HashMap<RequestId, (AttemptNo, oneshot::Sender<()>)>>,
+    /// When the alarm is set to ring, and the word that it must sooner.
+    armed: Cell<Micros>,
+    sooner: Notify,
     /// Where there is more than one source of the list.
     merge: RefCell<Option<Merge>>,
     /// When the module was last woken, as it had asked.
@@ -71,19 +92,30 @@
 }
 
 impl Node {
+    /// A node that may have so many connections to app servers open.
     pub fn new(
-        seed: u64, named: Named, upstream: Upstream, peers: Option<Peers>,
+        seed: u64, named: Named, upstream: Upstream, links: usize, peers: Option<Peers>,
     ) -> anyhow::Result<Rc<Node>> {
         let clock = Clock::start();
         let gateway = Gateway::new(seed, named.settings.clone(), clock.now())?;
+        let bounds = Bounds {
+            links,
+            idle_at_one: IDLE_MOST,
+            idle_for: (named.conn_idle as f64 * IDLE_SHARE) as Micros,
+            settle: SETTLE,
+            connect_within: named.connect_timeout,
+            overdue: OVERDUE,
+            attempts: ATTEMPTS_MOST,
+        };
         Ok(Rc::new(Node {
             named,
             upstream,
             peers,
             clock,
-            gateway: RefCell::new(gateway),
+            exchange: RefCell::new(Exchange::new(bounds, gateway)),
             requests: RefCell::default(),
-            out: RefCell::default(),
+            armed: Cell::new(Micros::MAX),
+            sooner: Notify::new(),
             merge: RefCell::default(),
             woken: Cell::new(Instant::now()),
             list_heard: Cell::new(None),
@@ -91,17 +123,59 @@
         }))
     }
 
-    /// Gives the module an event and does what it asks for. No action waits, and none makes an event at once:
-    /// the module is never entered twice.
-    pub fn post(self: &Rc<Self>, event: Event) {
-        let mut actions = Vec::new();
-        self.gateway.borrow_mut().handle(self.clock.now(), event, &mut actions);
-        actions.into_iter().for_each(|action| self.apply(action));
+    /// Tells the exchange what happened, and does what it asks for. No command waits, and none makes an event at once:
+    /// the exchange is never entered twice. A body goes with the answer that it belongs to.
+    pub fn happened(self: &Rc<Self>, event: Event<SocketAddr>, body: Option<Bytes>) {
+        let mut commands = Vec::new();
+        let sooner = {
+            let mut exchange = self.exchange.borrow_mut();
+            exchange.handle(self.clock.now(), event, &mut commands);
+            exchange.next_alarm().is_some_and(|at| at < self.armed.get())
+        };
+        let mut body = body;
+        commands.into_iter().for_each(|command| self.carry_out(command, &mut body));
+        if sooner {
+            self.sooner.notify_one();
+        }
+    }
+
+    /// Rings when the exchange asks for it, for ever.
+    pub async fn ring(self: Rc<Self>) {
+        loop {
+            let next = self.exchange.borrow().next_alarm();
+            self.armed.set(next.unwrap_or(Micros::MAX));
+            let span = next.map(|at| Duration::from_micros(at.saturating_sub(self.clock.now())));
+            tokio::select! {
+                () = tokio::time::sleep(span.unwrap_or(FOR_LONG)) => {}
+                () = self.sooner.notified() => continue,
+            }
+            // Guards against blaming a server for an answer that this node was late to read: what the machine holds is
+            // read first.
+            for _ in 0..LATE_LOOKS {
+                tokio::task::yield_now().await;
+            }
+            self.happened(Event::Tick, None);
+        }
+    }
+
+    /// The node leaves: no connection to a server is kept any more.
+    pub fn leave(self: &Rc<Self>) {
+        self.happened(Event::Stop, None);
+    }
+
+    /// How many servers are ready.
+    pub fn ready(&self) -> usize {
+        self.exchange.borrow().ready()
+    }
+
+    /// Tells the module something that is none of the exchange's.
+    fn post(self: &Rc<Self>, event: ModuleEvent) {
+        self.happened(Event::Tell(event), None);
     }
 
     /// Lets the module's clock begin, before any list is known.
     pub fn begin(self: &Rc<Self>) {
-        self.post(Event::ListFailed);
+        self.post(ModuleEvent::ListFailed);
     }
 
     /// How long ago the module was last woken.
@@ -122,32 +196,44 @@
     /// Hands a peer's datagram to the module.
     pub fn heard_peer(self: &Rc<Self>, from: GatewayId, bytes: Vec<u8>) {
         self.peers_heard.borrow_mut().insert(from);
-        self.post(Event::Peer { from, bytes });
+        self.post(ModuleEvent::Peer { from, bytes });
     }
 
     /// How many peers were heard in this life, and how many there are that speak unasked.
     pub fn peers_heard(&self) -> (usize, usize) {
         let all = self.named.settings.gateways.saturating_sub(1) as usize;
-        let speak = self.peers.is_some() && self.gateway.borrow().tells_all();
+        let speak = self.peers.is_some() && self.exchange.borrow().module().tells_all();
         (self.peers_heard.borrow().len(), if speak { all } else { 0 })
     }
 
-    fn apply(self: &Rc<Self>, action: Action) {
-        match action {
-            Action::Send { id, server, time_out } => self.send(id, server, time_out),
-            Action::Refuse { id, retry_in } => {
-                self.answer(&id, Answer::Refused(retry_in.map(Duration::from_micros)));
-            }
-            Action::Fail { id } => {
-                self.answer(&id, Answer::Failed);
+    fn carry_out(self: &Rc<Self>, command: Command<SocketAddr>, body: &mut Option<Bytes>) {
+        match command {
+            Command::Connect { link, dial } => self.upstream.connect(self, link, dial),
+            Command::Send { link, id } => {
+                let forward = self.requests.borrow().get(&id).map(|pending| Rc::clone(&pending.forward));
+                if let Some(forward) = forward {
+                    self.upstream.send(self, link, forward);
+                }
             }
-            Action::Cancel { id, attempt } => {
-                // Dropping the sender is the word; the attempt closes its connection, then reports.
-                let mut out = self.out.borrow_mut();
-                if out.get(&id).is_some_and(|(number, _)| *number == attempt) {
-                    out.remove(&id);
+            Command::Write { link } => self.upstream.open(link),
+            Command::Close { link } => self.upstream.close(self, link),
+            Command::Answer { id, verdict } => {
+                let answer = match verdict {
+                    Verdict::Served => Answer::Served(body.take().unwrap_or_default()),
+                    Verdict::Refused(retry_in) => Answer::Refused(retry_in.map(Duration::from_micros)),
+                    Verdict::Failed => Answer::Failed,
+                };
+                if let Some(pending) = self.requests.borrow_mut().remove(&id) {
+                    // A client that has gone meanwhile takes no answer.
+                    let _ = pending.answer.send(answer);
                 }
             }
+            Command::Module(action) => self.apply(action),
+        }
+    }
+
+    fn apply(self: &Rc<Self>, action: Action) {
+        match action {
             Action::TellAll { bytes } => self.peers.iter().for_each(|peers| peers.tell_all(&bytes)),
             Action::Tell { to, bytes } => self.peers.iter().for_each(|peers| peers.tell(to, &bytes)),
             Action::Wake { after, token } => {
@@ -155,74 +241,47 @@
                 tokio::task::spawn_local(async move {
                     tokio::time::sleep(Duration::from_micros(after)).await;
                     node.woken.set(Instant::now());
-                    node.post(Event::Woke { token });
+                    node.post(ModuleEvent::Woke { token });
                 });
             }
-            Action::Follow => {} // discovery is always followed
             Action::Log(line) => eprintln!("{line}"),
+            // Discovery is always followed, and the rest is the exchange's.
+            Action::Follow
+            | Action::Send { .. }
+            | Action::Refuse { .. }
+            | Action::Fail { .. }
+            | Action::Cancel { .. } => {}
         }
     }
 
     /// Takes a request in. `None` if its id is in use: two owners of one id would mix up their answers.
-    pub fn take(self: &Rc<Self>, event: Event, forward: Forward) -> Option<oneshot::Receiver<Answer>> {
-        let (answer, answered) = oneshot::channel();
+    pub fn take(
+        self: &Rc<Self>, tell: ModuleEvent, effect: Effect, forward: Forward,
+    ) -> Option<(oneshot::Receiver<Answer>, Ticket)> {
         let id = forward.id.clone();
-        if self.is_open(&id) || self.out.borrow().contains_key(&id) {
-            return None;
-        }
-        let pending = Pending { forward: Rc::new(forward), answer, attempts: 0 };
-        self.requests.borrow_mut().insert(id, pending);
-        self.post(event);
-        Some(answered)
-    }
-
-    /// Nobody waits for this request any more: its client is gone, or its time is up.
-    pub fn abandon(self: &Rc<Self>, id: &RequestId) {
-        if self.requests.borrow_mut().remove(id).is_some() {
-            self.post(Event::Abandoned { id: id.clone() });
-        }
-    }
-
-    fn is_open(&self, id: &RequestId) -> bool {
-        self.requests.borrow().contains_key(id)
-    }
-
-    /// Answers a request, unless that has been done: the table entry is the right to answer.
-    fn answer(&self, id: &RequestId, answer: Answer) {
-        if let Some(pending) = self.requests.borrow_mut().remove(id) {
-            // A client that has gone meanwhile takes no answer.
-            let _ = pending.answer.send(answer);
-        }
-    }
-
-    fn send(self: &Rc<Self>, id: RequestId, server: ServerId, time_out: Option<Micros>) {
-        let (forward, attempt) = {
-            let mut requests = self.requests.borrow_mut();
-            // The module hears at once of each request that is answered or abandoned, and sends no such one.
-            let Some(pending) = requests.get_mut(&id) else { return };
-            pending.attempts += 1;
-            (Rc::clone(&pending.forward), AttemptNo(pending.attempts - 1))
+        let ticket = {
+            let exchange = self.exchange.borrow();
+            if exchange.knows(&id) || self.requests.borrow().contains_key(&id) {
+                return None;
+            }
+            exchange.next_ticket()
         };
-        let limit = time_out.and_then(|span| Instant::now().checked_add(Duration::from_micros(span)));
-        let until = limit.map_or(forward.deadline, |limit| limit.min(forward.deadline));
-        let (call_off, called_off) = oneshot::channel();
-        self.out.borrow_mut().insert(id.clone(), (attempt, call_off));
-        let node = Rc::clone(self);
-        tokio::task::spawn_local(async move {
-            let open = || node.is_open(&id);
-            let (outcome, body) = node.upstream.attempt(&forward, server, until, called_off, open).await;
-            node.ended(id, attempt, outcome, body);
-        });
+        let left = forward.deadline.saturating_duration_since(Instant::now());
+        let deadline = self.clock.now() + left.as_micros() as Micros;
+        let (answer, answered) = oneshot::channel();
+        let pending = Pending { ticket, forward: Rc::new(forward), answer };
+        self.requests.borrow_mut().insert(id, pending);
+        self.happened(Event::Asked { effect, deadline, tell }, None);
+        Some((answered, ticket))
     }
 
-    /// The connection of the attempt is closed or free again by now, so that no two attempts are ever out.
-    fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNo, outcome: Outcome, body: Option<Bytes>) {
-        self.out.borrow_mut().remove(&id);
-        if let Some(body) = body {
-            self.answer(&id, Answer::Served(body));
+    /// Nobody waits for this request any more. One that was answered needs no such word.
+    pub fn abandon(self: &Rc<Self>, id: &RequestId, ticket: Ticket) {
+        let waits = self.requests.borrow().get(id).is_some_and(|pending| pending.ticket == ticket);
+        if waits {
+            self.requests.borrow_mut().remove(id);
+            self.happened(Event::ClientGone { id: id.clone(), ticket }, None);
         }
-        let closed = !self.is_open(&id);
-        self.post(Event::Ended { id, attempt, outcome, closed });
     }
 
     /// Follows the platform's discovery.
@@ -242,27 +301,25 @@
         }
     }
 
-    /// The addresses first, so that nothing waiting for a connection goes to who left.
     fn take_list(self: &Rc<Self>, list: &[Entry], whole: bool) {
-        let kind = if whole { ListKind::Complete } else { ListKind::Changes };
         let zone = |name: &String| self.named.zones.iter().position(|zone| zone == name);
-        let entries = list.iter().map(|entry| ServerEntry {
-            server: server_id(&entry.host),
-            zone: ZoneId(zone(&entry.site).map_or(u32::MAX, |place| place as u32)),
-            cell: CellId(entry.block),
-            standing: match entry.standing {
-                saffronpaddle_roster::Standing::Ready => Standing::Ready,
-                saffronpaddle_roster::Standing::Draining => Standing::Draining,
-                saffronpaddle_roster::Standing::Gone => Standing::Gone,
-            },
-            size: entry.share,
-            started: (entry.born_ms > 0).then_some(entry.born_ms.saturating_mul(1000)),
+        let entries = list.iter().map(|entry| {
+            let server = ServerEntry {
+                server: server_id(&entry.host),
+                zone: ZoneId(zone(&entry.site).map_or(u32::MAX, |place| place as u32)),
+                cell: CellId(entry.block),
+                standing: match entry.standing {
+                    saffronpaddle_roster::Standing::Ready => Standing::Ready,
+                    saffronpaddle_roster::Standing::Draining => Standing::Draining,
+                    saffronpaddle_roster::Standing::Gone => Standing::Gone,
+                },
+                size: entry.share,
+                started: (entry.born_ms > 0).then_some(entry.born_ms.saturating_mul(1000)),
+            };
+            (server, entry.dial)
         });
         let entries = entries.collect();
-        let ready = |entry: &Entry| entry.standing == saffronpaddle_roster::Standing::Ready;
-        let dials = list.iter().map(|entry| (server_id(&entry.host), entry.dial, ready(entry)));
-        self.upstream.listed(whole, dials);
-        self.post(Event::Servers { kind, entries });
+        self.happened(Event::Listed { whole, entries }, None);
     }
 
     /// Several sources of the list will be followed: from now on they are merged.
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -153,8 +153,8 @@
         };
         let each_side = (config.sockets - RESERVED) / 2;
         let room = Room::new(config.memory / LARGE_SHARE);
-        let upstream = Upstream::new(room, each_side, config.named.conn_idle, config.named.connect_timeout);
-        let node = Node::new(config.seed, config.named, upstream, peers)?;
+        let upstream = Upstream::new(room);
+        let node = Node::new(config.seed, config.named, upstream, each_side, peers)?;
         let address = listener.local_addr().context("listen")?;
         eprintln!("{}: listening on {address}", config.name);
         Ok(Edge {
@@ -197,7 +197,7 @@
         let beside = [
             tokio::task::spawn_local(roster::follow(Rc::clone(&node), etcd, discovery, self.known)),
             tokio::task::spawn_local(peers::listen(Rc::clone(&node))),
-            tokio::task::spawn_local(retire(Rc::clone(&node))),
+            tokio::task::spawn_local(Rc::clone(&node).ring()),
             tokio::task::spawn_local(life::feed(Rc::clone(&node), Rc::clone(&manager))),
         ];
         let clients = clients::serve(self.listener, self.shared, node, self.each_side, seen);
@@ -261,7 +261,3 @@
         }
     }
 }
-
-async fn retire(node: Rc<Node>) {
-    node.upstream.retire().await;
-}
--- a/crates/saffronpaddle/tests/edge.rs
+++ b/crates/saffronpaddle/tests/edge.rs
@@ -5,14 +5,6 @@
 use std::io::Write;
 use std::time::Instant;
 
-/// An edge node that knows one app server, which does this.
-fn with_one(tag: &str, does: &[Does]) -> (Servers, Discovery, Node) {
-    let (servers, discovery) = (Servers::new(), Discovery::start());
-    let dial = servers.start("s-1", does);
-    let node = Node::start(tag, discovery.address, &[host("s-1", dial, 1, "ready")]);
-    (servers, discovery, node)
-}
-
 /// An edge node that knows two app servers. The first attempt gets one answer, all others another.
 fn with_two(tag: &str, blocks: [u32; 2], first: Does, then: Does) -> (Servers, Discovery, Node) {
     let (servers, discovery) = (Servers::new(), Discovery::start());
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -6,6 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -312,9 +313,7 @@
     ) -> Node {
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
         peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        // A port that was free a moment ago; another process would have to take it just now.
-        let free = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
-        let datagrams = free.expect("an address");
+        let datagrams = unclaimed();
         let known =
             if hosts.is_empty() { String::new() } else { format!(r#""known":{},"#, list(1, true, hosts)) };
         let peer_address = peer.local_addr().expect("an address");
@@ -396,6 +395,14 @@
     }
 }
 
+/// An edge node that knows one app server, which does this.
+pub fn with_one(tag: &str, does: &[Does]) -> (Servers, Discovery, Node) {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let dial = servers.start("s-1", does);
+    let node = Node::start(tag, discovery.address, &[host("s-1", dial, 1, "ready")]);
+    (servers, discovery, node)
+}
+
 /// A client's connection.
 pub struct Client {
     /// The connection.
@@ -455,3 +462,16 @@
     stream.set_nonblocking(false).expect("a mode");
     matches!(seen, Ok(0)) || seen.is_err_and(|error| error.kind() != std::io::ErrorKind::WouldBlock)
 }
+
+/// An address for datagrams that stays free between two processes that bind it one after the other: below the ports that
+/// the machine hands out by itself, and never twice the same in one process.
+fn unclaimed() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    const FIRST: u16 = 12_000;
+    const SPAN: u16 = 18_000;
+    let base = (std::process::id() % 9) as u16 * 2_000;
+    let mut ports = (0..SPAN).map(|_| FIRST + (base + NEXT.fetch_add(1, Ordering::Relaxed)) % SPAN);
+    let free = ports
+        .find_map(|port| UdpSocket::bind(("127.0.0.1", port)).and_then(|socket| socket.local_addr()).ok());
+    free.expect("a port")
+}
