Play whole nodes in virtual time, shrink walks with proptest, hold races over loopback

Need: the machine must hold far beyond the worlds that are visited whole, with real modules, peers and faults. Change: saffronpaddle-explore nodes plays three nodes, six servers and thousands of tries from one seed, judged by the fleet rig's ledger; proptest makes any choices in the wide world; a connect that hangs (full backlog) meets a drain and a move.

--- a/crates/explore/src/lib.rs
+++ b/crates/explore/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod chart;
+pub mod nodes;
 pub mod planted;
 pub mod search;
 pub mod setups;
--- a/crates/explore/src/main.rs
+++ b/crates/explore/src/main.rs
@@ -4,9 +4,11 @@
 use lexopt::prelude::*;
 use saffronpaddle_decision::interface::{Effect, Group};
 use saffronpaddle_exchange::Bug;
+use saffronpaddle_explore::nodes::{self, Play};
 use saffronpaddle_explore::search::{search, Found, Limits};
 use saffronpaddle_explore::world::{Anything, Inside, Setup};
 use saffronpaddle_explore::{chart, planted, setups, walk};
+use std::time::Instant;
 
 const USAGE: &str = "\
 saffronpaddle-explore small            the worlds of CI, visited whole
@@ -16,11 +18,13 @@
 saffronpaddle-explore bugs             all planted faults, and whether each is found
 saffronpaddle-explore gap              the known gap: a second copy that comes late
 saffronpaddle-explore walk [--seed N] [--walks N] [--steps N]   random walks through large worlds
+saffronpaddle-explore nodes [--seed N] [--runs N] [--tries N]   whole nodes in virtual time, judged by the ledger
 ";
 
 fn main() -> Result<()> {
     let mut words = Vec::new();
     let (mut bug, mut depth, mut seed, mut walks, mut steps) = (None, 12, 1, 200, 20_000);
+    let (mut runs, mut tries) = (20, 4_000);
     let mut arguments = lexopt::Parser::from_env();
     while let Some(argument) = arguments.next()? {
         match argument {
@@ -33,6 +37,8 @@
             Long("depth") => depth = arguments.value()?.parse()?,
             Long("seed") => seed = arguments.value()?.parse()?,
             Long("walks") => walks = arguments.value()?.parse()?,
+            Long("runs") => runs = arguments.value()?.parse()?,
+            Long("tries") => tries = arguments.value()?.parse()?,
             Long("steps") => steps = arguments.value()?.parse()?,
             Long("help") => {
                 print!("{USAGE}");
@@ -87,6 +93,7 @@
             println!("{walks} walks from seed {seed}, {taken} steps: nothing is broken");
             Ok(())
         }
+        ["nodes"] => play(seed, runs, tries, bug),
         _ => {
             print!("{USAGE}");
             bail!("what is to be visited?")
@@ -142,3 +149,31 @@
     }
     Ok(())
 }
+
+fn play(seed: u64, runs: u64, tries: usize, bug: Option<Bug>) -> Result<()> {
+    for seed in seed..seed + runs {
+        let begun = Instant::now();
+        let played = nodes::play(&Play { tries, bug, ..Play::usual(seed) })?;
+        let verdict = &played.verdict;
+        println!(
+            "seed {seed}: {} events, {} tries, {} served, {} refused, {} failed, {} killed, {} attempts, {} sends after \
+             a drain (latest {:.1} ms), cold at {:.2} of a fall, {:.1} s",
+            played.events,
+            verdict.tries,
+            verdict.served,
+            verdict.refused,
+            verdict.failed,
+            verdict.killed,
+            verdict.attempts,
+            verdict.after_drain,
+            verdict.after_drain_most_ms,
+            verdict.cold_worst,
+            begun.elapsed().as_secs_f64()
+        );
+        if !verdict.breaches.is_empty() || !played.tables.is_empty() || played.kept > 0 {
+            println!("{:?}\n{:?}\n{} kept", verdict.breaches, played.tables, played.kept);
+            bail!("replay with: saffronpaddle-explore nodes --seed {seed} --runs 1 --tries {tries}");
+        }
+    }
+    Ok(())
+}
--- a/crates/explore/tests/explored.rs
+++ b/crates/explore/tests/explored.rs
@@ -2,6 +2,7 @@
 
 use saffronpaddle_decision::interface::{Effect, Group};
 use saffronpaddle_exchange::Bug;
+use saffronpaddle_explore::nodes::{play, Play};
 use saffronpaddle_explore::search::{search, Limits};
 use saffronpaddle_explore::world::{Anything, Step};
 use saffronpaddle_explore::{chart, planted, setups, walk};
@@ -83,3 +84,62 @@
         assert!(found, "{bug:?}");
     }
 }
+
+/// Three nodes with the decision module inside, six servers that fail, drain and move, lost datagrams, a node that is
+/// killed: the fleet rig's ledger finds nothing, and nothing is kept.
+#[test]
+fn whole_nodes_in_virtual_time_keep_the_rules() {
+    for seed in 1..=4 {
+        let played = play(&Play::usual(seed)).expect("settings that make sense");
+        let again = format!("saffronpaddle-explore nodes --seed {seed} --runs 1");
+        assert_eq!(played.verdict.breaches, [], "{again}");
+        assert_eq!((played.tables, played.kept), (Vec::new(), 0), "{again}");
+        assert!(played.verdict.served > played.verdict.tries / 4, "{again}: {:?}", played.verdict);
+        assert!(played.verdict.attempts > played.verdict.served, "{again}: some were tried again");
+    }
+}
+
+#[test]
+fn a_seed_is_played_the_same_way_each_time() {
+    let short = Play { tries: 500, ..Play::usual(11) };
+    let runs = [play(&short), play(&short)].map(|played| played.expect("settings that make sense"));
+    assert_eq!(runs[0], runs[1]);
+    let other = play(&Play { seed: 12, ..short }).expect("settings that make sense");
+    assert_ne!(runs[0].course, other.course);
+}
+
+#[test]
+fn whole_nodes_in_virtual_time_show_faults() {
+    for bug in [Bug::CancelWithoutClose, Bug::SlotLost, Bug::EndNeverTold] {
+        let found = (1..=6).any(|seed| {
+            let played =
+                play(&Play { bug: Some(bug), ..Play::usual(seed) }).expect("settings that make sense");
+            !played.verdict.breaches.is_empty() || !played.tables.is_empty() || played.kept > 0
+        });
+        assert!(found, "{bug:?}");
+    }
+}
+
+proptest::proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig { cases: 48, ..Default::default() })]
+
+    /// Any choices in a large world: where they break something, proptest looks for fewer of them that still do.
+    #[test]
+    fn any_choices_in_a_large_world_break_nothing(
+        seed in 0_u64..1_000_000, choices in proptest::collection::vec(proptest::prelude::any::<u16>(), 0..600),
+    ) {
+        let setup = setups::wide(seed);
+        let mut world = saffronpaddle_explore::world::World::new(&setup, Anything, None);
+        for choice in choices {
+            let steps = world.steps(&setup);
+            let Some(step) = steps.get(usize::from(choice) % steps.len().max(1)).copied() else { break };
+            proptest::prop_assert_eq!(world.take(&setup, step), Ok(()), "{:?}", step);
+        }
+        let mut left = 20_000;
+        while let Some(step) = world.left_alone(&setup).filter(|_| left > 0) {
+            left -= 1;
+            proptest::prop_assert_eq!(world.take(&setup, step), Ok(()), "{:?}", step);
+        }
+        proptest::prop_assert_eq!(world.over_and_done(), Ok(()));
+    }
+}
--- a/crates/saffronpaddle/tests/interleavings.rs
+++ b/crates/saffronpaddle/tests/interleavings.rs
@@ -7,7 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Rounds of each race; half of them in either order.
 const ROUNDS: usize = 30;
@@ -30,7 +30,7 @@
         });
         scope.spawn(|| {
             gate.wait();
-            if round % 2 == 0 {
+            if round.is_multiple_of(2) {
                 thread::yield_now();
             }
             second();
@@ -105,69 +105,85 @@
     servers.got_no_more();
 }
 
-/// The first attempt breaks as its retry's server drains: once the node has been told, nothing new goes there.
-#[test]
-fn a_retry_races_a_drain() {
-    for round in 0..ROUNDS / 3 {
-        let (servers, discovery) = (Servers::new(), Discovery::start());
-        let first = servers.start("s-1", &[Does::IsSilent]);
-        let hosts = [host("s-1", first, 1, "ready")];
-        let node = Node::start(&format!("retry-drain{round}"), discovery.address, &hosts);
-        let (_, mut watch) = discovery.watch();
-        let mut client = node.client();
-        client.write(&request("a", "read", "20000m"));
-        let got = servers.next();
-        let second = servers.start("s-2", &[SERVES]);
-        let both = [host("s-1", first, 1, "draining"), host("s-2", second, 2, "ready")];
-        write_list(&mut watch, &list(2, true, &both));
-        let told = list(3, false, &[host("s-2", second, 2, "draining"), host("s-1", first, 1, "ready")]);
-        race(
-            round,
-            || got.stream.shutdown(Shutdown::Both).expect("it is open"),
-            || write_list(&mut watch, &told),
-        );
-        // Another client's request shows that the drain was heard: s-1 alone is left, and keeps silent.
-        let sees = loop {
-            let mut probe = node.client();
-            probe.write(&request(&format!("probe{round}"), "read", "20000m"));
-            let got = servers.next();
-            match (got.server.as_str(), got.message.header("x-request-id")) {
-                ("s-1", _) => break got,
-                (_, "a") => continue,
-                _ => drop(probe),
-            }
-        };
-        drop(sees);
-        let mut after = node.client();
-        after.write(&request("after", "read", "20000m"));
-        loop {
-            let mut got = servers.next();
-            if got.message.header("x-request-id") == "after" {
-                assert_eq!(got.server, "s-1", "something new to a server that drains");
-            }
-            if got.server == "s-1" {
-                got.stream.write_all(named("served").as_bytes()).unwrap_or(());
-            }
-            if got.message.header("x-request-id") == "after" {
-                break;
+/// A listener whose backlog is full: connects to it stay out until somebody is accepted, and the machine tries again a
+/// second later.
+struct Full {
+    listener: TcpListener,
+    address: SocketAddr,
+    fill: Vec<TcpStream>,
+}
+
+impl Full {
+    fn new() -> Full {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let listener: TcpListener = socket.into();
+        let address = listener.local_addr().expect("an address");
+        let mut fill = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
+            fill.push(stream);
+        }
+        Full { listener, address, fill }
+    }
+
+    /// Accepts all who wait, and those who come for a while yet: none of them may say a word.
+    fn hears_nothing(mut self) {
+        let fill: Vec<SocketAddr> =
+            self.fill.iter().map(|stream| stream.local_addr().expect("an address")).collect();
+        self.listener.set_nonblocking(true).expect("it can be");
+        let until = Instant::now() + Duration::from_secs(3);
+        let mut came = Vec::new();
+        while Instant::now() < until {
+            came.extend(self.listener.accept().into_iter().filter(|(_, from)| !fill.contains(from)));
+            for (stream, _) in &mut came {
+                stream.set_nonblocking(true).expect("it can be");
+                let words = stream.read(&mut [0; 1]);
+                assert!(!matches!(words, Ok(1)), "bytes to who must get none");
             }
+            thread::sleep(Duration::from_millis(10));
         }
-        assert_eq!(after.answer().expect("an answer").status(), 200);
+        self.fill.clear();
     }
 }
 
-/// A listener whose backlog is full: connects to it stay out until somebody is accepted.
-fn full() -> (TcpListener, SocketAddr, Vec<TcpStream>) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
-    socket.listen(0).expect("it listens");
-    let listener: TcpListener = socket.into();
-    let address = listener.local_addr().expect("an address");
-    let mut fill = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
-        fill.push(stream);
-    }
-    (listener, address, fill)
+/// A node that waits long for connections and answers, so that a connect that is out stays so.
+fn patient(tag: &str, discovery: &Discovery, hosts: &[String]) -> Node {
+    let slow = |text: String| {
+        text.replace(r#""connectTimeoutUs":250000"#, r#""connectTimeoutUs":20000000"#)
+            .replace(r#""aimUs":400000"#, r#""aimUs":20000000"#)
+    };
+    Node::altered(tag, discovery.address, hosts, 1024, slow, |_| {})
+}
+
+/// Time for the node to get as far as a connect that can't come up. Were it too short, the test would show less.
+const GETS_THERE: Duration = Duration::from_millis(300);
+
+/// The first attempt breaks, and the connect of its retry is out as that server drains: it gets nothing, the request is
+/// served elsewhere.
+#[test]
+fn a_retry_races_a_drain() {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let first = servers.start("s-1", &[Does::IsSilent]);
+    let node = patient("retry-drain", &discovery, &[host("s-1", first, 1, "ready")]);
+    let (_, mut watch) = discovery.watch();
+    let mut client = node.client();
+    client.write(&request("a", "read", "20000m"));
+    let got = servers.next();
+    let full = Full::new();
+    let both = [host("s-1", first, 1, "draining"), host("s-2", full.address, 2, "ready")];
+    write_list(&mut watch, &list(2, true, &both));
+    thread::sleep(GETS_THERE);
+    got.stream.shutdown(Shutdown::Both).expect("the attempt is out");
+    thread::sleep(GETS_THERE);
+    let third = servers.start("s-3", &[SERVES]);
+    let told = [host("s-2", full.address, 2, "draining"), host("s-3", third, 3, "ready")];
+    write_list(&mut watch, &list(3, false, &told));
+    let heard = thread::spawn(|| full.hears_nothing());
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert_eq!(servers.next().server, "s-3");
+    heard.join().expect("nothing went to the server that drains");
+    servers.got_no_more();
 }
 
 /// While a connect to a server's address is out, that address passes to another server, which then accepts it: not a byte
@@ -175,26 +191,20 @@
 #[test]
 fn a_servers_address_passes_to_another_while_a_connect_is_out() {
     let (servers, discovery) = (Servers::new(), Discovery::start());
-    let (listener, old, fill) = full();
-    let node = Node::start("passes", discovery.address, &[host("s-1", old, 1, "ready")]);
+    let full = Full::new();
+    let node = patient("passes", &discovery, &[host("s-1", full.address, 1, "ready")]);
     let (_, mut watch) = discovery.watch();
     let mut client = node.client();
     client.write(&request("a", "pay", "20000m"));
-    // The connect is out, or was out once already: it can't come up.
+    thread::sleep(GETS_THERE);
     let new = servers.start("s-1", &[SERVES]);
-    let moved = [host("s-1", new, 1, "ready"), host("s-2", old, 2, "draining")];
+    let moved = [host("s-1", new, 1, "ready"), host("s-2", full.address, 2, "draining")];
     write_list(&mut watch, &list(2, true, &moved));
+    let heard = thread::spawn(|| full.hears_nothing());
     let answer = client.answer().expect("an answer");
     assert_eq!((answer.status(), answer.body), (200, b"ranks".to_vec()));
     assert_eq!(servers.next().message.header("x-request-id"), "a");
-    // Whatever came up at the old address carries nothing.
-    drop(fill);
-    listener.set_nonblocking(true).expect("it can be");
-    while let Ok((mut stream, _)) = listener.accept() {
-        stream.set_read_timeout(Some(Duration::from_millis(300))).expect("a time-out");
-        let mut text = [0; 1];
-        assert!(!matches!(stream.read(&mut text), Ok(1)), "bytes for s-1 at an address that it has left");
-    }
+    heard.join().expect("nothing went to the address that has passed on");
     servers.got_no_more();
 }
 
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -310,6 +310,14 @@
     /// The same, with the command changed before it is run.
     pub fn launch(
         tag: &str, discovery: SocketAddr, hosts: &[String], sockets: usize, change: impl FnOnce(&mut Command),
+    ) -> Node {
+        Node::altered(tag, discovery, hosts, sockets, |text| text, change)
+    }
+
+    /// The same with another configuration.
+    pub fn altered(
+        tag: &str, discovery: SocketAddr, hosts: &[String], sockets: usize,
+        alter: impl FnOnce(String) -> String, change: impl FnOnce(&mut Command),
     ) -> Node {
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
         peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
@@ -320,7 +328,7 @@
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"peer_listen":"{datagrams}","peers":["{datagrams}","{peer_address}"],{known}"settings":{SETTINGS}}}"#
         );
-        let (child, config) = start_with(tag, &config, change);
+        let (child, config) = start_with(tag, &alter(config), change);
         let (child, address, log) = listening(child);
         Node { child, address, peer, datagrams, config, log }
     }
