Add what WebSocket fronts decide: upgrades, frames, limits, drains and paces

Change: crates/sockets (upgrade, frames, table) on tungstenite's frame heads; [sockets] in the operator file, off by default; the exchange lets a connection go with an upgrade's answer, and the world 'upgrade' visits that. No front uses it yet.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -105,6 +105,7 @@
             Event::ConnectFailed { link, lack } => self.connect_failed(link, lack),
             Event::Begin { link, quiet } => self.begin(now, link, quiet, commands),
             Event::Replied { link, outcome } => self.replied(now, link, outcome, commands),
+            Event::Upgraded { link } => self.upgraded(link, commands),
             Event::Broken { link } => self.broken(now, link, commands),
             Event::Gone { link } => self.gone(link, commands),
             Event::Closed { link } => self.closed(now, link, commands),
@@ -430,6 +431,17 @@
         self.ended(&id, outcome);
     }
 
+    /// The connection leaves the exchange with the answer. Whoever has it closes it, if nobody waits for the answer.
+    fn upgraded(&mut self, link: LinkId, commands: &mut Commands<A>) {
+        let Some(id) = self.on(link) else { return };
+        if self.links.get(&link).is_none_or(|row| row.state != State::Written) {
+            return;
+        }
+        self.links.remove(&link);
+        self.answer(&id, Verdict::Served, commands);
+        self.ended(&id, Outcome::Ok);
+    }
+
     fn broken(&mut self, now: Micros, link: LinkId, commands: &mut Commands<A>) {
         let Some(id) = self.on(link) else { return };
         match self.links.get(&link) {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -110,6 +110,11 @@
         /// What it says.
         outcome: Outcome,
     },
+    /// An answer has come that makes the connection a socket: it is the client's now, and no longer the exchange's.
+    Upgraded {
+        /// Which.
+        link: LinkId,
+    },
     /// The exchange on a connection came to nothing: it broke, or what came is no answer to the request.
     Broken {
         /// Which.
@@ -182,7 +187,7 @@
 /// A final answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Verdict {
-    /// What the server answered; it came with the [`Event::Replied`] that is being handled.
+    /// What the server answered; it came with the [`Event::Replied`] or [`Event::Upgraded`] that is being handled.
     Served,
     /// Refused, and trying again is harmless; come back after so many µs.
     Refused(Option<Micros>),
--- a/crates/explore/src/setups.rs
+++ b/crates/explore/src/setups.rs
@@ -36,6 +36,7 @@
         stop: false,
         wild: false,
         verdicts: true,
+        upgrades: false,
         late: false,
     }
 }
@@ -126,6 +127,17 @@
             horizon: 3,
             ..base("stop", "the node is told to leave at any time, between two attempts too")
         },
+        Setup {
+            upgrades: true,
+            changes: vec![Change::Drains(0)],
+            faults: true,
+            leave: true,
+            stop: true,
+            verdicts: false,
+            patience: 2,
+            horizon: 2,
+            ..base("upgrade", "an upgrade, whose connection leaves the exchange; a drain, a stop, all faults")
+        },
         Setup {
             late: true,
             wild: true,
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -129,6 +129,8 @@
     pub wild: bool,
     /// It may refuse and fail at any time.
     pub verdicts: bool,
+    /// The requests are upgrades.
+    pub upgrades: bool,
     /// The loop may come late: the clock goes on though an alarm is due.
     pub late: bool,
 }
@@ -187,14 +189,23 @@
     Error,
     /// Turned away unseen.
     Full,
+    /// Served, and the connection is a socket from now on.
+    Upgrade,
 }
 
 impl Reply {
-    const ALL: [Reply; 3] = [Reply::Ok, Reply::Error, Reply::Full];
+    /// What a server may answer to a request, or to an upgrade.
+    fn all(upgrades: bool) -> &'static [Reply] {
+        if upgrades {
+            &[Reply::Upgrade, Reply::Error, Reply::Full]
+        } else {
+            &[Reply::Ok, Reply::Error, Reply::Full]
+        }
+    }
 
     fn outcome(self) -> Outcome {
         match self {
-            Reply::Ok => Outcome::Ok,
+            Reply::Ok | Reply::Upgrade => Outcome::Ok,
             Reply::Error => Outcome::Error,
             Reply::Full => Outcome::Full,
         }
@@ -398,7 +409,8 @@
                 steps.push(Step::Begins(l));
             }
             if begun && !wire.answered && !wire.reset {
-                steps.extend(Reply::ALL.into_iter().map(|reply| Step::Answers(l, reply)));
+                let all = Reply::all(setup.upgrades).iter();
+                steps.extend(all.map(|reply| Step::Answers(l, *reply)));
             }
             if let (Some((_, _, when)), false, false) = (wire.last, wire.repeated, wire.reset) {
                 let prompt = self.now(setup) < when + setup.bounds.settle;
@@ -563,13 +575,22 @@
                 if setup.echoed && of != r {
                     Event::Broken { link }
                 } else {
-                    read = Some((of, wire.closing));
-                    if !wire.closing {
+                    let wire_closing = wire.closing;
+                    read = Some((of, wire_closing));
+                    if !wire_closing {
                         wire.carries = None;
                         wire.answered = false;
                         self.over(r, link, reply == Reply::Full);
                     }
-                    Event::Replied { link, outcome: reply.outcome() }
+                    if reply == Reply::Upgrade && !wire_closing {
+                        // The socket has it now.
+                        self.wires.remove(&link);
+                        Event::Upgraded { link }
+                    } else if reply == Reply::Upgrade {
+                        Event::Upgraded { link }
+                    } else {
+                        Event::Replied { link, outcome: reply.outcome() }
+                    }
                 }
             }
             Step::SeesEnd(l) => {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -18,6 +18,7 @@
 pub use reader::{Fault, Faults, Section};
 
 use saffronpaddle_lifecycle::readiness::Conditions;
+use saffronpaddle_sockets::table::Limits;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -41,6 +42,23 @@
     pub manager: Manager,
     /// `[etcd]`; `None` while it names no endpoints.
     pub etcd: Option<Etcd>,
+    /// `[sockets]`; `None` while it names no class.
+    pub sockets: Option<Sockets>,
+}
+
+/// WebSocket.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sockets {
+    /// The class that upgrades have; one that is asked for with GET.
+    pub class: String,
+    /// How many there may be, how long, at which pace.
+    pub limits: Limits,
+    /// Most bytes of a frame's and of a message's payload.
+    pub frame_most: u64,
+    /// See there.
+    pub message_most: u64,
+    /// Whether text is checked to be UTF-8.
+    pub utf8: bool,
 }
 
 /// How the node comes to its listener.
@@ -138,6 +156,7 @@
                 watchdog: section.flag("watchdog", true),
             }),
             etcd: file.section("etcd", etcd),
+            sockets: file.section("sockets", sockets),
         }
     }
 }
@@ -204,6 +223,38 @@
     (!etcd.endpoints.is_empty()).then_some(etcd)
 }
 
+fn sockets(section: &mut Section) -> Option<Sockets> {
+    let text = |text: &str| (!text.is_empty()).then(|| text.to_owned());
+    let us = |span: Duration| span.as_micros() as u64;
+    let class = section.parsed("class", "the name of a class", text);
+    let limits = Limits {
+        per_node: section.number("per_node", 1_000, 1..=1_000_000) as usize,
+        per_customer: section.number("per_customer", 20, 1..=1_000_000) as u32,
+        per_server: section.number("per_server", 1_000, 1..=1_000_000) as usize,
+        opens_per_s: section.figure("opens_per_s", 200.0, 0.1..=100_000.0),
+        ping_after: us(section.span_ms("ping_after_ms", 20_000, 100..=3_600_000)),
+        silent_after: us(section.span_ms("silent_after_ms", 45_000, 200..=7_200_000)),
+        idle_for: us(section.span_ms("idle_for_ms", 0, 0..=86_400_000)),
+        life_for: us(section.span_ms("life_for_ms", 0, 0..=604_800_000)),
+        drain_within: us(section.span_ms("drain_within_ms", 200, 50..=240)),
+        close_within: us(section.span_ms("close_within_ms", 2_000, 50..=60_000)),
+        back_per_s: section.figure("back_per_s", 100.0, 0.1..=100_000.0),
+        restart: section.flag("service_restart", false),
+    };
+    let (frame_most, message_most) = (
+        section.number("frame_most", 1 << 20, 125..=1 << 30),
+        section.number("message_most", 4 << 20, 125..=1 << 32),
+    );
+    let utf8 = section.flag("utf8", false);
+    if limits.silent_after <= limits.ping_after {
+        section.fault("silent_after_ms", "must be more than ping_after_ms");
+    }
+    if message_most < frame_most {
+        section.fault("message_most", "must be at least frame_most");
+    }
+    class.map(|class| Sockets { class, limits, frame_most, message_most, utf8 })
+}
+
 fn stop(section: &mut Section) -> Stop {
     Stop {
         leave_for: section.span_ms("leave_for_ms", 600, 0..=600_000),
--- /dev/null
+++ b/crates/sockets/src/frames.rs
@@ -0,0 +1,492 @@
+//! What may pass from one side of a socket to the other (RFC 6455, sections 5 and 7; RFC 7692 is passed through).
+//!
+//! Frames go on as they came, the client's mask on them, so that nothing is unpacked. Heads and control frames are held
+//! until they are whole: whatever was passed on ends at a frame's boundary, or inside the payload of a data frame.
+
+use std::io::Cursor;
+use tungstenite::protocol::frame::coding::{CloseCode, Control, Data, OpCode};
+use tungstenite::protocol::frame::{CloseFrame, Frame, FrameHeader};
+
+/// Most bytes of a control frame's payload (section 5.5).
+const CONTROL_MOST: u64 = 125;
+/// Most bytes of a frame's head (section 5.2).
+const HEAD_MOST: usize = 14;
+/// What the node's own pings say, so that their pongs are known and go no further.
+pub const OWN_PING: &[u8] = b"saffronpaddle";
+
+/// Who speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Side {
+    /// The client, who masks (section 5.3).
+    Client,
+    /// The server, who does not.
+    Server,
+}
+
+impl Side {
+    /// The one who listens.
+    pub fn other(self) -> Side {
+        match self {
+            Side::Client => Side::Server,
+            Side::Server => Side::Client,
+        }
+    }
+}
+
+/// What is let through.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rules {
+    /// Most bytes of a frame's payload.
+    pub frame_most: u64,
+    /// Most bytes of a message, all its frames together.
+    pub message_most: u64,
+    /// Messages may be compressed: RSV1 on their first frame.
+    pub deflate: bool,
+    /// Text that is not compressed has to be UTF-8.
+    pub utf8: bool,
+}
+
+/// What came that the relay has to know of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// A close frame with its code; it was passed on, and nothing is after it.
+    Close(Option<u16>),
+    /// The answer to a ping of the node's own; it was not passed on.
+    OwnPong,
+    /// Data went on: a head or a part of a payload.
+    Data,
+}
+
+/// What must not pass: the code to close with (section 7.4.1), and what is wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// 1002, 1007 or 1009.
+    pub code: u16,
+    /// In words.
+    pub why: &'static str,
+}
+
+fn wrong<T>(why: &'static str) -> Result<T, Fault> {
+    Err(Fault { code: 1002, why })
+}
+
+/// Follows what one side says.
+#[derive(Debug)]
+pub struct Scanner {
+    side: Side,
+    rules: Rules,
+    head: [u8; HEAD_MOST],
+    have: usize,
+    /// The frame whose payload is under way, and how much of that is to come.
+    frame: Option<Under>,
+    /// A message that is in pieces: its bytes so far, and whether it is text to be checked.
+    message: Option<(u64, bool)>,
+    /// The payload so far of a control frame.
+    control: Vec<u8>,
+    /// Bytes of a character that is not whole yet.
+    text: Vec<u8>,
+    closed: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Under {
+    control: Option<Control>,
+    last: bool,
+    text: bool,
+    mask: Option<[u8; 4]>,
+    left: u64,
+    at: usize,
+    head: usize,
+}
+
+impl Scanner {
+    /// Follows one side of a new socket.
+    pub fn new(side: Side, rules: Rules) -> Scanner {
+        Scanner {
+            side,
+            rules,
+            head: [0; HEAD_MOST],
+            have: 0,
+            frame: None,
+            message: None,
+            control: Vec::new(),
+            text: Vec::new(),
+            closed: false,
+        }
+    }
+
+    /// Whether what was passed on ends at a frame's boundary: the node may put in a frame of its own there.
+    pub fn at_boundary(&self) -> bool {
+        self.frame.is_none_or(|frame| frame.control.is_some())
+    }
+
+    /// Whether this side has closed.
+    pub fn closed(&self) -> bool {
+        self.closed
+    }
+
+    /// Takes in what came and adds what may pass to `out`.
+    ///
+    /// # Errors
+    /// What must not pass. What came before it may.
+    pub fn scan(&mut self, mut bytes: &[u8], out: &mut Vec<u8>, seen: &mut Vec<Seen>) -> Result<(), Fault> {
+        while !bytes.is_empty() && !self.closed {
+            if self.frame.is_none() {
+                let wants = self.wants();
+                let taken = (wants - self.have).min(bytes.len());
+                self.head[self.have..self.have + taken].copy_from_slice(&bytes[..taken]);
+                self.have += taken;
+                bytes = &bytes[taken..];
+                if self.have < self.wants() {
+                    continue;
+                }
+                self.begin(out, seen)?;
+            }
+            let Some(mut frame) = self.frame else { continue };
+            let taken = usize::try_from(frame.left).unwrap_or(usize::MAX).min(bytes.len());
+            let (now, rest) = bytes.split_at(taken);
+            bytes = rest;
+            if frame.control.is_some() {
+                self.control.extend_from_slice(now);
+            } else {
+                if frame.text {
+                    self.check(&frame, now)?;
+                }
+                out.extend_from_slice(now);
+                if taken > 0 {
+                    seen.push(Seen::Data);
+                }
+            }
+            frame.at += taken;
+            frame.left -= taken as u64;
+            self.frame = Some(frame);
+            if frame.left == 0 {
+                self.end(frame, out, seen)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// How many bytes the head at hand has, as far as that is known.
+    fn wants(&self) -> usize {
+        if self.have < 2 {
+            return 2;
+        }
+        let length = match self.head[1] & 0x7f {
+            126 => 2,
+            127 => 8,
+            _ => 0,
+        };
+        2 + length + if self.head[1] & 0x80 != 0 { 4 } else { 0 }
+    }
+
+    /// A head is whole (section 5.2).
+    fn begin(&mut self, out: &mut Vec<u8>, seen: &mut Vec<Seen>) -> Result<(), Fault> {
+        let head = &self.head[..self.have];
+        let (first, short) = (head[0], head[1] & 0x7f);
+        let parsed = FrameHeader::parse(&mut Cursor::new(head));
+        let Ok(Some((header, length))) = parsed else { return wrong("an opcode that is reserved") };
+        if length >> 63 != 0 {
+            return wrong("a length beyond 2^63");
+        }
+        if (short == 126 && length < 126) || (short == 127 && length <= 0xffff) {
+            return wrong("a length that is not written the short way");
+        }
+        if header.mask.is_some() != (self.side == Side::Client) {
+            return wrong("a mask that is missing, or too many");
+        }
+        if header.rsv2 || header.rsv3 {
+            return wrong("a bit that is reserved");
+        }
+        if let OpCode::Control(control) = header.opcode {
+            if header.rsv1 || !header.is_final || length > CONTROL_MOST {
+                return wrong("a control frame in pieces, too long or compressed");
+            }
+            self.under(&header, Some(control), false, length);
+            return Ok(());
+        }
+        let new = !matches!(header.opcode, OpCode::Data(Data::Continue));
+        if new == self.message.is_some() {
+            return wrong("a message inside another, or the rest of none");
+        }
+        if header.rsv1 && !(self.rules.deflate && new) {
+            return wrong("a bit that is reserved");
+        }
+        let (before, text) = self.message.unwrap_or((0, false));
+        let text = if new { self.rules.utf8 && first & 0x0f == 1 && !header.rsv1 } else { text };
+        let size = before.saturating_add(length);
+        if length > self.rules.frame_most || size > self.rules.message_most {
+            return Err(Fault { code: 1009, why: "a frame or a message that is too large" });
+        }
+        self.message = Some((size, text));
+        out.extend_from_slice(&self.head[..self.have]);
+        seen.push(Seen::Data);
+        self.under(&header, None, text, length);
+        Ok(())
+    }
+
+    fn under(&mut self, header: &FrameHeader, control: Option<Control>, text: bool, left: u64) {
+        let (mask, last) = (header.mask, header.is_final);
+        self.frame = Some(Under { control, last, text, mask, left, at: 0, head: self.have });
+    }
+
+    /// A frame is whole.
+    fn end(&mut self, frame: Under, out: &mut Vec<u8>, seen: &mut Vec<Seen>) -> Result<(), Fault> {
+        self.frame = None;
+        let head = std::mem::take(&mut self.have);
+        let Some(control) = frame.control else {
+            if frame.last {
+                self.message = None;
+                if !std::mem::take(&mut self.text).is_empty() {
+                    return Err(Fault { code: 1007, why: "text that ends within a character" });
+                }
+            }
+            return Ok(());
+        };
+        let raw = std::mem::take(&mut self.control);
+        let plain: Vec<u8> = unmasked(frame.mask, 0, &raw).collect();
+        if control == Control::Pong && plain == OWN_PING {
+            seen.push(Seen::OwnPong);
+            return Ok(());
+        }
+        if control == Control::Close {
+            let code = close_code(&plain)?;
+            self.closed = true;
+            seen.push(Seen::Close(code));
+        }
+        debug_assert_eq!(head, frame.head);
+        out.extend_from_slice(&self.head[..frame.head]);
+        out.extend_from_slice(&raw);
+        Ok(())
+    }
+
+    /// Checks a piece of text (section 8.1); what is no whole character yet is kept for the next piece.
+    fn check(&mut self, frame: &Under, piece: &[u8]) -> Result<(), Fault> {
+        self.text.extend(unmasked(frame.mask, frame.at, piece));
+        match std::str::from_utf8(&self.text) {
+            Ok(_) => self.text.clear(),
+            Err(error) if error.error_len().is_none() => {
+                let good = error.valid_up_to();
+                self.text.drain(..good);
+            }
+            Err(_) => return Err(Fault { code: 1007, why: "text that is no UTF-8" }),
+        }
+        Ok(())
+    }
+}
+
+fn unmasked(mask: Option<[u8; 4]>, at: usize, bytes: &[u8]) -> impl Iterator<Item = u8> + '_ {
+    let mask = mask.unwrap_or_default();
+    bytes.iter().enumerate().map(move |(place, byte)| byte ^ mask[(at + place) % 4])
+}
+
+/// What a close frame says (sections 5.5.1 and 7.4).
+fn close_code(payload: &[u8]) -> Result<Option<u16>, Fault> {
+    let (code, reason) = match payload {
+        [] => return Ok(None),
+        [high, low, reason @ ..] => (u16::from_be_bytes([*high, *low]), reason),
+        [_] => return wrong("a close code of one byte"),
+    };
+    if !CloseCode::from(code).is_allowed() {
+        return wrong("a close code that is not allowed");
+    }
+    if std::str::from_utf8(reason).is_err() {
+        return Err(Fault { code: 1007, why: "a reason that is no UTF-8" });
+    }
+    Ok(Some(code))
+}
+
+/// A close frame of the node's own, for this side to read. The reason has 123 bytes at the most.
+pub fn close(to: Side, code: u16, reason: &str, mask: [u8; 4]) -> Vec<u8> {
+    let mut end = reason.len().min(CONTROL_MOST as usize - 2);
+    while !reason.is_char_boundary(end) {
+        end -= 1;
+    }
+    let frame = CloseFrame { code: CloseCode::from(code), reason: reason[..end].into() };
+    written(to, Frame::close(Some(frame)), mask)
+}
+
+/// A ping of the node's own, for this side to answer.
+pub fn ping(to: Side, mask: [u8; 4]) -> Vec<u8> {
+    written(to, Frame::ping(OWN_PING), mask)
+}
+
+/// Who speaks to a server speaks as a client, and masks.
+fn written(to: Side, mut frame: Frame, mask: [u8; 4]) -> Vec<u8> {
+    if to == Side::Server {
+        frame.header_mut().mask = Some(mask);
+    }
+    let mut bytes = Vec::new();
+    // A buffer takes all that is written to it.
+    let _ = frame.format(&mut bytes);
+    bytes
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const RULES: Rules = Rules { frame_most: 1000, message_most: 2000, deflate: false, utf8: true };
+
+    /// All at once, and byte by byte: the same comes of it.
+    fn scan(side: Side, rules: Rules, bytes: &[u8]) -> (Vec<u8>, Vec<Seen>, Option<u16>) {
+        let mut whole = (Vec::new(), Vec::new(), None);
+        let mut scanner = Scanner::new(side, rules);
+        whole.2 = scanner.scan(bytes, &mut whole.0, &mut whole.1).err().map(|fault| fault.code);
+        let mut parts = (Vec::new(), Vec::new(), None);
+        let mut scanner = Scanner::new(side, rules);
+        for byte in bytes {
+            if parts.2.is_none() {
+                parts.2 = scanner.scan(&[*byte], &mut parts.0, &mut parts.1).err().map(|fault| fault.code);
+            }
+        }
+        assert_eq!(whole.2, parts.2);
+        if whole.2.is_none() {
+            assert_eq!(whole.0, parts.0);
+        }
+        whole.1.retain(|seen| *seen != Seen::Data);
+        parts.1.retain(|seen| *seen != Seen::Data);
+        assert_eq!(whole.1, parts.1);
+        whole
+    }
+
+    fn server(bytes: &[u8]) -> (Vec<u8>, Vec<Seen>, Option<u16>) {
+        scan(Side::Server, RULES, bytes)
+    }
+
+    fn masked(first: u8, payload: &[u8]) -> Vec<u8> {
+        let mask = [7, 11, 13, 17];
+        let mut bytes = vec![first, 0x80 | payload.len() as u8];
+        bytes.extend(mask);
+        bytes.extend(unmasked(Some(mask), 0, payload));
+        bytes
+    }
+
+    #[test]
+    fn section_5_2_frames_pass_unchanged() {
+        let hello = [0x81, 5, b'H', b'e', b'l', b'l', b'o'];
+        assert_eq!(server(&hello), (hello.to_vec(), vec![], None));
+        let client = masked(0x81, b"Hello");
+        assert_eq!(scan(Side::Client, RULES, &client), (client.clone(), vec![], None));
+        let empty = [0x82, 0];
+        assert_eq!(server(&empty).0, empty);
+        let mut long = vec![0x82, 126, 1, 0];
+        long.extend([9; 256]);
+        assert_eq!(server(&long).0, long);
+    }
+
+    #[test]
+    fn section_5_1_masks_are_the_clients_alone() {
+        assert_eq!(scan(Side::Client, RULES, &[0x81, 1, b'a']).2, Some(1002));
+        assert_eq!(server(&masked(0x81, b"a")).2, Some(1002));
+    }
+
+    #[test]
+    fn section_5_2_reserved_bits_opcodes_and_lengths() {
+        for first in [0xc1, 0xa1, 0x91, 0x83, 0x87, 0x8b, 0x8f] {
+            assert_eq!(server(&[first, 0]).2, Some(1002), "{first:x}");
+        }
+        let mut beyond = vec![0x82, 127];
+        beyond.extend((1_u64 << 63).to_be_bytes());
+        assert_eq!(server(&beyond).2, Some(1002));
+        assert_eq!(server(&[0x82, 126, 0, 125]).2, Some(1002));
+        let mut long_way = vec![0x82, 127];
+        long_way.extend(65_535_u64.to_be_bytes());
+        assert_eq!(server(&long_way).2, Some(1002));
+    }
+
+    #[test]
+    fn section_5_4_pieces_with_control_frames_between() {
+        let pieces = [0x01, 1, b'a', 0x89, 1, b'p', 0x00, 1, b'b', 0x80, 1, b'c'];
+        assert_eq!(server(&pieces), (pieces.to_vec(), vec![], None));
+        assert_eq!(server(&[0x80, 1, b'a']).2, Some(1002), "the rest of none");
+        assert_eq!(server(&[0x01, 1, b'a', 0x81, 1, b'b']).2, Some(1002), "a message inside another");
+    }
+
+    #[test]
+    fn section_5_5_control_frames_are_short_and_whole() {
+        assert_eq!(server(&[0x09, 0]).2, Some(1002));
+        assert_eq!(server(&[0x89, 126, 0, 126]).2, Some(1002));
+        let (out, seen, fault) = server(&[0x8a, 2, b'h', b'i']);
+        assert_eq!((out.len(), seen, fault), (4, vec![], None), "an unasked pong passes");
+        let pong: Vec<u8> = [&[0x8a, OWN_PING.len() as u8], OWN_PING].concat();
+        assert_eq!(server(&pong), (vec![], vec![Seen::OwnPong], None));
+    }
+
+    #[test]
+    fn section_7_4_close_codes() {
+        let close = |code: u16| [&[0x88, 2][..], &code.to_be_bytes()].concat();
+        for code in [1000, 1001, 1002, 1003, 1007, 1008, 1009, 1010, 1011, 1012, 1013, 3000, 4999] {
+            assert_eq!(server(&close(code)), (close(code), vec![Seen::Close(Some(code))], None), "{code}");
+        }
+        for code in [0, 999, 1004, 1005, 1006, 1015, 1016, 2999, 5000, 65535] {
+            assert_eq!(server(&close(code)).2, Some(1002), "{code}");
+        }
+        assert_eq!(server(&[0x88, 0]).1, [Seen::Close(None)]);
+        assert_eq!(server(&[0x88, 1, 3]).2, Some(1002));
+        assert_eq!(server(&[0x88, 3, 3, 232, 0xff]).2, Some(1007));
+        // Nothing passes after it.
+        assert_eq!(server(&[0x88, 0, 0x81, 1, b'a']).0, [0x88, 0]);
+    }
+
+    #[test]
+    fn section_8_1_text_is_checked_if_that_is_set() {
+        let split = [0x01, 1, 0xc3, 0x80, 1, 0xa9];
+        assert_eq!(server(&split), (split.to_vec(), vec![], None));
+        assert_eq!(server(&[0x81, 1, 0xff]).2, Some(1007));
+        assert_eq!(server(&[0x81, 1, 0xc3]).2, Some(1007));
+        assert_eq!(scan(Side::Client, RULES, &masked(0x81, "¡é!".as_bytes())).2, None);
+        assert_eq!(scan(Side::Client, RULES, &masked(0x81, &[0xc3, 0x28])).2, Some(1007));
+        let unchecked = Rules { utf8: false, ..RULES };
+        assert_eq!(scan(Side::Server, unchecked, &[0x81, 1, 0xff]).2, None);
+        assert_eq!(server(&[0x82, 1, 0xff]).2, None, "binary is not text");
+    }
+
+    #[test]
+    fn section_10_4_frames_and_messages_are_bounded() {
+        assert_eq!(server(&[0x82, 126, 3, 233]).2, Some(1009), "a frame of 1001");
+        let mut message = Vec::new();
+        for first in [0x02, 0x00, 0x80] {
+            message.extend([first, 126, 3, 0]);
+            message.extend([0; 768]);
+        }
+        assert_eq!(server(&message).2, Some(1009), "a message of 2304");
+    }
+
+    #[test]
+    fn rfc_7692_section_6_compressed_messages_pass_where_agreed() {
+        let deflate = Rules { deflate: true, ..RULES };
+        let compressed = [0xc1, 1, 0xff];
+        assert_eq!(scan(Side::Server, deflate, &compressed), (compressed.to_vec(), vec![], None));
+        assert_eq!(
+            scan(Side::Server, deflate, &[0x41, 1, 0xff, 0xc0, 1, 0xff]).2,
+            Some(1002),
+            "on a later frame"
+        );
+        assert_eq!(scan(Side::Server, deflate, &[0xc9, 0]).2, Some(1002), "on a control frame");
+    }
+
+    #[test]
+    fn the_nodes_own_frames_are_good_ones() {
+        let long = "é".repeat(100);
+        for (to, from) in [(Side::Client, Side::Server), (Side::Server, Side::Client)] {
+            let bytes = close(to, 1001, &long, [1, 2, 3, 4]);
+            assert_eq!(scan(from, RULES, &bytes).1, [Seen::Close(Some(1001))]);
+            let bytes = ping(to, [1, 2, 3, 4]);
+            assert_eq!(scan(from, RULES, &bytes), (bytes.clone(), vec![], None));
+        }
+    }
+
+    /// Whatever comes: no panic, nothing but what came passes, and never more than that.
+    #[test]
+    fn noise_does_no_harm() {
+        let mut random = fastrand::Rng::with_seed(7);
+        for _ in 0..20_000 {
+            let bytes: Vec<u8> = (0..random.usize(..60)).map(|_| random.u8(..)).collect();
+            let (mut out, mut seen) = (Vec::new(), Vec::new());
+            let mut scanner = Scanner::new(Side::Server, Rules { deflate: random.bool(), ..RULES });
+            let _ = scanner.scan(&bytes, &mut out, &mut seen);
+            assert!(out.len() <= bytes.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/sockets/src/table.rs
@@ -0,0 +1,595 @@
+//! How many sockets there may be, how long each may stand and be silent, and how they go when a server drains or the node
+//! leaves.
+//!
+//! An open socket counts for its customer at this node. The bound over all nodes together is split over the customer's
+//! nodes, so no node has to know of another's sockets: a client that comes back through another node is not shut out by
+//! its own ghost, and one that a killed node leaves behind counts nowhere at once.
+
+use saffronpaddle_decision::interface::{CustomerId, Micros, ServerId};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use crate::frames::Side;
+
+/// Closes are handed out this often while there are any, µs.
+const PACE: Micros = 2_000;
+/// Fewest closes that are handed out at once.
+const PACE_LEAST: usize = 32;
+/// All closes of a drain are handed out within this share of its span; the rest is for closing handshakes.
+const HANDED_OUT_WITHIN: f64 = 0.5;
+
+/// A socket of this node. Numbers are never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SocketId(pub u64);
+
+/// What bounds sockets. Spans are in µs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Sockets of this node, upgrades that are out among them. Guards descriptors and memory that requests need.
+    pub per_node: usize,
+    /// Sockets of one customer, over all of its nodes together.
+    pub per_customer: u32,
+    /// Sockets of this node at one server.
+    pub per_server: usize,
+    /// Upgrades that are let in a second, and at once. Guards servers when all clients of another come back together.
+    pub opens_per_s: f64,
+    /// One side that has been silent for so long is sent a ping.
+    pub ping_after: Micros,
+    /// One that has been silent for so long is taken for gone. More than `ping_after`.
+    pub silent_after: Micros,
+    /// A socket without data, either way, for so long is closed; 0: never.
+    pub idle_for: Micros,
+    /// No socket stands longer; 0: for ever.
+    pub life_for: Micros,
+    /// From the word that a server drains to the last byte that may reach it.
+    pub drain_within: Micros,
+    /// How long a closing handshake may take otherwise.
+    pub close_within: Micros,
+    /// Sockets that are told to come back in a second: the later ones are told to wait longer.
+    pub back_per_s: f64,
+    /// Whether a drain is told as 1012 (service restart) in place of 1001 (going away).
+    pub restart: bool,
+}
+
+/// Why an upgrade is not let in, and when it may be tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shut {
+    /// In words.
+    pub why: &'static str,
+    /// µs.
+    pub retry_in: Micros,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Close a socket on both sides with this code and reason, at frame boundaries. Nothing of the client's goes on to the
+    /// server from now on but the rest of a frame.
+    Close(SocketId, u16, String),
+    /// Ask a side for a sign of life.
+    Ping(SocketId, Side),
+    /// Cut what is left of it. Not a byte may reach the server after that.
+    Cut(SocketId),
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    customer: CustomerId,
+    /// `None` while the upgrade is out.
+    server: Option<ServerId>,
+    opened: Micros,
+    /// When each side was last heard.
+    heard: [Micros; 2],
+    pinged: [bool; 2],
+    /// When data last went either way.
+    data: Micros,
+    /// When it is cut, once it closes.
+    cut_at: Option<Micros>,
+    due: Micros,
+}
+
+/// All sockets of a node.
+#[derive(Clone, Debug)]
+pub struct Sockets {
+    limits: Limits,
+    rows: HashMap<SocketId, Row>,
+    by_customer: HashMap<CustomerId, u32>,
+    by_server: BTreeMap<ServerId, BTreeSet<SocketId>>,
+    /// Servers that were told to drain or to be gone, as long as sockets or upgrades may lead to them.
+    away: BTreeSet<ServerId>,
+    alarms: BTreeSet<(Micros, SocketId)>,
+    /// Sockets whose close is still to be handed out: until when, with which code, and the place in the queue of those
+    /// who come back.
+    closing: VecDeque<(SocketId, Micros, u16, usize)>,
+    paced: Micros,
+    tokens: f64,
+    filled: Micros,
+    stopped: bool,
+    next: u64,
+}
+
+impl Sockets {
+    /// None yet.
+    pub fn new(limits: Limits, now: Micros) -> Sockets {
+        Sockets {
+            tokens: limits.opens_per_s,
+            limits,
+            rows: HashMap::new(),
+            by_customer: HashMap::new(),
+            by_server: BTreeMap::new(),
+            away: BTreeSet::new(),
+            alarms: BTreeSet::new(),
+            closing: VecDeque::new(),
+            paced: 0,
+            filled: now,
+            stopped: false,
+            next: 0,
+        }
+    }
+
+    /// How many there are, upgrades that are out among them.
+    pub fn count(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Lets an upgrade in, which counts as a socket from now on; `spread` is the number of the customer's nodes.
+    ///
+    /// # Errors
+    /// It is not let in.
+    pub fn admit(&mut self, now: Micros, customer: CustomerId, spread: u32) -> Result<SocketId, Shut> {
+        let shut = |why, retry_in| Err(Shut { why, retry_in });
+        if self.stopped {
+            return shut("the node leaves", 1_000_000);
+        }
+        if self.rows.len() >= self.limits.per_node {
+            return shut("the node has all the sockets that it may have", 5_000_000);
+        }
+        // Guards the bound over all nodes: their shares together are no more, but where it is less than one each.
+        let share = (self.limits.per_customer / spread.max(1)).max(1);
+        let held = self.by_customer.get(&customer).copied().unwrap_or(0);
+        if held >= share {
+            return shut("the customer has all the sockets that it may have", 5_000_000);
+        }
+        let span = now.saturating_sub(self.filled) as f64 / 1e6;
+        self.tokens = (self.tokens + span * self.limits.opens_per_s).min(self.limits.opens_per_s.max(1.0));
+        self.filled = now;
+        if self.tokens < 1.0 {
+            return shut("too many at once", ((1.0 - self.tokens) / self.limits.opens_per_s * 1e6) as Micros);
+        }
+        self.tokens -= 1.0;
+        *self.by_customer.entry(customer).or_default() += 1;
+        let id = SocketId(self.next);
+        self.next += 1;
+        let row = Row {
+            customer,
+            server: None,
+            opened: now,
+            heard: [now; 2],
+            pinged: [false; 2],
+            data: now,
+            cut_at: None,
+            due: Micros::MAX,
+        };
+        self.rows.insert(id, row);
+        Ok(id)
+    }
+
+    /// An upgrade was answered with 101 by this server. What comes back is to be done at once: a socket to a server that
+    /// has been told to drain meanwhile closes again, and so does one too many.
+    pub fn opened(&mut self, now: Micros, id: SocketId, server: ServerId) -> Vec<Command> {
+        let Some(row) = self.rows.get_mut(&id) else { return vec![Command::Cut(id)] };
+        if row.server.is_some() {
+            return Vec::new();
+        }
+        (row.server, row.opened, row.heard, row.data) = (Some(server), now, [now; 2], now);
+        let there = self.by_server.entry(server).or_default();
+        there.insert(id);
+        let many = there.len() > self.limits.per_server;
+        self.arm(id);
+        if self.away.contains(&server) || self.stopped {
+            return self.close(now, id, self.gone_code(), 0, self.limits.drain_within);
+        }
+        if many {
+            return self.close(now, id, 1013, 0, self.limits.close_within);
+        }
+        Vec::new()
+    }
+
+    /// A side said something; `data` if it was more than a control frame.
+    pub fn heard(&mut self, now: Micros, id: SocketId, side: Side, data: bool) {
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.heard[side as usize] = now;
+            row.pinged[side as usize] = false;
+            if data {
+                row.data = now;
+            }
+        }
+    }
+
+    /// A closing handshake has begun, whoever began it: it is cut if it takes too long.
+    pub fn closes(&mut self, now: Micros, id: SocketId) {
+        let cut_at = now.saturating_add(self.limits.close_within);
+        if let Some(row) = self.rows.get_mut(&id).filter(|row| row.cut_at.is_none()) {
+            row.cut_at = Some(cut_at);
+            self.arm(id);
+        }
+    }
+
+    /// A socket is over, or an upgrade came to nothing.
+    pub fn ended(&mut self, id: SocketId) {
+        let Some(row) = self.rows.remove(&id) else { return };
+        self.alarms.remove(&(row.due, id));
+        if let Some(held) = self.by_customer.get_mut(&row.customer) {
+            *held -= 1;
+            if *held == 0 {
+                self.by_customer.remove(&row.customer);
+            }
+        }
+        if let Some(server) = row.server {
+            if let Some(there) = self.by_server.get_mut(&server) {
+                there.remove(&id);
+                if there.is_empty() {
+                    self.by_server.remove(&server);
+                }
+            }
+        }
+        self.forget_away();
+    }
+
+    /// Nobody is on the way to a server that is away: it needs not be known any more.
+    fn forget_away(&mut self) {
+        if self.rows.is_empty() {
+            self.away.clear();
+        }
+    }
+
+    /// The list says that a server is ready where it was, or that it is not: it drains, is gone or has moved. Its sockets
+    /// close, the first at once, all within the span of a drain.
+    pub fn told(&mut self, now: Micros, server: ServerId, ready: bool) -> Vec<Command> {
+        if ready {
+            self.away.remove(&server);
+            return Vec::new();
+        }
+        if !self.rows.is_empty() {
+            self.away.insert(server);
+        }
+        let there: Vec<SocketId> = self.by_server.get(&server).into_iter().flatten().copied().collect();
+        self.go(now, there);
+        self.tick(now)
+    }
+
+    /// The node leaves: all of its sockets close, and none is let in.
+    pub fn stop(&mut self, now: Micros) -> Vec<Command> {
+        self.stopped = true;
+        let mut all: Vec<SocketId> =
+            self.rows.iter().filter(|(_, row)| row.server.is_some()).map(|(id, _)| *id).collect();
+        all.sort();
+        self.go(now, all);
+        self.tick(now)
+    }
+
+    fn gone_code(&self) -> u16 {
+        if self.limits.restart {
+            1012
+        } else {
+            1001
+        }
+    }
+
+    fn go(&mut self, now: Micros, those: Vec<SocketId>) {
+        let (by, code) = (now.saturating_add(self.limits.drain_within), self.gone_code());
+        for (place, id) in those.into_iter().enumerate() {
+            let Some(row) = self.rows.get_mut(&id) else { continue };
+            // One that closes already is cut no later than this.
+            let queued = row.cut_at.is_some();
+            row.cut_at = Some(row.cut_at.map_or(by, |at| at.min(by)));
+            self.arm(id);
+            if !queued {
+                self.closing.push_back((id, by, code, place));
+            }
+        }
+    }
+
+    fn close(&mut self, now: Micros, id: SocketId, code: u16, place: usize, within: Micros) -> Vec<Command> {
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.cut_at = Some(now.saturating_add(within));
+        }
+        self.arm(id);
+        vec![Command::Close(id, code, self.advice(place))]
+    }
+
+    /// When the one at this place of those that go may come back.
+    fn advice(&self, place: usize) -> String {
+        format!("retry-after={:.3}", 0.1 + place as f64 / self.limits.back_per_s.max(0.001))
+    }
+
+    /// When [`Sockets::tick`] is due next.
+    pub fn next_alarm(&self) -> Option<Micros> {
+        let first = self.alarms.first().map(|(at, _)| *at);
+        let paced = (!self.closing.is_empty()).then(|| self.paced.saturating_add(PACE));
+        first.into_iter().chain(paced).min()
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Micros) -> Vec<Command> {
+        let mut commands = Vec::new();
+        if !self.closing.is_empty() && now >= self.paced.saturating_add(PACE) {
+            self.paced = now;
+            self.hand_out(now, &mut commands);
+        }
+        while let Some((at, id)) = self.alarms.first().copied() {
+            if at > now {
+                break;
+            }
+            self.look(now, id, &mut commands);
+        }
+        commands
+    }
+
+    /// As many closes as it takes to have handed out all of them in time.
+    fn hand_out(&mut self, now: Micros, commands: &mut Vec<Command>) {
+        let span = (self.limits.drain_within as f64 * (1.0 - HANDED_OUT_WITHIN)) as Micros;
+        let last = self.closing.back().map_or(now, |(_, by, ..)| by.saturating_sub(span));
+        let rounds = (last.saturating_sub(now) / PACE).max(1) as usize;
+        let most = self.closing.len().div_ceil(rounds).max(PACE_LEAST).min(self.closing.len());
+        for (id, _, code, place) in self.closing.drain(..most).collect::<Vec<_>>() {
+            if self.rows.contains_key(&id) {
+                commands.push(Command::Close(id, code, self.advice(place)));
+            }
+        }
+    }
+
+    /// One socket's alarm: what was heard since it was set may have made it needless.
+    fn look(&mut self, now: Micros, id: SocketId, commands: &mut Vec<Command>) {
+        let limits = &self.limits;
+        let Some(row) = self.rows.get_mut(&id) else { return };
+        if let Some(at) = row.cut_at {
+            if now >= at {
+                // It is told once; what is left of it ends by that.
+                row.cut_at = Some(Micros::MAX);
+                commands.push(Command::Cut(id));
+            }
+            return self.arm(id);
+        }
+        let silent = row.heard.iter().any(|at| now >= at.saturating_add(limits.silent_after));
+        let idle = limits.idle_for > 0 && now >= row.data.saturating_add(limits.idle_for);
+        let old = limits.life_for > 0 && now >= row.opened.saturating_add(limits.life_for);
+        if silent || idle || old {
+            let within = limits.close_within;
+            let closed = self.close(now, id, 1001, 0, within);
+            return commands.extend(closed);
+        }
+        for side in [Side::Client, Side::Server] {
+            let at = side as usize;
+            if now >= row.heard[at].saturating_add(limits.ping_after)
+                && !std::mem::replace(&mut row.pinged[at], true)
+            {
+                commands.push(Command::Ping(id, side));
+            }
+        }
+        self.arm(id);
+    }
+
+    fn arm(&mut self, id: SocketId) {
+        let limits = &self.limits;
+        let Some(row) = self.rows.get_mut(&id) else { return };
+        let due = match row.cut_at {
+            Some(at) => at,
+            None if row.server.is_none() => Micros::MAX,
+            None => {
+                let silence = |at: usize| {
+                    row.heard[at] + if row.pinged[at] { limits.silent_after } else { limits.ping_after }
+                };
+                let idle = if limits.idle_for > 0 { row.data + limits.idle_for } else { Micros::MAX };
+                let old = if limits.life_for > 0 { row.opened + limits.life_for } else { Micros::MAX };
+                silence(0).min(silence(1)).min(idle).min(old)
+            }
+        };
+        self.alarms.remove(&(row.due, id));
+        row.due = due;
+        if due < Micros::MAX {
+            self.alarms.insert((due, id));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Micros = 1_000;
+    const ONE: ServerId = ServerId(1);
+    const OTHER: ServerId = ServerId(2);
+
+    fn limits() -> Limits {
+        Limits {
+            per_node: 20_000,
+            per_customer: 6,
+            per_server: 20_000,
+            opens_per_s: 100_000.0,
+            ping_after: 1_000 * MS,
+            silent_after: 3_000 * MS,
+            idle_for: 0,
+            life_for: 0,
+            drain_within: 200 * MS,
+            close_within: 1_000 * MS,
+            back_per_s: 100.0,
+            restart: false,
+        }
+    }
+
+    fn with(limits: Limits, count: u64) -> Sockets {
+        let mut sockets = Sockets::new(limits, 0);
+        for customer in 0..count {
+            let id = sockets.admit(0, CustomerId(customer), 1).expect("room");
+            assert!(sockets.opened(0, id, ONE).is_empty());
+        }
+        sockets
+    }
+
+    /// Ticks until nothing is due by then: each command with its time.
+    fn until(sockets: &mut Sockets, mut now: Micros, end: Micros) -> Vec<(Micros, Command)> {
+        let mut all = Vec::new();
+        while let Some(at) = sockets.next_alarm().filter(|at| *at <= end) {
+            now = now.max(at);
+            all.extend(sockets.tick(now).into_iter().map(|command| (now, command)));
+        }
+        all
+    }
+
+    fn closed(commands: &[Command]) -> usize {
+        commands.iter().filter(|command| matches!(command, Command::Close(..))).count()
+    }
+
+    #[test]
+    fn a_drain_of_thousands_is_paced_inside_its_span_and_spares_who_takes_them() {
+        let mut sockets = with(limits(), 10_000);
+        let other = sockets.admit(0, CustomerId(99_999), 1).expect("room");
+        assert!(sockets.opened(0, other, OTHER).is_empty());
+        let now = 500 * MS;
+        let first = sockets.told(now, ONE, false);
+        assert!(
+            closed(&first) > 0 && closed(&first) < 1_000,
+            "the first at once, not all: {}",
+            closed(&first)
+        );
+        let later = until(&mut sockets, now, now + 150 * MS);
+        let closes: Vec<_> =
+            later.iter().filter(|(_, command)| matches!(command, Command::Close(..))).collect();
+        assert_eq!(closed(&first) + closes.len(), 10_000);
+        let last = closes.iter().map(|(at, _)| *at).max().expect("some");
+        assert!(last <= now + 110 * MS, "the last after {} ms", (last - now) / MS);
+        let most = closes.chunk_by(|one, next| one.0 == next.0).map(<[_]>::len).max().expect("some");
+        assert!(most < 400, "{most} at once");
+        // What is left is cut, all of it, at the end of the span and not before.
+        let cuts = until(&mut sockets, now + 150 * MS, now + 300 * MS);
+        assert_eq!(cuts.len(), 10_000);
+        assert!(cuts.iter().all(|(at, command)| *at == now + 200 * MS && matches!(command, Command::Cut(_))));
+        // Those who come back are told to do so at a pace.
+        let Some((_, Command::Close(_, 1001, advice))) = closes.last() else { panic!("a close") };
+        let wait: f64 =
+            advice.strip_prefix("retry-after=").and_then(|text| text.parse().ok()).expect("advice");
+        assert!((wait - 100.0).abs() < 2.0, "10,000 at 100 a second: {advice}");
+    }
+
+    #[test]
+    fn an_upgrade_that_a_draining_server_answers_closes_at_once() {
+        let mut sockets = with(limits(), 0);
+        let id = sockets.admit(0, CustomerId(1), 1).expect("room");
+        assert!(sockets.told(10, ONE, false).is_empty());
+        let closes = sockets.opened(20, id, ONE);
+        assert!(matches!(closes[..], [Command::Close(_, 1001, _)]), "{closes:?}");
+        sockets.ended(id);
+        // It is back, and nothing is kept of the drain.
+        assert!(sockets.told(30, ONE, true).is_empty());
+        let id = sockets.admit(40, CustomerId(1), 1).expect("room");
+        assert!(sockets.opened(50, id, ONE).is_empty());
+    }
+
+    #[test]
+    fn a_customers_bound_is_split_over_its_nodes_and_given_back() {
+        let mut sockets = Sockets::new(limits(), 0);
+        let three: Vec<_> = (0..3).map(|_| sockets.admit(0, CustomerId(1), 2).expect("its share")).collect();
+        assert!(sockets.admit(0, CustomerId(1), 2).is_err(), "three of six at one of two nodes");
+        assert!(sockets.admit(0, CustomerId(2), 2).is_ok(), "another customer, the same address or not");
+        sockets.ended(three[0]);
+        assert!(sockets.admit(0, CustomerId(1), 2).is_ok());
+        // Where there are more nodes than sockets each has one.
+        assert!(sockets.admit(0, CustomerId(3), 9).is_ok());
+        assert!(sockets.admit(0, CustomerId(3), 9).is_err());
+    }
+
+    #[test]
+    fn nodes_and_servers_have_bounds_of_their_own() {
+        let mut sockets = Sockets::new(Limits { per_node: 2, per_server: 1, ..limits() }, 0);
+        let one = sockets.admit(0, CustomerId(1), 1).expect("room");
+        let two = sockets.admit(0, CustomerId(2), 1).expect("room");
+        assert!(sockets.admit(0, CustomerId(3), 1).is_err());
+        assert!(sockets.opened(1, one, ONE).is_empty());
+        assert!(matches!(sockets.opened(2, two, ONE)[..], [Command::Close(_, 1013, _)]));
+        sockets.ended(one);
+        sockets.ended(two);
+        assert_eq!((sockets.count(), sockets.next_alarm()), (0, None), "nothing is kept");
+    }
+
+    #[test]
+    fn upgrades_are_let_in_at_a_pace_with_advice() {
+        let mut sockets = Sockets::new(Limits { opens_per_s: 10.0, ..limits() }, 0);
+        let all = (0..100).filter(|customer| sockets.admit(0, CustomerId(*customer), 1).is_ok()).count();
+        assert_eq!(all, 10);
+        let shut = sockets.admit(0, CustomerId(200), 1).expect_err("too many");
+        assert_eq!(shut.retry_in, 100 * MS);
+        assert!(sockets.admit(100 * MS + 1, CustomerId(200), 1).is_ok());
+    }
+
+    #[test]
+    fn the_silent_are_asked_then_closed_then_cut() {
+        let mut sockets = with(limits(), 1);
+        let id = SocketId(0);
+        sockets.heard(900 * MS, id, Side::Client, true);
+        let first = until(&mut sockets, 0, 1_000 * MS);
+        assert_eq!(first, [(1_000 * MS, Command::Ping(id, Side::Server))]);
+        sockets.heard(1_010 * MS, id, Side::Server, false);
+        // Both were heard: each is asked a second after that, and the server answers.
+        let again = until(&mut sockets, 1_010 * MS, 2_010 * MS);
+        assert_eq!(again.len(), 2, "{again:?}");
+        sockets.heard(2_020 * MS, id, Side::Server, false);
+        let end = until(&mut sockets, 2_020 * MS, 3_900 * MS);
+        assert!(matches!(end.last(), Some((at, Command::Close(..))) if *at == 3_900 * MS), "{end:?}");
+        let cut = until(&mut sockets, 3_900 * MS, 10_000 * MS);
+        assert_eq!(cut, [(4_900 * MS, Command::Cut(id))]);
+    }
+
+    #[test]
+    fn idle_and_old_sockets_close() {
+        let bounds = Limits {
+            idle_for: 500 * MS,
+            life_for: 2_000 * MS,
+            ping_after: 9_000 * MS,
+            silent_after: 10_000 * MS,
+            ..limits()
+        };
+        let mut sockets = with(bounds, 1);
+        sockets.heard(400 * MS, SocketId(0), Side::Server, false);
+        let idle = until(&mut sockets, 0, 600 * MS);
+        assert!(matches!(idle[..], [(at, Command::Close(..))] if at == 500 * MS), "{idle:?}");
+        let mut sockets = with(Limits { idle_for: 0, ..limits() }, 1);
+        assert!(until(&mut sockets, 0, 900 * MS).is_empty());
+    }
+
+    #[test]
+    fn a_stop_closes_all_and_lets_nobody_in() {
+        let mut sockets = with(limits(), 50);
+        let out = sockets.admit(0, CustomerId(777), 1).expect("room");
+        let mut closes = sockets.stop(10);
+        closes.extend(until(&mut sockets, 10, 150 * MS).into_iter().map(|(_, command)| command));
+        assert_eq!(closed(&closes), 50);
+        assert!(sockets.admit(20, CustomerId(1_000), 1).is_err());
+        assert!(matches!(sockets.opened(30, out, ONE)[..], [Command::Close(..)]), "an upgrade that was out");
+    }
+
+    /// Anything in any order: counts never go wrong, and when all have ended nothing is kept.
+    #[test]
+    fn nothing_is_kept_of_sockets_that_are_over() {
+        let mut random = fastrand::Rng::with_seed(3);
+        let mut sockets = Sockets::new(Limits { idle_for: 70 * MS, life_for: 200 * MS, ..limits() }, 0);
+        let (mut now, mut known) = (0, Vec::new());
+        for _ in 0..30_000 {
+            now += random.u64(..3 * MS);
+            match random.u8(..8) {
+                0 | 1 => known.extend(sockets.admit(now, CustomerId(random.u64(..9)), 1)),
+                2 | 3 => {
+                    _ = random.choice(&known).map(|id| sockets.opened(now, *id, ServerId(random.u64(..3))))
+                }
+                4 => _ = random.choice(&known).map(|id| sockets.heard(now, *id, Side::Client, random.bool())),
+                5 if !known.is_empty() => sockets.ended(known.swap_remove(random.usize(..known.len()))),
+                6 => _ = sockets.told(now, ServerId(random.u64(..3)), random.bool()),
+                _ => _ = sockets.tick(now),
+            }
+            assert_eq!(sockets.count(), known.len());
+        }
+        known.into_iter().for_each(|id| sockets.ended(id));
+        sockets.tick(now + 10_000 * MS);
+        assert_eq!((sockets.count(), sockets.next_alarm()), (0, None));
+        assert!(sockets.by_customer.is_empty() && sockets.by_server.is_empty() && sockets.away.is_empty());
+    }
+}
