Relay WebSocket on the same core: upgrades are requests, sockets go with their servers

Change: with [sockets] in the operator file an upgrade goes through the decision module and the exchange; on a right 101 the connection leaves the exchange for a relay that passes frames as they came, holds back writers of slow readers, answers drains and stops with Close and advice, and cuts at the deadline. Off without the section.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -274,7 +274,7 @@
             if let Some(row) = self.links.get_mut(&link) {
                 (row.state, row.of) = (State::Queued, Some(id.clone()));
             }
-            commands.push(Command::Send { link, id: id.clone() });
+            commands.push(Command::Send { link, id: id.clone(), server });
             return self.stage(id, Stage::On(link), None);
         }
         let Some(dial) = self.places.get(&server).map(|place| place.dial) else {
@@ -348,12 +348,13 @@
             return;
         };
         row.state = State::Queued;
+        let server = row.server;
         if !self.fit(now, &id, link) {
             // What is not written has never run, and the connection is as good as new.
             self.park(now, link, commands);
             return self.ended(&id, Outcome::NotSent);
         }
-        commands.push(Command::Send { link, id: id.clone() });
+        commands.push(Command::Send { link, id: id.clone(), server });
         if !self.bugs.planted(Bug::AlarmForgotten) {
             return self.stage(&id, Stage::On(link), None);
         }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -19,7 +19,7 @@
 pub use exchange::Exchange;
 
 use saffronpaddle_decision::interface::{
-    Action, Effect, Event as ModuleEvent, Micros, Outcome, RequestId, ServerEntry,
+    Action, Effect, Event as ModuleEvent, Micros, Outcome, RequestId, ServerEntry, ServerId,
 };
 
 /// Decides which server, whether to try again and what to turn away.
@@ -162,6 +162,8 @@
         link: LinkId,
         /// Which request.
         id: RequestId,
+        /// To whom.
+        server: ServerId,
     },
     /// The first byte may be written, now.
     Write {
--- a/crates/explore/src/nodes.rs
+++ b/crates/explore/src/nodes.rs
@@ -612,7 +612,7 @@
                     };
                     self.later(after, comes);
                 }
-                Command::Send { link, id } => {
+                Command::Send { link, id, .. } => {
                     let after = self.random.u64(..300);
                     if let Some(wire) = self.nodes[at].wires.get_mut(&link) {
                         wire.carries = Some((id, false));
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -721,7 +721,7 @@
                     }
                     self.wires.insert(link, wire);
                 }
-                Command::Send { link, id } => {
+                Command::Send { link, id, .. } => {
                     let r = self.client(setup, &id);
                     let Some(wire) = self.wires.get_mut(&link) else {
                         return breach("one owner", "a request on a connection that is none");
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,13 +1,17 @@
 //! Clients: their connections, what they ask and the answers that they get.
 
-use crate::node::{Answer, Node};
+use crate::node::{Answer, Node, Payload};
+use crate::sockets;
 use crate::upstream::Forward;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{
+    HeaderMap, HeaderValue, CONNECTION, RETRY_AFTER, SEC_WEBSOCKET_VERSION, TRANSFER_ENCODING, UPGRADE,
+};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::upgrade::OnUpgrade;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use saffronpaddle_decision::interface::{
@@ -16,12 +20,13 @@
 use saffronpaddle_decision::setup::Named;
 use saffronpaddle_exchange::Ticket;
 use saffronpaddle_lifecycle::Reasons;
+use saffronpaddle_sockets::upgrade::{self, Offer};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
 
@@ -170,6 +175,9 @@
     }
     drop(listener);
     while crowd.tasks.join_next().await.is_some() {}
+    if let Some(front) = &node.front {
+        front.all_over().await;
+    }
 }
 
 async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Rc<Seat>) {
@@ -192,7 +200,7 @@
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN).max_buf_size(BUFFER_MOST);
     http.auto_date_header(false);
-    let connection = http.serve_connection(TokioIo::new(stream), service);
+    let connection = http.serve_connection(TokioIo::new(stream), service).with_upgrades();
     tokio::pin!(connection);
     tokio::select! {
         biased;
@@ -218,11 +226,22 @@
         *reply.status_mut() = status;
         return reply;
     }
+    let (mut request, offer) = match node.front {
+        Some(_) => match upgrade::read(request.method(), request.version(), request.headers()) {
+            Ok(offer) => (request, offer),
+            Err((status, what)) => return not_upgraded(status, what),
+        },
+        None => (request, None),
+    };
+    let upgrades = offer.as_ref().map(|_| hyper::upgrade::on(&mut request));
     let (head, body) = request.into_parts();
     let asked = match read(&node.named, &head) {
         Ok(asked) => asked,
         Err((status, what)) => return turned_away(status, what),
     };
+    if let (Some(offer), Some(upgrades)) = (offer, upgrades) {
+        return socket(node, asked, head, offer, upgrades).await;
+    }
     // Nothing of a body that is too large is read.
     let Some((most, _held)) = node.upstream.room.take(body.size_hint().lower()) else {
         return turned_away(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
@@ -239,6 +258,53 @@
     decide(node, event, effect, forward).await
 }
 
+/// Has a socket opened: a request like any other, whose answer is the socket.
+async fn socket(
+    node: &Rc<Node>, asked: Asked, head: hyper::http::request::Parts, offer: Offer, upgrades: OnUpgrade,
+) -> Reply {
+    let Some(front) = node.front.as_ref().filter(|front| front.class == asked.class) else {
+        return not_upgraded(StatusCode::BAD_REQUEST, "this class is not that of sockets\n");
+    };
+    let place = match front.admit(node, asked.customer, asked.terms.spread) {
+        Ok(place) => place,
+        Err(shut) => {
+            let mut reply = refused(Some(Duration::from_micros(shut.retry_in)));
+            *reply.body_mut() = Full::from(shut.why);
+            return reply;
+        }
+    };
+    let effect = node.named.settings.classes[asked.class.0].effect;
+    let (event, mut forward) = asked.arrived(head, Bytes::new());
+    forward.offer = Some(offer);
+    let id = forward.id.clone();
+    let Some((answered, ticket)) = node.take(event, effect, forward) else {
+        return turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n");
+    };
+    let _waiting = Waiting { node, id, ticket };
+    let answer = answered.await;
+    let Ok(Answer::Served(Payload::Switched(switched))) = answer else { return reply(answer) };
+    let mut answer = plain(StatusCode::SWITCHING_PROTOCOLS, "");
+    let headers = answer.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
+    headers.insert(UPGRADE, HeaderValue::from_static("websocket"));
+    headers.extend(switched.accepted());
+    tokio::task::spawn_local(async move {
+        // It fails where the client has gone before its answer.
+        let Ok(upgraded) = upgrades.await else { return };
+        if let Ok(parts) = upgraded.downcast::<TokioIo<TcpStream>>() {
+            sockets::relay(place, parts.io.into_inner(), parts.read_buf, *switched).await;
+        }
+    });
+    answer
+}
+
+/// Turns an upgrade away, and says which version is spoken.
+fn not_upgraded(status: StatusCode, words: &'static str) -> Reply {
+    let mut reply = turned_away(status, words);
+    reply.headers_mut().insert(SEC_WEBSOCKET_VERSION, upgrade::VERSION);
+    reply
+}
+
 /// An answer to what can't be served, after which nothing that comes on the connection is believed.
 fn turned_away(status: StatusCode, words: &'static str) -> Reply {
     let mut reply = plain(status, words);
@@ -265,20 +331,35 @@
         return turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n");
     };
     let _waiting = Waiting { node, id, ticket };
-    match answered.await {
-        Ok(Answer::Served(body)) => Response::new(Full::new(body)),
-        Ok(Answer::Refused(retry_in)) => {
-            let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "");
-            let seconds = retry_in.map(|span| format!("{:.3}", span.as_secs_f64()));
-            if let Some(value) = seconds.and_then(|seconds| HeaderValue::try_from(seconds).ok()) {
-                reply.headers_mut().insert(RETRY_AFTER, value);
-            }
+    reply(answered.await)
+}
+
+fn reply(answer: Result<Answer, oneshot::error::RecvError>) -> Reply {
+    match answer {
+        Ok(Answer::Served(Payload::Body(body))) => Response::new(Full::new(body)),
+        Ok(Answer::Served(Payload::Passed(status, body))) => {
+            let mut reply = Response::new(Full::new(body));
+            *reply.status_mut() = status;
             reply
         }
-        Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, ""),
+        Ok(Answer::Refused(retry_in)) => refused(retry_in),
+        // Who asked for no socket gets none.
+        Ok(Answer::Served(Payload::Switched(_)) | Answer::Failed) | Err(_) => {
+            plain(StatusCode::BAD_GATEWAY, "")
+        }
     }
 }
 
+/// Trying again is harmless, and may help after so long.
+fn refused(retry_in: Option<Duration>) -> Reply {
+    let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "");
+    let seconds = retry_in.map(|span| format!("{:.3}", span.as_secs_f64()));
+    if let Some(value) = seconds.and_then(|seconds| HeaderValue::try_from(seconds).ok()) {
+        reply.headers_mut().insert(RETRY_AFTER, value);
+    }
+    reply
+}
+
 fn plain(status: StatusCode, words: &'static str) -> Reply {
     let mut reply = Response::new(Full::from(words));
     *reply.status_mut() = status;
@@ -358,7 +439,7 @@
         };
         let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let key = head.headers.get(KEY).cloned();
-        (event, Forward { id: self.id, method: head.method, target, key, body, deadline })
+        (event, Forward { id: self.id, method: head.method, target, key, body, offer: None, deadline })
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod roster;
 pub mod serve;
+mod sockets;
 mod upstream;
 
 pub use config::Config;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,11 +3,14 @@
 
 use crate::config::List;
 use crate::peers::Peers;
+use crate::sockets::{Front, Switched};
 use crate::upstream::{Forward, Upstream};
+use anyhow::Context;
 use bytes::Bytes;
+use hyper::StatusCode;
 use saffronpaddle_decision::interface::{
-    Action, CellId, Effect, Event as ModuleEvent, GatewayId, Micros, RequestId, ServerEntry, ServerId,
-    Standing, ZoneId,
+    Action, CellId, ClassId, Effect, Event as ModuleEvent, GatewayId, Micros, RequestId, ServerEntry,
+    ServerId, Standing, ZoneId,
 };
 use saffronpaddle_decision::setup::Named;
 use saffronpaddle_decision::Gateway;
@@ -16,7 +19,8 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
@@ -38,14 +42,39 @@
 /// How long the alarm sleeps where nothing is due.
 const FOR_LONG: Duration = Duration::from_secs(3600);
 
+static NEXT: AtomicU64 = AtomicU64::new(0);
+
+thread_local! {
+    /// Nodes of this thread, by their numbers.
+    static HERE: RefCell<HashMap<u64, Weak<Node>>> = RefCell::default();
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // At the end of the thread it may have gone already.
+        let _ = HERE.try_with(|here| here.borrow_mut().remove(&self.number));
+    }
+}
+
 /// The final answer to a client's request.
 #[derive(Debug)]
 pub enum Answer {
-    Served(Bytes),
+    Served(Payload),
     Refused(Option<Duration>),
     Failed,
 }
 
+/// What a server answered.
+#[derive(Debug)]
+pub enum Payload {
+    /// A body, to a request.
+    Body(Bytes),
+    /// A refusal of its own, to an upgrade.
+    Passed(StatusCode, Bytes),
+    /// A socket, to an upgrade.
+    Switched(Box<Switched>),
+}
+
 /// A request that has no final answer yet.
 struct Pending {
     ticket: Ticket,
@@ -74,6 +103,10 @@
     pub named: Named,
     pub upstream: Upstream,
     pub peers: Option<Peers>,
+    /// Sockets, where the operator has them.
+    pub front: Option<Front>,
+    /// Which of this process's nodes it is.
+    number: u64,
     clock: Clock,
     exchange: RefCell<Exchange<SocketAddr, Gateway>>,
     /// Whose answer goes where.
@@ -95,8 +128,18 @@
     /// A node that may have so many connections to app servers open.
     pub fn new(
         seed: u64, named: Named, upstream: Upstream, links: usize, peers: Option<Peers>,
+        sockets: Option<saffronpaddle_operator::Sockets>,
     ) -> anyhow::Result<Rc<Node>> {
         let clock = Clock::start();
+        let front = match sockets {
+            Some(says) => {
+                let class = named.classes.iter().position(|class| *class == says.class);
+                let class =
+                    class.with_context(|| format!("sockets.class: there is no class {:?}", says.class))?;
+                Some(Front::new(ClassId(class), says, clock.now()))
+            }
+            None => None,
+        };
         let gateway = Gateway::new(seed, named.settings.clone(), clock.now())?;
         let bounds = Bounds {
             links,
@@ -107,10 +150,13 @@
             overdue: OVERDUE,
             attempts: ATTEMPTS_MOST,
         };
-        Ok(Rc::new(Node {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let node = Rc::new(Node {
             named,
             upstream,
             peers,
+            front,
+            number,
             clock,
             exchange: RefCell::new(Exchange::new(bounds, gateway)),
             requests: RefCell::default(),
@@ -120,20 +166,37 @@
             woken: Cell::new(Instant::now()),
             list_heard: Cell::new(None),
             peers_heard: RefCell::default(),
-        }))
+        });
+        HERE.with_borrow_mut(|here| here.insert(number, Rc::downgrade(&node)));
+        Ok(node)
+    }
+
+    /// This process's node of a number, if it runs in this thread: the way back from what must not hold a node itself.
+    pub fn here(number: u64) -> Option<Rc<Node>> {
+        HERE.with_borrow(|here| here.get(&number).and_then(Weak::upgrade))
+    }
+
+    /// Its number, for [`Node::here`].
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Its time, µs.
+    pub fn now(&self) -> Micros {
+        self.clock.now()
     }
 
     /// Tells the exchange what happened, and does what it asks for. No command waits, and none makes an event at once:
-    /// the exchange is never entered twice. A body goes with the answer that it belongs to.
-    pub fn happened(self: &Rc<Self>, event: Event<SocketAddr>, body: Option<Bytes>) {
+    /// the exchange is never entered twice. A payload goes with the answer that it belongs to.
+    pub fn happened(self: &Rc<Self>, event: Event<SocketAddr>, payload: Option<Payload>) {
         let mut commands = Vec::new();
         let sooner = {
             let mut exchange = self.exchange.borrow_mut();
             exchange.handle(self.clock.now(), event, &mut commands);
             exchange.next_alarm().is_some_and(|at| at < self.armed.get())
         };
-        let mut body = body;
-        commands.into_iter().for_each(|command| self.carry_out(command, &mut body));
+        let mut payload = payload;
+        commands.into_iter().for_each(|command| self.carry_out(command, &mut payload));
         if sooner {
             self.sooner.notify_one();
         }
@@ -161,6 +224,9 @@
     /// The node leaves: no connection to a server is kept any more.
     pub fn leave(self: &Rc<Self>) {
         self.happened(Event::Stop, None);
+        if let Some(front) = &self.front {
+            front.stop(self.now());
+        }
     }
 
     /// How many servers are ready.
@@ -206,20 +272,20 @@
         (self.peers_heard.borrow().len(), if speak { all } else { 0 })
     }
 
-    fn carry_out(self: &Rc<Self>, command: Command<SocketAddr>, body: &mut Option<Bytes>) {
+    fn carry_out(self: &Rc<Self>, command: Command<SocketAddr>, payload: &mut Option<Payload>) {
         match command {
             Command::Connect { link, dial } => self.upstream.connect(self, link, dial),
-            Command::Send { link, id } => {
+            Command::Send { link, id, server } => {
                 let forward = self.requests.borrow().get(&id).map(|pending| Rc::clone(&pending.forward));
                 if let Some(forward) = forward {
-                    self.upstream.send(self, link, forward);
+                    self.upstream.send(self, link, server, forward);
                 }
             }
             Command::Write { link } => self.upstream.open(link),
             Command::Close { link } => self.upstream.close(self, link),
             Command::Answer { id, verdict } => {
                 let answer = match verdict {
-                    Verdict::Served => Answer::Served(body.take().unwrap_or_default()),
+                    Verdict::Served => payload.take().map_or(Answer::Failed, Answer::Served),
                     Verdict::Refused(retry_in) => Answer::Refused(retry_in.map(Duration::from_micros)),
                     Verdict::Failed => Answer::Failed,
                 };
@@ -318,7 +384,12 @@
             };
             (server, entry.dial)
         });
-        let entries = entries.collect();
+        let entries: Vec<(ServerEntry, SocketAddr)> = entries.collect();
+        if let Some(front) = &self.front {
+            let told =
+                entries.iter().map(|(entry, dial)| (entry.server, entry.standing == Standing::Ready, *dial));
+            front.listed(self.now(), whole, told);
+        }
         self.happened(Event::Listed { whole, entries }, None);
     }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -24,6 +24,8 @@
 
 /// Descriptors for all but clients and app servers: listener, discovery, peers, the runtime's own.
 const RESERVED: usize = 32;
+/// Connections of either side that sockets must leave to requests.
+const LEAST_EACH_SIDE: usize = 32;
 /// One part in so many of the memory is for large bodies: each is held twice for a moment, and once more on its way out.
 const LARGE_SHARE: usize = 8;
 /// Connections that may wait to be accepted.
@@ -151,10 +153,19 @@
             Some(addresses) => Some(Peers::bind(addresses, config.named.settings.me, reuse || shared).await?),
             None => None,
         };
-        let each_side = (config.sockets - RESERVED) / 2;
+        let sockets = operator.as_ref().and_then(|file| file.says.sockets.clone());
+        let apart = sockets.as_ref().map_or(0, |sockets| 2 * sockets.limits.per_node);
+        let each_side = config.sockets.saturating_sub(RESERVED + apart) / 2;
+        // Guards requests: sockets never take the descriptors that these need.
+        anyhow::ensure!(
+            apart == 0 || each_side >= LEAST_EACH_SIDE,
+            "sockets.per_node: leaves {each_side} connections for requests of {} descriptors; {LEAST_EACH_SIDE} are \
+             the least",
+            config.sockets
+        );
         let room = Room::new(config.memory / LARGE_SHARE);
         let upstream = Upstream::new(room);
-        let node = Node::new(config.seed, config.named, upstream, each_side, peers)?;
+        let node = Node::new(config.seed, config.named, upstream, each_side, peers, sockets)?;
         let address = listener.local_addr().context("listen")?;
         eprintln!("{}: listening on {address}", config.name);
         Ok(Edge {
@@ -198,6 +209,7 @@
             tokio::task::spawn_local(roster::follow(Rc::clone(&node), etcd, discovery, self.known)),
             tokio::task::spawn_local(peers::listen(Rc::clone(&node))),
             tokio::task::spawn_local(Rc::clone(&node).ring()),
+            tokio::task::spawn_local(ring_sockets(Rc::clone(&node))),
             tokio::task::spawn_local(life::feed(Rc::clone(&node), Rc::clone(&manager))),
         ];
         let clients = clients::serve(self.listener, self.shared, node, self.each_side, seen);
@@ -261,3 +273,9 @@
         }
     }
 }
+
+async fn ring_sockets(node: Rc<Node>) {
+    if let Some(front) = &node.front {
+        front.ring(&node).await;
+    }
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,16 +1,21 @@
 //! Connections to app servers: made, written to, read and closed as the exchange has it, and only so.
 
-use crate::node::Node;
+use crate::node::{Node, Payload};
+use crate::sockets::Switched;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::header::{
+    HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, SEC_WEBSOCKET_EXTENSIONS, SEC_WEBSOCKET_KEY,
+    SEC_WEBSOCKET_PROTOCOL, SEC_WEBSOCKET_VERSION, TRANSFER_ENCODING, UPGRADE,
+};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use saffronpaddle_decision::interface::{Outcome, RequestId};
+use saffronpaddle_decision::interface::{Outcome, RequestId, ServerId};
 use saffronpaddle_exchange::{Event, LinkId};
+use saffronpaddle_sockets::upgrade::{self, Offer};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -18,7 +23,9 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, JoinHandle};
@@ -70,6 +77,8 @@
     pub target: String,
     pub key: Option<HeaderValue>,
     pub body: Bytes,
+    /// The socket that is asked for.
+    pub offer: Option<Offer>,
     /// When the edge node stops waiting.
     pub deadline: Instant,
 }
@@ -84,7 +93,7 @@
     /// Writes a request and reads its answer.
     exchange: Option<AbortHandle>,
     /// Whether bytes may be written. Shut when a request is made ready: before its first byte the exchange is asked.
-    open: Rc<Cell<bool>>,
+    open: Arc<AtomicBool>,
 }
 
 /// All connections to app servers. What they are for is the exchange's matter.
@@ -100,27 +109,32 @@
 
     /// Makes a connection.
     pub fn connect(&self, node: &Rc<Node>, link: LinkId, dial: SocketAddr) {
-        let open = Rc::new(Cell::new(false));
-        let driver = tokio::task::spawn_local(drive(Rc::clone(node), link, dial, Rc::clone(&open)));
+        let open = Arc::new(AtomicBool::new(false));
+        let driver = tokio::task::spawn_local(drive(Rc::clone(node), link, dial, Arc::clone(&open)));
         let wire = Wire { dial, driver, sender: None, exchange: None, open };
         self.wires.borrow_mut().insert(link, wire);
     }
 
     /// Makes a request ready on a free connection. Its first byte goes when the exchange lets it.
-    pub fn send(&self, node: &Rc<Node>, link: LinkId, forward: Rc<Forward>) {
+    pub fn send(&self, node: &Rc<Node>, link: LinkId, server: ServerId, forward: Rc<Forward>) {
         let mut wires = self.wires.borrow_mut();
         let Some(wire) = wires.get_mut(&link) else { return };
         let Some(sender) = wire.sender.take() else { return };
-        wire.open.set(false);
+        wire.open.store(false, Ordering::Relaxed);
         let (node, dial) = (Rc::clone(node), wire.dial);
         let task = tokio::task::spawn_local(async move {
             let mut sender = sender;
-            let answer = exchange(&mut sender, &forward, dial, &node.upstream.room).await;
+            let answer = exchange(&mut sender, &forward, server, dial, &node.upstream.room).await;
+            if let Some((_, Some(Payload::Switched(_)))) = &answer {
+                // The connection is the socket's now.
+                node.upstream.wires.borrow_mut().remove(&link);
+                return node.happened(Event::Upgraded { link }, answer.and_then(|(_, payload)| payload));
+            }
             if let Some(wire) = node.upstream.wires.borrow_mut().get_mut(&link) {
                 (wire.sender, wire.exchange) = (Some(sender), None);
             }
             match answer {
-                Some((outcome, body)) => node.happened(Event::Replied { link, outcome }, body),
+                Some((outcome, payload)) => node.happened(Event::Replied { link, outcome }, payload),
                 None => node.happened(Event::Broken { link }, None),
             }
         });
@@ -130,7 +144,7 @@
     /// Lets bytes be written.
     pub fn open(&self, link: LinkId) {
         if let Some(wire) = self.wires.borrow().get(&link) {
-            wire.open.set(true);
+            wire.open.store(true, Ordering::Relaxed);
         }
     }
 
@@ -149,7 +163,7 @@
 }
 
 /// Makes a connection and drives it until it ends.
-async fn drive(node: Rc<Node>, link: LinkId, dial: SocketAddr, open: Rc<Cell<bool>>) {
+async fn drive(node: Rc<Node>, link: LinkId, dial: SocketAddr, open: Arc<AtomicBool>) {
     let stream = match TcpStream::connect(dial).await {
         Ok(stream) => stream,
         Err(error) => {
@@ -161,7 +175,7 @@
     };
     // Without it a request in two pieces would wait for an acknowledgement; it works all the same.
     let _ = stream.set_nodelay(true);
-    let io = Gated { stream: TokioIo::new(stream), node: Rc::downgrade(&node), link, open };
+    let io = Gated { stream: TokioIo::new(stream), node: node.number(), link, open };
     let handshake = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(io).await;
     let Ok((sender, connection)) = handshake else {
         node.upstream.wires.borrow_mut().remove(&link);
@@ -172,14 +186,14 @@
     }
     node.happened(Event::Connected { link }, None);
     // How it ended shows in the exchange.
-    let _ = connection.await;
+    let _ = connection.with_upgrades().await;
     node.happened(Event::Gone { link }, None);
 }
 
 /// Writes the request and reads its whole answer; nothing if that did not come whole, or is none of this request.
 async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>, forward: &Forward, dial: SocketAddr, room: &Room,
-) -> Option<(Outcome, Option<Bytes>)> {
+    sender: &mut SendRequest<Full<Bytes>>, forward: &Forward, server: ServerId, dial: SocketAddr, room: &Room,
+) -> Option<(Outcome, Option<Payload>)> {
     let left = forward.deadline.saturating_duration_since(Instant::now()).as_millis();
     let mut request = Request::builder()
         .method(&forward.method)
@@ -190,9 +204,24 @@
     if let Some(key) = &forward.key {
         request = request.header("idempotency-key", key);
     }
+    if let Some(offer) = &forward.offer {
+        request = request
+            .header(CONNECTION, "upgrade")
+            .header(UPGRADE, "websocket")
+            .header(SEC_WEBSOCKET_VERSION, upgrade::VERSION)
+            .header(SEC_WEBSOCKET_KEY, &offer.key);
+        let more =
+            [(SEC_WEBSOCKET_PROTOCOL, &offer.protocols), (SEC_WEBSOCKET_EXTENSIONS, &offer.extensions)];
+        for (name, value) in more {
+            request = value.iter().fold(request, |request, value| request.header(&name, value));
+        }
+    }
     let request = request.body(Full::new(forward.body.clone())).ok()?;
     sender.ready().await.ok()?;
     let answer = sender.send_request(request).await.ok()?;
+    if let (StatusCode::SWITCHING_PROTOCOLS, Some(offer)) = (answer.status(), &forward.offer) {
+        return switched(offer, server, answer).await;
+    }
     // Guards against an answer that turns the connection into something else, or that never ends.
     let room = room.take(answer.body().size_hint().lower());
     let (most, _held) = room.filter(|_| !answer.status().is_informational())?;
@@ -200,7 +229,7 @@
     if answer.headers().get("x-request-id").is_some_and(|id| id.as_bytes() != forward.id.0.as_bytes()) {
         return None;
     }
-    let outcome = outcome(&answer);
+    let (status, outcome) = (answer.status(), outcome(&answer));
     // Guards against an answer that ends with its connection: nobody could tell whether it is whole.
     let framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| answer.headers().contains_key(name));
     if !framed {
@@ -208,7 +237,27 @@
     }
     // Buffered whole, so that a client never gets an answer that was cut.
     let body = Limited::new(answer.into_body(), most).collect().await.ok()?;
-    Some((outcome, (outcome == Outcome::Ok).then(|| body.to_bytes())))
+    let body = body.to_bytes();
+    Some(match (outcome, &forward.offer) {
+        // What a server has against an upgrade is the client's to know.
+        (Outcome::Error, Some(_)) if status.is_client_error() => {
+            (Outcome::Ok, Some(Payload::Passed(status, body)))
+        }
+        (Outcome::Ok, Some(_)) => (Outcome::Error, None),
+        _ => (outcome, (outcome == Outcome::Ok).then_some(Payload::Body(body))),
+    })
+}
+
+/// Takes the connection over, if the server has agreed to what was offered and to nothing else.
+async fn switched(
+    offer: &Offer, server: ServerId, answer: Response<hyper::body::Incoming>,
+) -> Option<(Outcome, Option<Payload>)> {
+    let switch = upgrade::verify(offer, answer.headers()).ok()?;
+    let upgraded = hyper::upgrade::on(answer).await.ok()?;
+    let parts = upgraded.downcast::<Gated>().ok()?;
+    let (stream, early) = (parts.io.stream.into_inner(), parts.read_buf);
+    let switched = Switched { key: offer.key.clone(), switch, server, stream, early };
+    Some((Outcome::Ok, Some(Payload::Switched(Box::new(switched)))))
 }
 
 fn outcome<B>(answer: &Response<B>) -> Outcome {
@@ -223,9 +272,10 @@
 /// A socket to which no request's first byte goes before the exchange was asked.
 struct Gated {
     stream: TokioIo<TcpStream>,
-    node: Weak<Node>,
+    /// By number: an upgrade wants a socket that could go to another thread, though none does.
+    node: u64,
     link: LinkId,
-    open: Rc<Cell<bool>>,
+    open: Arc<AtomicBool>,
 }
 
 impl Gated {
@@ -238,13 +288,13 @@
 
     /// Asks before the first byte.
     fn ask(&self) -> io::Result<()> {
-        if self.open.get() {
+        if self.open.load(Ordering::Relaxed) {
             return Ok(());
         }
-        if let Some(node) = self.node.upgrade() {
+        if let Some(node) = Node::here(self.node) {
             node.happened(Event::Begin { link: self.link, quiet: self.quiet() }, None);
         }
-        if self.open.get() {
+        if self.open.load(Ordering::Relaxed) {
             Ok(())
         } else {
             Err(io::ErrorKind::ConnectionAborted.into())
--- a/crates/sockets/src/upgrade.rs
+++ b/crates/sockets/src/upgrade.rs
@@ -36,6 +36,17 @@
     pub deflate: bool,
 }
 
+/// The headers of the answer to a client that a server has agreed with.
+pub fn accepted(offer_key: &HeaderValue, switch: &Switch) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    let accept = tungstenite::handshake::derive_accept_key(offer_key.as_bytes());
+    // Base64 is always a value.
+    headers.extend(HeaderValue::try_from(accept).ok().map(|value| (SEC_WEBSOCKET_ACCEPT, value)));
+    headers.extend(switch.protocol.clone().map(|value| (SEC_WEBSOCKET_PROTOCOL, value)));
+    headers.extend(switch.extensions.clone().map(|value| (SEC_WEBSOCKET_EXTENSIONS, value)));
+    headers
+}
+
 /// Why an upgrade is turned away: the status, and what is wrong.
 pub type Bad = (StatusCode, &'static str);
 
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -296,6 +296,27 @@
     (command.spawn().expect("it starts"), path)
 }
 
+/// The configuration of a node that knows these app servers.
+fn configuration(
+    discovery: SocketAddr, hosts: &[String], sockets: usize, datagrams: SocketAddr, peer_address: SocketAddr,
+) -> String {
+    let known =
+        if hosts.is_empty() { String::new() } else { format!(r#""known":{},"#, list(1, true, hosts)) };
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"peer_listen":"{datagrams}","peers":["{datagrams}","{peer_address}"],{known}"settings":{SETTINGS}}}"#
+    )
+}
+
+/// Starts a node that can't go on: how it ended, and what it said.
+pub fn start_badly(tag: &str, sockets: usize, change: impl FnOnce(&mut Command)) -> (ExitStatus, String) {
+    let nowhere = unclaimed();
+    let (child, config) =
+        start_with(tag, &configuration(nowhere, &[], sockets, unclaimed(), nowhere), change);
+    let output = child.wait_with_output().expect("it ends");
+    let _ = std::fs::remove_file(config);
+    (output.status, String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
 impl Node {
     /// Starts one that knows these app servers.
     pub fn start(tag: &str, discovery: SocketAddr, hosts: &[String]) -> Node {
@@ -322,12 +343,8 @@
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
         peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         let datagrams = unclaimed();
-        let known =
-            if hosts.is_empty() { String::new() } else { format!(r#""known":{},"#, list(1, true, hosts)) };
         let peer_address = peer.local_addr().expect("an address");
-        let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"peer_listen":"{datagrams}","peers":["{datagrams}","{peer_address}"],{known}"settings":{SETTINGS}}}"#
-        );
+        let config = configuration(discovery, hosts, sockets, datagrams, peer_address);
         let (child, config) = start_with(tag, &alter(config), change);
         let (child, address, log) = listening(child);
         Node { child, address, peer, datagrams, config, log }
