--- a/crates/bench/src/cost.rs
+++ b/crates/bench/src/cost.rs
@@ -84,7 +84,7 @@
 }
 
 /// A server that answers at once.
-async fn answer(world: Arc<World>, listener: TcpListener) {
+pub async fn answer(world: Arc<World>, listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
         let world = Arc::clone(&world);
         tokio::spawn(async move {
@@ -99,13 +99,9 @@
 }
 
 /// One round of requests, one at a time on each connection: µs of CPU that each cost the process.
-async fn round(world: &Arc<World>, process: &Measured, connections: usize, requests: u64) -> Result<f64> {
+pub async fn round(world: &Arc<World>, process: &Measured, connections: usize, requests: u64) -> Result<f64> {
     process.pin(CORE)?;
-    let up = Instant::now();
-    while TcpStream::connect(process.address).await.is_err() {
-        ensure!(up.elapsed() < Duration::from_secs(20), "it does not come up");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    up(process).await?;
     // The first requests open connections; they count for nothing.
     offer(world, process.address, connections, requests / 8).await?;
     let before = process.spent()?;
@@ -113,6 +109,16 @@
     Ok((process.spent()? - before) as f64 / 1e3 / requests as f64)
 }
 
+/// Waits until a process accepts.
+pub async fn up(process: &Measured) -> Result<()> {
+    let begun = Instant::now();
+    while TcpStream::connect(process.address).await.is_err() {
+        ensure!(begun.elapsed() < Duration::from_secs(20), "it does not come up");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
+
 async fn offer(world: &Arc<World>, address: SocketAddr, connections: usize, requests: u64) -> Result<()> {
     let left = Arc::new(AtomicU64::new(requests));
     let mut clients = tokio::task::JoinSet::new();
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod relay;
 mod roster;
 mod size;
+mod sockets;
 
 use anyhow::{bail, Result};
 use lexopt::prelude::*;
@@ -24,6 +25,10 @@
         peer traffic and CPU of fleets of 3, 10 and 30 instances
   roster [--hosts N] [--changes N] [--seconds N]
         a roster in etcd: time to the whole list, memory and CPU at so many changes a second
+  sockets [--count N] [--echoes N] [--talkers N] [--requests N]
+        WebSocket: echoes beside bare relays, memory and CPU of idle sockets, the drain of the server that has them all
+  byte-relay | frame-relay LISTEN SERVER
+        the bare relays of that
   relay LISTEN SERVER...
         the bare hyper relay itself
 ";
@@ -39,6 +44,9 @@
         "idle" => idle::measure(arguments),
         "roster" => roster::measure(arguments),
         "size" => size::measure(arguments),
+        "sockets" => sockets::measure(arguments),
+        "byte-relay" => sockets::relay(arguments, false),
+        "frame-relay" => sockets::relay(arguments, true),
         "relay" => relay::serve(arguments),
         other => bail!("unknown job {other:?}\n{USAGE}"),
     }
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -9,6 +9,9 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
+/// Descriptors that a measured node may hold, if nothing else is said.
+const DESCRIPTORS: usize = 4096;
+
 /// A process that ends with this value.
 pub struct Measured {
     child: Child,
@@ -62,18 +65,35 @@
 
 /// Starts one node that knows these servers.
 pub fn node(program: &Path, fleet: &Fleet, discovery: SocketAddr, known: &str) -> Result<Measured> {
-    start(program, fleet, discovery, Some(known), None)
+    start(program, fleet, discovery, Some(known), None, DESCRIPTORS)
 }
 
 /// Starts one node with an operator file, which knows no servers.
 pub fn operated(
     program: &Path, fleet: &Fleet, discovery: SocketAddr, operator: Option<&Path>,
 ) -> Result<Measured> {
-    start(program, fleet, discovery, None, operator)
+    start(program, fleet, discovery, None, operator, DESCRIPTORS)
+}
+
+/// The same with so many descriptors.
+pub fn with_descriptors(
+    program: &Path, fleet: &Fleet, discovery: SocketAddr, operator: Option<&Path>, descriptors: usize,
+) -> Result<Measured> {
+    start(program, fleet, discovery, None, operator, descriptors)
+}
+
+/// Starts a bare relay of sockets before a server, as a job of this program.
+pub fn bare(job: &str, server: SocketAddr) -> Result<Measured> {
+    let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let mut command = Command::new(std::env::current_exe()?);
+    command.args([job, &address.to_string(), &server.to_string()]);
+    let child = command.stdin(Stdio::null()).spawn().context("the relay")?;
+    Ok(Measured { child, address, config: None })
 }
 
 fn start(
     program: &Path, fleet: &Fleet, discovery: SocketAddr, known: Option<&str>, operator: Option<&Path>,
+    sockets: usize,
 ) -> Result<Measured> {
     let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
     let datagrams = UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
@@ -83,7 +103,7 @@
         discovery,
         peer_listen: datagrams,
         peers: vec![datagrams],
-        sockets: 4096,
+        sockets,
         memory_mb: 192,
     };
     let text = configuration(&places, &fleet.settings(0), known, 1);
--- a/crates/node/src/sockets.rs
+++ b/crates/node/src/sockets.rs
@@ -223,23 +223,26 @@
 pub async fn relay(place: Place, client: TcpStream, early: Bytes, switched: Switched) {
     let node = Rc::clone(&place.node);
     let Some(front) = &node.front else { return };
-    let rules = front.rules(&switched.switch);
+    let Switched { switch, server, stream, early: behind, .. } = switched;
+    let rules = front.rules(&switch);
     let control = Rc::new(Control::default());
     front.relays.borrow_mut().insert(place.id, Rc::clone(&control));
-    let commands = front.table.borrow_mut().opened(node.now(), place.id, switched.server);
+    let commands = front.table.borrow_mut().opened(node.now(), place.id, server);
     front.carry_out(commands);
     front.set();
     let way = |side| Way { scanner: Scanner::new(side, rules), out: Vec::new(), shut: false };
     let mut relay = Relay {
         place,
         control,
-        streams: [client, switched.stream],
+        streams: [client, stream],
         ways: [way(Side::Client), way(Side::Server)],
         ended: [false; 2],
         close: [None, None],
     };
     relay.came(&node, front, Side::Client, &early);
-    relay.came(&node, front, Side::Server, &switched.early);
+    relay.came(&node, front, Side::Server, &behind);
+    // An idle socket holds no buffer: these are parts of those that the heads were read to.
+    drop((early, behind, switch));
     relay.run(&node, front).await;
 }
 
--- a/crates/saffronpaddle/tests/interleavings.rs
+++ b/crates/saffronpaddle/tests/interleavings.rs
@@ -38,10 +38,27 @@
     });
 }
 
+/// How many connections these are, as their server has them, that are not closed. Ends what the stand-in does on them.
+fn still_open(streams: &[TcpStream]) -> usize {
+    let open = |stream: &&TcpStream| {
+        stream.set_nonblocking(true).expect("it can be");
+        stream.peek(&mut [0; 1]).is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    };
+    let ports: std::collections::HashSet<_> =
+        streams.iter().filter(open).filter_map(|stream| stream.peer_addr().ok()).collect();
+    ports.len()
+}
+
+/// Connections that one client after the other needs, and some to spare; one that was given up is not among them.
+const KEPT_MOST: usize = 3;
+/// Longer than a connection settles: it is used again after that.
+const SETTLES: Duration = Duration::from_millis(20);
+
 /// Whichever comes first, the request ran once, nobody else gets its answer, and the node goes on.
 #[test]
 fn the_client_gives_up_at_the_same_instant_as_the_reply_arrives() {
     let (servers, _discovery, node) = with_one("gives-up", &[Does::IsSilent]);
+    let mut streams = Vec::new();
     for round in 0..ROUNDS {
         let id = format!("gives-up{round}");
         let mut client = node.client();
@@ -51,9 +68,17 @@
         let answer = named(&id);
         race(
             round,
-            || got.stream.write_all(answer.as_bytes()).unwrap_or(()),
+            || {
+                if round % 3 == 0 {
+                    // Now and then surely too late.
+                    thread::sleep(SETTLES);
+                }
+                got.stream.write_all(answer.as_bytes()).unwrap_or(());
+            },
             || client.stream.shutdown(Shutdown::Both).unwrap_or(()),
         );
+        streams.push(got.stream);
+        thread::sleep(SETTLES);
         // The next one gets its own answer, over whichever connection.
         let next = format!("next{round}");
         let mut other = node.client();
@@ -63,8 +88,11 @@
         got.stream.write_all(named(&next).as_bytes()).expect("the attempt is out");
         let answer = other.answer().expect("an answer");
         assert_eq!((answer.status(), answer.body), (200, next.into_bytes()));
+        streams.push(got.stream);
     }
     servers.got_no_more();
+    let open = still_open(&streams);
+    assert!(open <= KEPT_MOST, "{open}: what was given up is closed, the rest used again");
 }
 
 /// One final answer, served or failed; and the late reply never goes to who asks next.
@@ -72,6 +100,7 @@
 fn a_timeout_races_a_late_reply() {
     let (servers, _discovery, node) = with_one("late-reply", &[Does::IsSilent]);
     let (mut served, mut failed) = (0, 0);
+    let mut streams = Vec::new();
     for round in 0..ROUNDS {
         let id = format!("late{round}");
         let mut client = node.client();
@@ -93,6 +122,8 @@
         client.stream.set_nonblocking(true).expect("it can be");
         let more = client.stream.read(&mut [0; 1]).map_err(|error| error.kind());
         assert_ne!(more.ok(), Some(1), "a second answer");
+        streams.push(got.stream);
+        thread::sleep(SETTLES);
         let next = format!("after{round}");
         let mut other = node.client();
         other.write(&request(&next, "pay", "20000m"));
@@ -100,7 +131,10 @@
         assert_eq!(got.message.header("x-request-id"), next);
         got.stream.write_all(named(&next).as_bytes()).expect("the attempt is out");
         assert_eq!(other.answer().expect("an answer").body, next.into_bytes());
+        streams.push(got.stream);
     }
+    let open = still_open(&streams);
+    assert!(open <= KEPT_MOST, "{open}: what was given up is closed, the rest used again");
     assert_eq!(served + failed, ROUNDS);
     servers.got_no_more();
 }
@@ -250,7 +284,8 @@
     let (servers, discovery) = (Servers::new(), Discovery::start());
     let turns = Turns::new(vec![Does::IsSilent, SERVES].into());
     let hosts = ["s-1", "s-2"].map(|name| host(name, servers.share(name, &turns), 1, "ready"));
-    let mut node = Node::start("term-between", discovery.address, &hosts);
+    // One that does not give a silent attempt up by itself.
+    let mut node = patient("term-between", &discovery, &hosts);
     let (mut client, mut idle) = (node.client(), node.client());
     assert_eq!(idle.ask("GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
     client.write(&request("a", "read", "20000m"));
--- a/crates/saffronpaddle/tests/sockets.rs
+++ b/crates/saffronpaddle/tests/sockets.rs
@@ -279,6 +279,9 @@
     assert_eq!(close_of(&mut server).map(|(code, _)| code), Some(1001), "after the frame, and not within it");
 }
 
+/// More than all buffers of the machine's on the way can hold together.
+const BUFFERS_MOST: usize = 200 << 20;
+
 /// The server has stopped reading: it can't be closed, so it is cut; its client is told all the same.
 #[test]
 fn a_slow_reader_with_a_full_buffer_at_the_drain() {
@@ -291,13 +294,13 @@
     let since = Instant::now();
     // Until nothing has gone for a while: all buffers on the way are full.
     let mut last = Instant::now();
-    while last.elapsed() < Duration::from_millis(300) && since.elapsed() < PATIENCE {
+    while last.elapsed() < Duration::from_millis(300) && sent < BUFFERS_MOST && since.elapsed() < PATIENCE {
         match client.write(Said::Binary(vec![1; 8192].into())).and_then(|()| client.flush()) {
             Ok(()) => (sent, last) = (sent + 8192, Instant::now()),
             Err(_) => thread::sleep(Duration::from_millis(5)),
         }
     }
-    assert!(sent > 0);
+    assert!(sent > 0 && sent < BUFFERS_MOST, "a slow reader holds back its writer: {sent} bytes");
     // Nobody else is held back.
     other.send(Said::Text("on".into())).expect("it goes");
     assert_eq!(beside.read().expect("it comes"), Said::Text("on".into()));
@@ -429,7 +432,8 @@
 #[test]
 fn bad_upgrades_get_one_answer_and_reach_no_server() {
     let (board, _discovery, operated) = with_board("ws-bad", "");
-    let cases: [(&str, &[(&str, &str)], u16); 9] = [
+    type Lines = &'static [(&'static str, &'static str)];
+    let cases: [(&str, Lines, u16); 9] = [
         ("version", &[("Sec-WebSocket-Version", "8")], 426),
         ("no version", &[("Sec-WebSocket-Version", "")], 426),
         ("short key", &[("Sec-WebSocket-Key", "c2hvcnQ=")], 400),
