Let nothing reach a draining server late, also from a loop that is late itself

Need: with 9,800 sockets the last Close went 354 ms after the word: closing handshakes and descriptors competed with those still to be told. Change: a drain's close bears the time by which it must be written; once both sides are told a socket waits for its cut, and cuts are paced too.

--- a/crates/node/src/sockets.rs
+++ b/crates/node/src/sockets.rs
@@ -51,6 +51,8 @@
 #[derive(Default)]
 struct Control {
     close: RefCell<Option<(u16, String)>>,
+    /// When nothing may be written to the server any more.
+    by: Cell<Option<Micros>>,
     ping: [Cell<bool>; 2],
     cut: Cell<bool>,
     word: Notify,
@@ -153,10 +155,15 @@
     fn carry_out(&self, commands: Vec<Command>) {
         let relays = self.relays.borrow();
         for command in commands {
-            let (Command::Close(id, ..) | Command::Ping(id, _) | Command::Cut(id)) = &command;
+            let (Command::Close(id, ..) | Command::Drain(id, ..) | Command::Ping(id, _) | Command::Cut(id)) =
+                &command;
             let Some(control) = relays.get(id) else { continue };
             match command {
                 Command::Close(_, code, reason) => _ = control.close.borrow_mut().insert((code, reason)),
+                Command::Drain(_, code, reason, by) => {
+                    control.by.set(Some(by));
+                    control.close.borrow_mut().replace((code, reason));
+                }
                 Command::Ping(_, side) => control.ping[side as usize].set(true),
                 Command::Cut(_) => control.cut.set(true),
             }
@@ -250,15 +257,27 @@
     async fn run(&mut self, node: &Rc<Node>, front: &Front) {
         loop {
             self.obey();
+            // Guards the drain where the loop is late: what was not written in time is not written.
+            if self.control.by.get().is_some_and(|by| node.now() >= by) {
+                self.control.cut.set(true);
+            }
+            if self.control.cut.get() {
+                break;
+            }
             for to in [Side::Client, Side::Server] {
                 self.put_in(to);
                 self.write(node, front, to);
             }
             let over = |side: Side| self.ways[side as usize].scanner.closed() || self.ended[side as usize];
             let written = self.ways.iter().all(|way| way.out.is_empty());
-            if self.control.cut.get() || (over(Side::Client) && over(Side::Server) && written) {
+            if over(Side::Client) && over(Side::Server) && written {
                 break;
             }
+            // Both have been told: others are still to be, and that comes first.
+            if written && self.control.by.get().is_some() && self.ways.iter().all(|way| way.shut) {
+                self.control.word.notified().await;
+                continue;
+            }
             let [client, server] = &self.streams;
             let reads = |side: Side| {
                 let way = &self.ways[side as usize];
@@ -273,8 +292,10 @@
                 _ = server.writable(), if writes(Side::Server) => {}
             }
         }
-        // Guards the drain: what the machine still holds for the server is dropped with the connection.
-        if self.control.cut.get() {
+        // Guards the drain: what the machine still holds for the server is dropped with the connection. One that has
+        // answered the close holds nothing.
+        self.read(node, front, Side::Server);
+        if self.control.cut.get() && !self.ways[Side::Server as usize].scanner.closed() {
             let _ = SockRef::from(&self.streams[Side::Server as usize]).set_linger(Some(Duration::ZERO));
         }
     }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -224,9 +224,8 @@
 }
 
 fn sockets(section: &mut Section) -> Option<Sockets> {
-    let text = |text: &str| (!text.is_empty()).then(|| text.to_owned());
     let us = |span: Duration| span.as_micros() as u64;
-    let class = section.parsed("class", "the name of a class", text);
+    let class = section.parsed("class", "the name of a class", |text| Some(text.to_owned()));
     let limits = Limits {
         per_node: section.number("per_node", 1_000, 1..=1_000_000) as usize,
         per_customer: section.number("per_customer", 20, 1..=1_000_000) as u32,
@@ -252,7 +251,13 @@
     if message_most < frame_most {
         section.fault("message_most", "must be at least frame_most");
     }
-    class.map(|class| Sockets { class, limits, frame_most, message_most, utf8 })
+    class.filter(|class| !class.is_empty()).map(|class| Sockets {
+        class,
+        limits,
+        frame_most,
+        message_most,
+        utf8,
+    })
 }
 
 fn stop(section: &mut Section) -> Stop {
--- a/crates/sockets/src/table.rs
+++ b/crates/sockets/src/table.rs
@@ -14,6 +14,8 @@
 const PACE: Micros = 2_000;
 /// Fewest closes that are handed out at once.
 const PACE_LEAST: usize = 32;
+/// Cuts that are handed out at once. Guards requests: each takes the loop two closes of descriptors.
+const CUTS_AT_ONCE: usize = 128;
 /// All closes of a drain are handed out within this share of its span; the rest is for closing handshakes.
 const HANDED_OUT_WITHIN: f64 = 0.5;
 
@@ -65,6 +67,9 @@
     /// Close a socket on both sides with this code and reason, at frame boundaries. Nothing of the client's goes on to the
     /// server from now on but the rest of a frame.
     Close(SocketId, u16, String),
+    /// The same as a server drains or the node leaves: not a byte may be written to the server from this time on. Once both
+    /// sides have been told, the rest waits for the cut: the loop has others to tell.
+    Drain(SocketId, u16, String, Micros),
     /// Ask a side for a sign of life.
     Ping(SocketId, Side),
     /// Cut what is left of it. Not a byte may reach the server after that.
@@ -186,7 +191,9 @@
         let many = there.len() > self.limits.per_server;
         self.arm(id);
         if self.away.contains(&server) || self.stopped {
-            return self.close(now, id, self.gone_code(), 0, self.limits.drain_within);
+            let within = self.limits.drain_within;
+            self.close(now, id, self.gone_code(), 0, within);
+            return vec![Command::Drain(id, self.gone_code(), self.advice(0), now.saturating_add(within))];
         }
         if many {
             return self.close(now, id, 1013, 0, self.limits.close_within);
@@ -316,10 +323,12 @@
             self.paced = now;
             self.hand_out(now, &mut commands);
         }
+        let mut cuts = 0;
         while let Some((at, id)) = self.alarms.first().copied() {
-            if at > now {
+            if at > now || cuts == CUTS_AT_ONCE {
                 break;
             }
+            cuts += usize::from(self.rows.get(&id).is_some_and(|row| row.cut_at.is_some()));
             self.look(now, id, &mut commands);
         }
         commands
@@ -331,9 +340,9 @@
         let last = self.closing.back().map_or(now, |(_, by, ..)| by.saturating_sub(span));
         let rounds = (last.saturating_sub(now) / PACE).max(1) as usize;
         let most = self.closing.len().div_ceil(rounds).max(PACE_LEAST).min(self.closing.len());
-        for (id, _, code, place) in self.closing.drain(..most).collect::<Vec<_>>() {
+        for (id, by, code, place) in self.closing.drain(..most).collect::<Vec<_>>() {
             if self.rows.contains_key(&id) {
-                commands.push(Command::Close(id, code, self.advice(place)));
+                commands.push(Command::Drain(id, code, self.advice(place), by));
             }
         }
     }
@@ -437,7 +446,7 @@
     }
 
     fn closed(commands: &[Command]) -> usize {
-        commands.iter().filter(|command| matches!(command, Command::Close(..))).count()
+        commands.iter().filter(|command| matches!(command, Command::Drain(..))).count()
     }
 
     #[test]
@@ -465,7 +474,7 @@
         assert_eq!(cuts.len(), 10_000);
         assert!(cuts.iter().all(|(at, command)| *at == now + 200 * MS && matches!(command, Command::Cut(_))));
         // Those who come back are told to do so at a pace.
-        let Some((_, Command::Close(_, 1001, advice))) = closes.last() else { panic!("a close") };
+        let Some((_, Command::Drain(_, 1001, advice, _))) = closes.last() else { panic!("a close") };
         let wait: f64 =
             advice.strip_prefix("retry-after=").and_then(|text| text.parse().ok()).expect("advice");
         assert!((wait - 100.0).abs() < 2.0, "10,000 at 100 a second: {advice}");
@@ -477,7 +486,7 @@
         let id = sockets.admit(0, CustomerId(1), 1).expect("room");
         assert!(sockets.told(10, ONE, false).is_empty());
         let closes = sockets.opened(20, id, ONE);
-        assert!(matches!(closes[..], [Command::Close(_, 1001, _)]), "{closes:?}");
+        assert!(matches!(closes[..], [Command::Drain(_, 1001, _, at)] if at == 20 + 200 * MS), "{closes:?}");
         sockets.ended(id);
         // It is back, and nothing is kept of the drain.
         assert!(sockets.told(30, ONE, true).is_empty());
@@ -564,7 +573,7 @@
         closes.extend(until(&mut sockets, 10, 150 * MS).into_iter().map(|(_, command)| command));
         assert_eq!(closed(&closes), 50);
         assert!(sockets.admit(20, CustomerId(1_000), 1).is_err());
-        assert!(matches!(sockets.opened(30, out, ONE)[..], [Command::Close(..)]), "an upgrade that was out");
+        assert!(matches!(sockets.opened(30, out, ONE)[..], [Command::Drain(..)]), "an upgrade that was out");
     }
 
     /// Anything in any order: counts never go wrong, and when all have ended nothing is kept.
