--- a/crates/sockets/src/table.rs
+++ b/crates/sockets/src/table.rs
@@ -99,7 +99,9 @@
     rows: HashMap<SocketId, Row>,
     by_customer: HashMap<CustomerId, u32>,
     by_server: BTreeMap<ServerId, BTreeSet<SocketId>>,
-    /// Servers that were told to drain or to be gone, as long as sockets or upgrades may lead to them.
+    /// Upgrades that are out.
+    pending: usize,
+    /// Servers that were told to drain or to be gone, for as long as upgrades that are out may have gone to them.
     away: BTreeSet<ServerId>,
     alarms: BTreeSet<(Micros, SocketId)>,
     /// Sockets whose close is still to be handed out: until when, with which code, and the place in the queue of those
@@ -121,6 +123,7 @@
             rows: HashMap::new(),
             by_customer: HashMap::new(),
             by_server: BTreeMap::new(),
+            pending: 0,
             away: BTreeSet::new(),
             alarms: BTreeSet::new(),
             closing: VecDeque::new(),
@@ -175,6 +178,7 @@
             due: Micros::MAX,
         };
         self.rows.insert(id, row);
+        self.pending += 1;
         Ok(id)
     }
 
@@ -190,7 +194,9 @@
         there.insert(id);
         let many = there.len() > self.limits.per_server;
         self.arm(id);
-        if self.away.contains(&server) || self.stopped {
+        let away = self.away.contains(&server);
+        self.came_to_something();
+        if away || self.stopped {
             let within = self.limits.drain_within;
             self.close(now, id, self.gone_code(), 0, within);
             return vec![Command::Drain(id, self.gone_code(), self.advice(0), now.saturating_add(within))];
@@ -231,20 +237,19 @@
                 self.by_customer.remove(&row.customer);
             }
         }
-        if let Some(server) = row.server {
-            if let Some(there) = self.by_server.get_mut(&server) {
-                there.remove(&id);
-                if there.is_empty() {
-                    self.by_server.remove(&server);
-                }
+        let Some(server) = row.server else { return self.came_to_something() };
+        if let Some(there) = self.by_server.get_mut(&server) {
+            there.remove(&id);
+            if there.is_empty() {
+                self.by_server.remove(&server);
             }
         }
-        self.forget_away();
     }
 
-    /// Nobody is on the way to a server that is away: it needs not be known any more.
-    fn forget_away(&mut self) {
-        if self.rows.is_empty() {
+    /// An upgrade is not out any more. Where none is, nobody is on the way to a server that is away.
+    fn came_to_something(&mut self) {
+        self.pending -= 1;
+        if self.pending == 0 {
             self.away.clear();
         }
     }
@@ -256,7 +261,7 @@
             self.away.remove(&server);
             return Vec::new();
         }
-        if !self.rows.is_empty() {
+        if self.pending > 0 {
             self.away.insert(server);
         }
         let there: Vec<SocketId> = self.by_server.get(&server).into_iter().flatten().copied().collect();
@@ -463,7 +468,7 @@
         );
         let later = until(&mut sockets, now, now + 150 * MS);
         let closes: Vec<_> =
-            later.iter().filter(|(_, command)| matches!(command, Command::Close(..))).collect();
+            later.iter().filter(|(_, command)| matches!(command, Command::Drain(..))).collect();
         assert_eq!(closed(&first) + closes.len(), 10_000);
         let last = closes.iter().map(|(at, _)| *at).max().expect("some");
         assert!(last <= now + 110 * MS, "the last after {} ms", (last - now) / MS);
