Have the races over loopback see given-up connections close before the late reply

Need: with closing taken out of the shell both races still passed, as the late reply ended the connection anyway. Change: every third round waits for the close, then replies.

--- a/crates/saffronpaddle/tests/interleavings.rs
+++ b/crates/saffronpaddle/tests/interleavings.rs
@@ -66,17 +66,18 @@
         let mut got = servers.next();
         assert_eq!(got.message.header("x-request-id"), id);
         let answer = named(&id);
-        race(
-            round,
-            || {
-                if round % 3 == 0 {
-                    // Now and then surely too late.
-                    thread::sleep(SETTLES);
-                }
-                got.stream.write_all(answer.as_bytes()).unwrap_or(());
-            },
-            || client.stream.shutdown(Shutdown::Both).unwrap_or(()),
-        );
+        if round.is_multiple_of(3) {
+            // Now and then surely too late: the attempt has ended, and its connection with it.
+            client.stream.shutdown(Shutdown::Both).expect("it is open");
+            assert!(closed(&got));
+            let _ = got.stream.write_all(answer.as_bytes());
+        } else {
+            race(
+                round,
+                || got.stream.write_all(answer.as_bytes()).unwrap_or(()),
+                || client.stream.shutdown(Shutdown::Both).unwrap_or(()),
+            );
+        }
         streams.push(got.stream);
         thread::sleep(SETTLES);
         // The next one gets its own answer, over whichever connection.
@@ -108,7 +109,12 @@
         let mut got = servers.next();
         // The node gives up some 295 ms after the request; the replies come from before that to after it.
         let wait = 270 + 50 * round as u64 / ROUNDS as u64;
-        thread::sleep(Duration::from_millis(wait));
+        if round.is_multiple_of(3) {
+            // Now and then surely too late: the attempt has ended, and its connection with it.
+            assert!(closed(&got));
+        } else {
+            thread::sleep(Duration::from_millis(wait));
+        }
         let _ = got.stream.write_all(named(&id).as_bytes());
         let answer = client.answer().expect("an answer");
         match answer.status() {
