--- a/crates/bench/src/cost.rs
+++ b/crates/bench/src/cost.rs
@@ -60,7 +60,7 @@
                 let node = process::node(other, &fleet, agent, &discovery.known())?;
                 others.push(round(&world, &node, connections, requests).await.context("the other build")?);
             }
-            let relay = process::relay(&addresses)?;
+            let relay = process::relay("relay", &addresses)?;
             relays.push(round(&world, &relay, connections, requests).await.context("the relay")?);
         }
         // Round by round: the machine's pace changes between rounds more than within one.
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -82,15 +82,6 @@
     start(program, fleet, discovery, None, operator, descriptors)
 }
 
-/// Starts a bare relay of sockets before a server, as a job of this program.
-pub fn bare(job: &str, server: SocketAddr) -> Result<Measured> {
-    let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-    let mut command = Command::new(std::env::current_exe()?);
-    command.args([job, &address.to_string(), &server.to_string()]);
-    let child = command.stdin(Stdio::null()).spawn().context("the relay")?;
-    Ok(Measured { child, address, config: None })
-}
-
 fn start(
     program: &Path, fleet: &Fleet, discovery: SocketAddr, known: Option<&str>, operator: Option<&Path>,
     sockets: usize,
@@ -116,11 +107,11 @@
     Ok(Measured { child, address, config: Some(path) })
 }
 
-/// Starts the bare relay before these servers.
-pub fn relay(servers: &[SocketAddr]) -> Result<Measured> {
+/// Starts a bare relay before these servers, as a job of this program.
+pub fn relay(job: &str, servers: &[SocketAddr]) -> Result<Measured> {
     let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
     let mut command = Command::new(std::env::current_exe()?);
-    command.arg("relay").arg(address.to_string()).args(servers.iter().map(SocketAddr::to_string));
+    command.arg(job).arg(address.to_string()).args(servers.iter().map(SocketAddr::to_string));
     let child = command.stdin(Stdio::null()).spawn().context("the relay")?;
     Ok(Measured { child, address, config: None })
 }
--- a/crates/bench/src/sockets.rs
+++ b/crates/bench/src/sockets.rs
@@ -22,13 +22,23 @@
 /// Clients that are connected at a time.
 const AT_ONCE: usize = 64;
 
-/// When what happened, in µs since the run began; 0 for never.
-#[derive(Default)]
+/// When what happened, in µs since the run began.
 struct Seen {
+    begun: Instant,
     server_frames: Mutex<Vec<u64>>,
     client_closes: Mutex<Vec<u64>>,
     server_closes: Mutex<Vec<u64>>,
-    ends: AtomicU64,
+}
+
+impl Seen {
+    fn new() -> Seen {
+        let [server_frames, client_closes, server_closes] = [const { Mutex::new(Vec::new()) }; 3];
+        Seen { begun: Instant::now(), server_frames, client_closes, server_closes }
+    }
+
+    fn now(&self) -> u64 {
+        self.begun.elapsed().as_micros() as u64
+    }
 }
 
 pub fn measure(mut arguments: lexopt::Parser) -> Result<()> {
@@ -47,11 +57,10 @@
     runtime.block_on(async {
         let world = World::begin(Bounds::default());
         let discovery = Discovery::new(Arc::clone(&world));
-        let begun = Instant::now();
-        let seen = Arc::new(Seen::default());
+        let seen = Arc::new(Seen::new());
         let (board, plain) = (TcpListener::bind("127.0.0.1:0").await?, TcpListener::bind("127.0.0.1:0").await?);
         let (board_at, plain_at) = (board.local_addr()?, plain.local_addr()?);
-        tokio::spawn(serve(board, begun, Arc::clone(&seen)));
+        tokio::spawn(serve(board, Arc::clone(&seen)));
         tokio::spawn(cost::answer(Arc::clone(&world), plain));
         let entry = |host: &str, dial, health| Entry {
             host: host.to_owned(),
@@ -78,7 +87,13 @@
             process::with_descriptors(&program, &process::unbound(), agent, Some(&file), 2 * count + 2 * talkers + 1_000)?;
         cost::up(&node).await?;
         echo(&node, board_at, talkers, echoes).await?;
-        idle(&node, &world, &discovery, count, requests, begun, &seen, entry("s-1", plain_at, "ready"), entry("s-0", board_at, "draining")).await?;
+        let sockets = idle(&node, count).await?;
+        // Requests go to another server: the board's speaks frames.
+        discovery.change(vec![entry("s-1", plain_at, "ready")]);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        drain(sockets, &discovery, entry("s-0", board_at, "draining"), &seen).await?;
+        let beside = cost::round(&world, &node, 16, requests).await?;
+        println!("a request after that: {beside:.1} µs of CPU");
         let _ = std::fs::remove_file(file);
         Ok(())
     })
@@ -104,7 +119,7 @@
 }
 
 /// The board server: says yes to each upgrade, echoes data, answers closes, and notes when frames came.
-async fn serve(listener: TcpListener, begun: Instant, seen: Arc<Seen>) {
+async fn serve(listener: TcpListener, seen: Arc<Seen>) {
     while let Ok((mut stream, _)) = listener.accept().await {
         let seen = Arc::clone(&seen);
         tokio::spawn(async move {
@@ -116,7 +131,7 @@
             stream.write_all(yes.as_bytes()).await?;
             loop {
                 let Ok((first, payload)) = frame(&mut stream).await else { break };
-                let now = begun.elapsed().as_micros() as u64;
+                let now = seen.now();
                 if first & 0x0f == 8 {
                     lock(&seen.server_closes).push(now);
                     stream.write_all(&[&[0x88, payload.len() as u8], &payload[..]].concat()).await?;
@@ -125,7 +140,6 @@
                 lock(&seen.server_frames).push(now);
                 stream.write_all(&[&[first, payload.len() as u8], &payload[..]].concat()).await?;
             }
-            seen.ends.fetch_add(1, Ordering::Relaxed);
             Ok::<(), anyhow::Error>(())
         });
     }
@@ -163,8 +177,8 @@
 /// Echoes of 100 bytes, one at a time on each socket, through the node and through two bare relays in turn.
 async fn echo(node: &Measured, board: SocketAddr, talkers: usize, echoes: u64) -> Result<()> {
     println!("{echoes} echoes of 100 bytes on {talkers} sockets, three rounds in turn; the median of each");
-    let bytes = process::bare("byte-relay", board)?;
-    let codec = process::bare("frame-relay", board)?;
+    let bytes = process::relay("byte-relay", &[board])?;
+    let codec = process::relay("frame-relay", &[board])?;
     let mut figures = [const { Vec::new() }; 3];
     for round in 0..3 {
         for (place, process) in [node, &bytes, &codec].into_iter().enumerate() {
@@ -227,12 +241,8 @@
     Ok((echoes as f64 / span, p99, cpu / echoes as f64))
 }
 
-/// Idle sockets: memory, CPU, what requests cost beside them, and the drain of the server that holds all of them.
-#[allow(clippy::too_many_arguments)]
-async fn idle(
-    node: &Measured, world: &Arc<World>, discovery: &Arc<Discovery>, count: usize, requests: u64,
-    begun: Instant, seen: &Arc<Seen>, other: Entry, draining: Entry,
-) -> Result<()> {
+/// Idle sockets: what memory and CPU they take.
+async fn idle(node: &Measured, count: usize) -> Result<Vec<TcpStream>> {
     let before = node.memory()?;
     let opening = Instant::now();
     let mut sockets = Vec::new();
@@ -254,9 +264,14 @@
     let spent = node.spent_all()?;
     tokio::time::sleep(Duration::from_secs(5)).await;
     println!("  CPU while all are idle: {:.2}% of a core", (node.spent_all()? - spent) / 5.0 * 100.0);
-    // Requests go to another server: the board's speaks frames.
-    discovery.change(vec![other]);
-    tokio::time::sleep(Duration::from_millis(500)).await;
+    Ok(sockets)
+}
+
+/// The drain of the server that holds all sockets.
+async fn drain(
+    sockets: Vec<TcpStream>, discovery: &Discovery, draining: Entry, seen: &Arc<Seen>,
+) -> Result<()> {
+    let count = sockets.len();
     lock(&seen.server_frames).clear();
     lock(&seen.server_closes).clear();
     let mut closing = tokio::task::JoinSet::new();
@@ -287,7 +302,7 @@
                     let (mut out, mut what) = (Vec::new(), Vec::new());
                     let _ = scanner.scan(&bytes, &mut out, &mut what);
                     if scanner.closed() {
-                        lock(&seen.client_closes).push(begun.elapsed().as_micros() as u64);
+                        lock(&seen.client_closes).push(seen.now());
                         break;
                     }
                     if scanner.at_boundary() && bytes.len() == out.len() {
@@ -304,7 +319,7 @@
         });
     }
     tokio::time::sleep(Duration::from_secs(1)).await;
-    let told = begun.elapsed().as_micros() as u64;
+    let told = seen.now();
     discovery.change(vec![draining]);
     let all = async { while closing.join_next().await.is_some() {} };
     ensure!(tokio::time::timeout(Duration::from_secs(30), all).await.is_ok(), "they do not close");
@@ -332,8 +347,6 @@
     );
     let late = frames.iter().filter(|at| **at > told + 250_000).count();
     println!("  last data frame to the server {:.1}; after 250 ms: {late}", ms(frames.iter().max()));
-    let beside = cost::round(world, node, 16, requests).await?;
-    println!("a request after that: {beside:.1} µs of CPU");
     ensure!(late == 0 && clients.len() == count, "sockets outlived the drain");
     Ok(())
 }
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -194,6 +194,12 @@
         self.settle_row(id);
     }
 
+    /// Fails a request, whatever the module says, which hears of it.
+    fn fail(&mut self, id: &RequestId, commands: &mut Commands<A>) {
+        commands.push(Command::Answer { id: id.clone(), verdict: Verdict::Failed });
+        self.abandon(id);
+    }
+
     /// Sets a row's alarm anew, or lets go of a row of which nothing is owed any more.
     fn settle_row(&mut self, id: &RequestId) {
         if self.rows.get(id).is_some_and(|row| row.open || row.out.is_some()) {
@@ -232,10 +238,9 @@
         let until = time_out.map_or(row.deadline, |span| row.deadline.min(now.saturating_add(span)));
         let second = row.out.is_some() && !self.bugs.planted(Bug::TwoAttemptsOut);
         if row.attempts > self.bounds.attempts {
-            commands.push(Command::Answer { id: id.clone(), verdict: Verdict::Failed });
-            return self.abandon(id);
+            return self.fail(id, commands);
         }
-        if second || now >= until || !self.may_go(now, id, server, Bug::WindowCheckedAtChoiceOnly, true) {
+        if second || now >= until || !self.may_go(now, id, server, true) {
             return self.tell_end(id, number, Outcome::NotSent, false);
         }
         let stage = Stage::Waiting(LinkId(u64::MAX));
@@ -247,7 +252,7 @@
 
     /// Whether the effects of a request allow an attempt at a server that is ready. Danger: an effect that happens
     /// twice.
-    fn may_go(&self, now: Micros, id: &RequestId, server: ServerId, skip: Bug, choice: bool) -> bool {
+    fn may_go(&self, now: Micros, id: &RequestId, server: ServerId, choice: bool) -> bool {
         let (Some(row), Some(place)) = (self.rows.get(id), self.places.get(&server)) else { return false };
         let Some(ran) = row.ran else { return true };
         match row.effect {
@@ -259,7 +264,7 @@
                     Group::Zone => place.zone == ran.zone,
                     Group::Cell => place.cell == ran.cell,
                 };
-                let passed_over = !choice && self.bugs.planted(skip);
+                let passed_over = !choice && self.bugs.planted(Bug::WindowCheckedAtChoiceOnly);
                 (inside || self.bugs.planted(Bug::GroupForgotten))
                     && (passed_over || now <= ran.at.saturating_add(window))
             }
@@ -300,10 +305,7 @@
     /// Makes room: the connection that has been idle longest is closed, and the attempt waits for that.
     fn wait(&mut self, id: &RequestId, commands: &mut Commands<A>) {
         let Some((_, oldest)) = self.idle.first().copied() else { return self.ended(id, Outcome::NotSent) };
-        self.close(oldest, commands);
-        if let Some(link) = self.links.get_mut(&oldest) {
-            link.of = Some(id.clone());
-        }
+        self.close_for(oldest, id, commands);
         self.stage(id, Stage::Waiting(oldest), None);
     }
 
@@ -329,7 +331,7 @@
         let Some(row) = self.rows.get(id) else { return false };
         let Some(out) = row.out.as_ref() else { return false };
         let leads = self.leads(link) || self.bugs.planted(Bug::DrainCheckedBeforeConnectOnly);
-        let may_go = self.may_go(now, id, out.server, Bug::WindowCheckedAtChoiceOnly, false);
+        let may_go = self.may_go(now, id, out.server, false);
         let may_go = may_go || (self.bugs.planted(Bug::DrainCheckedBeforeConnectOnly) && row.ran.is_none());
         row.open && now < out.until && leads && may_go
     }
@@ -473,10 +475,7 @@
                 self.ended(id, outcome);
             }
             Stage::On(link) => {
-                self.close(link, commands);
-                if let Some(row) = self.links.get_mut(&link) {
-                    row.of = Some(id.clone());
-                }
+                self.close_for(link, id, commands);
                 self.stage(id, Stage::Ending(link, outcome), None);
                 if why == Outcome::TimedOut && self.bugs.planted(Bug::EndToldTwice) {
                     self.tell_end(id, number, outcome, false);
@@ -559,6 +558,14 @@
         commands.push(Command::Close { link });
     }
 
+    /// The same for a request whose attempt waits until it is closed.
+    fn close_for(&mut self, link: LinkId, id: &RequestId, commands: &mut Commands<A>) {
+        self.close(link, commands);
+        if let Some(row) = self.links.get_mut(&link) {
+            row.of = Some(id.clone());
+        }
+    }
+
     fn gone(&mut self, link: LinkId, commands: &mut Commands<A>) {
         match self.links.get_mut(&link) {
             Some(row) if matches!(row.state, State::Idle(_)) => self.close(link, commands),
@@ -657,10 +664,7 @@
         };
         let due = self.alarms.iter().take_while(|(at, _)| *at <= now);
         let due: Vec<RequestId> = due.filter_map(|(_, id)| late(id)).collect();
-        for id in due {
-            commands.push(Command::Answer { id: id.clone(), verdict: Verdict::Failed });
-            self.abandon(&id);
-        }
+        due.iter().for_each(|id| self.fail(id, commands));
     }
 
     fn tick(&mut self, now: Micros, commands: &mut Commands<A>) {
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -64,6 +64,33 @@
     pub attempts: u32,
 }
 
+/// Idle connections that a node keeps at one server.
+const IDLE_AT_ONE: usize = 64;
+/// Share of the servers' idle limit for which a connection is kept: it must go before its server closes it.
+const IDLE_SHARE: f64 = 0.6;
+/// How long a connection of a node stands after an answer, µs.
+const SETTLE: Micros = 10_000;
+/// How much later than the module's own last word a node ends a request, µs.
+const OVERDUE: Micros = 2_000;
+/// Attempts of one request of a node.
+const ATTEMPTS_MOST: u32 = 256;
+
+impl Bounds {
+    /// The bounds of a node that may have so many connections to app servers, which close one that has stood idle for
+    /// `conn_idle` µs.
+    pub fn usual(links: usize, conn_idle: Micros, connect_within: Micros) -> Bounds {
+        Bounds {
+            links,
+            idle_at_one: IDLE_AT_ONE,
+            idle_for: (conn_idle as f64 * IDLE_SHARE) as Micros,
+            settle: SETTLE,
+            connect_within,
+            overdue: OVERDUE,
+            attempts: ATTEMPTS_MOST,
+        }
+    }
+}
+
 /// What happened. Instants are µs of the same clock as `now`.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event<A> {
--- a/crates/explore/src/nodes.rs
+++ b/crates/explore/src/nodes.rs
@@ -20,6 +20,8 @@
 const START: Micros = 1_700_000_000_000_000;
 /// What a front keeps back of a client's time, µs.
 const DELIVERY: Micros = 5_000;
+/// Connections that a node may have to servers.
+const LINKS: usize = 60;
 /// How long a connection that is told to close takes, µs at the most.
 const CLOSING: Micros = 200;
 /// How long after the last try a run may go on, µs. All is over long before.
@@ -82,7 +84,7 @@
     server: usize,
     dial: u32,
     up: bool,
-    carries: Option<(RequestId, bool)>,
+    carries: Option<RequestId>,
     /// The request is at the server and not over there.
     there: bool,
     /// Bytes that nobody asked for, or the end, wait at the node.
@@ -221,15 +223,7 @@
     fn core(&self, at: usize) -> Result<Core> {
         let named = &self.named[at];
         let gateway = Gateway::new(self.play.seed ^ at as u64, named.settings.clone(), self.now)?;
-        let bounds = Bounds {
-            links: 60,
-            idle_at_one: 64,
-            idle_for: named.conn_idle / 5 * 3,
-            settle: 10_000,
-            connect_within: named.connect_timeout,
-            overdue: 2_000,
-            attempts: 256,
-        };
+        let bounds = Bounds::usual(LINKS, named.conn_idle, named.connect_timeout);
         Ok(Exchange::with_bugs(bounds, gateway, self.play.bug))
     }
 
@@ -350,7 +344,7 @@
                 if let Some(wire) = wire.filter(|wire| wire.carries.is_some()) {
                     wire.unasked = true;
                     if std::mem::replace(&mut wire.there, false) {
-                        let id = wire.carries.as_ref().map(|(id, _)| id.0.to_string()).unwrap_or_default();
+                        let id = wire.carries.as_ref().map(|id| id.0.to_string()).unwrap_or_default();
                         self.ledger.closed(self.since(), &id);
                     }
                     self.happened(at, Event::Broken { link }, None);
@@ -372,7 +366,7 @@
             Comes::Closes(at, life, link) => {
                 if self.alive(at, life) {
                     let wire = self.nodes[at].wires.remove(&link);
-                    if let Some(Wire { carries: Some((id, _)), there: true, .. }) = wire {
+                    if let Some(Wire { carries: Some(id), there: true, .. }) = wire {
                         self.ledger.closed(self.since(), &id.0);
                     }
                     self.happened(at, Event::Closed { link }, None);
@@ -501,12 +495,8 @@
             self.open.remove(&id);
         }
         let wires = std::mem::take(&mut self.nodes[at].wires);
-        let mut there: Vec<RequestId> = wires
-            .into_values()
-            .filter(|wire| wire.there)
-            .filter_map(|wire| wire.carries)
-            .map(|(id, _)| id)
-            .collect();
+        let mut there: Vec<RequestId> =
+            wires.into_values().filter(|wire| wire.there).filter_map(|wire| wire.carries).collect();
         there.sort();
         there.iter().for_each(|id| self.ledger.closed(self.since(), &id.0));
         self.ledger.restarted(at);
@@ -525,7 +515,7 @@
         let Some(wire) = self.wire(at, life, link).filter(|wire| wire.turn == turn && !wire.closing) else {
             return;
         };
-        let Some((id, _)) = wire.carries.clone() else { return };
+        let Some(id) = wire.carries.clone() else { return };
         wire.there = true;
         let at_server = wire.server;
         let class = usize::from(id.0.starts_with("submit"));
@@ -565,7 +555,7 @@
         let Some(wire) = self.wire(at, life, link).filter(|wire| wire.turn == turn && wire.there) else {
             return;
         };
-        let Some((id, _)) = wire.carries.clone() else { return };
+        let Some(id) = wire.carries.clone() else { return };
         wire.there = false;
         self.ledger.over(&id.0);
         let way = self.random.u64(50..2_000);
@@ -615,18 +605,15 @@
                 Command::Send { link, id, .. } => {
                     let after = self.random.u64(..300);
                     if let Some(wire) = self.nodes[at].wires.get_mut(&link) {
-                        wire.carries = Some((id, false));
+                        wire.carries = Some(id);
                         wire.turn += 1;
                         self.later(after, Comes::Begins(at, life, link));
                     }
                 }
                 Command::Write { link } => {
                     let after = self.random.u64(50..2_000);
-                    if let Some(wire) = self.nodes[at].wires.get_mut(&link) {
+                    if let Some(wire) = self.nodes[at].wires.get(&link) {
                         let (turn, server, dial) = (wire.turn, wire.server, wire.dial);
-                        if let Some((_, begun)) = &mut wire.carries {
-                            *begun = true;
-                        }
                         // Who has left its address is not there any more.
                         let gone = self.servers[server].dial != dial;
                         let comes = Comes::Arrives(at, life, link, turn, now);
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -246,6 +246,13 @@
     out: Option<Written>,
 }
 
+impl Client {
+    /// When its request fails, whatever the module says.
+    fn last(&self, setup: &Setup) -> Micros {
+        self.asked.unwrap_or(0) + setup.patience * setup.step + setup.bounds.overdue
+    }
+}
+
 /// An attempt of which bytes were written: its number, its wire, its server, and since when.
 #[derive(Clone, Copy, Debug, Hash)]
 struct Written {
@@ -582,11 +589,11 @@
                         wire.answered = false;
                         self.over(r, link, reply == Reply::Full);
                     }
-                    if reply == Reply::Upgrade && !wire_closing {
-                        // The socket has it now.
-                        self.wires.remove(&link);
-                        Event::Upgraded { link }
-                    } else if reply == Reply::Upgrade {
+                    if reply == Reply::Upgrade {
+                        if !wire_closing {
+                            // The socket has it now.
+                            self.wires.remove(&link);
+                        }
                         Event::Upgraded { link }
                     } else {
                         Event::Replied { link, outcome: reply.outcome() }
@@ -749,7 +756,7 @@
                     if client.finals > 1 {
                         return breach("one answer", format!("request {r} is answered twice"));
                     }
-                    let last = client.asked.unwrap_or(0) + setup.patience * setup.step + setup.bounds.overdue;
+                    let last = client.last(setup);
                     let in_time =
                         if verdict == Verdict::Served { now < last } else { now <= last || setup.late };
                     if !in_time {
@@ -793,7 +800,7 @@
             if let Some(r) = self.client(setup, id) {
                 let client = &mut self.clients[usize::from(r)];
                 // What is answered, abandoned or past its time is owed nothing.
-                let last = client.asked.unwrap_or(0) + setup.patience * setup.step + setup.bounds.overdue;
+                let last = client.last(setup);
                 if client.finals == 0 && !client.left && now < last {
                     client.sends |= 1 << client.sends.count_ones();
                 }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -26,7 +26,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
 
@@ -86,6 +86,8 @@
 struct Seat {
     /// Since when it has no open request; `None` while it has one.
     idle: Cell<Option<Instant>>,
+    /// It has had one.
+    asked: Cell<bool>,
 }
 
 /// A seat with an open request, for as long as that is being answered.
@@ -94,6 +96,7 @@
 impl<'a> Busy<'a> {
     fn new(seat: &'a Seat) -> Busy<'a> {
         seat.idle.set(None);
+        seat.asked.set(true);
         Busy(seat)
     }
 }
@@ -114,7 +117,8 @@
 impl Crowd {
     fn seat(&mut self, stream: TcpStream, node: &Rc<Node>, phase: &watch::Receiver<Standing>) {
         let now = Instant::now();
-        let seat = Rc::new(Seat { idle: Cell::new(Some(now.checked_sub(NEVER_ASKED).unwrap_or(now))) });
+        let idle = Cell::new(Some(now.checked_sub(NEVER_ASKED).unwrap_or(now)));
+        let seat = Rc::new(Seat { idle, asked: Cell::new(false) });
         let talk = converse(stream, Rc::clone(node), phase.clone(), Rc::clone(&seat));
         let handle = self.tasks.spawn_local(talk);
         self.seats.push((seat, handle));
@@ -183,11 +187,9 @@
 async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Rc<Seat>) {
     let _ = stream.set_nodelay(true);
     let seen = phase.clone();
-    let asked = Rc::new(Cell::new(false));
-    let asks = Rc::clone(&asked);
+    let held = Rc::clone(&seat);
     let service = service_fn(move |request| {
-        asks.set(true);
-        let (node, seen, seat) = (Rc::clone(&node), seen.clone(), Rc::clone(&seat));
+        let (node, seen, seat) = (Rc::clone(&node), seen.clone(), Rc::clone(&held));
         async move {
             let _busy = Busy::new(&seat);
             let mut reply = respond(&node, request, &seen).await;
@@ -209,7 +211,7 @@
     }
     // What the machine holds is read before the connection counts as idle.
     tokio::task::yield_now().await;
-    let wait = if asked.get() { Duration::ZERO } else { FIRST_WITHIN };
+    let wait = if seat.asked.get() { Duration::ZERO } else { FIRST_WITHIN };
     if tokio::time::timeout(wait, &mut connection).await.is_ok() {
         return;
     }
@@ -246,16 +248,18 @@
     let Some((most, _held)) = node.upstream.room.take(body.size_hint().lower()) else {
         return turned_away(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
     };
-    if !asked.takes_body && !body.is_end_stream() {
+    if asked.effect == Effect::Safe && !body.is_end_stream() {
         return turned_away(StatusCode::BAD_REQUEST, "this class takes no body\n");
     }
     let body = match tokio::time::timeout(BODY_WITHIN, Limited::new(body, most).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         _ => return turned_away(StatusCode::BAD_REQUEST, "the body did not come whole\n"),
     };
-    let effect = node.named.settings.classes[asked.class.0].effect;
     let (event, forward) = asked.arrived(head, body);
-    decide(node, event, effect, forward).await
+    match ask(node, event, forward).await {
+        Some(answer) => reply(answer),
+        None => in_use(),
+    }
 }
 
 /// Has a socket opened: a request like any other, whose answer is the socket.
@@ -273,16 +277,10 @@
             return reply;
         }
     };
-    let effect = node.named.settings.classes[asked.class.0].effect;
     let (event, mut forward) = asked.arrived(head, Bytes::new());
     forward.offer = Some(offer);
-    let id = forward.id.clone();
-    let Some((answered, ticket)) = node.take(event, effect, forward) else {
-        return turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n");
-    };
-    let _waiting = Waiting { node, id, ticket };
-    let answer = answered.await;
-    let Ok(Answer::Served(Payload::Switched(switched))) = answer else { return reply(answer) };
+    let Some(answer) = ask(node, event, forward).await else { return in_use() };
+    let Answer::Served(Payload::Switched(switched)) = answer else { return reply(answer) };
     let mut answer = plain(StatusCode::SWITCHING_PROTOCOLS, "");
     let headers = answer.headers_mut();
     headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
@@ -325,28 +323,29 @@
     }
 }
 
-async fn decide(node: &Rc<Node>, event: Event, effect: Effect, forward: Forward) -> Reply {
+/// Waits for a request's final answer; `None` if its id is in use.
+async fn ask(node: &Rc<Node>, event: Event, forward: Forward) -> Option<Answer> {
     let id = forward.id.clone();
-    let Some((answered, ticket)) = node.take(event, effect, forward) else {
-        return turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n");
-    };
+    let (answered, ticket) = node.take(event, forward)?;
     let _waiting = Waiting { node, id, ticket };
-    reply(answered.await)
+    Some(answered.await.unwrap_or(Answer::Failed))
 }
 
-fn reply(answer: Result<Answer, oneshot::error::RecvError>) -> Reply {
+fn in_use() -> Reply {
+    turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n")
+}
+
+fn reply(answer: Answer) -> Reply {
     match answer {
-        Ok(Answer::Served(Payload::Body(body))) => Response::new(Full::new(body)),
-        Ok(Answer::Served(Payload::Passed(status, body))) => {
+        Answer::Served(Payload::Body(body)) => Response::new(Full::new(body)),
+        Answer::Served(Payload::Passed(status, body)) => {
             let mut reply = Response::new(Full::new(body));
             *reply.status_mut() = status;
             reply
         }
-        Ok(Answer::Refused(retry_in)) => refused(retry_in),
+        Answer::Refused(retry_in) => refused(retry_in),
         // Who asked for no socket gets none.
-        Ok(Answer::Served(Payload::Switched(_)) | Answer::Failed) | Err(_) => {
-            plain(StatusCode::BAD_GATEWAY, "")
-        }
+        Answer::Served(Payload::Switched(_)) | Answer::Failed => plain(StatusCode::BAD_GATEWAY, ""),
     }
 }
 
@@ -374,7 +373,7 @@
     customer: CustomerId,
     terms: Terms,
     patience: Duration,
-    takes_body: bool,
+    effect: Effect,
 }
 
 /// Why a request is turned away.
@@ -418,8 +417,7 @@
         (Effect::Keyed { .. }, &Method::POST) => return Err(bad("Idempotency-Key: missing\n")),
         _ => return Err(bad("this class takes another method\n")),
     }
-    let takes_body = effect != Effect::Safe;
-    Ok(Asked { id, class: ClassId(number), plan, customer, terms, patience, takes_body })
+    Ok(Asked { id, class: ClassId(number), plan, customer, terms, patience, effect })
 }
 
 impl Asked {
@@ -439,7 +437,19 @@
         };
         let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let key = head.headers.get(KEY).cloned();
-        (event, Forward { id: self.id, method: head.method, target, key, body, offer: None, deadline })
+        (
+            event,
+            Forward {
+                id: self.id,
+                effect: self.effect,
+                method: head.method,
+                target,
+                key,
+                body,
+                offer: None,
+                deadline,
+            },
+        )
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,7 @@
 //! Owns the exchange, with the decision module inside, and carries out what it asks for: the clock, the alarm, and
 //! whose answer goes where. Only here is the exchange entered.
 
+use crate::alarm::Alarm;
 use crate::config::List;
 use crate::peers::Peers;
 use crate::sockets::{Front, Switched};
@@ -9,8 +10,8 @@
 use bytes::Bytes;
 use hyper::StatusCode;
 use saffronpaddle_decision::interface::{
-    Action, CellId, ClassId, Effect, Event as ModuleEvent, GatewayId, Micros, RequestId, ServerEntry,
-    ServerId, Standing, ZoneId,
+    Action, CellId, ClassId, Event as ModuleEvent, GatewayId, Micros, RequestId, ServerEntry, ServerId,
+    Standing, ZoneId,
 };
 use saffronpaddle_decision::setup::Named;
 use saffronpaddle_decision::Gateway;
@@ -22,25 +23,11 @@
 use std::rc::{Rc, Weak};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// Idle connections kept at one server.
-const IDLE_MOST: usize = 64;
-/// Share of the settings' idle limit for which a connection is kept. Guards against a request written to a
-/// connection that the server is closing: it would end as a reset, which may have run.
-const IDLE_SHARE: f64 = 0.6;
-/// How long a connection stands after an answer before it is used again, µs. Guards against what comes right behind an
-/// answer: a second copy that arrives just after the next request was written would pass for its answer.
-const SETTLE: Micros = 10_000;
-/// How much later than the module's own last word a request is ended here, µs.
-const OVERDUE: Micros = 2_000;
-/// Attempts of one request. Guards against a module that sends for ever what is never sent.
-const ATTEMPTS_MOST: u32 = 256;
 /// Rounds of the loop between an alarm and what comes of it: the driver's, the connection's, the exchange's.
 const LATE_LOOKS: usize = 3;
-/// How long the alarm sleeps where nothing is due.
-const FOR_LONG: Duration = Duration::from_secs(3600);
 
 static NEXT: AtomicU64 = AtomicU64::new(0);
 
@@ -111,9 +98,7 @@
     exchange: RefCell<Exchange<SocketAddr, Gateway>>,
     /// Whose answer goes where.
     requests: RefCell<HashMap<RequestId, Pending>>,
-    /// When the alarm is set to ring, and the word that it must sooner.
-    armed: Cell<Micros>,
-    sooner: Notify,
+    alarm: Alarm,
     /// Where there is more than one source of the list.
     merge: RefCell<Option<Merge>>,
     /// When the module was last woken, as it had asked.
@@ -141,15 +126,7 @@
             None => None,
         };
         let gateway = Gateway::new(seed, named.settings.clone(), clock.now())?;
-        let bounds = Bounds {
-            links,
-            idle_at_one: IDLE_MOST,
-            idle_for: (named.conn_idle as f64 * IDLE_SHARE) as Micros,
-            settle: SETTLE,
-            connect_within: named.connect_timeout,
-            overdue: OVERDUE,
-            attempts: ATTEMPTS_MOST,
-        };
+        let bounds = Bounds::usual(links, named.conn_idle, named.connect_timeout);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let node = Rc::new(Node {
             named,
@@ -160,8 +137,7 @@
             clock,
             exchange: RefCell::new(Exchange::new(bounds, gateway)),
             requests: RefCell::default(),
-            armed: Cell::new(Micros::MAX),
-            sooner: Notify::new(),
+            alarm: Alarm::new(),
             merge: RefCell::default(),
             woken: Cell::new(Instant::now()),
             list_heard: Cell::new(None),
@@ -190,28 +166,16 @@
     /// the exchange is never entered twice. A payload goes with the answer that it belongs to.
     pub fn happened(self: &Rc<Self>, event: Event<SocketAddr>, payload: Option<Payload>) {
         let mut commands = Vec::new();
-        let sooner = {
-            let mut exchange = self.exchange.borrow_mut();
-            exchange.handle(self.clock.now(), event, &mut commands);
-            exchange.next_alarm().is_some_and(|at| at < self.armed.get())
-        };
+        self.exchange.borrow_mut().handle(self.clock.now(), event, &mut commands);
+        self.alarm.set(self.exchange.borrow().next_alarm());
         let mut payload = payload;
         commands.into_iter().for_each(|command| self.carry_out(command, &mut payload));
-        if sooner {
-            self.sooner.notify_one();
-        }
     }
 
     /// Rings when the exchange asks for it, for ever.
     pub async fn ring(self: Rc<Self>) {
         loop {
-            let next = self.exchange.borrow().next_alarm();
-            self.armed.set(next.unwrap_or(Micros::MAX));
-            let span = next.map(|at| Duration::from_micros(at.saturating_sub(self.clock.now())));
-            tokio::select! {
-                () = tokio::time::sleep(span.unwrap_or(FOR_LONG)) => {}
-                () = self.sooner.notified() => continue,
-            }
+            self.alarm.rings(|| self.exchange.borrow().next_alarm(), || self.clock.now()).await;
             // Guards against blaming a server for an answer that this node was late to read: what the machine holds is
             // read first.
             for _ in 0..LATE_LOOKS {
@@ -322,16 +286,17 @@
 
     /// Takes a request in. `None` if its id is in use: two owners of one id would mix up their answers.
     pub fn take(
-        self: &Rc<Self>, tell: ModuleEvent, effect: Effect, forward: Forward,
+        self: &Rc<Self>, tell: ModuleEvent, forward: Forward,
     ) -> Option<(oneshot::Receiver<Answer>, Ticket)> {
         let id = forward.id.clone();
         let ticket = {
             let exchange = self.exchange.borrow();
-            if exchange.knows(&id) || self.requests.borrow().contains_key(&id) {
+            if exchange.knows(&id) {
                 return None;
             }
             exchange.next_ticket()
         };
+        let effect = forward.effect;
         let left = forward.deadline.saturating_duration_since(Instant::now());
         let deadline = self.clock.now() + left.as_micros() as Micros;
         let (answer, answered) = oneshot::channel();
--- a/crates/node/src/sockets.rs
+++ b/crates/node/src/sockets.rs
@@ -1,6 +1,7 @@
 //! WebSocket (RFC 6455): relays frames between a client and a server, as the table of sockets and the scanners of
 //! `saffronpaddle-sockets` have it. It makes no policy.
 
+use crate::alarm::Alarm;
 use crate::node::Node;
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -10,7 +11,7 @@
 use saffronpaddle_sockets::upgrade::{self, Switch};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,8 +22,6 @@
 /// Most bytes that are read of one side at once; no more wait to be written to the other. Guards memory against a reader
 /// that is slower than its writer: the writer is not read until all of it is written.
 const BUFFER_MOST: usize = 16 * 1024;
-/// How long the alarm sleeps where nothing is due.
-const FOR_LONG: Duration = Duration::from_secs(3600);
 
 thread_local! {
     /// Where bytes are read to: one buffer for all sockets, none for each that is idle.
@@ -66,8 +65,7 @@
     relays: RefCell<HashMap<SocketId, Rc<Control>>>,
     /// Where each server was, as the list had it last.
     dials: RefCell<HashMap<ServerId, SocketAddr>>,
-    armed: Cell<Micros>,
-    sooner: Notify,
+    alarm: Alarm,
     over: Notify,
 }
 
@@ -95,8 +93,7 @@
             says,
             relays: RefCell::default(),
             dials: RefCell::default(),
-            armed: Cell::new(Micros::MAX),
-            sooner: Notify::new(),
+            alarm: Alarm::new(),
             over: Notify::new(),
         }
     }
@@ -112,29 +109,25 @@
         &self, now: Micros, whole: bool, servers: impl Iterator<Item = (ServerId, bool, SocketAddr)>,
     ) {
         let mut dials = self.dials.borrow_mut();
-        let mut lost = Vec::new();
-        let mut back = Vec::new();
-        let before = if whole { std::mem::take(&mut *dials) } else { HashMap::new() };
+        let (mut words, mut named) = (Vec::new(), HashSet::new());
         for (server, ready, dial) in servers {
-            let old = if whole { before.get(&server).copied() } else { dials.get(&server).copied() };
+            let old = if ready { dials.insert(server, dial) } else { dials.remove(&server) };
             if !ready || old.is_some_and(|old| old != dial) {
-                lost.push(server);
+                words.push((server, false));
             }
             if ready {
-                dials.insert(server, dial);
-                back.push(server);
-            } else {
-                dials.remove(&server);
+                words.push((server, true));
             }
+            named.insert(server);
         }
-        lost.extend(before.keys().filter(|server| !dials.contains_key(server)));
-        drop(dials);
-        for server in lost {
-            let commands = self.table.borrow_mut().told(now, server, false);
-            self.carry_out(commands);
+        if whole {
+            words.extend(
+                dials.extract_if(|server, _| !named.contains(server)).map(|(server, _)| (server, false)),
+            );
         }
-        for server in back {
-            let commands = self.table.borrow_mut().told(now, server, true);
+        drop(dials);
+        for (server, ready) in words {
+            let commands = self.table.borrow_mut().told(now, server, ready);
             self.carry_out(commands);
         }
     }
@@ -174,21 +167,19 @@
     }
 
     fn set(&self) {
-        if self.table.borrow().next_alarm().is_some_and(|at| at < self.armed.get()) {
-            self.sooner.notify_one();
-        }
+        self.alarm.set(self.table.borrow().next_alarm());
+    }
+
+    /// A socket's closing handshake has begun.
+    fn closes(&self, now: Micros, id: SocketId) {
+        self.table.borrow_mut().closes(now, id);
+        self.set();
     }
 
     /// Rings when the table asks for it, for ever.
     pub async fn ring(&self, node: &Rc<Node>) {
         loop {
-            let next = self.table.borrow().next_alarm();
-            self.armed.set(next.unwrap_or(Micros::MAX));
-            let span = next.map(|at| Duration::from_micros(at.saturating_sub(node.now())));
-            tokio::select! {
-                () = tokio::time::sleep(span.unwrap_or(FOR_LONG)) => {}
-                () = self.sooner.notified() => continue,
-            }
+            self.alarm.rings(|| self.table.borrow().next_alarm(), || node.now()).await;
             let commands = self.table.borrow_mut().tick(node.now());
             self.carry_out(commands);
         }
@@ -236,7 +227,6 @@
     front.relays.borrow_mut().insert(place.id, Rc::clone(&control));
     let commands = front.table.borrow_mut().opened(node.now(), place.id, server);
     front.carry_out(commands);
-    front.set();
     let way = |side| Way { scanner: Scanner::new(side, rules), out: Vec::new(), shut: false };
     let mut relay = Relay {
         place,
@@ -359,8 +349,7 @@
         if seen.iter().any(|seen| matches!(seen, Seen::Close(_))) {
             // Where the node has not closed by itself, the close has gone on to the other side, which answers it.
             way.shut = true;
-            front.table.borrow_mut().closes(node.now(), self.place.id);
-            front.set();
+            front.closes(node.now(), self.place.id);
         }
         if let Err(fault) = scanned {
             self.close[from as usize].get_or_insert((fault.code, fault.why.to_owned()));
@@ -383,8 +372,7 @@
         self.ways[side.other() as usize].shut = true;
         let why = "the other side is gone".to_owned();
         self.close[side.other() as usize].get_or_insert((1001, why));
-        front.table.borrow_mut().closes(node.now(), self.place.id);
-        front.set();
+        front.closes(node.now(), self.place.id);
     }
 
     /// Writes what there is for a side, as far as the machine takes it.
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -13,7 +13,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use saffronpaddle_decision::interface::{Outcome, RequestId, ServerId};
+use saffronpaddle_decision::interface::{Effect, Outcome, RequestId, ServerId};
 use saffronpaddle_exchange::{Event, LinkId};
 use saffronpaddle_sockets::upgrade::{self, Offer};
 use socket2::SockRef;
@@ -72,6 +72,8 @@
 /// A client's request as it goes on to an app server.
 pub struct Forward {
     pub id: RequestId,
+    /// What a second execution would do.
+    pub effect: Effect,
     pub method: Method,
     /// Path and query.
     pub target: String,
--- a/crates/saffronpaddle/tests/etcd.rs
+++ b/crates/saffronpaddle/tests/etcd.rs
@@ -6,7 +6,6 @@
 use saffronpaddle_standins::etcd::Etcd;
 use saffronpaddle_standins::scripted::*;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,25 +13,15 @@
 
 const PREFIX: &str = "/saffronpaddle/servers/";
 
-struct File(PathBuf);
-
-impl Drop for File {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
 /// An operator file that follows these members.
-fn operator(tag: &str, endpoints: &[SocketAddr], more: &str) -> File {
-    let path = std::env::temp_dir().join(format!("saffronpaddle-{}-{tag}.toml", std::process::id()));
+fn operator(tag: &str, endpoints: &[SocketAddr], more: &str) -> Temporary {
     let endpoints: Vec<String> = endpoints.iter().map(|address| format!("\"{address}\"")).collect();
     let text = format!(
         "[ready]\npeers_within_ms = 1\nlist_within_ms = 600000\n[etcd]\nendpoints = [{}]\nprobe_every_ms = 100\n\
          silent_after_ms = 500\n{more}\n",
         endpoints.join(", ")
     );
-    std::fs::write(&path, text).expect("it is written");
-    File(path)
+    Temporary::new(&format!("{tag}.toml"), &text)
 }
 
 fn value(dial: SocketAddr, health: &str) -> String {
@@ -52,7 +41,7 @@
     (runtime, etcd)
 }
 
-fn node(tag: &str, discovery: SocketAddr, hosts: &[String], file: &File) -> Node {
+fn node(tag: &str, discovery: SocketAddr, hosts: &[String], file: &Temporary) -> Node {
     Node::launch(tag, discovery, hosts, 1024, |command| {
         command.arg("run").arg("--operator").arg(&file.0);
     })
--- a/crates/saffronpaddle/tests/interleavings.rs
+++ b/crates/saffronpaddle/tests/interleavings.rs
@@ -4,6 +4,7 @@
 
 use saffronpaddle_standins::scripted::*;
 use socket2::{Domain, SockRef, Socket, Type};
+use std::collections::HashSet;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::thread;
@@ -38,15 +39,10 @@
     });
 }
 
-/// How many connections these are, as their server has them, that are not closed. Ends what the stand-in does on them.
+/// How many connections these are, as their server has them, that are not closed.
 fn still_open(streams: &[TcpStream]) -> usize {
-    let open = |stream: &&TcpStream| {
-        stream.set_nonblocking(true).expect("it can be");
-        stream.peek(&mut [0; 1]).is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
-    };
-    let ports: std::collections::HashSet<_> =
-        streams.iter().filter(open).filter_map(|stream| stream.peer_addr().ok()).collect();
-    ports.len()
+    let open = streams.iter().filter(|stream| !closed_by_now(stream));
+    open.filter_map(|stream| stream.peer_addr().ok()).collect::<HashSet<_>>().len()
 }
 
 /// Connections that one client after the other needs, and some to spare; one that was given up is not among them.
--- a/crates/saffronpaddle/tests/life.rs
+++ b/crates/saffronpaddle/tests/life.rs
@@ -10,29 +10,12 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixDatagram;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 const READY: &str = "GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n";
 
-/// A file that goes with its test.
-struct Temporary(PathBuf);
-
-impl Temporary {
-    fn new(tag: &str, text: &str) -> Temporary {
-        let path = std::env::temp_dir().join(format!("saffronpaddle-{}-{tag}", std::process::id()));
-        std::fs::write(&path, text).expect("it is written");
-        Temporary(path)
-    }
-}
-
-impl Drop for Temporary {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
 fn operated(command: &mut Command, file: &Path) {
     command.arg("run").arg("--operator").arg(file);
 }
--- a/crates/saffronpaddle/tests/sockets.rs
+++ b/crates/saffronpaddle/tests/sockets.rs
@@ -4,7 +4,6 @@
 use saffronpaddle_standins::scripted::*;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
 use std::sync::mpsc::{self, Receiver};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -67,24 +66,17 @@
 
 struct Operated {
     node: Node,
-    file: PathBuf,
-}
-
-impl Drop for Operated {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.file);
-    }
+    _file: Temporary,
 }
 
 fn node(tag: &str, more: &str, discovery: &Discovery, hosts: &[String]) -> Operated {
-    let file = std::env::temp_dir().join(format!("saffronpaddle-{}-{tag}.toml", std::process::id()));
     let text =
         format!("[stop]\nleave_for_ms = 0\n[sockets]\nclass = \"read\"\nopens_per_s = 10000.0\n{more}\n");
-    std::fs::write(&file, text).expect("it is written");
+    let file = Temporary::new(&format!("{tag}.toml"), &text);
     let node = Node::launch(tag, discovery.address, hosts, 4096, |command| {
-        command.env("SAFFRONPADDLE_OPERATOR", &file);
+        command.env("SAFFRONPADDLE_OPERATOR", &file.0);
     });
-    Operated { node, file }
+    Operated { node, _file: file }
 }
 
 fn with_board(tag: &str, more: &str) -> (Board, Discovery, Operated) {
@@ -609,11 +601,9 @@
 /// Sockets never take what requests need: a node that would leave too little does not start.
 #[test]
 fn a_bound_on_sockets_that_starves_requests_is_refused_at_start() {
-    let file = std::env::temp_dir().join(format!("saffronpaddle-{}-ws-starve.toml", std::process::id()));
-    std::fs::write(&file, "[sockets]\nclass = \"read\"\nper_node = 500\n").expect("it is written");
+    let file = Temporary::new("ws-starve.toml", "[sockets]\nclass = \"read\"\nper_node = 500\n");
     let (status, said) = start_badly("ws-starve", 1024, |command| {
-        command.env("SAFFRONPADDLE_OPERATOR", &file);
+        command.env("SAFFRONPADDLE_OPERATOR", &file.0);
     });
-    let _ = std::fs::remove_file(&file);
     assert!(!status.success() && said.contains("sockets.per_node"), "{said}");
 }
--- a/crates/sockets/src/frames.rs
+++ b/crates/sockets/src/frames.rs
@@ -96,7 +96,6 @@
     mask: Option<[u8; 4]>,
     left: u64,
     at: usize,
-    head: usize,
 }
 
 impl Scanner {
@@ -227,7 +226,7 @@
 
     fn under(&mut self, header: &FrameHeader, control: Option<Control>, text: bool, left: u64) {
         let (mask, last) = (header.mask, header.is_final);
-        self.frame = Some(Under { control, last, text, mask, left, at: 0, head: self.have });
+        self.frame = Some(Under { control, last, text, mask, left, at: 0 });
     }
 
     /// A frame is whole.
@@ -254,8 +253,7 @@
             self.closed = true;
             seen.push(Seen::Close(code));
         }
-        debug_assert_eq!(head, frame.head);
-        out.extend_from_slice(&self.head[..frame.head]);
+        out.extend_from_slice(&self.head[..head]);
         out.extend_from_slice(&raw);
         Ok(())
     }
--- a/crates/sockets/src/table.rs
+++ b/crates/sockets/src/table.rs
@@ -104,9 +104,8 @@
     /// Servers that were told to drain or to be gone, for as long as upgrades that are out may have gone to them.
     away: BTreeSet<ServerId>,
     alarms: BTreeSet<(Micros, SocketId)>,
-    /// Sockets whose close is still to be handed out: until when, with which code, and the place in the queue of those
-    /// who come back.
-    closing: VecDeque<(SocketId, Micros, u16, usize)>,
+    /// Sockets whose close is still to be handed out: until when, and the place in the queue of those who come back.
+    closing: VecDeque<(SocketId, Micros, usize)>,
     paced: Micros,
     tokens: f64,
     filled: Micros,
@@ -197,12 +196,12 @@
         let away = self.away.contains(&server);
         self.came_to_something();
         if away || self.stopped {
-            let within = self.limits.drain_within;
-            self.close(now, id, self.gone_code(), 0, within);
-            return vec![Command::Drain(id, self.gone_code(), self.advice(0), now.saturating_add(within))];
+            let by = now.saturating_add(self.limits.drain_within);
+            self.cut_by(id, by);
+            return vec![self.drain(id, by, 0)];
         }
         if many {
-            return self.close(now, id, 1013, 0, self.limits.close_within);
+            return vec![self.close(now, id, 1013)];
         }
         Vec::new()
     }
@@ -220,10 +219,8 @@
 
     /// A closing handshake has begun, whoever began it: it is cut if it takes too long.
     pub fn closes(&mut self, now: Micros, id: SocketId) {
-        let cut_at = now.saturating_add(self.limits.close_within);
-        if let Some(row) = self.rows.get_mut(&id).filter(|row| row.cut_at.is_none()) {
-            row.cut_at = Some(cut_at);
-            self.arm(id);
+        if self.rows.get(&id).is_some_and(|row| row.cut_at.is_none()) {
+            self.cut_by(id, now.saturating_add(self.limits.close_within));
         }
     }
 
@@ -288,25 +285,36 @@
     }
 
     fn go(&mut self, now: Micros, those: Vec<SocketId>) {
-        let (by, code) = (now.saturating_add(self.limits.drain_within), self.gone_code());
+        let by = now.saturating_add(self.limits.drain_within);
         for (place, id) in those.into_iter().enumerate() {
-            let Some(row) = self.rows.get_mut(&id) else { continue };
-            // One that closes already is cut no later than this.
-            let queued = row.cut_at.is_some();
-            row.cut_at = Some(row.cut_at.map_or(by, |at| at.min(by)));
-            self.arm(id);
-            if !queued {
-                self.closing.push_back((id, by, code, place));
+            let Some(row) = self.rows.get(&id) else { continue };
+            match row.cut_at {
+                // One that closes already is cut no later than this.
+                Some(at) => self.cut_by(id, at.min(by)),
+                None => {
+                    self.cut_by(id, by);
+                    self.closing.push_back((id, by, place));
+                }
             }
         }
     }
 
-    fn close(&mut self, now: Micros, id: SocketId, code: u16, place: usize, within: Micros) -> Vec<Command> {
+    /// A socket that closes is cut then.
+    fn cut_by(&mut self, id: SocketId, at: Micros) {
         if let Some(row) = self.rows.get_mut(&id) {
-            row.cut_at = Some(now.saturating_add(within));
+            row.cut_at = Some(at);
         }
         self.arm(id);
-        vec![Command::Close(id, code, self.advice(place))]
+    }
+
+    fn close(&mut self, now: Micros, id: SocketId, code: u16) -> Command {
+        self.cut_by(id, now.saturating_add(self.limits.close_within));
+        Command::Close(id, code, self.advice(0))
+    }
+
+    /// The close of one at this place of those that go.
+    fn drain(&self, id: SocketId, by: Micros, place: usize) -> Command {
+        Command::Drain(id, self.gone_code(), self.advice(place), by)
     }
 
     /// When the one at this place of those that go may come back.
@@ -342,14 +350,12 @@
     /// As many closes as it takes to have handed out all of them in time.
     fn hand_out(&mut self, now: Micros, commands: &mut Vec<Command>) {
         let span = (self.limits.drain_within as f64 * (1.0 - HANDED_OUT_WITHIN)) as Micros;
-        let last = self.closing.back().map_or(now, |(_, by, ..)| by.saturating_sub(span));
+        let last = self.closing.back().map_or(now, |(_, by, _)| by.saturating_sub(span));
         let rounds = (last.saturating_sub(now) / PACE).max(1) as usize;
         let most = self.closing.len().div_ceil(rounds).max(PACE_LEAST).min(self.closing.len());
-        for (id, by, code, place) in self.closing.drain(..most).collect::<Vec<_>>() {
-            if self.rows.contains_key(&id) {
-                commands.push(Command::Drain(id, code, self.advice(place), by));
-            }
-        }
+        let now_due: Vec<_> =
+            self.closing.drain(..most).filter(|(id, ..)| self.rows.contains_key(id)).collect();
+        commands.extend(now_due.into_iter().map(|(id, by, place)| self.drain(id, by, place)));
     }
 
     /// One socket's alarm: what was heard since it was set may have made it needless.
@@ -368,9 +374,7 @@
         let idle = limits.idle_for > 0 && now >= row.data.saturating_add(limits.idle_for);
         let old = limits.life_for > 0 && now >= row.opened.saturating_add(limits.life_for);
         if silent || idle || old {
-            let within = limits.close_within;
-            let closed = self.close(now, id, 1001, 0, within);
-            return commands.extend(closed);
+            return commands.push(self.close(now, id, 1001));
         }
         for side in [Side::Client, Side::Server] {
             let at = side as usize;
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender};
@@ -244,6 +245,24 @@
 
 const SETTINGS: &str = r#"{"balancers":2,"me":0,"zone":"a","zones":["a"],"periodUs":2000,"discovery":"automatic","ceilings":{"cancel":true,"probes":false,"mayTell":true,"secondCopies":false,"sendCap":4,"connIdleUs":15000000,"connectTimeoutUs":250000},"classes":[{"name":"read","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":3.0,"repeat":"read_like"},{"name":"submit","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":2.0,"repeat":"idempotency_key","group":"cell","windowUs":60000000},{"name":"pay","aimUs":400000,"deadlineUs":30000000,"lateValue":0.2,"worth":9.0,"repeat":"non_idempotent"}],"packages":[{"name":"p","rate":1000.0,"storeSize":1000.0,"price":1.0},{"name":"tiny","rate":0.5,"storeSize":1.0,"price":1.0}],"rules":{"coldFrom":0.2,"coldUs":1000000,"fallMultiple":3.0,"overloadForUs":1000000},"extra":{"peerInPerS":60.0,"maxUnits":1}}"#;
 
+/// A file of a test, which goes with it.
+pub struct Temporary(pub PathBuf);
+
+impl Temporary {
+    /// Writes one; the tag names it among those of this process.
+    pub fn new(tag: &str, text: &str) -> Temporary {
+        let path = std::env::temp_dir().join(format!("saffronpaddle-{}-{tag}", std::process::id()));
+        std::fs::write(&path, text).expect("it is written");
+        Temporary(path)
+    }
+}
+
+impl Drop for Temporary {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
 /// An edge node that runs, with its peers' and its own datagrams' addresses.
 pub struct Node {
     child: Child,
@@ -253,7 +272,7 @@
     pub peer: UdpSocket,
     /// Where the node's come in.
     pub datagrams: SocketAddr,
-    config: std::path::PathBuf,
+    config: PathBuf,
     /// Lines of its log.
     log: Receiver<String>,
 }
@@ -279,11 +298,11 @@
 }
 
 /// Starts the program with a configuration; it may fail.
-pub fn start(tag: &str, config: &str) -> (Child, std::path::PathBuf) {
+pub fn start(tag: &str, config: &str) -> (Child, PathBuf) {
     start_with(tag, config, |_| {})
 }
 
-fn start_with(tag: &str, config: &str, change: impl FnOnce(&mut Command)) -> (Child, std::path::PathBuf) {
+fn start_with(tag: &str, config: &str, change: impl FnOnce(&mut Command)) -> (Child, PathBuf) {
     let file = format!("saffronpaddle-{}-{tag}.json", std::process::id());
     let path = std::env::temp_dir().join(file);
     std::fs::write(&path, config).expect("the configuration is written");
@@ -481,7 +500,8 @@
     matches!(got.stream.peek(&mut [0]), Ok(0) | Err(_))
 }
 
-fn closed_by_now(stream: &TcpStream) -> bool {
+/// Whether the edge node has closed a connection to an app server.
+pub fn closed_by_now(stream: &TcpStream) -> bool {
     stream.set_nonblocking(true).expect("a mode");
     let seen = stream.peek(&mut [0]);
     stream.set_nonblocking(false).expect("a mode");
