Answer staff at an address of their own: PING, INFO, LAMEDUCK and REJOIN

Change: crates/admin (line, desk, counts; no I/O); counts come from the exchange's own ends; a lame duck goes beside the life cycle's states and can be taken back; callers are served by the node's loop, twenty descriptors set aside. Not taken: a thread for callers (it would answer PING while the loop is stuck), counting in the front (each front would count anew), a state Draining with a way back (it ends by time).

--- /dev/null
+++ b/crates/admin/src/figures.rs
@@ -0,0 +1,129 @@
+//! The counts of a process, and how they are told.
+
+use std::fmt::Write;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served: 200.
+    Fulfilled,
+    /// Refused: 429 or 503.
+    Throttled,
+    /// Failed: any other answer.
+    Faulted,
+    /// Its client had gone before any answer.
+    Gone,
+}
+
+/// The requests of one class since the process began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClassCounts {
+    /// Taken in.
+    pub taken: u64,
+    /// Served.
+    pub fulfilled: u64,
+    /// Refused.
+    pub throttled: u64,
+    /// Failed.
+    pub faulted: u64,
+    /// Left by their clients before an answer.
+    pub gone: u64,
+}
+
+impl ClassCounts {
+    /// Taken, and neither answered nor left.
+    pub fn open(&self) -> u64 {
+        self.taken - self.fulfilled - self.throttled - self.faulted - self.gone
+    }
+}
+
+/// Counts that all begin at 0 with the process. Each request that is taken ends once: what has been taken is always what
+/// has ended in one of the four ways and what is open.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// By class, in the order of the settings.
+    pub classes: Vec<ClassCounts>,
+    /// Attempts written whole to app servers.
+    pub relayed: u64,
+    /// Answers whose last byte is not out yet, though their requests have ended.
+    pub streaming: u64,
+}
+
+impl Tally {
+    fn class(&mut self, class: usize) -> &mut ClassCounts {
+        if self.classes.len() <= class {
+            self.classes.resize(class + 1, ClassCounts::default());
+        }
+        &mut self.classes[class]
+    }
+
+    /// A request was taken.
+    pub fn taken(&mut self, class: usize) {
+        self.class(class).taken += 1;
+    }
+
+    /// A request that was taken has ended.
+    pub fn ended(&mut self, class: usize, end: End) {
+        let counts = self.class(class);
+        *match end {
+            End::Fulfilled => &mut counts.fulfilled,
+            End::Throttled => &mut counts.throttled,
+            End::Faulted => &mut counts.faulted,
+            End::Gone => &mut counts.gone,
+        } += 1;
+    }
+
+    /// Requests that are taken and not ended, in all classes.
+    pub fn open(&self) -> u64 {
+        self.classes.iter().map(ClassCounts::open).sum::<u64>() + self.streaming
+    }
+}
+
+/// What is told on a call for the figures.
+#[derive(Clone, Debug, Default)]
+pub struct Figures<'a> {
+    /// Names of the classes.
+    pub names: &'a [String],
+    /// The counts.
+    pub tally: Tally,
+    /// App servers on the list.
+    pub registry_entries: usize,
+    /// Those of them that get nothing new at present.
+    pub out_of_rotation: usize,
+}
+
+impl Figures<'_> {
+    /// The figures in the text form of Prometheus, a sample a line, and the line that ends them.
+    pub fn told(&self) -> String {
+        let mut text = String::with_capacity(64 * (3 * self.names.len() + 6));
+        type Of = fn(&ClassCounts) -> u64;
+        let kinds: [(&str, Of); 3] = [
+            ("fulfilled", |counts| counts.fulfilled),
+            ("throttled", |counts| counts.throttled),
+            ("faulted", |counts| counts.faulted),
+        ];
+        for (kind, of) in kinds {
+            for (place, name) in self.names.iter().enumerate() {
+                let count = self.tally.classes.get(place).map_or(0, of);
+                // Writing to a string does not fail.
+                let _ = writeln!(text, "lb_{kind}{{priority=\"{}\"}} {count}", escaped(name));
+            }
+        }
+        let plain = [
+            ("relayed", self.tally.relayed),
+            ("open_requests", self.tally.open()),
+            ("registry_entries", self.registry_entries as u64),
+            ("out_of_rotation", self.out_of_rotation as u64),
+        ];
+        for (name, count) in plain {
+            let _ = writeln!(text, "lb_{name} {count}");
+        }
+        text.push_str("EOT\n");
+        text
+    }
+}
+
+/// A label's value as the text form has it.
+fn escaped(value: &str) -> String {
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
--- /dev/null
+++ b/crates/admin/src/line.rs
@@ -0,0 +1,105 @@
+//! What a caller writes: one line.
+
+use std::fmt;
+
+/// Most bytes of a call's line, its end not counted. Guards memory against a line without end; the longest call has
+/// eight.
+pub const LINE_MOST: usize = 64;
+
+/// What staff may ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Ping,
+    /// The figures.
+    Info,
+    /// Send clients away; the process goes on.
+    Lameduck,
+    /// Back to work.
+    Rejoin,
+}
+
+impl Call {
+    /// All calls, with the words that stand for them.
+    pub const ALL: [(&'static str, Call); 4] =
+        [("PING", Call::Ping), ("INFO", Call::Info), ("LAMEDUCK", Call::Lameduck), ("REJOIN", Call::Rejoin)];
+
+    /// The call that a word stands for, to the letter.
+    pub fn named(word: &str) -> Option<Call> {
+        Call::ALL.iter().find(|(name, _)| *name == word).map(|(_, call)| *call)
+    }
+}
+
+/// Why a line is no call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    /// It has more than [`LINE_MOST`] bytes.
+    TooLong,
+    /// No call is named so.
+    Unknown,
+    /// The caller stopped in mid-line. Guards against half a call being taken for a whole one.
+    Half,
+}
+
+impl fmt::Display for Bad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Bad::TooLong => "the line is too long",
+            Bad::Unknown => "no such call; there are PING, INFO, LAMEDUCK and REJOIN",
+            Bad::Half => "the line has no end",
+        })
+    }
+}
+
+/// A line as it comes in, in pieces that are cut anywhere.
+#[derive(Debug, Default)]
+pub struct Line {
+    held: Vec<u8>,
+}
+
+impl Line {
+    /// Takes more bytes; the call once its line has ended. What comes behind the line counts for nothing.
+    pub fn take(&mut self, bytes: &[u8]) -> Option<Result<Call, Bad>> {
+        let end = bytes.iter().position(|byte| *byte == b'\n');
+        let more = &bytes[..end.unwrap_or(bytes.len())];
+        // One byte more may be the carriage return before the end.
+        if self.held.len() + more.len() > LINE_MOST + 1 {
+            return Some(Err(Bad::TooLong));
+        }
+        self.held.extend_from_slice(more);
+        end.map(|_| {
+            let word = std::str::from_utf8(self.held.trim_ascii()).unwrap_or_default();
+            Call::named(word).ok_or(Bad::Unknown)
+        })
+    }
+
+    /// The caller writes no more.
+    pub fn ended(&self) -> Bad {
+        Bad::Half
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_are_calls_to_the_letter_whatever_ends_them() {
+        for (name, call) in Call::ALL {
+            assert_eq!(Line::default().take(format!("{name}\n").as_bytes()), Some(Ok(call)));
+            assert_eq!(Line::default().take(format!("{name} \r\n").as_bytes()), Some(Ok(call)));
+            assert_eq!(Line::default().take(format!("{name}\nINFO\n").as_bytes()), Some(Ok(call)));
+        }
+        for other in ["\n", "ping\n", "PINGS\n", "LAMEDUCK now\n", "\0\n", "\u{ff}\n", "GET / HTTP/1.1\r\n"] {
+            assert_eq!(Line::default().take(other.as_bytes()), Some(Err(Bad::Unknown)), "{other:?}");
+        }
+    }
+
+    #[test]
+    fn a_line_without_end_is_told_so_and_takes_no_memory() {
+        let mut line = Line::default();
+        let told = (0..LINE_MOST + 2).find_map(|_| line.take(b"A"));
+        assert_eq!(told, Some(Err(Bad::TooLong)));
+        assert!(line.held.len() <= LINE_MOST + 1);
+    }
+}
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -324,6 +324,15 @@
         !self.wide && self.settings.allowed.messages
     }
 
+    /// How many servers are on the list, and how many of these get nothing new at present, or nothing of some class
+    /// but a trial now and then.
+    pub fn rotation(&self) -> (usize, usize) {
+        let listed = self.servers.values().filter(|server| server.entry.standing != Standing::Gone);
+        let out =
+            |server: &Server| !server.ready() || server.health.iter().any(|health| health.trial.is_some());
+        listed.fold((0, 0), |(all, avoided), server| (all + 1, avoided + usize::from(out(server))))
+    }
+
     /// A gateway that has seen nothing.
     pub(crate) fn blank(seed: u64, settings: Settings, now: Micros) -> Self {
         let classes = settings.classes.len();
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::table::{Alarms, ByNumber, Link, Out, Place, Ran, Row, Stage, State};
 use crate::{Bounds, Bug, Bugs, Command, Event, LinkId, Module, Sound, Ticket, Verdict};
+use saffronpaddle_admin::{End, Tally};
 use saffronpaddle_decision::interface::{
     Action, AttemptNo, Effect, Event as ModuleEvent, Group, ListKind, Micros, Outcome, RequestId,
     ServerEntry, ServerId, Standing,
@@ -24,6 +25,8 @@
     stopped: bool,
     next_link: u64,
     next_ticket: u64,
+    /// How requests have ended. Nothing hangs on it here.
+    tally: Tally,
     /// What the module is told when it has done with what it was told before.
     pending: VecDeque<ModuleEvent>,
 }
@@ -53,6 +56,7 @@
             stopped: false,
             next_link: 0,
             next_ticket: 0,
+            tally: Tally::default(),
             pending: VecDeque::new(),
         }
     }
@@ -87,6 +91,17 @@
         (self.rows.len(), self.links.len())
     }
 
+    /// How requests have ended so far, and attempts been written.
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// A request that could not be taken was answered by the shell: its words made no request, or its id is in use.
+    pub fn turned_away(&mut self, class: usize, end: End) {
+        self.tally.taken(class);
+        self.tally.ended(class, end);
+    }
+
     /// When [`Event::Tick`] is due next.
     pub fn next_alarm(&self) -> Option<Micros> {
         let row = self.alarms.first().map(|(at, _)| *at);
@@ -153,14 +168,25 @@
     }
 
     fn asked(&mut self, effect: Effect, deadline: Micros, tell: ModuleEvent) {
-        let ModuleEvent::Request { id, .. } = &tell else { return };
+        let ModuleEvent::Request { id, class, .. } = &tell else { return };
         if self.knows(id) {
             return;
         }
         let ticket = self.next_ticket();
         self.next_ticket += 1;
-        let row =
-            Row { ticket, effect, deadline, open: true, attempts: 0, out: None, ran: None, alarm: None };
+        let class = class.0;
+        self.tally.taken(class);
+        let row = Row {
+            ticket,
+            class,
+            effect,
+            deadline,
+            open: true,
+            attempts: 0,
+            out: None,
+            ran: None,
+            alarm: None,
+        };
         self.rows.insert(id.clone(), row);
         let id = id.clone();
         self.arm(&id);
@@ -170,14 +196,17 @@
     fn client_gone(&mut self, id: &RequestId, ticket: Ticket) {
         let Some(row) = self.rows.get(id) else { return };
         if row.ticket == ticket || self.bugs.planted(Bug::TicketIgnored) {
-            self.abandon(id);
+            self.abandon(id, false);
         }
     }
 
-    /// Nobody gets an answer any more. The module calls the attempt off, where that is allowed.
-    fn abandon(&mut self, id: &RequestId) {
+    /// Nobody waits for an answer any more. The module calls the attempt off, where that is allowed.
+    fn abandon(&mut self, id: &RequestId, answered: bool) {
         let Some(row) = self.rows.get_mut(id).filter(|row| row.open) else { return };
         row.open = false;
+        if !answered {
+            self.tally.ended(row.class, End::Gone);
+        }
         if self.bugs.planted(Bug::EndNeverTold) {
             self.rows.remove(id);
             self.alarms.retain(|(_, other)| other != id);
@@ -190,14 +219,23 @@
     fn answer(&mut self, id: &RequestId, verdict: Verdict, commands: &mut Commands<A>) {
         let Some(row) = self.rows.get_mut(id).filter(|row| row.open) else { return };
         row.open = false;
+        let end = match verdict {
+            Verdict::Served => End::Fulfilled,
+            Verdict::Refused(_) => End::Throttled,
+            Verdict::Failed => End::Faulted,
+        };
+        self.tally.ended(row.class, end);
         commands.push(Command::Answer { id: id.clone(), verdict });
         self.settle_row(id);
     }
 
     /// Fails a request, whatever the module says, which hears of it.
     fn fail(&mut self, id: &RequestId, commands: &mut Commands<A>) {
+        if let Some(row) = self.rows.get(id).filter(|row| row.open) {
+            self.tally.ended(row.class, End::Faulted);
+        }
         commands.push(Command::Answer { id: id.clone(), verdict: Verdict::Failed });
-        self.abandon(id);
+        self.abandon(id, true);
     }
 
     /// Sets a row's alarm anew, or lets go of a row of which nothing is owed any more.
@@ -399,6 +437,7 @@
         if let Some(out) = self.rows.get_mut(&id).and_then(|row| row.out.as_mut()) {
             out.began = Some(Ran { zone: place.0, cell: place.1, at: now });
         }
+        self.tally.relayed += 1;
         commands.push(Command::Write { link });
     }
 
--- a/crates/exchange/src/table.rs
+++ b/crates/exchange/src/table.rs
@@ -32,6 +32,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Row {
     pub ticket: Ticket,
+    /// Its class, by its place in the settings.
+    pub class: usize,
     pub effect: Effect,
     pub deadline: Micros,
     /// It has no final answer, and somebody waits for one.
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -97,6 +97,10 @@
         /// Whether the new configuration stands.
         taken: bool,
     },
+    /// Staff want clients sent away (`LAMEDUCK`); the process goes on.
+    Lameduck,
+    /// Staff want the node back at work (`REJOIN`).
+    Rejoin,
     /// All connections of clients have ended.
     Served,
     /// Time passes.
@@ -127,6 +131,10 @@
     ReadConfiguration,
     /// Answer each request from now on with `Connection: close`.
     CloseAfterAnswers,
+    /// Close connections that are idle or fall idle from now on, and go on accepting: who comes is served once.
+    CloseIdle,
+    /// Keep connections open again, as before [`Action::CloseAfterAnswers`].
+    KeepOpen,
     /// Accept no more; close idle connections; say [`Event::Served`] once all have ended.
     StopAccepting,
     /// End the process, whatever is still open.
@@ -152,6 +160,17 @@
     again: bool,
     /// A reload is under way that began before the node was ready.
     quietly: bool,
+    /// Clients are sent away by staff. Beside the states, as it goes with each of them and can be taken back.
+    lame: Option<Lame>,
+}
+
+/// How far the node has sent clients away, which it can take back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lame {
+    /// Answers close their connections; idle ones are closed from then on.
+    Until(Time),
+    /// Nothing is kept open.
+    Emptied,
 }
 
 impl Lifecycle {
@@ -173,6 +192,7 @@
             until: None,
             again: false,
             quietly: false,
+            lame: None,
         }
     }
 
@@ -183,7 +203,12 @@
 
     /// Whether the five rules can be kept now for new work: what `/-/ready` answers.
     pub fn ready(&self) -> bool {
-        self.ready && matches!(self.state, State::Ready | State::Reloading)
+        self.ready && self.lame.is_none() && matches!(self.state, State::Ready | State::Reloading)
+    }
+
+    /// Whether clients are sent away, by staff or as the node is stopping.
+    pub fn sends_away(&self) -> bool {
+        self.lame.is_some() || self.state >= State::Draining
     }
 
     /// Why it is not ready, by name; empty where only the state stands in the way.
@@ -197,6 +222,9 @@
         match self.state {
             State::Ready | State::Reloading if !self.ready => format!("not ready: {reasons}"),
             State::Starting if !reasons.is_empty() => format!("starting: waits for {reasons}"),
+            State::Starting | State::Ready | State::Reloading if self.lame.is_some() => {
+                "lame duck".to_owned()
+            }
             state => state.name().to_owned(),
         }
     }
@@ -216,6 +244,8 @@
             Event::Stop => self.stop(now, out),
             Event::Reload => self.reload(now, out),
             Event::Reloaded { taken } => self.reloaded(now, taken, out),
+            Event::Lameduck => self.lameduck(now, out),
+            Event::Rejoin => self.rejoin(out),
             Event::Served if self.state == State::Closing => self.gone(out),
             Event::Served | Event::Tick => {}
         }
@@ -253,6 +283,27 @@
     /// What the manager is asked for beyond the bounds here, so that it never kills a node that keeps them.
     const EXTEND: Duration = Duration::from_secs(1);
 
+    /// After the word to send clients away, idle connections stand for so long: the front looks every 0.1 s and sends
+    /// new connections for 0.2 s more, and what is idle now is mostly used or closed by its client till then. Guards
+    /// requests that cross the close of their connection.
+    const LINGER: Duration = Duration::from_millis(500);
+
+    fn lameduck(&mut self, now: Time, out: &mut Vec<Action>) {
+        // A node that stops sends clients away already.
+        if self.lame.is_none() && self.state < State::Draining {
+            self.lame = Some(Lame::Until(now.saturating_add(Self::LINGER)));
+            out.push(Action::CloseAfterAnswers);
+            out.push(Action::Log("clients are sent away".to_owned()));
+        }
+    }
+
+    fn rejoin(&mut self, out: &mut Vec<Action>) {
+        if self.state < State::Draining && self.lame.take().is_some() {
+            out.push(Action::KeepOpen);
+            out.push(Action::Log("back to work".to_owned()));
+        }
+    }
+
     fn reload(&mut self, now: Time, out: &mut Vec<Action>) {
         match self.state {
             State::Ready => {
@@ -315,6 +366,13 @@
                 out.push(Action::Manager(Word::Ready));
             }
         }
+        if matches!(self.lame, Some(Lame::Until(at)) if now >= at) {
+            self.lame = Some(Lame::Emptied);
+            // One that stops meanwhile closes idle connections when its own time has come.
+            if self.state < State::Draining {
+                out.push(Action::CloseIdle);
+            }
+        }
         if self.until.is_some_and(|until| now >= until) {
             match self.state {
                 State::Reloading => {
@@ -341,6 +399,10 @@
 
     /// When the state ends by itself, if it does.
     pub fn until(&self) -> Option<Time> {
-        self.until
+        let lame = self.lame.and_then(|lame| match lame {
+            Lame::Until(at) => Some(at),
+            Lame::Emptied => None,
+        });
+        self.until.into_iter().chain(lame).min()
     }
 }
--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,150 @@
+//! The operators' address: callers' connections, and the way of what they ask to who can answer.
+
+use crate::node::Node;
+use anyhow::{Context, Result};
+use saffronpaddle_admin::{failure, success, Call, Caller, Desk, Line};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout, Instant};
+
+/// Calls that may wait for the life cycle. Each caller asks once.
+pub const CALLS_MOST: usize = Desk::MOST;
+/// Pause after a connection that could not be accepted.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// How long an answer may take on its way out, and its reader to close. Guards descriptors against callers that never
+/// read.
+const LEAVE_WITHIN: Duration = Duration::from_millis(500);
+/// Bytes read of a caller at once.
+const PIECE: usize = 64;
+
+/// The operators' listener.
+pub struct Admin {
+    listener: TcpListener,
+}
+
+/// A call, and where its answer goes.
+pub struct Asked {
+    pub call: Call,
+    pub answer: oneshot::Sender<Said>,
+}
+
+/// What is said to a call.
+pub struct Said {
+    pub done: bool,
+    pub words: String,
+}
+
+impl Admin {
+    /// Set aside for it: the listener, callers that wait, one that comes, and those that have their answer.
+    pub const DESCRIPTORS: usize = Desk::MOST + 4;
+
+    /// Binds the address.
+    ///
+    /// # Errors
+    /// It is taken.
+    pub async fn bind(address: SocketAddr) -> Result<Admin> {
+        let listener = TcpListener::bind(address).await.with_context(|| format!("admin_addr {address}"))?;
+        Ok(Admin { listener })
+    }
+}
+
+/// Callers and the tasks that serve them.
+struct Room {
+    desk: Desk,
+    tasks: HashMap<Caller, AbortHandle>,
+}
+
+impl Room {
+    fn leaves(&mut self, caller: Caller) {
+        self.desk.goes(caller);
+        self.tasks.remove(&caller);
+    }
+
+    fn dismiss(&mut self, caller: Caller) {
+        if let Some(task) = self.tasks.remove(&caller) {
+            task.abort();
+        }
+    }
+}
+
+/// Serves callers for ever. None of them waits for another.
+pub async fn serve(admin: Option<Admin>, node: Rc<Node>, ask: mpsc::Sender<Asked>) {
+    let Some(Admin { listener }) = admin else { return };
+    let began = Instant::now();
+    let room = Rc::new(RefCell::new(Room { desk: Desk::new(Desk::MOST, Desk::STAY), tasks: HashMap::new() }));
+    loop {
+        let until = room.borrow().desk.until().map(|until| began + until);
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let (caller, goes) = room.borrow_mut().desk.comes(began.elapsed());
+                    goes.into_iter().for_each(|caller| room.borrow_mut().dismiss(caller));
+                    let (held, node, ask) = (Rc::clone(&room), Rc::clone(&node), ask.clone());
+                    let task = tokio::task::spawn_local(async move {
+                        // A caller that has gone needs nothing.
+                        let _ = converse(stream, &node, &ask).await;
+                        held.borrow_mut().leaves(caller);
+                    });
+                    room.borrow_mut().tasks.insert(caller, task.abort_handle());
+                }
+                Err(_) => sleep(ACCEPT_AGAIN).await,
+            },
+            () = over(until) => {
+                let mut room = room.borrow_mut();
+                while let Some(caller) = room.desk.stale(began.elapsed()) {
+                    room.dismiss(caller);
+                }
+            }
+        }
+    }
+}
+
+async fn over(until: Option<Instant>) {
+    match until {
+        Some(until) => tokio::time::sleep_until(until).await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn converse(mut stream: TcpStream, node: &Rc<Node>, ask: &mpsc::Sender<Asked>) -> std::io::Result<()> {
+    let (mut line, mut piece) = (Line::default(), [0; PIECE]);
+    let call = loop {
+        let length = stream.read(&mut piece).await?;
+        if length == 0 {
+            break Err(line.ended());
+        }
+        if let Some(call) = line.take(&piece[..length]) {
+            break call;
+        }
+    };
+    let words = match call {
+        Ok(Call::Info) => node.figures(),
+        Ok(call) => {
+            let (answer, said) = oneshot::channel();
+            // It fails at the node's very end.
+            let _ = ask.send(Asked { call, answer }).await;
+            match said.await {
+                Ok(Said { done: true, words }) => success(&words),
+                Ok(Said { done: false, words }) => failure(&words),
+                Err(_) => failure("gone"),
+            }
+        }
+        Err(bad) => failure(&bad.to_string()),
+    };
+    let _ = timeout(LEAVE_WITHIN, async {
+        stream.write_all(words.as_bytes()).await?;
+        stream.shutdown().await?;
+        // What the caller still writes is read, so that closing does not take the answer back.
+        while stream.read(&mut piece).await? > 0 {}
+        Ok::<_, std::io::Error>(())
+    })
+    .await;
+    Ok(())
+}
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -14,6 +14,7 @@
 use hyper::upgrade::OnUpgrade;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use saffronpaddle_admin::End;
 use saffronpaddle_decision::interface::{
     ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId, Settings,
 };
@@ -55,6 +56,8 @@
     Serving,
     /// Not ready any more; all that comes is served, and each answer closes its connection.
     Leaving,
+    /// The same, and connections that are idle are closed. It may go back to serving.
+    Emptying,
     /// No new connection is accepted, and idle ones are closed.
     Closing,
 }
@@ -77,9 +80,9 @@
 
 type Reply = Response<Full<Bytes>>;
 
-/// Comes back when the edge node closes, or when nobody is left to say so.
-async fn closing(mut standing: watch::Receiver<Standing>) {
-    let _ = standing.wait_for(|standing| standing.phase == Phase::Closing).await;
+/// Comes back when the edge node has come so far on its way out, or when nobody is left to say so.
+async fn reached(mut standing: watch::Receiver<Standing>, phase: Phase) {
+    let _ = standing.wait_for(|standing| standing.phase >= phase).await;
 }
 
 /// What is known of a client's connection from outside.
@@ -154,7 +157,7 @@
     listener: TcpListener, shared: bool, node: Rc<Node>, most: usize, phase: watch::Receiver<Standing>,
 ) {
     let mut crowd = Crowd { tasks: JoinSet::new(), seats: Vec::new(), most };
-    let closed = closing(phase.clone());
+    let closed = reached(phase.clone(), Phase::Closing);
     tokio::pin!(closed);
     loop {
         tokio::select! {
@@ -207,7 +210,7 @@
     tokio::select! {
         biased;
         _ = &mut connection => return,
-        () = closing(phase) => {}
+        () = reached(phase, Phase::Emptying) => {}
     }
     // What the machine holds is read before the connection counts as idle.
     tokio::task::yield_now().await;
@@ -239,7 +242,15 @@
     let (head, body) = request.into_parts();
     let asked = match read(&node.named, &head) {
         Ok(asked) => asked,
-        Err((status, what)) => return turned_away(status, what),
+        Err((status, what)) => {
+            class_of(&node.named, &head.headers).inspect(|class| node.turned_away(*class, End::Faulted));
+            return turned_away(status, what);
+        }
+    };
+    let class = asked.class;
+    let turned_away = |status, what| {
+        node.turned_away(class, End::Faulted);
+        turned_away(status, what)
     };
     if let (Some(offer), Some(upgrades)) = (offer, upgrades) {
         return socket(node, asked, head, offer, upgrades).await;
@@ -258,7 +269,10 @@
     let (event, forward) = asked.arrived(head, body);
     match ask(node, event, forward).await {
         Some(answer) => reply(answer),
-        None => in_use(),
+        None => {
+            node.turned_away(class, End::Faulted);
+            in_use()
+        }
     }
 }
 
@@ -379,6 +393,12 @@
 /// Why a request is turned away.
 type Bad = (StatusCode, &'static str);
 
+/// The class that a request's head names.
+fn class_of(named: &Named, headers: &HeaderMap) -> Option<ClassId> {
+    let class = text(headers, "x-class")?;
+    named.classes.iter().position(|known| known == class).map(ClassId)
+}
+
 /// Reads the head of a client's request. Nothing has been touched by then: what is wrong with it is told, and that
 /// is all.
 fn read(named: &Named, head: &hyper::http::request::Parts) -> Result<Asked, Bad> {
@@ -396,7 +416,7 @@
     let id = RequestId(id.ok_or(bad("X-Request-Id: missing, or no word of 1 to 64 bytes\n"))?.into());
     let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
     let class = text(headers, "x-class").ok_or(bad("X-Class: missing\n"))?;
-    let number = place(&named.classes, class).ok_or(bad("X-Class: unknown\n"))?;
+    let number = class_of(named, headers).ok_or(bad("X-Class: unknown\n"))?.0;
     let plan = text(headers, "x-tier").and_then(|plan| place(&named.plans, plan));
     let plan = PlanId(plan.ok_or(bad("X-Tier: missing or unknown\n"))?);
     let mut path = head.uri.path().trim_start_matches('/').split('/');
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -15,6 +15,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators' staff call, if they may.
+    pub admin: Option<SocketAddr>,
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
@@ -74,6 +76,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    admin_addr: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -148,6 +151,10 @@
                 *address = text.parse().with_context(|| format!("{key}: {text:?} is no address"))?;
             }
         }
+        if let Some(text) = variable("LB_ADMIN_ADDR").filter(|text| !text.is_empty()) {
+            let address = text.parse().with_context(|| format!("LB_ADMIN_ADDR: {text:?} is no address"))?;
+            config.admin = Some(address);
+        }
         Ok(config)
     }
 
@@ -173,6 +180,19 @@
         let sockets = file.limits.sockets;
         let memory = file.limits.memory_mb.saturating_mul(1024 * 1024);
         let path = path.to_owned();
-        Ok(Config { path, name, listen, discovery, seed, sockets, memory, peers, known: file.known, named })
+        let admin = file.admin_addr;
+        Ok(Config {
+            path,
+            name,
+            listen,
+            discovery,
+            admin,
+            seed,
+            sockets,
+            memory,
+            peers,
+            known: file.known,
+            named,
+        })
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The edge node as a library: a shell of sockets round the decision module. It makes no policy.
 #![forbid(unsafe_code)]
 
+mod admin;
 mod alarm;
 mod clients;
 pub mod config;
--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -1,10 +1,12 @@
 //! Runs the life cycle: words in (signals, time, what is seen), what the state machine asks for out.
 
+use crate::admin::{Asked, Said};
 use crate::clients::{Phase, Standing};
 use crate::facts::Facing;
 use crate::manager::Manager;
 use crate::node::Node;
-use saffronpaddle_lifecycle::{Action, Event, Lifecycle, Limits};
+use saffronpaddle_admin::Call;
+use saffronpaddle_lifecycle::{Action, Event, Lifecycle, Limits, State};
 use std::future::{pending, Future};
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,6 +44,19 @@
         self.born.elapsed()
     }
 
+    /// What is said to a call that the machine has heard.
+    fn answer(&self, call: Call) -> Said {
+        match call {
+            Call::Ping => Said { done: self.machine.ready(), words: self.machine.status() },
+            Call::Lameduck => Said { done: self.machine.sends_away(), words: self.machine.status() },
+            Call::Rejoin => {
+                Said { done: self.machine.state() < State::Draining, words: self.machine.status() }
+            }
+            // The figures are the node's.
+            Call::Info => Said { done: false, words: String::new() },
+        }
+    }
+
     /// When something must be looked at or ends by itself.
     fn next(&self, looked: Instant) -> Option<Instant> {
         let until = self.machine.until().map(|until| self.born + until);
@@ -53,11 +68,13 @@
     /// Runs until the machine says that the process ends. `reload` reads the configuration and says what limits
     /// it sets, or nothing where it was not taken; it runs beside everything else. `served` ends once all clients have.
     pub async fn run<R: Future<Output = Option<Limits>> + 'static>(
-        mut self, mut words: mpsc::UnboundedReceiver<Word>, reload: impl Fn() -> R, served: impl Future,
+        mut self, mut words: mpsc::UnboundedReceiver<Word>, mut calls: mpsc::Receiver<Asked>,
+        reload: impl Fn() -> R, served: impl Future,
     ) {
         let (tell, mut reloaded) = mpsc::unbounded_channel();
         tokio::pin!(served);
-        let (mut clients_left, mut words_left) = (true, true);
+        let (mut clients_left, mut words_left, mut calls_left) = (true, true, true);
+        let mut asked: Option<Asked> = None;
         // The first look is due at once.
         let mut looked = self.born.checked_sub(Lifecycle::NEXT).unwrap_or(self.born);
         let mut event = Event::Listening;
@@ -78,6 +95,8 @@
                         });
                     }
                     Action::CloseAfterAnswers => phase = phase.max(Phase::Leaving),
+                    Action::CloseIdle => phase = phase.max(Phase::Emptying),
+                    Action::KeepOpen => phase = Phase::Serving,
                     Action::StopAccepting => phase = Phase::Closing,
                     Action::Log(line) => eprintln!("{line}"),
                     Action::Exit => gone = true,
@@ -87,6 +106,10 @@
             if (phase, ready, why) != (before.phase, before.ready, before.why) {
                 self.standing.send_replace(Standing { phase, ready, why });
             }
+            if let Some(asked) = asked.take() {
+                // Who asked may have gone meanwhile.
+                let _ = asked.answer.send(self.answer(asked.call));
+            }
             if gone {
                 // The last words are worth a moment, but no more: the manager also sees the process end.
                 self.manager.retry();
@@ -108,6 +131,21 @@
                     limits.into_iter().for_each(|limits| self.machine.set_limits(limits));
                     Event::Reloaded { taken }
                 }
+                call = calls.recv(), if calls_left => match call {
+                    Some(call) => {
+                        let event = match call.call {
+                            Call::Lameduck => Event::Lameduck,
+                            Call::Rejoin => Event::Rejoin,
+                            Call::Ping | Call::Info => Event::Tick,
+                        };
+                        asked = Some(call);
+                        event
+                    }
+                    None => {
+                        calls_left = false;
+                        Event::Tick
+                    }
+                },
                 _ = &mut served, if clients_left => {
                     clients_left = false;
                     Event::Served
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,6 +9,7 @@
 use anyhow::Context;
 use bytes::Bytes;
 use hyper::StatusCode;
+use saffronpaddle_admin::{End, Figures};
 use saffronpaddle_decision::interface::{
     Action, CellId, ClassId, Event as ModuleEvent, GatewayId, Micros, RequestId, ServerEntry, ServerId,
     Standing, ZoneId,
@@ -198,6 +199,19 @@
         self.exchange.borrow().ready()
     }
 
+    /// The figures as staff are told them.
+    pub fn figures(&self) -> String {
+        let exchange = self.exchange.borrow();
+        let (registry_entries, out_of_rotation) = exchange.module().rotation();
+        let (names, tally) = (&self.named.classes, exchange.tally().clone());
+        Figures { names, tally, registry_entries, out_of_rotation }.told()
+    }
+
+    /// A request that was not taken was answered all the same.
+    pub fn turned_away(&self, class: ClassId, end: End) {
+        self.exchange.borrow_mut().turned_away(class.0, end);
+    }
+
     /// Tells the module something that is none of the exchange's.
     fn post(self: &Rc<Self>, event: ModuleEvent) {
         self.happened(Event::Tell(event), None);
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,5 +1,6 @@
 //! One edge node from its start to its end: what is bound, what runs, and how it leaves.
 
+use crate::admin::{self, Admin};
 use crate::clients::{self, Standing};
 use crate::config::Config;
 use crate::facts::Facing;
@@ -22,8 +23,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-/// Descriptors for all but clients and app servers: listener, discovery, peers, the runtime's own.
-const RESERVED: usize = 32;
+/// Descriptors for all but clients and app servers: listener, discovery, peers, the runtime's own; the operators' and its
+/// callers.
+const RESERVED: usize = 32 + Admin::DESCRIPTORS;
 /// Connections of either side that sockets must leave to requests.
 const LEAST_EACH_SIDE: usize = 32;
 /// One part in so many of the memory is for large bodies: each is held twice for a moment, and once more on its way out.
@@ -125,6 +127,7 @@
     memory: usize,
     files: Files,
     manager: Rc<Manager>,
+    admin: Option<Admin>,
 }
 
 /// The files that a reload reads, and what the operator file last said.
@@ -166,6 +169,10 @@
         let room = Room::new(config.memory / LARGE_SHARE);
         let upstream = Upstream::new(room);
         let node = Node::new(config.seed, config.named, upstream, each_side, peers, sockets)?;
+        let admin = match config.admin {
+            Some(address) => Some(Admin::bind(address).await?),
+            None => None,
+        };
         let address = listener.local_addr().context("listen")?;
         eprintln!("{}: listening on {address}", config.name);
         Ok(Edge {
@@ -180,6 +187,7 @@
             memory: config.memory,
             files: Files { config: config.path, operator },
             manager: Rc::new(manager),
+            admin,
         })
     }
 
@@ -205,10 +213,12 @@
         let (standing, seen) = watch::channel(Standing::unready());
         let (moved, discovery) = watch::channel(self.discovery);
         let etcd = files.operator.as_ref().and_then(|file| file.says.etcd.clone());
+        let (ask, calls) = mpsc::channel(admin::CALLS_MOST);
         let beside = [
             tokio::task::spawn_local(roster::follow(Rc::clone(&node), etcd, discovery, self.known)),
             tokio::task::spawn_local(peers::listen(Rc::clone(&node))),
             tokio::task::spawn_local(Rc::clone(&node).ring()),
+            tokio::task::spawn_local(admin::serve(self.admin, Rc::clone(&node), ask)),
             tokio::task::spawn_local(ring_sockets(Rc::clone(&node))),
             tokio::task::spawn_local(life::feed(Rc::clone(&node), Rc::clone(&manager))),
         ];
@@ -225,7 +235,7 @@
                 Some(self::limits(operator.as_ref(), longest, shared))
             }
         };
-        life.run(words, reload, clients).await;
+        life.run(words, calls, reload, clients).await;
         beside.iter().for_each(|task| task.abort());
     }
 }
--- a/crates/saffronpaddle/src/main.rs
+++ b/crates/saffronpaddle/src/main.rs
@@ -1,6 +1,7 @@
 //! The edge node's program: which of its jobs is wanted, and with what.
 #![forbid(unsafe_code)]
 
+mod call;
 mod demo;
 mod fleet;
 
@@ -17,6 +18,7 @@
   saffronpaddle [run] [--operator FILE]   one edge node, as LB_CONFIG, LB_NAME, LB_LISTEN and LB_DISCOVERY have it;
                                           SAFFRONPADDLE_OPERATOR names the operator file as --operator does
   saffronpaddle check FILE                tells all that is wrong with an operator file
+  saffronpaddle call ADDRESS WORD         asks a running node at its operators' address: PING, INFO, LAMEDUCK or REJOIN
   saffronpaddle demo [--listen ADDRESS]   one edge node before stand-in app servers on loopback, nothing to set up
   saffronpaddle fleet SCENARIO            plays a scenario on real instances before stand-ins, all on loopback;
         [--seed N] [--json FILE]          a file, or the name of one that comes with the program:
@@ -55,6 +57,7 @@
     match &job[..] {
         "run" => run(None, arguments),
         "check" => check(arguments),
+        "call" => call::call(arguments),
         "demo" => demo::demo(arguments),
         "fleet" => fleet::fleet(arguments),
         _ => anyhow::bail!("unknown job {job:?}; --help tells which there are"),
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -439,6 +439,28 @@
     }
 }
 
+/// A free address, for a node that is told it.
+pub fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+/// Calls a node at its operators' address; all that it answers.
+pub fn call(address: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("it is called");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.write_all(line.as_bytes()).expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
+/// A figure of an answer to `INFO`, by its name and labels.
+pub fn figure(answer: &str, name: &str) -> u64 {
+    let value = answer.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok());
+    value.unwrap_or_else(|| panic!("{name} in {answer}"))
+}
+
 /// An edge node that knows one app server, which does this.
 pub fn with_one(tag: &str, does: &[Does]) -> (Servers, Discovery, Node) {
     let (servers, discovery) = (Servers::new(), Discovery::start());
