--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -119,6 +119,8 @@
             Event::Woke { .. } if now < self.woken => {} // one that is no longer wanted
             Event::Woke { .. } => self.sweep(now, out),
             Event::Peer { from, bytes } => self.heard(now, from, &bytes, out),
+            Event::Twin { link, twin } => self.twin(now, link, twin),
+            Event::Twins { ended, shared, hushed } => self.twins(ended, shared, hushed),
         }
         self.dispatch(now, out);
         let next = if self.wide { self.next_tick } else { self.next_tick.min(self.next_gossip) };
@@ -486,7 +488,8 @@
     /// Tells the peers what was lately sent on. It goes out even when there is nothing to tell.
     fn gossip(&mut self, now: Micros, out: &mut Out) {
         let pace = gossip_pace(&self.settings);
-        if now < self.next_gossip || self.wide || !(pace > 0.0 && pace < f64::INFINITY) {
+        // Danger: two processes that tell the same counts, so that the peers' intake is filled twice.
+        if now < self.next_gossip || self.wide || self.hushed || !(pace > 0.0 && pace < f64::INFINITY) {
             return;
         }
         self.next_gossip = now + GOSSIP_EVERY.max(pace as Micros);
@@ -788,7 +791,7 @@
         // Danger: many gateways, each with one out at every server, overdrive them all (iac7c0b, i417db4).
         let floor = (ALL_FLOOR * ready.len() as f64 / f64::from(self.settings.gateways)).max(1.0);
         let parts = ready.iter().map(|server| self.shortest_aim / self.place_wait(server, now).max(1.0));
-        let out = self.attempts.len() as f64;
+        let out = (self.attempts.len() + self.abroad.len()) as f64;
         if out >= floor && out >= FIT_ALL * parts.sum::<f64>() {
             return Vec::new();
         }
@@ -968,6 +971,12 @@
         }
         let number = request.sent(server);
         let attempt = request.attempt(server, now, f64::from(to.open));
+        if self.shared {
+            let store = self.stores.get(&request.customer).filter(|_| first);
+            let terms = |store: &Store| (store.plan, (store.first, store.spread as u32));
+            let terms = store.map(terms).map(|(plan, set)| TwinTerms { plan, units: request.units, set });
+            out.push(Action::Twin(Twin::Out(TwinOut { first: terms, ..attempt.told(&id, number) })));
+        }
         self.attempts.insert((id.clone(), number), attempt);
         self.waiting.retain(|other| *other != id);
         out.push(Action::Send { id, server, time_out: None });
@@ -975,7 +984,8 @@
 
     fn ended(&mut self, now: Micros, key: AttemptKey, outcome: Outcome, closed: bool, out: &mut Out) {
         let Some(attempt) = self.take_attempt(&key) else { return };
-        let id = key.0;
+        let (id, attempt_no) = key;
+        out.extend(self.shared.then(|| Action::Twin(Twin::In { id: id.clone(), attempt: attempt_no })));
         let called_off = self.requests.get(&id).is_some_and(|request| request.cancelled);
         self.learn(now, &attempt, outcome, called_off && outcome == Outcome::Cancelled);
         if outcome == Outcome::Ok {
@@ -1007,6 +1017,57 @@
         }
     }
 
+    // ---- Two processes of one gateway ----
+
+    // Danger: a store, a ceiling, a limit on attempts at once or a cold server's budget that counts twice while a
+    // process and its successor both take requests. Each draws here on what the other sends, as if it had sent it; both
+    // fill at the one rate, so that the two together are one gateway but for the way that a word takes.
+
+    fn twin(&mut self, now: Micros, link: u32, twin: Twin) {
+        match twin {
+            Twin::Out(told) => {
+                let (server, customer) = (told.server, told.customer);
+                if let Some(terms) = &told.first {
+                    self.drawn_by_twin(now, customer, terms);
+                }
+                if let Some(server) = self.servers.get_mut(&server) {
+                    (server.open, server.cold_credit) = (server.open + 1, server.cold_credit - 1.0);
+                }
+                self.stores.entry(customer).and_modify(|store| store.open += 1);
+                let (key, attempt) = told.attempt(link);
+                self.abroad.insert(key, attempt);
+            }
+            Twin::In { id, attempt } => {
+                let ended = self.abroad.remove(&(id, attempt));
+                ended.into_iter().for_each(|(_, attempt)| self.release(&attempt));
+            }
+        }
+    }
+
+    /// A first attempt of the other process takes its units here too.
+    fn drawn_by_twin(&mut self, now: Micros, customer: CustomerId, terms: &TwinTerms) {
+        let Some(plan) = self.settings.plans.get(terms.plan.0) else { return };
+        let (set, most) =
+            ((terms.set.0, terms.set.1.clamp(1, self.settings.gateways)), self.settings.most_units);
+        let up = now.saturating_sub(self.born);
+        let fresh = || Store::new(now, up, terms.plan, plan, set, most);
+        let store = self.stores.entry(customer).or_insert_with(fresh);
+        store.fill(now, &self.settings.plans[store.plan.0], silent(&self.spoke, store, now));
+        let units = terms.units.clamp(0.0, if most > 0.0 { most } else { f64::MAX });
+        (store.level, store.ceiling) = (store.level - units, store.ceiling - units);
+        (store.sent, store.sent_at, store.used) = (store.sent + units, now, now);
+    }
+
+    fn twins(&mut self, ended: Option<u32>, shared: bool, hushed: bool) {
+        (self.shared, self.hushed) = (shared, hushed);
+        let Some(ended) = ended else { return };
+        let (gone, left) =
+            std::mem::take(&mut self.abroad).into_iter().partition(|(_, (link, _))| *link == ended);
+        self.abroad = left;
+        let gone: crate::twin::Abroad = gone;
+        gone.values().for_each(|(_, attempt)| self.release(attempt));
+    }
+
     // ---- Cold starts and drains ----
 
     /// Danger: a cold server pushed over. Gateways earn sends to it, a share of what warm ones do; what falls
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -2,6 +2,7 @@
 //!
 //! Types only. Every decision is in [`crate::control`].
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
 
@@ -9,39 +10,39 @@
 pub type Micros = u64;
 
 /// A client's request at this gateway. Ids are never used twice.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestId(pub Arc<str>);
 
 /// A server of the shared back end.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerId(pub u64);
 
 /// A customer, whom a quota binds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CustomerId(pub u64);
 
 /// A gateway's number, from 0.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct GatewayId(pub u32);
 
 /// Place of a class in [`Settings::classes`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClassId(pub usize);
 
 /// Place of a plan in [`Settings::plans`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PlanId(pub usize);
 
 /// A zone (hall, building), numbered by whoever embeds the module; only equality counts.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ZoneId(pub u32);
 
 /// A group of servers that share what they know of repeated keys.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CellId(pub u64);
 
 /// Number of an attempt of one request, from 0.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptNo(pub u32);
 
 /// Which servers drop a repeat of a keyed request.
@@ -201,7 +202,7 @@
 impl std::error::Error for SettingsError {}
 
 /// What the list says of a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     /// Its process runs.
     Ready,
@@ -213,7 +214,7 @@
 }
 
 /// One server on the list.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// Which.
     pub server: ServerId,
@@ -259,6 +260,56 @@
     NotSent,
 }
 
+/// What an attempt of one process of a gateway is to another: two processes are one gateway while the second takes over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TwinOut {
+    /// The request.
+    pub id: RequestId,
+    /// Which attempt.
+    pub attempt: AttemptNo,
+    /// To whom.
+    pub server: ServerId,
+    /// Whose.
+    pub customer: CustomerId,
+    /// Its class.
+    pub class: ClassId,
+    /// Since when only the back end holds it up.
+    pub due: Micros,
+    /// When it was sent.
+    pub sent: Micros,
+    /// Attempts that were out at the server then, with this one.
+    pub places: f64,
+    /// The terms of its try, if it is the first one of it: then it takes its units.
+    #[serde(default)]
+    pub first: Option<TwinTerms>,
+}
+
+/// What a try draws, and on which store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TwinTerms {
+    /// Its plan.
+    pub plan: PlanId,
+    /// What it counts.
+    pub units: f64,
+    /// The customer's set of gateways: the first, and how many.
+    pub set: (GatewayId, u32),
+}
+
+/// What processes of one gateway tell each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Twin {
+    /// An attempt has begun.
+    Out(TwinOut),
+    /// It has ended.
+    In {
+        /// The request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: AttemptNo,
+    },
+}
+
 /// What a gateway is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -323,6 +374,22 @@
         /// What it says.
         bytes: Vec<u8>,
     },
+    /// Another process of this gateway has told something.
+    Twin {
+        /// Over which link.
+        link: u32,
+        /// What.
+        twin: Twin,
+    },
+    /// Who else is this gateway now.
+    Twins {
+        /// A link that has ended: what was out there is no more.
+        ended: Option<u32>,
+        /// Whether attempts have to be told.
+        shared: bool,
+        /// Whether another process speaks to peers in this one's stead.
+        hushed: bool,
+    },
 }
 
 /// What a gateway does.
@@ -368,6 +435,8 @@
         /// At most 256 bytes.
         bytes: Vec<u8>,
     },
+    /// A word to the other processes of this gateway.
+    Twin(Twin),
     /// Wake me.
     Wake {
         /// After this long.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -10,5 +10,7 @@
 mod message;
 pub mod setup;
 mod state;
+mod twin;
 
 pub use control::Gateway;
+pub use twin::Kept;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -2,6 +2,8 @@
 
 use crate::interface::*;
 use crate::message::{self, Rumour};
+use crate::twin::Abroad;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Where actions are gathered.
@@ -87,7 +89,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Attempt {
     pub server: ServerId,
     pub customer: CustomerId,
@@ -99,7 +101,8 @@
 }
 
 /// What a peer has been heard to send on for a customer: its running count, and when how much came.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub(crate) struct Heard {
     pub birth: u32,
     pub count: u16,
@@ -128,7 +131,8 @@
 }
 
 /// A customer's store, or the part of it that a home keeps.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub(crate) struct Store {
     pub plan: PlanId,
     pub first: GatewayId,
@@ -143,6 +147,7 @@
     pub sent: f64,
     pub sent_at: Micros,
     pub open: u32,
+    #[serde(with = "crate::twin::pairs")]
     pub heard: BTreeMap<GatewayId, Heard>,
     pub ceiling: f64,
     /// What part of the quota and of the ceiling is kept here.
@@ -185,7 +190,8 @@
 }
 
 /// State of the self-tuning fuzzy controller.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub(crate) struct Fuzzy {
     pub cap: Option<f64>,
     pub error: Option<f64>,
@@ -210,7 +216,8 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub(crate) struct Server {
     pub entry: ServerEntry,
     pub open: u32,
@@ -224,7 +231,8 @@
 }
 
 /// How a server fares with one class.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub(crate) struct Health {
     pub failing: f64,
     pub answered: Micros,
@@ -284,6 +292,10 @@
     pub(crate) requests: BTreeMap<RequestId, Request>,
     pub(crate) waiting: Vec<RequestId>,
     pub(crate) attempts: BTreeMap<(RequestId, AttemptNo), Attempt>,
+    /// Attempts of other processes of this gateway; whether attempts are told, and whether others speak to peers.
+    pub(crate) abroad: Abroad,
+    pub(crate) shared: bool,
+    pub(crate) hushed: bool,
     pub(crate) servers: BTreeMap<ServerId, Server>,
     /// Servers by the short names of rumours.
     pub(crate) names: BTreeMap<u16, ServerId>,
@@ -346,6 +358,9 @@
             requests: BTreeMap::new(),
             waiting: Vec::new(),
             attempts: BTreeMap::new(),
+            abroad: Abroad::new(),
+            shared: false,
+            hushed: false,
             servers: BTreeMap::new(),
             names: BTreeMap::new(),
             stores: BTreeMap::new(),
@@ -386,10 +401,20 @@
     /// Takes an ended attempt off all lists.
     pub(crate) fn take_attempt(&mut self, key: &(RequestId, AttemptNo)) -> Option<Attempt> {
         let attempt = self.attempts.remove(key)?;
+        self.release(&attempt);
+        Some(attempt)
+    }
+
+    /// Frees the places of an attempt that has ended, here or at another process of this gateway.
+    pub(crate) fn release(&mut self, attempt: &Attempt) {
         let (server, store) = (self.servers.get_mut(&attempt.server), self.stores.get_mut(&attempt.customer));
         server.into_iter().for_each(|server| server.open = server.open.saturating_sub(1));
         store.into_iter().for_each(|store| store.open = store.open.saturating_sub(1));
-        Some(attempt)
+    }
+
+    /// All attempts that are out, those of other processes of this gateway among them.
+    pub(crate) fn all_attempts(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.values().chain(self.abroad.values().map(|(_, attempt)| attempt))
     }
 
     /// Follows the list of servers. One that started anew is unknown again.
@@ -460,7 +485,7 @@
     }
 
     pub(crate) fn open_of(&self, class: ClassId) -> f64 {
-        self.attempts.values().filter(|attempt| attempt.class == class).count() as f64
+        self.all_attempts().filter(|attempt| attempt.class == class).count() as f64
     }
 
     /// The median wait of the servers that have shown one.
--- /dev/null
+++ b/crates/decision/src/twin.rs
@@ -0,0 +1,123 @@
+//! What a gateway keeps in mind, as its next process takes it over. Plain data; nothing is decided here.
+
+use crate::interface::*;
+use crate::state::{Attempt, Fuzzy, Gateway, Server, Store};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// All that a gateway knows and has promised, but for its open requests: these stay with the process that took them.
+/// What a build does not know yet has its default.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Kept {
+    born: Micros,
+    newcomer: bool,
+    stores: Vec<(CustomerId, Store)>,
+    servers: Vec<Server>,
+    homes: Vec<(CustomerId, Store)>,
+    fuzzy: Fuzzy,
+    spoke: Vec<Micros>,
+    latency: f64,
+    typical: f64,
+    low_out: f64,
+    all_out: f64,
+    aims: Vec<f64>,
+    served: f64,
+    retries: f64,
+    /// Attempts that are out.
+    out: Vec<TwinOut>,
+}
+
+impl Kept {
+    /// How many customers and servers it holds.
+    pub fn size(&self) -> (usize, usize) {
+        (self.stores.len(), self.servers.len())
+    }
+}
+
+impl Gateway {
+    /// All that the next process of this gateway has to know.
+    pub fn keep(&self) -> Kept {
+        let own = self.attempts.iter().map(|((id, number), attempt)| attempt.told(id, *number));
+        let abroad = self.abroad.iter().map(|((id, number), (_, attempt))| attempt.told(id, *number));
+        Kept {
+            born: self.born,
+            newcomer: self.newcomer,
+            stores: self.stores.iter().map(|(customer, store)| (*customer, store.clone())).collect(),
+            servers: self.servers.values().cloned().collect(),
+            homes: self.homes.iter().map(|(customer, store)| (*customer, store.clone())).collect(),
+            fuzzy: self.fuzzy.clone(),
+            spoke: self.spoke.clone(),
+            latency: self.latency,
+            typical: self.typical,
+            low_out: self.low_out,
+            all_out: self.all_out,
+            aims: self.aims.clone(),
+            served: self.served,
+            retries: self.retries,
+            out: own.chain(abroad).collect(),
+        }
+    }
+
+    /// Goes on from what another process of this gateway kept, at the start of this one. What does not fit the settings is
+    /// passed over. Attempts that are out there are `link`'s.
+    pub fn resume(&mut self, kept: Kept, link: u32) {
+        let (classes, plans) = (self.settings.classes.len(), self.settings.plans.len());
+        let fits = |(_, store): &(CustomerId, Store)| store.plan.0 < plans && store.spread >= 1.0;
+        (self.born, self.newcomer) = (self.born.min(kept.born), kept.newcomer);
+        self.stores = kept.stores.into_iter().filter(fits).collect();
+        self.homes = kept.homes.into_iter().filter(fits).collect();
+        let known = kept.servers.into_iter().filter(|server| server.health.len() == classes);
+        self.servers = known.map(|server| (server.entry.server, server)).collect();
+        self.names = self.servers.keys().map(|server| (crate::message::short(*server), *server)).collect();
+        if kept.fuzzy.seen.len() == classes && kept.aims.len() == classes {
+            (self.fuzzy, self.aims) = (Fuzzy { seen: vec![(0.0, 0.0); classes], ..kept.fuzzy }, kept.aims);
+        }
+        if kept.spoke.len() == self.spoke.len() {
+            self.spoke = kept.spoke;
+        }
+        let sound = |value: f64| value.is_finite() && value > 0.0;
+        if sound(kept.latency) && sound(kept.typical) {
+            (self.latency, self.typical) = (kept.latency, kept.typical);
+        }
+        (self.low_out, self.all_out) = (kept.low_out, kept.all_out);
+        (self.served, self.retries) = (kept.served, kept.retries);
+        self.abroad = kept.out.into_iter().map(|out| out.attempt(link)).collect();
+    }
+}
+
+/// An attempt of another process of this gateway, and over which link it is heard.
+pub(crate) type Abroad = BTreeMap<(RequestId, AttemptNo), (u32, Attempt)>;
+
+impl TwinOut {
+    pub(crate) fn attempt(self, link: u32) -> ((RequestId, AttemptNo), (u32, Attempt)) {
+        let TwinOut { id, attempt, server, customer, class, due, sent, places, .. } = self;
+        ((id, attempt), (link, Attempt { server, customer, class, due, sent, places }))
+    }
+}
+
+impl Attempt {
+    /// How it is told to another process. The terms of its try are told with a first attempt alone.
+    pub(crate) fn told(&self, id: &RequestId, number: AttemptNo) -> TwinOut {
+        let Attempt { server, customer, class, due, sent, places } = self.clone();
+        TwinOut { id: id.clone(), attempt: number, server, customer, class, due, sent, places, first: None }
+    }
+}
+
+/// A map as a list of pairs: its keys are no texts.
+pub(crate) mod pairs {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+    use std::collections::BTreeMap;
+
+    pub fn serialize<K: Serialize, V: Serialize, S: Serializer>(
+        map: &BTreeMap<K, V>, serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(map)
+    }
+
+    pub fn deserialize<'de, K: Deserialize<'de> + Ord, V: Deserialize<'de>, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<BTreeMap<K, V>, D::Error> {
+        Ok(Vec::<(K, V)>::deserialize(deserializer)?.into_iter().collect())
+    }
+}
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -211,7 +211,7 @@
             Action::TellAll { bytes } | Action::Tell { bytes, .. } => {
                 assert!(bytes.len() <= 256, "message too long")
             }
-            Action::Cancel { .. } | Action::Follow | Action::Log(_) => {}
+            Action::Cancel { .. } | Action::Follow | Action::Twin(_) | Action::Log(_) => {}
         }
     }
 
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -91,6 +91,11 @@
         (self.rows.len(), self.links.len())
     }
 
+    /// Other bounds on connections from now on; those beyond it go as they fall idle and room is wanted.
+    pub fn set_most_links(&mut self, most: usize) {
+        self.bounds.links = most;
+    }
+
     /// How requests have ended so far, and attempts been written.
     pub fn tally(&self) -> &Tally {
         &self.tally
--- /dev/null
+++ b/crates/handover/tests/overlap.rs
@@ -0,0 +1,273 @@
+//! Two processes of one node, with the decision module inside: what they let through together, and conversations that go
+//! wrong at any step.
+
+use proptest::prelude::*;
+use saffronpaddle_decision::interface::*;
+use saffronpaddle_decision::Gateway;
+use saffronpaddle_handover::*;
+use std::time::Duration;
+
+const DEPTH: f64 = 6.0;
+const RATE: f64 = 2.0;
+
+fn settings() -> Settings {
+    let class = Class { aim: 800_000, late_value: 0.1, worth: 1.0, effect: Effect::Safe };
+    let ceiling = Some(Ceiling { rate: RATE, depth: DEPTH });
+    let plan =
+        Plan { rate: 0.0, burst: 0.0, at_once: None, price: 1.0, over_worth: 0.0, over_cost: 0.0, ceiling };
+    Settings {
+        me: GatewayId(0),
+        gateways: 2,
+        zone: ZoneId(0),
+        classes: vec![class],
+        plans: vec![plan],
+        rules: Rules { cold_from: 0.3, cold_for: 1_000_000, fall_multiple: 3.0, fall_window: 1_000_000 },
+        allowed: Allowed { attempts: 3, cancel: true, messages: true },
+        cross_zone: 0.0,
+        discovery: Discovery::Pushed,
+        period: 2_000,
+        peer_messages_per_s: 60.0,
+        most_units: 1.0,
+    }
+}
+
+/// A process, and what it has sent on.
+struct Process {
+    gateway: Gateway,
+    sent: u32,
+    told: Vec<Twin>,
+    counts: u32,
+}
+
+impl Process {
+    fn new(now: Micros) -> Process {
+        let gateway = Gateway::new(7, settings(), now).expect("settings that make sense");
+        let mut process = Process { gateway, sent: 0, told: Vec::new(), counts: 0 };
+        let entry =
+            ServerEntry { server: ServerId(1), standing: Standing::Ready, size: 1.0, ..Default::default() };
+        process.event(now, Event::Servers { kind: ListKind::Complete, entries: vec![entry] });
+        process
+    }
+
+    fn event(&mut self, now: Micros, event: Event) {
+        let mut out = Vec::new();
+        self.gateway.handle(now, event, &mut out);
+        let mut ended = Vec::new();
+        for action in out {
+            match action {
+                Action::Send { id, .. } => {
+                    self.sent += 1;
+                    ended.push(id);
+                }
+                Action::Twin(twin) => self.told.push(twin),
+                Action::TellAll { .. } => self.counts += 1,
+                _ => {}
+            }
+        }
+        // Servers answer at once.
+        for id in ended {
+            let ended = Event::Ended { id, attempt: AttemptNo(0), outcome: Outcome::Ok, closed: true };
+            self.event(now, ended);
+        }
+    }
+
+    fn ask(&mut self, now: Micros, number: u32) {
+        let id = RequestId(format!("r{number}").into());
+        let (class, plan, customer) = (ClassId(0), PlanId(0), CustomerId(9));
+        let (units, first, spread, patience) = (1.0, GatewayId(0), 1, 60_000);
+        self.event(now, Event::Woke { token: 0 });
+        self.event(now, Event::Request { id, class, plan, customer, units, first, spread, patience });
+    }
+}
+
+/// Hands what each has told to the other.
+fn exchange(now: Micros, elder: &mut Process, heir: &mut Process) {
+    while !(elder.told.is_empty() && heir.told.is_empty()) {
+        for twin in std::mem::take(&mut elder.told) {
+            heir.event(now, Event::Twin { link: 0, twin });
+        }
+        for twin in std::mem::take(&mut heir.told) {
+            elder.event(now, Event::Twin { link: 0, twin });
+        }
+    }
+}
+
+fn overlap(told: bool, tries: u32) -> (u32, f64) {
+    let start = 1_000_000_000;
+    let mut elder = Process::new(start);
+    // The share of a ceiling begins empty and fills.
+    let mut now = start + 20_000_000;
+    elder.ask(now, 0);
+    let kept = serde_json::to_string(&elder.gateway.keep()).expect("it is written");
+    let mut heir = Process::new(now);
+    if told {
+        heir.gateway.resume(serde_json::from_str(&kept).expect("it is read"), 0);
+        let shared = Event::Twins { ended: None, shared: true, hushed: false };
+        elder.event(now, shared.clone());
+        heir.event(now, shared);
+    }
+    let begun = now;
+    for number in 1..=tries {
+        now += 20_000;
+        if number % 2 == 0 {
+            elder.ask(now, number);
+        } else {
+            heir.ask(now, number);
+        }
+        exchange(now, &mut elder, &mut heir);
+    }
+    let most = DEPTH + RATE * (now - begun) as f64 / 1e6;
+    (elder.sent + heir.sent, most)
+}
+
+/// A ceiling is used whole and never passed by the two together. Without what they tell each other the heir's share, which
+/// begins empty, fills beside the elder's.
+#[test]
+fn two_processes_hold_one_ceiling_together() {
+    let (sent, most) = overlap(true, 400);
+    assert!(f64::from(sent) <= most + 1.0, "{sent} of {most}");
+    assert!(f64::from(sent) > most * 0.8, "used: {sent} of {most}");
+    let (sent, most) = overlap(false, 400);
+    assert!(f64::from(sent) > most * 1.3, "apart they pass it: {sent} of {most}");
+}
+
+/// What was out at a process that has gone holds no place any more.
+#[test]
+fn attempts_of_a_process_that_has_gone_are_let_go_of() {
+    let now = 1_000_000_000;
+    let mut process = Process::new(now);
+    let out = |number: u32| TwinOut {
+        id: RequestId(format!("t{number}").into()),
+        attempt: AttemptNo(0),
+        server: ServerId(1),
+        customer: CustomerId(9),
+        class: ClassId(0),
+        due: now,
+        sent: now,
+        places: 1.0,
+        first: None,
+    };
+    for number in 0..10_000 {
+        process.event(now, Event::Twin { link: number % 2, twin: Twin::Out(out(number)) });
+    }
+    let held = serde_json::to_string(&process.gateway.keep()).expect("written").len();
+    process.event(now, Event::Twins { ended: Some(0), shared: true, hushed: false });
+    process.event(now, Event::Twins { ended: Some(1), shared: false, hushed: false });
+    let left = serde_json::to_string(&process.gateway.keep()).expect("written").len();
+    assert!(left * 100 < held, "{left} of {held}");
+}
+
+/// Of two processes one speaks to peers; if it dies, the other does again.
+#[test]
+fn one_of_two_speaks_to_peers() {
+    let mut now = 1_000_000_000;
+    let mut process = Process::new(now);
+    let mut spoken = |process: &mut Process| {
+        let before = process.counts;
+        for _ in 0..100 {
+            now += 20_000;
+            process.event(now, Event::Woke { token: 0 });
+        }
+        process.counts - before
+    };
+    assert!(spoken(&mut process) > 5);
+    process.event(1_002_000_000, Event::Twins { ended: None, shared: true, hushed: true });
+    assert_eq!(spoken(&mut process), 0);
+    process.event(1_004_000_000, Event::Twins { ended: Some(0), shared: false, hushed: false });
+    assert!(spoken(&mut process) > 5);
+}
+
+fn state(name: &str, version: u32) -> Word {
+    let module = Process::new(1_000_000_000).gateway.keep();
+    Word::State(Box::new(State { version, name: name.to_owned(), module, list: None }))
+}
+
+fn heard(link: &mut Link, word: Option<Word>) -> Vec<Do> {
+    let mut out = Vec::new();
+    link.heard(word, &mut out);
+    out
+}
+
+#[test]
+fn an_heir_that_finds_nothing_of_use_starts_as_if_it_were_the_first() {
+    let ms = Duration::from_millis;
+    let open = |role| Link::new(ms(0), role, "n0", &mut Vec::new());
+    for (word, why) in [
+        (None, Ended::Rubbish),
+        (Some(state("n1", VERSION)), Ended::Stranger),
+        (Some(state("n0", VERSION + 1)), Ended::Newer),
+        (Some(Word::Serving), Ended::Rubbish),
+        (Some(Word::Hello(Hello { version: VERSION, name: "n0".to_owned() })), Ended::Rubbish),
+    ] {
+        let mut link = open(Role::Heir);
+        assert_eq!(heard(&mut link, word), [Do::End(why)]);
+        assert!(heard(&mut link, Some(state("n0", VERSION))).is_empty(), "it is over");
+    }
+    // One that stalls in the middle is not waited for.
+    let (mut link, mut out) = (open(Role::Heir), Vec::new());
+    link.tick(Link::STATE_WITHIN - ms(1), &mut out);
+    assert!(out.is_empty());
+    link.tick(Link::STATE_WITHIN, &mut out);
+    assert_eq!(out, [Do::End(Ended::Silent)]);
+    // A newer heir greets an older elder, which understands what it knows.
+    let mut link = open(Role::Elder);
+    let hello = Word::Hello(Hello { version: VERSION + 1, name: "n0".to_owned() });
+    assert_eq!(heard(&mut link, Some(hello)), [Do::SayState]);
+    assert!(link.is_live() && !link.succeeded());
+    assert_eq!(heard(&mut link, Some(Word::Serving)), [Do::Succeeded]);
+    assert!(link.succeeded() && heard(&mut link, Some(Word::Serving)).is_empty());
+}
+
+#[test]
+fn a_third_process_hears_of_all_and_datagrams_go_to_elders_only() {
+    let mut middle = Family::new("n0");
+    let (elder, _) = middle.open(Duration::ZERO, Role::Heir).expect("room");
+    let (heir, _) = middle.open(Duration::ZERO, Role::Elder).expect("room");
+    let twin = Word::Twin(Twin::In { id: RequestId("a".into()), attempt: AttemptNo(0) });
+    assert!(middle.tells(&twin, None).is_empty() && !middle.is_shared() && !middle.is_last());
+    middle.with(elder, |link, out| link.heard(Some(state("n0", VERSION)), out));
+    let hello = Word::Hello(Hello { version: VERSION, name: "n0".to_owned() });
+    middle.with(heir, |link, out| link.heard(Some(hello), out));
+    assert_eq!(middle.tells(&twin, None), [elder, heir]);
+    assert_eq!(
+        (middle.tells(&twin, Some(elder)), middle.tells(&twin, Some(heir))),
+        (vec![heir], vec![elder])
+    );
+    let peer = Word::Peer { from: GatewayId(1), bytes: vec![1] };
+    assert_eq!(middle.tells(&peer, Some(heir)), [elder]);
+    middle.with(heir, |link, out| link.gone(out));
+    assert!(middle.is_shared() && middle.is_last());
+    // No more than a few at once, whoever comes.
+    while middle.open(Duration::ZERO, Role::Elder).is_some() {}
+    assert!(middle.open(Duration::ZERO, Role::Elder).is_none());
+}
+
+proptest! {
+    /// Whatever bytes come in place of a word, a conversation ends or goes on; nothing else happens.
+    #[test]
+    fn rubbish_is_no_word(bytes in prop::collection::vec(any::<u8>(), 0..300), live: bool) {
+        let mut link = Link::new(Duration::ZERO, Role::Elder, "n0", &mut Vec::new());
+        if live {
+            heard(&mut link, Some(Word::Hello(Hello { version: VERSION, name: "n0".to_owned() })));
+        }
+        if read(&bytes).is_none() {
+            prop_assert_eq!(heard(&mut link, read(&bytes)), vec![Do::End(Ended::Rubbish)]);
+        }
+    }
+
+    /// A state that is cut, or in which bytes were changed, is taken whole or not at all, and never ends the process.
+    #[test]
+    fn a_spoilt_state_is_refused_or_resumed_from(at in 0usize..10_000, byte: u8, cut: bool) {
+        let mut line = write(&state("n0", VERSION)).into_bytes();
+        let at = at % line.len();
+        if cut { line.truncate(at) } else { line[at] = byte }
+        let mut link = Link::new(Duration::ZERO, Role::Heir, "n0", &mut Vec::new());
+        for step in heard(&mut link, read(&line)) {
+            if let Do::Resume(state) = step {
+                let mut process = Process::new(1_000_000_000);
+                process.gateway.resume(state.module, 0);
+                process.ask(1_000_100_000, 1);
+            }
+        }
+    }
+}
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -101,6 +101,8 @@
     Lameduck,
     /// Staff want the node back at work (`REJOIN`).
     Rejoin,
+    /// Whether another process of this node takes clients too, from the same listener.
+    Succeeded(bool),
     /// All connections of clients have ended.
     Served,
     /// Time passes.
@@ -135,6 +137,10 @@
     CloseIdle,
     /// Keep connections open again, as before [`Action::CloseAfterAnswers`].
     KeepOpen,
+    /// Accept no more for now: what comes is another process's. Connections that stand are served on.
+    LeaveListener,
+    /// Accept again: the other process has gone.
+    TakeListener,
     /// Accept no more; close idle connections; say [`Event::Served`] once all have ended.
     StopAccepting,
     /// End the process, whatever is still open.
@@ -162,6 +168,8 @@
     quietly: bool,
     /// Clients are sent away by staff. Beside the states, as it goes with each of them and can be taken back.
     lame: Option<Lame>,
+    /// Another process of this node takes clients too.
+    succeeded: bool,
 }
 
 /// How far the node has sent clients away, which it can take back.
@@ -193,6 +201,7 @@
             again: false,
             quietly: false,
             lame: None,
+            succeeded: false,
         }
     }
 
@@ -244,6 +253,7 @@
             Event::Stop => self.stop(now, out),
             Event::Reload => self.reload(now, out),
             Event::Reloaded { taken } => self.reloaded(now, taken, out),
+            Event::Succeeded(yes) => self.succeeded(yes, out),
             Event::Lameduck => self.lameduck(now, out),
             Event::Rejoin => self.rejoin(out),
             Event::Served if self.state == State::Closing => self.gone(out),
@@ -273,6 +283,9 @@
                 out.push(Action::Manager(Word::Stopping));
                 out.push(Action::Manager(Word::Extend(longest + Self::EXTEND)));
                 out.push(Action::CloseAfterAnswers);
+                if self.succeeded {
+                    out.push(Action::LeaveListener);
+                }
             }
             // Who says it twice is in a hurry: nothing that was taken is dropped, but nothing new is taken.
             State::Draining => self.close(now, out),
@@ -283,6 +296,13 @@
     /// What the manager is asked for beyond the bounds here, so that it never kills a node that keeps them.
     const EXTEND: Duration = Duration::from_secs(1);
 
+    /// A node that is stopping leaves what comes to its successor, for as long as there is one.
+    fn succeeded(&mut self, yes: bool, out: &mut Vec<Action>) {
+        if std::mem::replace(&mut self.succeeded, yes) != yes && self.state == State::Draining {
+            out.push(if yes { Action::LeaveListener } else { Action::TakeListener });
+        }
+    }
+
     /// After the word to send clients away, idle connections stand for so long: the front looks every 0.1 s and sends
     /// new connections for 0.2 s more, and what is idle now is mostly used or closed by its client till then. Guards
     /// requests that cross the close of their connection.
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -66,6 +66,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Standing {
     pub phase: Phase,
+    /// Whether connections are taken from the listener.
+    pub accepts: bool,
     /// Whether the five rules can be kept for new work, and if not, why.
     pub ready: bool,
     pub why: Reasons,
@@ -74,7 +76,7 @@
 impl Standing {
     /// How it stands before anything was seen.
     pub fn unready() -> Standing {
-        Standing { phase: Phase::Serving, ready: false, why: Reasons::default() }
+        Standing { phase: Phase::Serving, accepts: true, ready: false, why: Reasons::default() }
     }
 }
 
@@ -114,7 +116,6 @@
 struct Crowd {
     tasks: JoinSet<()>,
     seats: Vec<(Rc<Seat>, AbortHandle)>,
-    most: usize,
 }
 
 impl Crowd {
@@ -134,8 +135,8 @@
 
     /// Makes room for one more. Guards against crowds that shut out others: where all seats are taken, the connection
     /// that has stood longest without a request is closed.
-    async fn make_room(&mut self) {
-        while self.tasks.len() >= self.most {
+    async fn make_room(&mut self, most: usize) {
+        while self.tasks.len() >= most {
             self.tidy();
             let idle = self.seats.iter().filter_map(|(seat, handle)| Some((seat.idle.get()?, handle)));
             if let Some((_, handle)) = idle.min_by_key(|(since, _)| *since) {
@@ -156,20 +157,23 @@
 pub async fn serve(
     listener: TcpListener, shared: bool, node: Rc<Node>, most: usize, phase: watch::Receiver<Standing>,
 ) {
-    let mut crowd = Crowd { tasks: JoinSet::new(), seats: Vec::new(), most };
+    let mut crowd = Crowd { tasks: JoinSet::new(), seats: Vec::new() };
+    let mut standing = phase.clone();
     let closed = reached(phase.clone(), Phase::Closing);
     tokio::pin!(closed);
     loop {
+        let accepts = standing.borrow_and_update().accepts;
         tokio::select! {
-            accepted = listener.accept() => match accepted {
+            accepted = listener.accept(), if accepts => match accepted {
                 Ok((stream, _)) => {
-                    crowd.make_room().await;
+                    crowd.make_room(node.links.part(most)).await;
                     crowd.seat(stream, &node, &phase);
                 }
                 // Guards against running out of descriptors: the connection waits until there is one.
                 Err(_) => tokio::time::sleep(ACCEPT_AGAIN).await,
             },
             () = &mut closed => break,
+            Ok(()) = standing.changed() => {}
         }
         // Ended connections are let go of.
         while crowd.tasks.try_join_next().is_some() {}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,7 +3,7 @@
 use anyhow::{ensure, Context, Result};
 use saffronpaddle_decision::setup::{self, Named};
 use saffronpaddle_roster::{Entry, Standing};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -36,7 +36,7 @@
 }
 
 /// The list of app servers, or changes to it, as discovery writes it.
-#[derive(Deserialize, Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize, Clone, Debug, PartialEq)]
 pub struct List {
     pub seq: u64,
     #[serde(default)]
@@ -45,7 +45,7 @@
     pub hosts: Vec<Host>,
 }
 
-#[derive(Deserialize, Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize, Clone, Debug, PartialEq)]
 pub struct Host {
     pub host: String,
     pub dial: SocketAddr,
@@ -63,7 +63,7 @@
     1.0
 }
 
-#[derive(Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize, Clone, Copy, Debug, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 pub enum Health {
     Ready,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -36,6 +36,7 @@
         if list.whole || self.seq.is_none_or(|seq| list.seq > seq) {
             self.seq = Some(list.seq);
             self.node.listed(list);
+            self.node.remember(list);
         }
     }
 }
--- a/crates/node/src/facts.rs
+++ b/crates/node/src/facts.rs
@@ -29,6 +29,11 @@
         Facing { node, sockets: sockets as u64, memory_limit: memory as u64, began, counted: None }
     }
 
+    /// The node that it looks at.
+    pub fn node(&self) -> &Rc<Node> {
+        &self.node
+    }
+
     /// How it stands now, in a loop that is so late.
     pub fn look(&mut self, lag: Duration) -> Facts {
         let (_, open, memory) = match self.counted {
--- a/crates/node/src/handed.rs
+++ b/crates/node/src/handed.rs
@@ -23,6 +23,27 @@
     Ok(Some(listener))
 }
 
+/// The clients' listener that the platform holds and every process of a node inherits, by the descriptor that it names;
+/// `None` where it names none. To be called before other threads run.
+///
+/// # Errors
+/// What it names is no descriptor, or no TCP listener.
+pub fn inherited(descriptor: Option<&str>) -> Result<Option<TcpListener>> {
+    /// Where handed-over descriptors begin.
+    const FIRST: usize = 3;
+    let Some(descriptor) = descriptor.filter(|text| !text.is_empty()) else { return Ok(None) };
+    let number = descriptor.parse().ok().filter(|number| (FIRST..1024).contains(number));
+    let number: usize = number.with_context(|| format!("LB_LISTEN_FD: {descriptor:?} is no descriptor"))?;
+    // The library checks what it is and takes it over; it is told in the service manager's way.
+    std::env::set_var("LISTEN_FDS", (number - FIRST + 1).to_string());
+    std::env::set_var("LISTEN_PID", std::process::id().to_string());
+    let mut handed = ListenFd::from_env();
+    let listener = handed.take_tcp_listener(number - FIRST).context("LB_LISTEN_FD")?;
+    let listener = listener.context("LB_LISTEN_FD: it is not there")?;
+    listener.set_nonblocking(true).context("LB_LISTEN_FD")?;
+    Ok(Some(listener))
+}
+
 /// Which of so many it is. Without names it is the first.
 fn place(names: Option<&str>, name: &str, count: usize) -> Result<usize> {
     let Some(names) = names.filter(|names| !names.is_empty()) else { return Ok(0) };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod discovery;
 mod facts;
 mod handed;
+mod handover;
 mod life;
 mod manager;
 mod node;
--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -72,6 +72,7 @@
         reload: impl Fn() -> R, served: impl Future,
     ) {
         let (tell, mut reloaded) = mpsc::unbounded_channel();
+        let mut succeeded = self.facing.node().links.succeeded();
         tokio::pin!(served);
         let (mut clients_left, mut words_left, mut calls_left) = (true, true, true);
         let mut asked: Option<Asked> = None;
@@ -83,7 +84,7 @@
             let now = self.now();
             self.machine.handle(now, event, &mut out);
             let before = self.standing.borrow().clone();
-            let (mut phase, mut gone) = (before.phase, false);
+            let (mut phase, mut accepts, mut gone) = (before.phase, before.accepts, false);
             for action in out {
                 match action {
                     Action::Manager(word) => self.manager.say(&word),
@@ -97,14 +98,17 @@
                     Action::CloseAfterAnswers => phase = phase.max(Phase::Leaving),
                     Action::CloseIdle => phase = phase.max(Phase::Emptying),
                     Action::KeepOpen => phase = Phase::Serving,
+                    Action::LeaveListener => accepts = false,
+                    Action::TakeListener => accepts = true,
                     Action::StopAccepting => phase = Phase::Closing,
                     Action::Log(line) => eprintln!("{line}"),
                     Action::Exit => gone = true,
                 }
             }
             let (ready, why) = (self.machine.ready(), self.machine.reasons());
-            if (phase, ready, why) != (before.phase, before.ready, before.why) {
-                self.standing.send_replace(Standing { phase, ready, why });
+            let after = Standing { phase, accepts, ready, why };
+            if after != before {
+                self.standing.send_replace(after);
             }
             if let Some(asked) = asked.take() {
                 // Who asked may have gone meanwhile.
@@ -146,6 +150,7 @@
                         Event::Tick
                     }
                 },
+                Ok(()) = succeeded.changed() => Event::Succeeded(*succeeded.borrow_and_update()),
                 _ = &mut served, if clients_left => {
                     clients_left = false;
                     Event::Served
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,7 +2,8 @@
 //! whose answer goes where. Only here is the exchange entered.
 
 use crate::alarm::Alarm;
-use crate::config::List;
+use crate::config::{Health, Host, List};
+use crate::handover::Links;
 use crate::peers::Peers;
 use crate::sockets::{Front, Switched};
 use crate::upstream::{Forward, Upstream};
@@ -15,11 +16,11 @@
     Standing, ZoneId,
 };
 use saffronpaddle_decision::setup::Named;
-use saffronpaddle_decision::Gateway;
+use saffronpaddle_decision::{Gateway, Kept};
 use saffronpaddle_exchange::{Bounds, Command, Event, Exchange, Ticket, Verdict};
 use saffronpaddle_roster::{Change, Entry, Merge, Source};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -91,8 +92,12 @@
     pub named: Named,
     pub upstream: Upstream,
     pub peers: Option<Peers>,
+    /// Other processes of this node.
+    pub links: Links,
     /// Sockets, where the operator has them.
     pub front: Option<Front>,
+    /// Connections to app servers that the node may have.
+    each_side: usize,
     /// Which of this process's nodes it is.
     number: u64,
     clock: Clock,
@@ -106,6 +111,8 @@
     woken: Cell<Instant>,
     /// When a source of the list last said something.
     list_heard: Cell<Option<Instant>>,
+    /// The list as discovery last told it, for this process's heir.
+    told: RefCell<(u64, BTreeMap<String, Host>)>,
     /// Peers that were heard in this life, by their numbers.
     peers_heard: RefCell<BTreeSet<GatewayId>>,
 }
@@ -113,9 +120,10 @@
 impl Node {
     /// A node that may have so many connections to app servers open.
     pub fn new(
-        seed: u64, named: Named, upstream: Upstream, links: usize, peers: Option<Peers>,
-        sockets: Option<saffronpaddle_operator::Sockets>,
+        seed: u64, named: Named, upstream: Upstream, bounds: (usize, Links), peers: Option<Peers>,
+        sockets: Option<saffronpaddle_operator::Sockets>, kept: Option<(Kept, u32)>,
     ) -> anyhow::Result<Rc<Node>> {
+        let (each_side, links) = bounds;
         let clock = Clock::start();
         let front = match sockets {
             Some(says) => {
@@ -126,14 +134,17 @@
             }
             None => None,
         };
-        let gateway = Gateway::new(seed, named.settings.clone(), clock.now())?;
-        let bounds = Bounds::usual(links, named.conn_idle, named.connect_timeout);
+        let mut gateway = Gateway::new(seed, named.settings.clone(), clock.now())?;
+        kept.into_iter().for_each(|(kept, link)| gateway.resume(kept, link));
+        let bounds = Bounds::usual(each_side, named.conn_idle, named.connect_timeout);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let node = Rc::new(Node {
             named,
             upstream,
             peers,
+            links,
             front,
+            each_side,
             number,
             clock,
             exchange: RefCell::new(Exchange::new(bounds, gateway)),
@@ -142,6 +153,7 @@
             merge: RefCell::default(),
             woken: Cell::new(Instant::now()),
             list_heard: Cell::new(None),
+            told: RefCell::default(),
             peers_heard: RefCell::default(),
         });
         HERE.with_borrow_mut(|here| here.insert(number, Rc::downgrade(&node)));
@@ -213,7 +225,7 @@
     }
 
     /// Tells the module something that is none of the exchange's.
-    fn post(self: &Rc<Self>, event: ModuleEvent) {
+    pub fn post(self: &Rc<Self>, event: ModuleEvent) {
         self.happened(Event::Tell(event), None);
     }
 
@@ -288,6 +300,7 @@
                     node.post(ModuleEvent::Woke { token });
                 });
             }
+            Action::Twin(twin) => self.links.tell_twin(twin),
             Action::Log(line) => eprintln!("{line}"),
             // Discovery is always followed, and the rest is the exchange's.
             Action::Follow
@@ -329,6 +342,39 @@
         }
     }
 
+    /// What the module keeps in mind, for its next process.
+    pub fn keep(&self) -> Kept {
+        self.exchange.borrow().module().keep()
+    }
+
+    /// Keeps to this process's part of the node's connections to app servers.
+    pub fn share_out(&self) {
+        self.exchange.borrow_mut().set_most_links(self.links.part(self.each_side));
+    }
+
+    /// Keeps what discovery has told, for this process's heir.
+    pub fn remember(&self, list: &List) {
+        let mut told = self.told.borrow_mut();
+        told.0 = list.seq;
+        if list.whole {
+            told.1.clear();
+        }
+        for host in &list.hosts {
+            if host.health == Health::Gone {
+                told.1.remove(&host.host);
+            } else {
+                told.1.insert(host.host.clone(), host.clone());
+            }
+        }
+    }
+
+    /// What discovery has told so far, as one list; none if it has told nothing.
+    pub fn remembered(&self) -> Option<List> {
+        let told = self.told.borrow();
+        let hosts: Vec<Host> = told.1.values().cloned().collect();
+        (!hosts.is_empty()).then_some(List { seq: told.0, whole: true, hosts })
+    }
+
     /// Follows the platform's discovery.
     pub fn listed(self: &Rc<Self>, list: &List) {
         let entries = list.hosts.iter().map(Entry::from).collect();
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -71,6 +71,8 @@
     let Some(peers) = &node.peers else { return };
     loop {
         if let Some((from, bytes)) = peers.receive().await {
+            // Danger: an elder that hears no peers any more, as the machine gives datagrams to who bound last.
+            node.links.pass_on(from, &bytes);
             node.heard_peer(from, bytes);
         }
     }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::facts::Facing;
 use crate::handed;
+use crate::handover::{self, Links, Meeting};
 use crate::life::{self, Life, Word};
 use crate::manager::Manager;
 use crate::node::Node;
@@ -63,6 +64,8 @@
     pub operator: Option<OperatorFile>,
     /// A listener that is handed over, in place of one of the node's own.
     pub handed: Option<std::net::TcpListener>,
+    /// Where processes of this node meet, if the platform holds the listener that they share.
+    pub meeting: Option<PathBuf>,
     /// Who is told how it goes.
     pub manager: Manager,
 }
@@ -89,7 +92,12 @@
             });
         }
     }
-    let options = Options { config, operator, handed, manager };
+    let mut meeting = None;
+    if let Some(inherited) = handed::inherited(std::env::var("LB_LISTEN_FD").ok().as_deref())? {
+        handed = Some(inherited);
+        meeting = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from);
+    }
+    let options = Options { config, operator, handed, meeting, manager };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let words = signals()?;
@@ -119,6 +127,8 @@
     node: Rc<Node>,
     listener: TcpListener,
     shared: bool,
+    /// Processes of this node may overlap.
+    overlaps: bool,
     address: SocketAddr,
     discovery: SocketAddr,
     known: Option<crate::config::List>,
@@ -128,6 +138,8 @@
     files: Files,
     manager: Rc<Manager>,
     admin: Option<Admin>,
+    meeting: Option<Meeting>,
+    elder: Option<handover::Met>,
 }
 
 /// The files that a reload reads, and what the operator file last said.
@@ -143,8 +155,25 @@
     /// # Errors
     /// What could not be bound.
     pub async fn bind(options: Options) -> Result<Edge> {
-        let Options { config, operator, handed, manager } = options;
+        let Options { config, operator, handed, meeting, manager } = options;
         let shared = handed.is_some();
+        let overlaps = meeting.is_some();
+        let links = Links::new(&config.name);
+        let meeting = meeting.map(|folder| Meeting::new(&folder, &config.name));
+        // Before anything is bound: until then the elder has all to itself.
+        let met = match &meeting {
+            Some(meeting) => meeting.meet(&links).await,
+            None => None,
+        };
+        let (elder, state) = met.unzip();
+        let told = state.as_ref().and_then(handover::list);
+        let kept = elder.as_ref().map(handover::Met::number).zip(state).map(|(no, state)| (state.module, no));
+        if let Some((kept, _)) = &kept {
+            let (customers, servers) = kept.size();
+            eprintln!(
+                "hand-over: taken over from a process of this node: {customers} customers, {servers} servers"
+            );
+        }
         let reuse = operator.as_ref().is_some_and(|file| file.says.listen.reuse_port);
         let listener = match handed {
             Some(listener) => TcpListener::from_std(listener),
@@ -168,7 +197,7 @@
         );
         let room = Room::new(config.memory / LARGE_SHARE);
         let upstream = Upstream::new(room);
-        let node = Node::new(config.seed, config.named, upstream, each_side, peers, sockets)?;
+        let node = Node::new(config.seed, config.named, upstream, (each_side, links), peers, sockets, kept)?;
         let admin = match config.admin {
             Some(address) => Some(Admin::bind(address).await?),
             None => None,
@@ -181,13 +210,16 @@
             shared,
             address,
             discovery: config.discovery,
-            known: config.known,
+            known: told.or(config.known),
+            overlaps,
             each_side,
             sockets: config.sockets,
             memory: config.memory,
             files: Files { config: config.path, operator },
             manager: Rc::new(manager),
             admin,
+            meeting,
+            elder,
         })
     }
 
@@ -207,7 +239,10 @@
         // Danger: a module that was told nothing yet asks for no wake-up, and a loop without one looks stuck.
         node.begin();
         let longest = Duration::from_micros(node.named.longest_deadline);
-        let limits = limits(files.operator.as_ref().map(|file| &file.says), longest, self.shared);
+        // What comes to a listener that is handed over waits for its next owner; but where processes overlap, the next
+        // owner is there, or there is none yet.
+        let leave_at_once = self.shared && !self.overlaps;
+        let limits = limits(files.operator.as_ref().map(|file| &file.says), longest, leave_at_once);
         let facing = Facing::new(Rc::clone(&node), self.sockets, self.memory);
         let born = Instant::now();
         let (standing, seen) = watch::channel(Standing::unready());
@@ -218,6 +253,7 @@
             tokio::task::spawn_local(roster::follow(Rc::clone(&node), etcd, discovery, self.known)),
             tokio::task::spawn_local(peers::listen(Rc::clone(&node))),
             tokio::task::spawn_local(Rc::clone(&node).ring()),
+            tokio::task::spawn_local(handover::serve(Rc::clone(&node), self.meeting, self.elder)),
             tokio::task::spawn_local(admin::serve(self.admin, Rc::clone(&node), ask)),
             tokio::task::spawn_local(ring_sockets(Rc::clone(&node))),
             tokio::task::spawn_local(life::feed(Rc::clone(&node), Rc::clone(&manager))),
@@ -227,7 +263,7 @@
         let machine = Lifecycle::new(limits, Duration::ZERO);
         let life = Life { machine, manager, standing, facing, born };
         let moved = Rc::new(moved);
-        let shared = self.shared;
+        let shared = leave_at_once;
         let reload = move || {
             let (files, moved) = (files.clone(), Rc::clone(&moved));
             async move {
--- a/crates/node/tests/watchdog.rs
+++ b/crates/node/tests/watchdog.rs
@@ -28,7 +28,7 @@
     let says = saffronpaddle_operator::Operator::default();
     let operator = Some(OperatorFile { path: "none".into(), says });
     let manager = Manager::at(notify.as_os_str(), Some(ALLOWED)).expect("an address");
-    Options { config, operator, handed: None, manager }
+    Options { config, operator, handed: None, meeting: None, manager }
 }
 
 /// Runs a node with a task beside it, and has `watch` listen as its manager.
--- a/crates/saffronpaddle/src/demo.rs
+++ b/crates/saffronpaddle/src/demo.rs
@@ -59,7 +59,7 @@
     };
     let text = configuration(&places, &fleet.settings(0), Some(&discovery.known()), fastrand::u64(..));
     let config = Config::parse(std::path::Path::new("demo"), &text)?;
-    let options = Options { config, operator: None, handed: None, manager: Manager::none() };
+    let options = Options { config, operator: None, handed: None, meeting: None, manager: Manager::none() };
     let edge = Edge::bind(options).await?;
     let address = edge.address();
     println!("One edge node before {SERVERS} stand-in app servers. Ask it for ranked times:");
--- a/crates/simlink/src/main.rs
+++ b/crates/simlink/src/main.rs
@@ -291,6 +291,8 @@
         }
         Action::Wake { after, token } => writeln!(reply, "defer\ti={number}\tdelayUs={after}\tnonce={token}"),
         Action::Follow => writeln!(reply, "track\ti={number}\tactive=1"),
+        // No other process of the same gateway is ever told of.
+        Action::Twin(_) => Ok(()),
         Action::Log(words) => writeln!(reply, "say_log\ti={number}\twords={words}"),
     };
 }
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -280,11 +280,19 @@
 /// Waits until a node's process listens: where, and the lines of its log from then on.
 fn listening(mut child: Child) -> (Child, SocketAddr, Receiver<String>) {
     let mut log = BufReader::new(child.stderr.take().expect("piped"));
-    let mut line = String::new();
-    log.read_line(&mut line).expect("a line");
-    let address = line.trim_end().rsplit(' ').next().and_then(|word| word.parse().ok());
-    let address = address.unwrap_or_else(|| panic!("it listens: {line}"));
     let (tell, lines) = mpsc::channel();
+    let address = loop {
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a line");
+        let listens = line.contains(": listening on ");
+        let address =
+            line.trim_end().rsplit(' ').next().and_then(|word| word.parse().ok()).filter(|_| listens);
+        if let Some(address) = address {
+            break address;
+        }
+        assert!(line.starts_with("hand-over: "), "it listens: {line}");
+        let _ = tell.send(line.trim_end().to_owned());
+    };
     // Read on when nobody listens any more: a full pipe would hold the node up.
     thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| _ = tell.send(line)));
     (child, address, lines)
