--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -4,7 +4,7 @@
 use crate::fuzzy::{chance_under, infer, mix, rank};
 use crate::interface::*;
 use crate::message::{self, Ask, Message, News, Rumour, Verdict};
-use crate::state::{Attempt, AttemptKey, Fuzzy, Out, Ran, Request, Server, Step, Store};
+use crate::state::{Attempt, AttemptKey, Fuzzy, Out, Ran, Request, Server, Stage, Step, Store};
 
 pub use crate::state::Gateway;
 
@@ -102,16 +102,16 @@
         match event {
             Event::Servers { kind, entries } => self.listed(now, kind, entries),
             Event::ListFailed => out.extend(follow),
-            Event::Request { id, class, plan, customer, units, first, spread, patience } => {
+            Event::Request { id, class, plan, customer, units, first, spread, patience, whole } => {
                 if self.settings.classes.len() <= class.0 || self.settings.plans.len() <= plan.0 {
                     return out.push(Action::Fail { id });
                 }
                 let request = Request::new(now, (class, plan, customer), units, patience);
+                let request = Request { coming: !whole, single: !whole, ..request };
                 self.arrive(now, id, request, (first, spread), out);
             }
-            Event::Started { id } => {
-                self.requests.entry(id).and_modify(|request| request.belongs_to_client());
-            }
+            Event::Whole { id, patience } => self.whole(now, id, patience, out),
+            Event::Started { id } => self.started(now, &id),
             Event::Ended { id, attempt: n, outcome, closed } => {
                 self.ended(now, (id, n), outcome, closed, out)
             }
@@ -188,7 +188,7 @@
 
     /// The table of effects: every send and every refusal passes here. Danger: an effect that happens twice.
     fn permits(&self, request: &Request, now: Micros, step: Step) -> bool {
-        if request.out.is_some() {
+        if request.out.is_some() && !request.coming {
             return false;
         }
         let Some(ran) = request.ran else { return true };
@@ -257,7 +257,10 @@
             let worthless = class.late_value <= 0.0;
             let half = request.arrived + request.deadline.saturating_sub(request.arrived) / 2;
             let unsent = request.out.is_none() && !request.reached;
-            if now + LAST_CALL >= if unsent { half } else { request.deadline } {
+            if request.coming {
+                // What takes long is its client's doing.
+                over.extend((now + LAST_CALL >= request.deadline).then(|| id.clone()));
+            } else if now + LAST_CALL >= if unsent { half } else { request.deadline } {
                 // Exception to the design, which refuses at the deadline: a client that is told by half of its
                 // time that nothing was sent can still try elsewhere. What was sent has until the deadline.
                 over.push(id.clone());
@@ -732,7 +735,10 @@
         }
         self.next_tick = now + TICK;
         let mut seen = self.fuzzy.take_seen();
-        let released = |request: &&Request| !self.wide || request.asking.granted.is_some();
+        let released = |request: &&Request| {
+            let waits = !request.coming && request.deadline < Micros::MAX;
+            waits && (!self.wide || request.asking.granted.is_some())
+        };
         for request in self.requests.values().filter(released) {
             // Danger: a hang that looks fast, as nothing is answered. What is open counts once late.
             let aim = self.settings.classes[request.class.0].aim.max(1) as f64;
@@ -753,7 +759,7 @@
         let worst = self.worst();
         let weight = if self.wide { OUT_WEIGHT } else { 1.0 }; // on average, where mostly nothing is out
         self.low_out += (self.open_of(self.lowest) - self.low_out) * weight;
-        self.all_out += (self.attempts.len() as f64 - self.all_out) * weight;
+        self.all_out += (self.all_attempts().count() as f64 - self.all_out) * weight;
         let open = self.low_out;
         self.fuzzy.peak = self.fuzzy.peak.max(open);
         if let Some(worst) = worst {
@@ -791,7 +797,7 @@
         // Danger: many gateways, each with one out at every server, overdrive them all (iac7c0b, i417db4).
         let floor = (ALL_FLOOR * ready.len() as f64 / f64::from(self.settings.gateways)).max(1.0);
         let parts = ready.iter().map(|server| self.shortest_aim / self.place_wait(server, now).max(1.0));
-        let out = (self.attempts.len() + self.abroad.len()) as f64;
+        let out = self.all_attempts().count() as f64;
         if out >= floor && out >= FIT_ALL * parts.sum::<f64>() {
             return Vec::new();
         }
@@ -919,7 +925,8 @@
     /// when a rare heavy request is alone on its server: then it is run again elsewhere.
     fn stalled(&mut self, now: Micros, out: &mut Out) {
         let mut silent = Vec::new();
-        for ((id, number), attempt) in &self.attempts {
+        let working = self.attempts.iter().filter(|(_, attempt)| attempt.stage == Stage::Working);
+        for ((id, number), attempt) in working {
             let limit = self.settings.classes[attempt.class.0].aim as f64 * STALLED.1;
             let limit = limit.max(self.latency * STALLED.0);
             let Some(server) = self.servers.get(&attempt.server) else { continue };
@@ -945,7 +952,7 @@
                 }
             }
             let Some(request) = self.requests.get_mut(&id) else { continue };
-            let again = self.settings.classes[request.class.0].effect != Effect::Unsafe;
+            let again = self.settings.classes[request.class.0].effect != Effect::Unsafe && !request.single;
             let more = request.attempts < self.settings.allowed.attempts && self.settings.allowed.cancel;
             if again && more && !request.cancelled && self.retries >= 1.0 {
                 request.cancelled = true;
@@ -962,16 +969,20 @@
             return;
         };
         let first = request.attempts == 0;
-        self.stores.entry(request.customer).and_modify(|store| store.sent_on(now, request.units, first));
+        let counts = !request.coming;
+        if counts {
+            let drawn = |store: &mut Store| store.sent_on(now, request.units, first);
+            self.stores.entry(request.customer).and_modify(drawn);
+            to.open += 1;
+        }
         self.retries = if first { (self.retries + RETRY_SHARE).min(RETRY_MOST) } else { self.retries };
-        to.open += 1;
         to.cold_credit -= 1.0;
         if let Some(at) = &mut to.health[request.class.0].trial {
             *at = now.saturating_add(next);
         }
         let number = request.sent(server);
         let attempt = request.attempt(server, now, f64::from(to.open));
-        if self.shared {
+        if self.shared && counts {
             let store = self.stores.get(&request.customer).filter(|_| first);
             let terms = |store: &Store| (store.plan, (store.first, store.spread as u32));
             let terms = store.map(terms).map(|(plan, set)| TwinTerms { plan, units: request.units, set });
@@ -986,6 +997,12 @@
         let Some(attempt) = self.take_attempt(&key) else { return };
         let (id, attempt_no) = key;
         out.extend(self.shared.then(|| Action::Twin(Twin::In { id: id.clone(), attempt: attempt_no })));
+        if attempt.stage != Stage::Working {
+            // Nothing is learned from what a client, not a server, has taken its time for.
+            let Some(request) = self.requests.get_mut(&id) else { return };
+            request.out = None;
+            return if closed { self.forget(&id, out) } else { self.finish(now, &id, out) };
+        }
         let called_off = self.requests.get(&id).is_some_and(|request| request.cancelled);
         self.learn(now, &attempt, outcome, called_off && outcome == Outcome::Cancelled);
         if outcome == Outcome::Ok {
@@ -1007,7 +1024,8 @@
         }
         let class = &self.settings.classes[request.class.0];
         let worth = class.late_value > 0.0 || now < request.arrived.saturating_add(class.aim);
-        let spent = request.attempts >= self.settings.allowed.attempts || self.retries < 1.0;
+        let spent =
+            request.attempts >= self.settings.allowed.attempts || self.retries < 1.0 || request.single;
         let never = request.ran.is_some() && class.effect == Effect::Unsafe;
         if now >= request.deadline || spent || never {
             self.finish(now, &id, out);
@@ -1068,6 +1086,49 @@
         gone.values().for_each(|(_, attempt)| self.release(attempt));
     }
 
+    // ---- Bodies that go by ----
+
+    /// The last byte of a request has come: now its try is judged, counts and takes its units.
+    fn whole(&mut self, now: Micros, id: RequestId, patience: Micros, out: &mut Out) {
+        let Some(request) = self.requests.get_mut(&id).filter(|request| request.coming) else { return };
+        (request.arrived, request.due, request.deadline) = (now, now, now.saturating_add(patience));
+        let (customer, units, number) = (request.customer, request.units, request.out);
+        // Danger: a ceiling that has been used up, or a limit that is reached, since the body began to come.
+        let Some(number) = number.filter(|_| self.may_open(customer, units, now)) else {
+            return self.finish(now, &id, out);
+        };
+        self.requests.entry(id.clone()).and_modify(|request| request.coming = false);
+        let key = (id, number);
+        let Some(attempt) = self.attempts.get_mut(&key) else { return };
+        let Some(server) = self.servers.get_mut(&attempt.server) else { return };
+        server.open += 1;
+        (attempt.stage, attempt.sent, attempt.due) = (Stage::Working, now, now);
+        attempt.places = f64::from(server.open);
+        let told = attempt.told(&key.0, number);
+        let Some(store) = self.stores.get_mut(&customer) else { return };
+        store.sent_on(now, units, true);
+        if self.shared {
+            let first = Some(TwinTerms { plan: store.plan, units, set: (store.first, store.spread as u32) });
+            out.push(Action::Twin(Twin::Out(TwinOut { first, ..told })));
+        }
+    }
+
+    /// An answer has begun that goes by: its first bytes are what counts, and the server is free for others.
+    fn started(&mut self, now: Micros, id: &RequestId) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        request.belongs_to_client();
+        let Some(key) = request.out.map(|number| (id.clone(), number)) else { return };
+        let Some(attempt) = self.attempts.get(&key).cloned() else { return };
+        self.learn(now, &attempt, Outcome::Ok, false);
+        self.done += 1.0;
+        let aim = self.settings.classes[attempt.class.0].aim.max(1) as f64;
+        self.fuzzy.saw(attempt.class, now.saturating_sub(attempt.due) as f64 / aim);
+        if let Some(server) = self.servers.get_mut(&attempt.server) {
+            server.open = server.open.saturating_sub(1);
+        }
+        self.attempts.entry(key).and_modify(|attempt| attempt.stage = Stage::Passing);
+    }
+
     // ---- Cold starts and drains ----
 
     /// Danger: a cold server pushed over. Gateways earn sends to it, a share of what warm ones do; what falls
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -340,6 +340,17 @@
         spread: u32,
         /// How long the client waits for this try.
         patience: Micros,
+        /// Whether it has come whole. Of one that has not, the rest goes to a server as it comes, once;
+        /// [`Event::Whole`] follows, and till then `patience` is what its coming may take.
+        whole: bool,
+    },
+    /// The last byte of a request has come; it is held back until this is handled, and goes to the server of the attempt
+    /// that is out, if the request is open then.
+    Whole {
+        /// The request.
+        id: RequestId,
+        /// How long the client waits from now on.
+        patience: Micros,
     },
     /// A streamed answer has begun: the attempt belongs to the client now.
     Started {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -37,6 +37,10 @@
     pub attempts: u32,
     pub out: Option<AttemptNo>,
     pub cancelled: bool,
+    /// Its body has not come whole: what is out has not begun at the server, and draws nothing yet.
+    pub coming: bool,
+    /// Its body goes by as it comes, and can't be sent again.
+    pub single: bool,
     /// Whether an attempt has come to a server.
     pub reached: bool,
     pub ran: Option<Ran>,
@@ -65,7 +69,8 @@
     }
 
     pub fn attempt(&self, server: ServerId, sent: Micros, places: f64) -> Attempt {
-        Attempt { server, customer: self.customer, class: self.class, due: self.due, sent, places }
+        let stage = if self.coming { Stage::Coming } else { Stage::Working };
+        Attempt { server, customer: self.customer, class: self.class, due: self.due, sent, places, stage }
     }
 }
 
@@ -98,6 +103,20 @@
     pub sent: Micros,
     /// Attempts out at the server, with this one.
     pub places: f64,
+    #[serde(default)]
+    pub stage: Stage,
+}
+
+/// How far an attempt is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Stage {
+    /// Its request is still coming: it holds no place.
+    Coming,
+    /// The server has it.
+    #[default]
+    Working,
+    /// Its answer goes by: it holds a place of its customer's, and none at the server.
+    Passing,
 }
 
 /// What a peer has been heard to send on for a customer: its running count, and when how much came.
@@ -408,13 +427,15 @@
     /// Frees the places of an attempt that has ended, here or at another process of this gateway.
     pub(crate) fn release(&mut self, attempt: &Attempt) {
         let (server, store) = (self.servers.get_mut(&attempt.server), self.stores.get_mut(&attempt.customer));
-        server.into_iter().for_each(|server| server.open = server.open.saturating_sub(1));
-        store.into_iter().for_each(|store| store.open = store.open.saturating_sub(1));
+        let (here, counted) = (attempt.stage == Stage::Working, attempt.stage != Stage::Coming);
+        server.filter(|_| here).into_iter().for_each(|server| server.open = server.open.saturating_sub(1));
+        store.filter(|_| counted).into_iter().for_each(|store| store.open = store.open.saturating_sub(1));
     }
 
-    /// All attempts that are out, those of other processes of this gateway among them.
+    /// All attempts that servers have in hand, those of other processes of this gateway among them.
     pub(crate) fn all_attempts(&self) -> impl Iterator<Item = &Attempt> {
-        self.attempts.values().chain(self.abroad.values().map(|(_, attempt)| attempt))
+        let all = self.attempts.values().chain(self.abroad.values().map(|(_, attempt)| attempt));
+        all.filter(|attempt| attempt.stage == Stage::Working)
     }
 
     /// Follows the list of servers. One that started anew is unknown again.
--- a/crates/decision/src/twin.rs
+++ b/crates/decision/src/twin.rs
@@ -1,7 +1,7 @@
 //! What a gateway keeps in mind, as its next process takes it over. Plain data; nothing is decided here.
 
 use crate::interface::*;
-use crate::state::{Attempt, Fuzzy, Gateway, Server, Store};
+use crate::state::{Attempt, Fuzzy, Gateway, Server, Stage, Store};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -38,7 +38,8 @@
 impl Gateway {
     /// All that the next process of this gateway has to know.
     pub fn keep(&self) -> Kept {
-        let own = self.attempts.iter().map(|((id, number), attempt)| attempt.told(id, *number));
+        let held = self.attempts.iter().filter(|(_, attempt)| attempt.stage == Stage::Working);
+        let own = held.map(|((id, number), attempt)| attempt.told(id, *number));
         let abroad = self.abroad.iter().map(|((id, number), (_, attempt))| attempt.told(id, *number));
         Kept {
             born: self.born,
@@ -92,14 +93,15 @@
 impl TwinOut {
     pub(crate) fn attempt(self, link: u32) -> ((RequestId, AttemptNo), (u32, Attempt)) {
         let TwinOut { id, attempt, server, customer, class, due, sent, places, .. } = self;
-        ((id, attempt), (link, Attempt { server, customer, class, due, sent, places }))
+        let stage = Stage::Working;
+        ((id, attempt), (link, Attempt { server, customer, class, due, sent, places, stage }))
     }
 }
 
 impl Attempt {
     /// How it is told to another process. The terms of its try are told with a first attempt alone.
     pub(crate) fn told(&self, id: &RequestId, number: AttemptNo) -> TwinOut {
-        let Attempt { server, customer, class, due, sent, places } = self.clone();
+        let Attempt { server, customer, class, due, sent, places, .. } = self.clone();
         TwinOut { id: id.clone(), attempt: number, server, customer, class, due, sent, places, first: None }
     }
 }
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -132,6 +132,7 @@
             first: GatewayId(0),
             spread: self.settings.gateways,
             patience,
+            whole: true,
         });
         id
     }
--- a/crates/exchange/src/bugs.rs
+++ b/crates/exchange/src/bugs.rs
@@ -47,11 +47,19 @@
     TicketIgnored,
     /// The bound on connections counts only those that carry a request.
     IdleNotCounted,
+    /// A body that is not kept counts as if it could go again.
+    GoneBodySentAgain,
+    /// An answer that goes by is called off by the module.
+    PassingCalledOff,
+    /// A connection that was answered before its request was whole is kept.
+    EarlyAnswerKept,
+    /// A request counts as one that may have run before its last byte went.
+    RunsBeforeWhole,
 }
 
 impl Bug {
     /// All of them.
-    pub const ALL: [Bug; 22] = [
+    pub const ALL: [Bug; 26] = [
         Bug::AnswerAfterCancel,
         Bug::CancelWithoutClose,
         Bug::ResendAfterFirstByte,
@@ -74,6 +82,10 @@
         Bug::KeptAfterStop,
         Bug::TicketIgnored,
         Bug::IdleNotCounted,
+        Bug::GoneBodySentAgain,
+        Bug::PassingCalledOff,
+        Bug::EarlyAnswerKept,
+        Bug::RunsBeforeWhole,
     ];
 }
 
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -25,6 +25,8 @@
     stopped: bool,
     next_link: u64,
     next_ticket: u64,
+    /// A request whose last piece waits for what the module says of it.
+    releasing: Option<RequestId>,
     /// How requests have ended. Nothing hangs on it here.
     tally: Tally,
     /// What the module is told when it has done with what it was told before.
@@ -56,6 +58,7 @@
             stopped: false,
             next_link: 0,
             next_ticket: 0,
+            releasing: None,
             tally: Tally::default(),
             pending: VecDeque::new(),
         }
@@ -125,6 +128,9 @@
             Event::ConnectFailed { link, lack } => self.connect_failed(link, lack),
             Event::Begin { link, quiet } => self.begin(now, link, quiet, commands),
             Event::Replied { link, outcome } => self.replied(now, link, outcome, commands),
+            Event::Passing { link } => self.passing(link, commands),
+            Event::Left { link } => self.left(link, commands),
+            Event::Whole { id, ticket, deadline } => self.whole(now, &id, ticket, deadline),
             Event::Upgraded { link } => self.upgraded(link, commands),
             Event::Broken { link } => self.broken(now, link, commands),
             Event::Gone { link } => self.gone(link, commands),
@@ -151,6 +157,7 @@
             self.module.handle(now, event, &mut actions);
             actions.drain(..).for_each(|action| self.apply(now, action, commands));
         }
+        self.release(commands);
     }
 
     fn apply(&mut self, now: Micros, action: Action, commands: &mut Commands<A>) {
@@ -164,7 +171,9 @@
             Action::Fail { id } => self.answer(&id, Verdict::Failed, commands),
             Action::Cancel { id, attempt } => {
                 let out = self.rows.get(&id).and_then(|row| row.out.as_ref());
-                if out.is_some_and(|out| AttemptNo(out.number) == attempt) {
+                let passing = self.rows.get(&id).is_some_and(|row| row.passing)
+                    && !self.bugs.planted(Bug::PassingCalledOff);
+                if !passing && out.is_some_and(|out| AttemptNo(out.number) == attempt) {
                     self.give_up(&id, Outcome::Cancelled, commands);
                 }
             }
@@ -173,13 +182,13 @@
     }
 
     fn asked(&mut self, effect: Effect, deadline: Micros, tell: ModuleEvent) {
-        let ModuleEvent::Request { id, class, .. } = &tell else { return };
+        let ModuleEvent::Request { id, class, whole, .. } = &tell else { return };
         if self.knows(id) {
             return;
         }
         let ticket = self.next_ticket();
         self.next_ticket += 1;
-        let class = class.0;
+        let (class, whole) = (class.0, *whole);
         self.tally.taken(class);
         let row = Row {
             ticket,
@@ -187,6 +196,9 @@
             effect,
             deadline,
             open: true,
+            whole,
+            spent: false,
+            passing: false,
             attempts: 0,
             out: None,
             ran: None,
@@ -279,7 +291,9 @@
         let number = row.attempts;
         row.attempts += 1;
         let until = time_out.map_or(row.deadline, |span| row.deadline.min(now.saturating_add(span)));
-        let second = row.out.is_some() && !self.bugs.planted(Bug::TwoAttemptsOut);
+        // What is not kept can't go out again, whatever the module says.
+        let second = (row.out.is_some() && !self.bugs.planted(Bug::TwoAttemptsOut))
+            || (row.spent && !self.bugs.planted(Bug::GoneBodySentAgain));
         if row.attempts > self.bounds.attempts {
             return self.fail(id, commands);
         }
@@ -439,10 +453,13 @@
         row.state = State::Written;
         let place =
             self.places.get(&row.server).map_or_else(Default::default, |place| (place.zone, place.cell));
-        if let Some(out) = self.rows.get_mut(&id).and_then(|row| row.out.as_mut()) {
-            out.began = Some(Ran { zone: place.0, cell: place.1, at: now });
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.spent = !row.whole;
+            self.tally.relayed += u64::from(row.whole);
+            if let Some(out) = row.out.as_mut() {
+                out.began = Some(Ran { zone: place.0, cell: place.1, at: now });
+            }
         }
-        self.tally.relayed += 1;
         commands.push(Command::Write { link });
     }
 
@@ -468,6 +485,13 @@
         if self.links.get(&link).is_none_or(|row| row.state != State::Written) {
             return;
         }
+        if self.rows.get(&id).is_some_and(|row| !row.whole) && !self.bugs.planted(Bug::EarlyAnswerKept) {
+            // It was answered before it was whole: what is left of it must not pass for the next, and what serves it was
+            // made for something else.
+            self.close(link, commands);
+            let outcome = if outcome == Outcome::Ok { Outcome::Error } else { outcome };
+            return self.ended(&id, outcome);
+        }
         self.park(now, link, commands);
         if self.bugs.planted(Bug::DoubleRelease) {
             commands.push(Command::Close { link });
@@ -478,6 +502,60 @@
         self.ended(&id, outcome);
     }
 
+    /// The first bytes of an answer are there: it is the client's from now on, for as long as it takes.
+    fn passing(&mut self, link: LinkId, commands: &mut Commands<A>) {
+        let Some(id) = self.on(link) else { return };
+        let written = self.links.get(&link).is_some_and(|row| row.state == State::Written);
+        let Some(row) = self.rows.get_mut(&id).filter(|_| written) else { return };
+        if !row.whole || !row.open {
+            // Answered before it was whole, or nobody waits: there is nobody to pass it on to.
+            return self.give_up(&id, Outcome::Broken, commands);
+        }
+        row.passing = true;
+        self.tally.streaming += 1;
+        if let Some(out) = row.out.as_mut() {
+            (out.until, out.limit) = (Micros::MAX, Micros::MAX);
+        }
+        self.answer(&id, Verdict::Served, commands);
+        self.pending.push_back(ModuleEvent::Started { id });
+    }
+
+    /// The client of an answer that goes by has gone.
+    fn left(&mut self, link: LinkId, commands: &mut Commands<A>) {
+        if let Some(id) = self.on(link).filter(|id| self.rows.get(id).is_some_and(|row| row.passing)) {
+            self.give_up(&id, Outcome::Cancelled, commands);
+        }
+    }
+
+    /// A request that came as it went is whole but for its last piece: its client's time begins, and the module has its say
+    /// before that piece goes.
+    fn whole(&mut self, now: Micros, id: &RequestId, ticket: Ticket, deadline: Micros) {
+        let Some(row) = self.rows.get_mut(id) else { return };
+        if row.ticket != ticket || !row.open || row.whole {
+            return;
+        }
+        row.deadline = deadline;
+        if let Some(out) = row.out.as_mut() {
+            (out.until, out.limit) = (deadline, out.limit.min(deadline));
+        }
+        self.arm(id);
+        let patience = deadline.saturating_sub(now);
+        self.pending.push_back(ModuleEvent::Whole { id: id.clone(), patience });
+        self.releasing = Some(id.clone());
+    }
+
+    /// Lets the last piece go, if the module has not ended the request.
+    fn release(&mut self, commands: &mut Commands<A>) {
+        let Some(id) = self.releasing.take() else { return };
+        let Some(row) = self.rows.get_mut(&id).filter(|row| row.open) else { return };
+        let Some(Stage::On(link)) = row.out.as_ref().map(|out| out.stage) else { return };
+        if self.links.get(&link).is_some_and(|row| row.state == State::Written) {
+            row.whole = true;
+            self.tally.relayed += 1;
+            commands.push(Command::Release { link });
+        }
+    }
+
     /// The connection leaves the exchange with the answer. Whoever has it closes it, if nobody waits for the answer.
     fn upgraded(&mut self, link: LinkId, commands: &mut Commands<A>) {
         let Some(id) = self.on(link) else { return };
@@ -505,7 +583,9 @@
     /// attempts are ever out; of what was never written nothing can have run.
     fn give_up(&mut self, id: &RequestId, why: Outcome, commands: &mut Commands<A>) {
         let Some(out) = self.rows.get(id).and_then(|row| row.out.as_ref()) else { return };
-        let (stage, began, number) = (out.stage, out.began.is_some(), out.number);
+        // Of a request that is not whole nothing can have run.
+        let whole = self.rows.get(id).is_some_and(|row| row.whole) || self.bugs.planted(Bug::RunsBeforeWhole);
+        let (stage, began, number) = (out.stage, out.began.is_some() && whole, out.number);
         let outcome = match why {
             _ if began => why,
             Outcome::Broken | Outcome::TimedOut => Outcome::Unreachable,
@@ -533,6 +613,7 @@
         let last = self.bugs.planted(Bug::WindowFromLastSend);
         let Some(row) = self.rows.get_mut(id) else { return };
         let Some(out) = row.out.take() else { return };
+        self.tally.streaming -= u64::from(std::mem::take(&mut row.passing));
         if !matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Unreachable | Outcome::NotSent) {
             row.ran = if last { out.began.or(row.ran) } else { row.ran.or(out.began) };
         }
@@ -738,6 +819,7 @@
         rows.sort_by_key(|(id, _)| *id);
         for (id, row) in rows {
             (id, row.deadline, row.open, row.attempts, row.ran, row.alarm).hash(hasher);
+            (row.whole, row.spent, row.passing).hash(hasher);
             let Some(out) = &row.out else { continue };
             (out.number, out.server, out.until, out.limit, out.began).hash(hasher);
             match out.stage {
@@ -790,7 +872,8 @@
 impl Row {
     /// Whether trying again is harmless, as a refusal promises.
     fn may_be_refused(&self) -> bool {
-        let may_have_run = self.ran.is_some() || self.out.as_ref().is_some_and(|out| out.began.is_some());
+        let began = self.out.as_ref().is_some_and(|out| out.began.is_some());
+        let may_have_run = self.ran.is_some() || (began && self.whole);
         match self.effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             Effect::Keyed { .. } | Effect::Unsafe => !may_have_run,
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -137,6 +137,26 @@
         /// What it says.
         outcome: Outcome,
     },
+    /// An answer has begun to come that goes on to its client as it comes: that is the request's final answer. The attempt is
+    /// out until `Replied`, `Broken` or `Left`.
+    Passing {
+        /// On which connection.
+        link: LinkId,
+    },
+    /// Nobody takes the rest of an answer that goes on as it comes.
+    Left {
+        /// On which connection.
+        link: LinkId,
+    },
+    /// The last byte of a request that did not come whole has come; it is held back.
+    Whole {
+        /// The request.
+        id: RequestId,
+        /// Which taking of it.
+        ticket: Ticket,
+        /// When its client stops waiting.
+        deadline: Micros,
+    },
     /// An answer has come that makes the connection a socket: it is the client's now, and no longer the exchange's.
     Upgraded {
         /// Which.
@@ -197,6 +217,11 @@
         /// On which connection.
         link: LinkId,
     },
+    /// The last piece of a request's body may be written, now.
+    Release {
+        /// On which connection.
+        link: LinkId,
+    },
     /// Close a connection, whatever is on it. [`Event::Closed`] follows.
     Close {
         /// Which.
@@ -216,7 +241,7 @@
 /// A final answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Verdict {
-    /// What the server answered; it came with the [`Event::Replied`] or [`Event::Upgraded`] that is being handled.
+    /// What the server answered; it came with the [`Event::Replied`], [`Event::Passing`] or [`Event::Upgraded`] that is being handled.
     Served,
     /// Refused, and trying again is harmless; come back after so many µs.
     Refused(Option<Micros>),
--- a/crates/exchange/src/table.rs
+++ b/crates/exchange/src/table.rs
@@ -38,6 +38,12 @@
     pub deadline: Micros,
     /// It has no final answer, and somebody waits for one.
     pub open: bool,
+    /// Its last byte has come and may be written: before that nothing of it can have run.
+    pub whole: bool,
+    /// Some of a body that is not kept may have gone to a server.
+    pub spent: bool,
+    /// Its answer goes on as it comes.
+    pub passing: bool,
     /// Attempts that the module was given numbers for.
     pub attempts: u32,
     pub out: Option<Out>,
@@ -120,7 +126,7 @@
     /// When something has to be done about it, if nothing happens.
     pub fn due(&self, overdue: Micros) -> Option<Micros> {
         let attempt = self.out.as_ref().filter(|out| !matches!(out.stage, Stage::Ending(..)));
-        let attempt = attempt.map(|out| out.limit);
+        let attempt = attempt.map(|out| out.limit).filter(|limit| *limit < Micros::MAX);
         let last = self.open.then(|| self.deadline.saturating_add(overdue));
         attempt.into_iter().chain(last).min()
     }
--- a/crates/explore/src/chart.rs
+++ b/crates/explore/src/chart.rs
@@ -12,6 +12,9 @@
     match step {
         Step::Asks(r) => (0, 1, format!("request {r} is whole")),
         Step::Leaves(r) => (0, 1, format!("client {r} goes")),
+        Step::Ends(r) => (0, 1, format!("the last byte of {r} comes")),
+        Step::Finishes(l) => (3, 2, format!("the rest of a long answer on wire {l}")),
+        Step::Drops(l) => (0, 1, format!("the client of wire {l}'s long answer takes no more")),
         Step::Sends(r, server, short) => {
             (1, 1, format!("module: send {r} to s{server}{}", if short { " for one step" } else { "" }))
         }
--- a/crates/explore/src/nodes.rs
+++ b/crates/explore/src/nodes.rs
@@ -449,6 +449,7 @@
             first: GatewayId(first),
             spread,
             patience,
+            whole: true,
         };
         let ticket = self.nodes[at].core.next_ticket();
         self.nodes[at].waits.insert(id.clone(), ticket);
@@ -579,6 +580,8 @@
         for command in commands {
             (at, format!("{command:?}")).hash(&mut self.course);
             match command {
+                // Requests come whole here.
+                Command::Release { .. } => {}
                 Command::Connect { link, dial } => {
                     let server = self.servers.iter().position(|server| server.dial == dial);
                     let wire = Wire {
--- a/crates/explore/src/planted.rs
+++ b/crates/explore/src/planted.rs
@@ -20,6 +20,8 @@
         Bug::IdleNotCounted | Bug::ResendAfterFirstByte => "one-wire",
         Bug::KeptAfterStop => "stop",
         Bug::DeadlineRacedByReply | Bug::AlarmForgotten => "late",
+        Bug::GoneBodySentAgain | Bug::EarlyAnswerKept | Bug::RunsBeforeWhole => "coming",
+        Bug::PassingCalledOff => "passing",
     }
 }
 
--- a/crates/explore/src/setups.rs
+++ b/crates/explore/src/setups.rs
@@ -37,6 +37,8 @@
         wild: false,
         verdicts: true,
         upgrades: false,
+        coming: false,
+        long: false,
         late: false,
     }
 }
@@ -138,6 +140,36 @@
             horizon: 2,
             ..base("upgrade", "an upgrade, whose connection leaves the exchange; a drain, a stop, all faults")
         },
+        Setup {
+            requests: vec![Effect::Unsafe],
+            coming: true,
+            changes: vec![Change::Drains(0)],
+            faults: true,
+            leave: true,
+            wild: true,
+            patience: 2,
+            horizon: 3,
+            bounds: bounds(1),
+            ..base(
+                "coming",
+                "a body that goes by as it comes: early answers, resets, a drain and refusals in the middle",
+            )
+        },
+        Setup {
+            long: true,
+            changes: vec![Change::Drains(0)],
+            faults: true,
+            leave: true,
+            stop: true,
+            wild: true,
+            patience: 2,
+            horizon: 2,
+            bounds: bounds(1),
+            ..base(
+                "passing",
+                "an answer that goes by: a reset, a drain, a stop and a client that goes, in the middle",
+            )
+        },
         Setup {
             late: true,
             wild: true,
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,10 +1,12 @@
 //! Clients: their connections, what they ask and the answers that they get.
 
+use crate::bodies::{self, Pipe, BODY_MOST, LARGEST};
 use crate::node::{Answer, Node, Payload};
+use crate::seats::{Busy, Seat, Watched};
 use crate::sockets;
-use crate::upstream::Forward;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use crate::upstream::{Forward, Going};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{
     HeaderMap, HeaderValue, CONNECTION, RETRY_AFTER, SEC_WEBSOCKET_VERSION, TRANSFER_ENCODING, UPGRADE,
@@ -13,8 +15,9 @@
 use hyper::service::service_fn;
 use hyper::upgrade::OnUpgrade;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use saffronpaddle_admin::End;
+use saffronpaddle_crowd::Limits;
 use saffronpaddle_decision::interface::{
     ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId, Settings,
 };
@@ -22,24 +25,28 @@
 use saffronpaddle_exchange::Ticket;
 use saffronpaddle_lifecycle::Reasons;
 use saffronpaddle_sockets::upgrade::{self, Offer};
-use std::cell::Cell;
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 
 /// Time kept back for an answer's way to the client.
 const DELIVERY: Duration = Duration::from_millis(5);
-/// How long a connection may stand without a whole head: from its first moment on, and after each answer. Guards
-/// against clients that connect and say nothing, or dribble a head without end.
-const HEAD_WITHIN: Duration = Duration::from_millis(2200);
-/// How long a body may take from its head on. Guards against bodies that stop half-way.
-const BODY_WITHIN: Duration = Duration::from_millis(600);
-/// A connection that has never asked counts as idle for so much longer: good clients ask as soon as they come.
-const NEVER_ASKED: Duration = Duration::from_secs(1);
+/// How long the part of a body that is kept may take from its head on, before any of it has come. Guards against bodies that
+/// stop half-way.
+const BODY_WITHIN: Duration = Duration::from_millis(2500);
+/// How long so many bytes of it take a slow client that means well; twice what one at 64 kB a second needs.
+const BODY_PACE: (Duration, u32) = (Duration::from_secs(1), 32_000);
+/// How long a body that goes by may take, where its client goes on: the largest at the slowest. What is out for it draws on
+/// nothing meanwhile.
+const COMING_WITHIN: Duration = Duration::from_secs(1200);
+/// How often connections are looked at for those whose time is up.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Most bytes buffered for one client, so that all together stay far from the memory limit.
 const BUFFER_MOST: usize = 32 * 1024;
 /// Ended connections that may wait to be forgotten together.
@@ -80,50 +87,24 @@
     }
 }
 
-type Reply = Response<Full<Bytes>>;
+type Reply = Response<bodies::Reply>;
 
 /// Comes back when the edge node has come so far on its way out, or when nobody is left to say so.
 async fn reached(mut standing: watch::Receiver<Standing>, phase: Phase) {
     let _ = standing.wait_for(|standing| standing.phase >= phase).await;
 }
 
-/// What is known of a client's connection from outside.
-struct Seat {
-    /// Since when it has no open request; `None` while it has one.
-    idle: Cell<Option<Instant>>,
-    /// It has had one.
-    asked: Cell<bool>,
-}
-
-/// A seat with an open request, for as long as that is being answered.
-struct Busy<'a>(&'a Seat);
-
-impl<'a> Busy<'a> {
-    fn new(seat: &'a Seat) -> Busy<'a> {
-        seat.idle.set(None);
-        seat.asked.set(true);
-        Busy(seat)
-    }
-}
-
-impl Drop for Busy<'_> {
-    fn drop(&mut self) {
-        self.0.idle.set(Some(Instant::now()));
-    }
-}
-
 /// The connections of all clients.
 struct Crowd {
+    began: Instant,
     tasks: JoinSet<()>,
-    seats: Vec<(Rc<Seat>, AbortHandle)>,
+    seats: Vec<(Arc<Seat>, AbortHandle)>,
 }
 
 impl Crowd {
     fn seat(&mut self, stream: TcpStream, node: &Rc<Node>, phase: &watch::Receiver<Standing>) {
-        let now = Instant::now();
-        let idle = Cell::new(Some(now.checked_sub(NEVER_ASKED).unwrap_or(now)));
-        let seat = Rc::new(Seat { idle, asked: Cell::new(false) });
-        let talk = converse(stream, Rc::clone(node), phase.clone(), Rc::clone(&seat));
+        let seat = Seat::new(self.began);
+        let talk = converse(stream, Rc::clone(node), phase.clone(), Arc::clone(&seat));
         let handle = self.tasks.spawn_local(talk);
         self.seats.push((seat, handle));
     }
@@ -133,14 +114,22 @@
         self.seats.retain(|(_, handle)| !handle.is_finished());
     }
 
-    /// Makes room for one more. Guards against crowds that shut out others: where all seats are taken, the connection
-    /// that has stood longest without a request is closed.
+    /// Closes connections whose time is up.
+    fn look(&mut self) {
+        self.tidy();
+        let now = self.began.elapsed();
+        let over = self.seats.iter().filter(|(seat, _)| Limits::USUAL.over(now, &seat.seen()));
+        over.for_each(|(_, handle)| handle.abort());
+    }
+
+    /// Makes room for one more. Guards against crowds that shut out others: where all seats are taken, who has been silent
+    /// longest goes.
     async fn make_room(&mut self, most: usize) {
         while self.tasks.len() >= most {
             self.tidy();
-            let idle = self.seats.iter().filter_map(|(seat, handle)| Some((seat.idle.get()?, handle)));
-            if let Some((_, handle)) = idle.min_by_key(|(since, _)| *since) {
-                handle.abort();
+            let seen: Vec<_> = self.seats.iter().map(|(seat, _)| seat.seen()).collect();
+            if let Some(place) = Limits::USUAL.weakest(self.began.elapsed(), &seen) {
+                self.seats.swap_remove(place).1.abort();
             }
             // One that ends, by itself or not, has closed its socket; meanwhile another may have become idle.
             let _ = tokio::time::timeout(ACCEPT_AGAIN, self.tasks.join_next()).await;
@@ -157,7 +146,9 @@
 pub async fn serve(
     listener: TcpListener, shared: bool, node: Rc<Node>, most: usize, phase: watch::Receiver<Standing>,
 ) {
-    let mut crowd = Crowd { tasks: JoinSet::new(), seats: Vec::new() };
+    let mut crowd = Crowd { began: Instant::now(), tasks: JoinSet::new(), seats: Vec::new() };
+    let mut look = tokio::time::interval(LOOK_EVERY);
+    look.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut standing = phase.clone();
     let closed = reached(phase.clone(), Phase::Closing);
     tokio::pin!(closed);
@@ -174,6 +165,7 @@
             },
             () = &mut closed => break,
             Ok(()) = standing.changed() => {}
+            _ = look.tick() => crowd.look(),
         }
         // Ended connections are let go of.
         while crowd.tasks.try_join_next().is_some() {}
@@ -185,21 +177,30 @@
         crowd.seat(stream, &node, &phase);
     }
     drop(listener);
-    while crowd.tasks.join_next().await.is_some() {}
+    loop {
+        tokio::select! {
+            ended = crowd.tasks.join_next() => if ended.is_none() {
+                break;
+            },
+            _ = look.tick() => crowd.look(),
+        }
+    }
     if let Some(front) = &node.front {
         front.all_over().await;
     }
 }
 
-async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Rc<Seat>) {
+async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Arc<Seat>) {
     let _ = stream.set_nodelay(true);
     let seen = phase.clone();
-    let held = Rc::clone(&seat);
+    let held = Arc::clone(&seat);
+    let watched = Watched::new(stream, Arc::clone(&seat));
     let service = service_fn(move |request| {
-        let (node, seen, seat) = (Rc::clone(&node), seen.clone(), Rc::clone(&held));
+        let (node, seen, seat) = (Rc::clone(&node), seen.clone(), Arc::clone(&held));
         async move {
-            let _busy = Busy::new(&seat);
-            let mut reply = respond(&node, request, &seen).await;
+            let busy = Busy::new(&seat);
+            let mut reply = respond(&node, request, &seen, &seat).await;
+            reply.body_mut().keep(busy);
             if seen.borrow().phase > Phase::Serving {
                 reply.headers_mut().insert(CONNECTION, CLOSE);
             }
@@ -207,9 +208,10 @@
         }
     });
     let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN).max_buf_size(BUFFER_MOST);
+    // How long heads may take is seen to from outside.
+    http.header_read_timeout(None).max_buf_size(BUFFER_MOST);
     http.auto_date_header(false);
-    let connection = http.serve_connection(TokioIo::new(stream), service).with_upgrades();
+    let connection = http.serve_connection(TokioIo::new(watched), service).with_upgrades();
     tokio::pin!(connection);
     tokio::select! {
         biased;
@@ -218,7 +220,7 @@
     }
     // What the machine holds is read before the connection counts as idle.
     tokio::task::yield_now().await;
-    let wait = if seat.asked.get() { Duration::ZERO } else { FIRST_WITHIN };
+    let wait = if seat.asked() { Duration::ZERO } else { FIRST_WITHIN };
     if tokio::time::timeout(wait, &mut connection).await.is_ok() {
         return;
     }
@@ -227,11 +229,19 @@
     let _ = connection.await;
 }
 
-async fn respond(node: &Rc<Node>, request: Request<Incoming>, phase: &watch::Receiver<Standing>) -> Reply {
+async fn respond(
+    node: &Rc<Node>, request: Request<Incoming>, phase: &watch::Receiver<Standing>, seat: &Seat,
+) -> Reply {
+    // Guards against a request that hides another in its body: of a length and an encoding, hyper drops one unseen.
+    let coding = request.headers().get(TRANSFER_ENCODING);
+    if coding.is_some_and(|coding| seat.hides() || !coding.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+        class_of(&node.named, request.headers()).inspect(|class| node.turned_away(*class, End::Faulted));
+        return turned_away(StatusCode::BAD_REQUEST, "a body has a Content-Length or is chunked, not both\n");
+    }
     if request.method() == Method::GET && request.uri().path() == "/-/ready" {
         let standing = phase.borrow().clone();
         let status = if standing.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        let mut reply = Response::new(Full::from(standing.why.to_string()));
+        let mut reply = Response::new(standing.why.to_string().into());
         *reply.status_mut() = status;
         return reply;
     }
@@ -259,19 +269,37 @@
     if let (Some(offer), Some(upgrades)) = (offer, upgrades) {
         return socket(node, asked, head, offer, upgrades).await;
     }
-    // Nothing of a body that is too large is read.
-    let Some((most, _held)) = node.upstream.room.take(body.size_hint().lower()) else {
+    if body.size_hint().lower() > LARGEST {
         return turned_away(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
+    }
+    let size = body.size_hint().exact();
+    let (body, pipe) = match gather(body).await {
+        Some(Ok(body)) => (body, None),
+        Some(Err((first, rest))) => (Bytes::new(), Some((first, rest))),
+        None => return turned_away(StatusCode::BAD_REQUEST, "the body did not come whole\n"),
     };
-    if asked.effect == Effect::Safe && !body.is_end_stream() {
+    if asked.effect == Effect::Safe && (pipe.is_some() || !body.is_empty()) {
         return turned_away(StatusCode::BAD_REQUEST, "this class takes no body\n");
     }
-    let body = match tokio::time::timeout(BODY_WITHIN, Limited::new(body, most).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        _ => return turned_away(StatusCode::BAD_REQUEST, "the body did not come whole\n"),
-    };
-    let (event, forward) = asked.arrived(head, body);
-    match ask(node, event, forward).await {
+    let patience = asked.patience.saturating_sub(DELIVERY);
+    let (mut event, mut forward) = asked.arrived(head, body);
+    let pipe = pipe.map(|(first, rest)| {
+        Rc::new(Pipe::new(node.number(), forward.id.clone(), patience, size, first, rest))
+    });
+    if let Some(pipe) = &pipe {
+        // Its client's time begins with its last byte.
+        forward.body = Going::Coming(Rc::clone(pipe));
+        forward.deadline = Instant::now() + COMING_WITHIN;
+        if let Event::Request { patience, whole, .. } = &mut event {
+            (*patience, *whole) = (COMING_WITHIN.as_micros() as u64, false);
+        }
+    }
+    let answer = ask(node, event, forward).await;
+    if let Some(pipe) = &pipe {
+        // Guards against an answer that is lost as its client still writes.
+        pipe.drain().await;
+    }
+    match answer {
         Some(answer) => reply(answer),
         None => {
             node.turned_away(class, End::Faulted);
@@ -280,6 +308,38 @@
     }
 }
 
+/// What has come of a body: all of it, or its first pieces and the rest.
+type Gathered = Result<Bytes, (VecDeque<Bytes>, Incoming)>;
+
+/// Reads a body that is kept; of one that is too large for that, what had come when that was clear. `None` if it broke off, or
+/// came too slowly.
+async fn gather(mut body: Incoming) -> Option<Gathered> {
+    let (mut pieces, mut size) = (VecDeque::new(), 0);
+    if body.size_hint().lower() > BODY_MOST as u64 {
+        return Some(Err((pieces, body)));
+    }
+    if body.is_end_stream() {
+        return Some(Ok(Bytes::new()));
+    }
+    let began = Instant::now();
+    loop {
+        let until = began + BODY_WITHIN + BODY_PACE.0.mul_f64(size as f64 / f64::from(BODY_PACE.1));
+        let Some(frame) = tokio::time::timeout_at(until, body.frame()).await.ok()? else { break };
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        size += data.len();
+        pieces.push_back(data);
+        if size > BODY_MOST {
+            return Some(Err((pieces, body)));
+        }
+    }
+    if pieces.len() == 1 {
+        return pieces.pop_front().map(Ok);
+    }
+    let mut whole = BytesMut::with_capacity(size);
+    pieces.iter().for_each(|piece: &Bytes| whole.extend_from_slice(piece));
+    Some(Ok(whole.freeze()))
+}
+
 /// Has a socket opened: a request like any other, whose answer is the socket.
 async fn socket(
     node: &Rc<Node>, asked: Asked, head: hyper::http::request::Parts, offer: Offer, upgrades: OnUpgrade,
@@ -291,7 +351,7 @@
         Ok(place) => place,
         Err(shut) => {
             let mut reply = refused(Some(Duration::from_micros(shut.retry_in)));
-            *reply.body_mut() = Full::from(shut.why);
+            *reply.body_mut() = shut.why.into();
             return reply;
         }
     };
@@ -307,8 +367,8 @@
     tokio::task::spawn_local(async move {
         // It fails where the client has gone before its answer.
         let Ok(upgraded) = upgrades.await else { return };
-        if let Ok(parts) = upgraded.downcast::<TokioIo<TcpStream>>() {
-            sockets::relay(place, parts.io.into_inner(), parts.read_buf, *switched).await;
+        if let Ok(parts) = upgraded.downcast::<TokioIo<Watched>>() {
+            sockets::relay(place, parts.io.into_inner().into_inner(), parts.read_buf, *switched).await;
         }
     });
     answer
@@ -355,9 +415,10 @@
 
 fn reply(answer: Answer) -> Reply {
     match answer {
-        Answer::Served(Payload::Body(body)) => Response::new(Full::new(body)),
+        Answer::Served(Payload::Body(body)) => Response::new(body.into()),
+        Answer::Served(Payload::Passing(passing)) => Response::new((*passing).into()),
         Answer::Served(Payload::Passed(status, body)) => {
-            let mut reply = Response::new(Full::new(body));
+            let mut reply = Response::new(body.into());
             *reply.status_mut() = status;
             reply
         }
@@ -378,7 +439,7 @@
 }
 
 fn plain(status: StatusCode, words: &'static str) -> Reply {
-    let mut reply = Response::new(Full::from(words));
+    let mut reply = Response::new(words.into());
     *reply.status_mut() = status;
     reply
 }
@@ -408,10 +469,6 @@
 fn read(named: &Named, head: &hyper::http::request::Parts) -> Result<Asked, Bad> {
     let bad = |what| (StatusCode::BAD_REQUEST, what);
     let headers = &head.headers;
-    // Guards against a request that hides another in its body: of a length and an encoding, hyper drops one unseen.
-    if headers.contains_key(TRANSFER_ENCODING) {
-        return Err((StatusCode::LENGTH_REQUIRED, "a body needs its Content-Length\n"));
-    }
     // Guards against a header that two readers take in two ways.
     if READ_ONCE.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
         return Err(bad("a header is repeated\n"));
@@ -458,6 +515,7 @@
             first: self.terms.first,
             spread: self.terms.spread,
             patience: patience.as_micros() as u64,
+            whole: true,
         };
         let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let key = head.headers.get(KEY).cloned();
@@ -469,7 +527,7 @@
                 method: head.method,
                 target,
                 key,
-                body,
+                body: Going::Whole(body),
                 offer: None,
                 deadline,
             },
--- /dev/null
+++ b/crates/node/src/heads.rs
@@ -0,0 +1,161 @@
+//! Follows the heads of requests on a connection, beside the library that reads them: of a length and an encoding together
+//! that library drops one unseen, and the request may hide another in its body.
+
+use memchr::memchr;
+
+/// Most bytes of a line that are kept where it comes in pieces; the names that count are shorter.
+const KEPT: usize = 64;
+
+/// Where in the flow of requests a connection is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum At {
+    Head,
+    Body(u64),
+    ChunkSize,
+    Chunk(u64),
+    Trailer,
+}
+
+/// The heads on one connection. No more is kept than the beginning of one line.
+#[derive(Debug)]
+pub struct Heads {
+    at: At,
+    /// What has come of a line that was cut.
+    line: Vec<u8>,
+    begun: bool,
+    length: Option<u64>,
+    coded: bool,
+}
+
+impl Heads {
+    /// A connection on which nothing has come.
+    pub fn new() -> Heads {
+        Heads { at: At::Head, line: Vec::new(), begun: false, length: None, coded: false }
+    }
+
+    /// Takes what has come; whether a head was among it that has both a length and an encoding.
+    pub fn take(&mut self, mut bytes: &[u8]) -> bool {
+        let mut both = false;
+        while !bytes.is_empty() {
+            if let At::Body(left) | At::Chunk(left) = self.at {
+                let skipped = left.min(bytes.len() as u64);
+                bytes = &bytes[skipped as usize..];
+                self.at = match (self.at, left - skipped) {
+                    (At::Body(_), 0) => At::Head,
+                    (At::Body(_), left) => At::Body(left),
+                    (_, 0) => At::ChunkSize,
+                    (_, left) => At::Chunk(left),
+                };
+                continue;
+            }
+            let end = memchr(b'\n', bytes);
+            let piece = &bytes[..end.unwrap_or(bytes.len())];
+            bytes = &bytes[end.map_or(bytes.len(), |end| end + 1)..];
+            if end.is_some() && self.line.is_empty() {
+                both |= self.ends(piece);
+                continue;
+            }
+            let room = KEPT.saturating_sub(self.line.len()).min(piece.len());
+            self.line.extend_from_slice(&piece[..room]);
+            if end.is_some() {
+                let line = std::mem::take(&mut self.line);
+                both |= self.ends(&line);
+            }
+        }
+        both
+    }
+
+    /// A line has ended.
+    fn ends(&mut self, line: &[u8]) -> bool {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        match self.at {
+            // Empty lines before a head count for nothing.
+            At::Head if line.is_empty() && !self.begun => {}
+            At::Head if line.is_empty() => {
+                let (length, coded) = (self.length.take(), std::mem::take(&mut self.coded));
+                self.begun = false;
+                self.at = match length {
+                    _ if coded => At::ChunkSize,
+                    Some(length) if length > 0 => At::Body(length),
+                    _ => At::Head,
+                };
+                return length.is_some() && coded;
+            }
+            At::Head => {
+                self.begun = true;
+                if let Some(value) = value(line, b"content-length:") {
+                    let digits = std::str::from_utf8(value).ok().and_then(|value| value.trim().parse().ok());
+                    self.length = Some(digits.unwrap_or(0));
+                } else {
+                    self.coded |= value(line, b"transfer-encoding:").is_some();
+                }
+            }
+            At::ChunkSize => {
+                let digits = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+                let size =
+                    std::str::from_utf8(digits).ok().and_then(|text| u64::from_str_radix(text, 16).ok());
+                // The data's own line end follows it. What is no size is the library's to refuse.
+                self.at = match size {
+                    Some(0) | None => At::Trailer,
+                    Some(size) => At::Chunk(size.saturating_add(2)),
+                };
+            }
+            At::Trailer if line.is_empty() => self.at = At::Head,
+            At::Trailer | At::Body(_) | At::Chunk(_) => {}
+        }
+        false
+    }
+}
+
+/// A header's value, if the line has that name.
+fn value<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let (begins, value) = line.split_at_checked(name.len())?;
+    begins.eq_ignore_ascii_case(name).then_some(value)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// How many heads with both there are in a text, in pieces of such a size.
+    fn both(text: &[u8], size: usize) -> usize {
+        let mut heads = Heads::new();
+        text.chunks(size).filter(|piece| heads.take(piece)).count()
+    }
+
+    const GOOD: &[u8] = b"\r\nPOST /a HTTP/1.1\r\nContent-Length: 29\r\n\r\nx\r\nTransfer-Encoding: chunked\r\nGET /b HTTP/1.1\r\n\
+        Host: c\r\n\r\nPOST /d HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n13;e=f\r\n\ncontent-length: 4\n\r\n0\r\n\
+        Content-Length: 3\r\n\r\nPOST /g HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+
+    #[test]
+    fn what_stands_in_bodies_and_trailers_is_no_header_however_it_is_cut() {
+        for size in 1..GOOD.len() {
+            assert_eq!(both(GOOD, size), 0, "in pieces of {size}");
+        }
+    }
+
+    #[test]
+    fn a_head_with_both_is_seen_in_either_order_and_behind_others() {
+        let hides =
+            b"POST /h HTTP/1.1\r\nTransfer-Encoding: chunked\r\nX-Pad: y\r\ncontent-LENGTH: 4\r\n\r\n";
+        let other = b"POST /h HTTP/1.1\r\nContent-Length: 4\r\ntransfer-encoding : x\r\nTRANSFER-ENCODING:chunked\r\n\r\n";
+        for text in [hides.as_slice(), other] {
+            for size in 1..text.len() {
+                assert_eq!(both(text, size), 1, "alone, in pieces of {size}");
+            }
+            let text = [GOOD, text].concat();
+            for size in 1..text.len() {
+                assert_eq!(both(&text, size), 1, "behind others, in pieces of {size}");
+            }
+        }
+    }
+
+    #[test]
+    fn a_line_without_end_takes_no_memory() {
+        let mut heads = Heads::new();
+        for _ in 0..1000 {
+            heads.take(&[b'a'; 1000]);
+        }
+        assert!(heads.line.len() <= KEPT);
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,17 +3,20 @@
 
 mod admin;
 mod alarm;
+mod bodies;
 mod clients;
 pub mod config;
 mod discovery;
 mod facts;
 mod handed;
 mod handover;
+mod heads;
 mod life;
 mod manager;
 mod node;
 mod peers;
 mod roster;
+mod seats;
 pub mod serve;
 mod sockets;
 mod upstream;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,6 +2,7 @@
 //! whose answer goes where. Only here is the exchange entered.
 
 use crate::alarm::Alarm;
+use crate::bodies::Passing;
 use crate::config::{Health, Host, List};
 use crate::handover::Links;
 use crate::peers::Peers;
@@ -58,6 +59,8 @@
 pub enum Payload {
     /// A body, to a request.
     Body(Bytes),
+    /// A body that goes by, to a request.
+    Passing(Box<Passing>),
     /// A refusal of its own, to an upgrade.
     Passed(StatusCode, Bytes),
     /// A socket, to an upgrade.
@@ -185,6 +188,14 @@
         commands.into_iter().for_each(|command| self.carry_out(command, &mut payload));
     }
 
+    /// Hears of answers that went by and that nobody takes any more, for ever.
+    pub async fn hear_left(self: Rc<Self>) {
+        let Some(mut left) = self.upstream.left() else { return };
+        while let Some(link) = left.recv().await {
+            self.happened(Event::Left { link }, None);
+        }
+    }
+
     /// Rings when the exchange asks for it, for ever.
     pub async fn ring(self: Rc<Self>) {
         loop {
@@ -272,6 +283,7 @@
                 }
             }
             Command::Write { link } => self.upstream.open(link),
+            Command::Release { link } => self.upstream.release(link),
             Command::Close { link } => self.upstream.close(self, link),
             Command::Answer { id, verdict } => {
                 let answer = match verdict {
@@ -327,6 +339,7 @@
         let left = forward.deadline.saturating_duration_since(Instant::now());
         let deadline = self.clock.now() + left.as_micros() as Micros;
         let (answer, answered) = oneshot::channel();
+        forward.coming().into_iter().for_each(|pipe| pipe.taken(ticket));
         let pending = Pending { ticket, forward: Rc::new(forward), answer };
         self.requests.borrow_mut().insert(id, pending);
         self.happened(Event::Asked { effect, deadline, tell }, None);
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -11,7 +11,7 @@
 use crate::node::Node;
 use crate::peers::{self, Peers};
 use crate::roster;
-use crate::upstream::{Room, Upstream};
+use crate::upstream::Upstream;
 use anyhow::{Context, Result};
 use saffronpaddle_lifecycle::{Lifecycle, Limits};
 use saffronpaddle_operator::Operator;
@@ -29,8 +29,6 @@
 const RESERVED: usize = 32 + Admin::DESCRIPTORS;
 /// Connections of either side that sockets must leave to requests.
 const LEAST_EACH_SIDE: usize = 32;
-/// One part in so many of the memory is for large bodies: each is held twice for a moment, and once more on its way out.
-const LARGE_SHARE: usize = 8;
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -132,7 +130,7 @@
     address: SocketAddr,
     discovery: SocketAddr,
     known: Option<crate::config::List>,
-    each_side: usize,
+    seats: usize,
     sockets: usize,
     memory: usize,
     files: Files,
@@ -187,7 +185,9 @@
         };
         let sockets = operator.as_ref().and_then(|file| file.says.sockets.clone());
         let apart = sockets.as_ref().map_or(0, |sockets| 2 * sockets.limits.per_node);
-        let each_side = config.sockets.saturating_sub(RESERVED + apart) / 2;
+        let both_sides = config.sockets.saturating_sub(RESERVED + apart);
+        // Clients that are slow, or mean no good, hold theirs far longer than attempts do.
+        let each_side = both_sides * 3 / 8;
         // Guards requests: sockets never take the descriptors that these need.
         anyhow::ensure!(
             apart == 0 || each_side >= LEAST_EACH_SIDE,
@@ -195,8 +195,7 @@
              the least",
             config.sockets
         );
-        let room = Room::new(config.memory / LARGE_SHARE);
-        let upstream = Upstream::new(room);
+        let upstream = Upstream::new();
         let node = Node::new(config.seed, config.named, upstream, (each_side, links), peers, sockets, kept)?;
         let admin = match config.admin {
             Some(address) => Some(Admin::bind(address).await?),
@@ -212,7 +211,7 @@
             discovery: config.discovery,
             known: told.or(config.known),
             overlaps,
-            each_side,
+            seats: both_sides - each_side,
             sockets: config.sockets,
             memory: config.memory,
             files: Files { config: config.path, operator },
@@ -253,12 +252,13 @@
             tokio::task::spawn_local(roster::follow(Rc::clone(&node), etcd, discovery, self.known)),
             tokio::task::spawn_local(peers::listen(Rc::clone(&node))),
             tokio::task::spawn_local(Rc::clone(&node).ring()),
+            tokio::task::spawn_local(Rc::clone(&node).hear_left()),
             tokio::task::spawn_local(handover::serve(Rc::clone(&node), self.meeting, self.elder)),
             tokio::task::spawn_local(admin::serve(self.admin, Rc::clone(&node), ask)),
             tokio::task::spawn_local(ring_sockets(Rc::clone(&node))),
             tokio::task::spawn_local(life::feed(Rc::clone(&node), Rc::clone(&manager))),
         ];
-        let clients = clients::serve(self.listener, self.shared, node, self.each_side, seen);
+        let clients = clients::serve(self.listener, self.shared, node, self.seats, seen);
         let clients = tokio::task::spawn_local(clients);
         let machine = Lifecycle::new(limits, Duration::ZERO);
         let life = Life { machine, manager, standing, facing, born };
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,24 +1,25 @@
 //! Connections to app servers: made, written to, read and closed as the exchange has it, and only so.
 
+use crate::bodies::{Outgoing, Passing, Pipe, BODY_MOST, LARGEST};
 use crate::node::{Node, Payload};
 use crate::sockets::Switched;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{
     HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, SEC_WEBSOCKET_EXTENSIONS, SEC_WEBSOCKET_KEY,
     SEC_WEBSOCKET_PROTOCOL, SEC_WEBSOCKET_VERSION, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use saffronpaddle_decision::interface::{Effect, Outcome, RequestId, ServerId};
 use saffronpaddle_exchange::{Event, LinkId};
 use saffronpaddle_sockets::upgrade::{self, Offer};
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -27,48 +28,18 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinHandle};
-use tokio::time::Instant;
+use tokio::time::{timeout_at, Instant};
 
-/// Most bytes of a body that is taken in any case, either way.
-pub const BODY_MOST: usize = 64 * 1024;
-/// Most bytes of a larger one, which is taken only while memory allows. Guards against bodies without end.
-pub const LARGE_MOST: usize = 1024 * 1024;
 /// Most bytes buffered of one app server's answer before its body. Guards memory against heads that never end.
 const HEAD_MOST: usize = 32 * 1024;
 /// What the machine says when this process, not the server, lacks something: too many descriptors here or on the
 /// whole machine, no address, buffer or memory left.
 const OWN_LACK: [i32; 5] = [24, 23, 99, 105, 12];
 
-/// What all large bodies together may hold. Guards the memory limit: each alone is small against it.
-pub struct Room(Rc<Cell<usize>>);
-
-impl Room {
-    pub fn new(bytes: usize) -> Room {
-        Room(Rc::new(Cell::new(bytes)))
-    }
-
-    /// The most bytes of a body that says it has so many, and its hold on the room; `None` where it is too large.
-    pub fn take(&self, says: u64) -> Option<(usize, Held)> {
-        let large = usize::try_from(says).ok().filter(|size| *size <= LARGE_MOST)?;
-        if large <= BODY_MOST {
-            return Some((BODY_MOST, Held(Rc::clone(&self.0), 0)));
-        }
-        self.0.set(self.0.get().checked_sub(large)?);
-        Some((large, Held(Rc::clone(&self.0), large)))
-    }
-}
-
-/// A body's hold on the room for large ones.
-pub struct Held(Rc<Cell<usize>>, usize);
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() + self.1);
-    }
-}
-
 /// A client's request as it goes on to an app server.
 pub struct Forward {
     pub id: RequestId,
@@ -78,42 +49,83 @@
     /// Path and query.
     pub target: String,
     pub key: Option<HeaderValue>,
-    pub body: Bytes,
+    pub body: Going,
     /// The socket that is asked for.
     pub offer: Option<Offer>,
     /// When the edge node stops waiting.
     pub deadline: Instant,
 }
 
+/// The body of a request that goes on.
+pub enum Going {
+    /// It has come whole, and can go again.
+    Whole(Bytes),
+    /// It goes by, once.
+    Coming(Rc<Pipe>),
+}
+
+impl Forward {
+    /// Its body, if that goes by.
+    pub fn coming(&self) -> Option<&Rc<Pipe>> {
+        match &self.body {
+            Going::Whole(_) => None,
+            Going::Coming(pipe) => Some(pipe),
+        }
+    }
+}
+
 /// A connection, from the command to connect until it is closed.
 struct Wire {
     dial: SocketAddr,
     /// Connects, then drives the connection; the socket is closed with it.
     driver: JoinHandle<()>,
     /// Free for a request.
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<SendRequest<Outgoing>>,
     /// Writes a request and reads its answer.
     exchange: Option<AbortHandle>,
+    /// The body that goes by on it.
+    pipe: Option<Rc<Pipe>>,
     /// Whether bytes may be written. Shut when a request is made ready: before its first byte the exchange is asked.
     open: Arc<AtomicBool>,
 }
 
 /// All connections to app servers. What they are for is the exchange's matter.
 pub struct Upstream {
-    pub room: Room,
     wires: RefCell<HashMap<LinkId, Wire>>,
+    /// Where answers that nobody takes any more are told. As many as there are connections at the most.
+    tell_left: mpsc::UnboundedSender<LinkId>,
+    left: RefCell<Option<mpsc::UnboundedReceiver<LinkId>>>,
 }
 
 impl Upstream {
-    pub fn new(room: Room) -> Upstream {
-        Upstream { room, wires: RefCell::default() }
+    pub fn new() -> Upstream {
+        let (tell_left, left) = mpsc::unbounded_channel();
+        Upstream { wires: RefCell::default(), tell_left, left: RefCell::new(Some(left)) }
+    }
+
+    /// Connections whose answers nobody takes any more; to be asked for once.
+    pub fn left(&self) -> Option<mpsc::UnboundedReceiver<LinkId>> {
+        self.left.borrow_mut().take()
+    }
+
+    /// An answer that went by has come to its end.
+    pub fn free_again(&self, link: LinkId, sender: SendRequest<Outgoing>) {
+        if let Some(wire) = self.wires.borrow_mut().get_mut(&link) {
+            (wire.sender, wire.exchange) = (Some(sender), None);
+        }
+    }
+
+    /// Lets the last piece of a body go.
+    pub fn release(&self, link: LinkId) {
+        let pipe = self.wires.borrow().get(&link).and_then(|wire| wire.pipe.clone());
+        pipe.into_iter().for_each(|pipe| pipe.release());
     }
 
     /// Makes a connection.
     pub fn connect(&self, node: &Rc<Node>, link: LinkId, dial: SocketAddr) {
         let open = Arc::new(AtomicBool::new(false));
         let driver = tokio::task::spawn_local(drive(Rc::clone(node), link, dial, Arc::clone(&open)));
-        let wire = Wire { dial, driver, sender: None, exchange: None, open };
+        let wire = Wire { dial, driver, sender: None, exchange: None, pipe: None, open };
         self.wires.borrow_mut().insert(link, wire);
     }
 
@@ -123,21 +135,30 @@
         let Some(wire) = wires.get_mut(&link) else { return };
         let Some(sender) = wire.sender.take() else { return };
         wire.open.store(false, Ordering::Relaxed);
+        wire.pipe = forward.coming().cloned();
         let (node, dial) = (Rc::clone(node), wire.dial);
         let task = tokio::task::spawn_local(async move {
             let mut sender = sender;
-            let answer = exchange(&mut sender, &forward, server, dial, &node.upstream.room).await;
-            if let Some((_, Some(Payload::Switched(_)))) = &answer {
-                // The connection is the socket's now.
-                node.upstream.wires.borrow_mut().remove(&link);
-                return node.happened(Event::Upgraded { link }, answer.and_then(|(_, payload)| payload));
-            }
-            if let Some(wire) = node.upstream.wires.borrow_mut().get_mut(&link) {
-                (wire.sender, wire.exchange) = (Some(sender), None);
-            }
+            let answer = exchange(&mut sender, &forward, server, dial).await;
             match answer {
-                Some((outcome, payload)) => node.happened(Event::Replied { link, outcome }, payload),
-                None => node.happened(Event::Broken { link }, None),
+                Came::Switched(switched) => {
+                    // The connection is the socket's now.
+                    node.upstream.wires.borrow_mut().remove(&link);
+                    node.happened(Event::Upgraded { link }, Some(Payload::Switched(switched)));
+                }
+                Came::Passing(first, rest) => {
+                    let left = node.upstream.tell_left.clone();
+                    let passing = Passing::new(node.number(), link, left, sender, first, rest);
+                    node.happened(Event::Passing { link }, Some(Payload::Passing(Box::new(passing))));
+                }
+                Came::Whole(outcome, payload) => {
+                    node.upstream.free_again(link, sender);
+                    node.happened(Event::Replied { link, outcome }, payload);
+                }
+                Came::Lost => {
+                    node.upstream.free_again(link, sender);
+                    node.happened(Event::Broken { link }, None);
+                }
             }
         });
         wire.exchange = Some(task.abort_handle());
@@ -192,10 +213,102 @@
     node.happened(Event::Gone { link }, None);
 }
 
-/// Writes the request and reads its whole answer; nothing if that did not come whole, or is none of this request.
+/// What came of a request.
+enum Came {
+    /// An answer that is whole.
+    Whole(Outcome, Option<Payload>),
+    /// An answer of which so much has come, and that goes on as it comes.
+    Passing(VecDeque<Bytes>, Incoming),
+    /// A socket.
+    Switched(Box<Switched>),
+    /// Nothing whole, or no answer to this request.
+    Lost,
+}
+
+/// How long an answer of unknown length may take to show that it is a short one.
+const SHORT_WITHIN: Duration = Duration::from_millis(100);
+
+/// Writes the request and reads its answer: whole if it is a short one, so that a client never gets one that was cut where
+/// another attempt can help.
 async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>, forward: &Forward, server: ServerId, dial: SocketAddr, room: &Room,
-) -> Option<(Outcome, Option<Payload>)> {
+    sender: &mut SendRequest<Outgoing>, forward: &Forward, server: ServerId, dial: SocketAddr,
+) -> Came {
+    let Some(answer) = head(sender, forward, dial).await else { return Came::Lost };
+    let (status, outcome) = (answer.status(), outcome(&answer));
+    if let (StatusCode::SWITCHING_PROTOCOLS, Some(offer)) = (status, &forward.offer) {
+        return switched(offer, server, answer).await.map_or(Came::Lost, Came::Switched);
+    }
+    // Guards against an answer that turns the connection into something else.
+    if status.is_informational() {
+        return Came::Lost;
+    }
+    // Guards against a second copy of the last answer, where servers say whose it is.
+    if answer.headers().get("x-request-id").is_some_and(|id| id.as_bytes() != forward.id.0.as_bytes()) {
+        return Came::Lost;
+    }
+    // Guards against an answer that ends with its connection, unasked: nobody could tell whether it is whole.
+    let headers = answer.headers();
+    let framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| headers.contains_key(name));
+    let ends = answer.version() == Version::HTTP_10
+        || headers.get(CONNECTION).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+    if !framed && !ends {
+        return Came::Lost;
+    }
+    let passes = outcome == Outcome::Ok && forward.offer.is_none();
+    let body = match short(answer.into_body()).await {
+        Some(Ok(body)) => body,
+        Some(Err((first, rest))) if passes => return Came::Passing(first, rest),
+        _ => return Came::Lost,
+    };
+    match (outcome, &forward.offer) {
+        // What a server has against an upgrade is the client's to know.
+        (Outcome::Error, Some(_)) if status.is_client_error() => {
+            Came::Whole(Outcome::Ok, Some(Payload::Passed(status, body)))
+        }
+        (Outcome::Ok, Some(_)) => Came::Whole(Outcome::Error, None),
+        _ => Came::Whole(outcome, (outcome == Outcome::Ok).then_some(Payload::Body(body))),
+    }
+}
+
+/// Reads a short body whole; of a long one, what had come when that was clear. `None` if it broke before.
+async fn short(mut body: Incoming) -> Option<Result<Bytes, (VecDeque<Bytes>, Incoming)>> {
+    let (mut pieces, mut size) = (VecDeque::new(), 0);
+    let known = body.size_hint().exact();
+    if known.is_some_and(|known| known > LARGEST) {
+        return None;
+    }
+    if known.is_some_and(|known| known > BODY_MOST as u64) {
+        return Some(Err((pieces, body)));
+    }
+    let until = Instant::now() + SHORT_WITHIN;
+    loop {
+        let frame = match known {
+            Some(_) => body.frame().await,
+            None => match timeout_at(until, body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => return Some(Err((pieces, body))),
+            },
+        };
+        let Some(frame) = frame else { break };
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        size += data.len();
+        pieces.push_back(data);
+        if size > BODY_MOST {
+            return Some(Err((pieces, body)));
+        }
+    }
+    if pieces.len() == 1 {
+        return pieces.pop_front().map(Ok);
+    }
+    let mut whole = BytesMut::with_capacity(size);
+    pieces.iter().for_each(|piece| whole.extend_from_slice(piece));
+    Some(Ok(whole.freeze()))
+}
+
+/// Writes the request and reads the head of its answer.
+async fn head(
+    sender: &mut SendRequest<Outgoing>, forward: &Forward, dial: SocketAddr,
+) -> Option<Response<Incoming>> {
     let left = forward.deadline.saturating_duration_since(Instant::now()).as_millis();
     let mut request = Request::builder()
         .method(&forward.method)
@@ -218,48 +331,23 @@
             request = value.iter().fold(request, |request, value| request.header(&name, value));
         }
     }
-    let request = request.body(Full::new(forward.body.clone())).ok()?;
+    let body = match &forward.body {
+        Going::Whole(bytes) => Outgoing::Full(Full::new(bytes.clone())),
+        Going::Coming(pipe) => Outgoing::Coming(Rc::clone(pipe)),
+    };
+    let request = request.body(body).ok()?;
     sender.ready().await.ok()?;
-    let answer = sender.send_request(request).await.ok()?;
-    if let (StatusCode::SWITCHING_PROTOCOLS, Some(offer)) = (answer.status(), &forward.offer) {
-        return switched(offer, server, answer).await;
-    }
-    // Guards against an answer that turns the connection into something else, or that never ends.
-    let room = room.take(answer.body().size_hint().lower());
-    let (most, _held) = room.filter(|_| !answer.status().is_informational())?;
-    // Guards against a second copy of the last answer, where servers say whose it is.
-    if answer.headers().get("x-request-id").is_some_and(|id| id.as_bytes() != forward.id.0.as_bytes()) {
-        return None;
-    }
-    let (status, outcome) = (answer.status(), outcome(&answer));
-    // Guards against an answer that ends with its connection: nobody could tell whether it is whole.
-    let framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| answer.headers().contains_key(name));
-    if !framed {
-        return None;
-    }
-    // Buffered whole, so that a client never gets an answer that was cut.
-    let body = Limited::new(answer.into_body(), most).collect().await.ok()?;
-    let body = body.to_bytes();
-    Some(match (outcome, &forward.offer) {
-        // What a server has against an upgrade is the client's to know.
-        (Outcome::Error, Some(_)) if status.is_client_error() => {
-            (Outcome::Ok, Some(Payload::Passed(status, body)))
-        }
-        (Outcome::Ok, Some(_)) => (Outcome::Error, None),
-        _ => (outcome, (outcome == Outcome::Ok).then_some(Payload::Body(body))),
-    })
+    sender.send_request(request).await.ok()
 }
 
 /// Takes the connection over, if the server has agreed to what was offered and to nothing else.
-async fn switched(
-    offer: &Offer, server: ServerId, answer: Response<hyper::body::Incoming>,
-) -> Option<(Outcome, Option<Payload>)> {
+async fn switched(offer: &Offer, server: ServerId, answer: Response<Incoming>) -> Option<Box<Switched>> {
     let switch = upgrade::verify(offer, answer.headers()).ok()?;
     let upgraded = hyper::upgrade::on(answer).await.ok()?;
     let parts = upgraded.downcast::<Gated>().ok()?;
     let (stream, early) = (parts.io.stream.into_inner(), parts.read_buf);
     let switched = Switched { key: offer.key.clone(), switch, server, stream, early };
-    Some((Outcome::Ok, Some(Payload::Switched(Box::new(switched)))))
+    Some(Box::new(switched))
 }
 
 fn outcome<B>(answer: &Response<B>) -> Outcome {
--- a/crates/simlink/src/main.rs
+++ b/crates/simlink/src/main.rs
@@ -241,6 +241,7 @@
             first: GatewayId(line.number("base")?),
             spread: line.number("setSize")?,
             patience: line.number("ttlUs")?,
+            whole: true,
         },
         "opened" => Event::Started { id: request_id(line)? },
         "finished" => Event::Ended {
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -16,7 +16,7 @@
 /// No wait is longer; only a failing test gets there.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 
-/// A message of HTTP/1.1 with a body of known length.
+/// A message of HTTP/1.1 with a body of known length, or in chunks.
 #[derive(Clone, Debug)]
 pub struct Message {
     /// Its first line.
@@ -30,18 +30,33 @@
 impl Message {
     /// `None` at the end of the connection, or where the message is cut.
     pub fn read(stream: &mut impl BufRead) -> Option<Message> {
-        let mut line = || {
+        let line = |stream: &mut dyn BufRead| {
             let mut line = String::new();
             stream.read_line(&mut line).ok().filter(|length| *length > 0)?;
             Some(line.trim_end().to_owned())
         };
-        let start = line()?;
+        let start = line(stream)?;
         let mut headers = HashMap::new();
         loop {
-            let line = line()?;
+            let line = line(stream)?;
             let Some((name, value)) = line.split_once(':') else { break };
             headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
         }
+        if headers.get("transfer-encoding").is_some_and(|coding| coding == "chunked") {
+            let mut body = Vec::new();
+            loop {
+                let size = line(stream)?;
+                let size = usize::from_str_radix(size.split(';').next().unwrap_or_default(), 16).ok()?;
+                if size == 0 {
+                    while !line(stream)?.is_empty() {}
+                    return Some(Message { start, headers, body });
+                }
+                let from = body.len();
+                body.resize(from + size, 0);
+                stream.read_exact(&mut body[from..]).ok()?;
+                line(stream)?;
+            }
+        }
         let length = headers.get("content-length").map_or(0, |length| length.parse().expect("a length"));
         let mut body = vec![0; length];
         stream.read_exact(&mut body).ok()?;
@@ -423,6 +438,11 @@
         assert!(kill.expect("kill runs").success());
     }
 
+    /// Its process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The next line of its log.
     pub fn log_line(&self) -> String {
         self.log.recv_timeout(PATIENCE).expect("a line of the log")
