--- a/crates/admin/src/line.rs
+++ b/crates/admin/src/line.rs
@@ -72,11 +72,6 @@
             Call::named(word).ok_or(Bad::Unknown)
         })
     }
-
-    /// The caller writes no more.
-    pub fn ended(&self) -> Bad {
-        Bad::Half
-    }
 }
 
 #[cfg(test)]
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -984,9 +984,8 @@
         let attempt = request.attempt(server, now, f64::from(to.open));
         if self.shared && counts {
             let store = self.stores.get(&request.customer).filter(|_| first);
-            let terms = |store: &Store| (store.plan, (store.first, store.spread as u32));
-            let terms = store.map(terms).map(|(plan, set)| TwinTerms { plan, units: request.units, set });
-            out.push(Action::Twin(Twin::Out(TwinOut { first: terms, ..attempt.told(&id, number) })));
+            let first = store.map(|store| store.terms(request.units));
+            out.push(Action::Twin(Twin::Out(TwinOut { first, ..attempt.told(&id, number) })));
         }
         self.attempts.insert((id.clone(), number), attempt);
         self.waiting.retain(|other| *other != id);
@@ -1045,13 +1044,12 @@
         match twin {
             Twin::Out(told) => {
                 let (server, customer) = (told.server, told.customer);
-                if let Some(terms) = &told.first {
-                    self.drawn_by_twin(now, customer, terms);
-                }
+                let drawn = told.first.as_ref().and_then(|terms| self.drawn_by_twin(now, customer, terms));
                 if let Some(server) = self.servers.get_mut(&server) {
                     (server.open, server.cold_credit) = (server.open + 1, server.cold_credit - 1.0);
                 }
-                self.stores.entry(customer).and_modify(|store| store.open += 1);
+                let sent = |store: &mut Store| store.sent_on(now, drawn.unwrap_or(0.0), drawn.is_some());
+                self.stores.entry(customer).and_modify(sent);
                 let (key, attempt) = told.attempt(link);
                 self.abroad.insert(key, attempt);
             }
@@ -1062,9 +1060,9 @@
         }
     }
 
-    /// A first attempt of the other process takes its units here too.
-    fn drawn_by_twin(&mut self, now: Micros, customer: CustomerId, terms: &TwinTerms) {
-        let Some(plan) = self.settings.plans.get(terms.plan.0) else { return };
+    /// The units that a first attempt of the other process takes, off the store's level here too.
+    fn drawn_by_twin(&mut self, now: Micros, customer: CustomerId, terms: &TwinTerms) -> Option<f64> {
+        let plan = self.settings.plans.get(terms.plan.0)?;
         let (set, most) =
             ((terms.set.0, terms.set.1.clamp(1, self.settings.gateways)), self.settings.most_units);
         let up = now.saturating_sub(self.born);
@@ -1072,17 +1070,16 @@
         let store = self.stores.entry(customer).or_insert_with(fresh);
         store.fill(now, &self.settings.plans[store.plan.0], silent(&self.spoke, store, now));
         let units = terms.units.clamp(0.0, if most > 0.0 { most } else { f64::MAX });
-        (store.level, store.ceiling) = (store.level - units, store.ceiling - units);
-        (store.sent, store.sent_at, store.used) = (store.sent + units, now, now);
+        (store.level, store.used) = (store.level - units, now);
+        Some(units)
     }
 
     fn twins(&mut self, ended: Option<u32>, shared: bool, hushed: bool) {
         (self.shared, self.hushed) = (shared, hushed);
         let Some(ended) = ended else { return };
-        let (gone, left) =
+        let gone: crate::twin::Abroad;
+        (gone, self.abroad) =
             std::mem::take(&mut self.abroad).into_iter().partition(|(_, (link, _))| *link == ended);
-        self.abroad = left;
-        let gone: crate::twin::Abroad = gone;
         gone.values().for_each(|(_, attempt)| self.release(attempt));
     }
 
@@ -1108,7 +1105,7 @@
         let Some(store) = self.stores.get_mut(&customer) else { return };
         store.sent_on(now, units, true);
         if self.shared {
-            let first = Some(TwinTerms { plan: store.plan, units, set: (store.first, store.spread as u32) });
+            let first = Some(store.terms(units));
             out.push(Action::Twin(Twin::Out(TwinOut { first, ..told })));
         }
     }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// The terms of a try that draws on it, for another process of this gateway.
+    pub fn terms(&self, units: f64) -> TwinTerms {
+        TwinTerms { plan: self.plan, units, set: (self.first, self.spread as u32) }
+    }
+
     /// Frees the place held under an ask.
     pub fn release(&mut self, holder: (GatewayId, u16)) {
         self.places.retain(|place| (place.0, place.1) != holder);
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -2,7 +2,7 @@
 
 use crate::node::Node;
 use anyhow::{Context, Result};
-use saffronpaddle_admin::{failure, success, Call, Caller, Desk, Line};
+use saffronpaddle_admin::{failure, success, Bad, Call, Caller, Desk, Line};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -118,7 +118,7 @@
     let call = loop {
         let length = stream.read(&mut piece).await?;
         if length == 0 {
-            break Err(line.ended());
+            break Err(Bad::Half);
         }
         if let Some(call) = line.take(&piece[..length]) {
             break call;
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -3,7 +3,7 @@
 
 use crate::node::Node;
 use crate::seats::Busy;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::SendRequest;
@@ -30,6 +30,19 @@
 /// connection on either side.
 const STALL: Duration = Duration::from_secs(10);
 
+/// What has come of a body: all of it, or its first pieces and the rest.
+pub type Gathered = Result<Bytes, (VecDeque<Bytes>, Incoming)>;
+
+/// The pieces of a body as one; copied only where there are several.
+pub fn joined(mut pieces: VecDeque<Bytes>) -> Bytes {
+    if pieces.len() <= 1 {
+        return pieces.pop_front().unwrap_or_default();
+    }
+    let mut whole = BytesMut::with_capacity(pieces.iter().map(Bytes::len).sum());
+    pieces.iter().for_each(|piece| whole.extend_from_slice(piece));
+    whole.freeze()
+}
+
 type Polled = Poll<Option<Result<Frame<Bytes>, io::Error>>>;
 
 /// The body of a request on its way to a server.
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,11 +1,11 @@
 //! Clients: their connections, what they ask and the answers that they get.
 
-use crate::bodies::{self, Pipe, BODY_MOST, LARGEST};
+use crate::bodies::{self, joined, Gathered, Pipe, BODY_MOST, LARGEST};
 use crate::node::{Answer, Node, Payload};
 use crate::seats::{Busy, Seat, Watched};
 use crate::sockets;
 use crate::upstream::{Forward, Going};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{
@@ -235,8 +235,8 @@
     // Guards against a request that hides another in its body: of a length and an encoding, hyper drops one unseen.
     let coding = request.headers().get(TRANSFER_ENCODING);
     if coding.is_some_and(|coding| seat.hides() || !coding.as_bytes().eq_ignore_ascii_case(b"chunked")) {
-        class_of(&node.named, request.headers()).inspect(|class| node.turned_away(*class, End::Faulted));
-        return turned_away(StatusCode::BAD_REQUEST, "a body has a Content-Length or is chunked, not both\n");
+        let words = "a body has a Content-Length or is chunked, not both\n";
+        return unread(node, request.headers(), (StatusCode::BAD_REQUEST, words));
     }
     if request.method() == Method::GET && request.uri().path() == "/-/ready" {
         let standing = phase.borrow().clone();
@@ -256,10 +256,7 @@
     let (head, body) = request.into_parts();
     let asked = match read(&node.named, &head) {
         Ok(asked) => asked,
-        Err((status, what)) => {
-            class_of(&node.named, &head.headers).inspect(|class| node.turned_away(*class, End::Faulted));
-            return turned_away(status, what);
-        }
+        Err(bad) => return unread(node, &head.headers, bad),
     };
     let class = asked.class;
     let turned_away = |status, what| {
@@ -308,9 +305,6 @@
     }
 }
 
-/// What has come of a body: all of it, or its first pieces and the rest.
-type Gathered = Result<Bytes, (VecDeque<Bytes>, Incoming)>;
-
 /// Reads a body that is kept; of one that is too large for that, what had come when that was clear. `None` if it broke off, or
 /// came too slowly.
 async fn gather(mut body: Incoming) -> Option<Gathered> {
@@ -332,12 +326,7 @@
             return Some(Err((pieces, body)));
         }
     }
-    if pieces.len() == 1 {
-        return pieces.pop_front().map(Ok);
-    }
-    let mut whole = BytesMut::with_capacity(size);
-    pieces.iter().for_each(|piece: &Bytes| whole.extend_from_slice(piece));
-    Some(Ok(whole.freeze()))
+    Some(Ok(joined(pieces)))
 }
 
 /// Has a socket opened: a request like any other, whose answer is the socket.
@@ -388,6 +377,14 @@
     reply
 }
 
+/// The same to what makes no request, which counts as one of its class if its head names one.
+fn unread(node: &Node, headers: &HeaderMap, (status, words): Bad) -> Reply {
+    if let Some(class) = class_of(&node.named, headers) {
+        node.turned_away(class, End::Faulted);
+    }
+    turned_away(status, words)
+}
+
 /// Tells the node when the client goes away: the answer's future is dropped then.
 struct Waiting<'a> {
     node: &'a Rc<Node>,
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -27,6 +27,8 @@
 /// The other processes of this node.
 pub struct Links {
     name: String,
+    /// Whether this process can meet others.
+    meets: bool,
     began: Instant,
     family: RefCell<Family>,
     lines: RefCell<BTreeMap<LinkNo, mpsc::Sender<Rc<str>>>>,
@@ -37,9 +39,10 @@
 
 impl Links {
     /// None yet.
-    pub fn new(name: &str) -> Links {
+    pub fn new(name: &str, meets: bool) -> Links {
         Links {
             name: name.to_owned(),
+            meets,
             began: Instant::now(),
             family: RefCell::new(Family::new(name)),
             lines: RefCell::default(),
@@ -48,6 +51,11 @@
         }
     }
 
+    /// Whether there can be any.
+    pub fn meets(&self) -> bool {
+        self.meets
+    }
+
     /// Whether an heir takes clients.
     pub fn succeeded(&self) -> watch::Receiver<bool> {
         self.succeeded.subscribe()
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -365,8 +365,11 @@
         self.exchange.borrow_mut().set_most_links(self.links.part(self.each_side));
     }
 
-    /// Keeps what discovery has told, for this process's heir.
+    /// Keeps what discovery has told, for this process's heir, where there can be one.
     pub fn remember(&self, list: &List) {
+        if !self.links.meets() {
+            return;
+        }
         let mut told = self.told.borrow_mut();
         told.0 = list.seq;
         if list.whole {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -156,7 +156,7 @@
         let Options { config, operator, handed, meeting, manager } = options;
         let shared = handed.is_some();
         let overlaps = meeting.is_some();
-        let links = Links::new(&config.name);
+        let links = Links::new(&config.name, overlaps);
         let meeting = meeting.map(|folder| Meeting::new(&folder, &config.name));
         // Before anything is bound: until then the elder has all to itself.
         let met = match &meeting {
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,9 +1,9 @@
 //! Connections to app servers: made, written to, read and closed as the exchange has it, and only so.
 
-use crate::bodies::{Outgoing, Passing, Pipe, BODY_MOST, LARGEST};
+use crate::bodies::{joined, Gathered, Outgoing, Passing, Pipe, BODY_MOST, LARGEST};
 use crate::node::{Node, Payload};
 use crate::sockets::Switched;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -271,7 +271,7 @@
 }
 
 /// Reads a short body whole; of a long one, what had come when that was clear. `None` if it broke before.
-async fn short(mut body: Incoming) -> Option<Result<Bytes, (VecDeque<Bytes>, Incoming)>> {
+async fn short(mut body: Incoming) -> Option<Gathered> {
     let (mut pieces, mut size) = (VecDeque::new(), 0);
     let known = body.size_hint().exact();
     if known.is_some_and(|known| known > LARGEST) {
@@ -297,12 +297,7 @@
             return Some(Err((pieces, body)));
         }
     }
-    if pieces.len() == 1 {
-        return pieces.pop_front().map(Ok);
-    }
-    let mut whole = BytesMut::with_capacity(size);
-    pieces.iter().for_each(|piece| whole.extend_from_slice(piece));
-    Some(Ok(whole.freeze()))
+    Some(Ok(joined(pieces)))
 }
 
 /// Writes the request and reads the head of its answer.
