Pace calls on discovery by the size of the fleet; wait for homes as long as the way is

`BACKOFF` of 50 ms to 1 s, right for one node, is the cause. From 18 s on nodes knew only servers that were gone (1,407 failed connects) and shed 2,500 tries in 2 s.

A home that spoke within 1.5 s is not taken for dead, and one that is told dead by silence is passed over for 4 s or until it speaks. Stores moved to `quota.rs`; why homes say no is counted.

Test seen to fail with the old pauses: a_fleet_gets_its_lists_back_from_a_service_that_takes_too_many_calls.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -7,6 +7,7 @@
 use crate::interface::*;
 use crate::message::{self, Ask, Message, News, Rumour, Verdict};
 use crate::pooled::{EVIDENCE_FADES_IN, LATENCY_FADES_IN};
+use crate::quota::silent;
 use crate::state::{Attempt, AttemptKey, Fuzzy, Out, Ran, Request, Server, Stage, Step, Store};
 
 pub use crate::state::Gateway;
@@ -17,7 +18,6 @@
 const LATE: Micros = 50_000; // µs by which a sweep may be late before this gateway itself is what is slow
 const NEWCOMER: Micros = 4_000_000; // µs by which peers are older, and for how long, where this gateway restarted
 const DOUBTS: u32 = 3; // requests on end that name another plan or set, until their customer's store follows
-const KEEP_FOR: Micros = 60_000_000; // µs without a try for which a customer's store is kept at the least
 const LAST_CALL: Micros = 2 * SWEEP; // µs before its time is up that a client is answered, if a sweep is late
 const TICK: Micros = 500_000; // µs of a controller tick; the paper's 4 s is longer than the bursts here
 const DESIRED: f64 = 1.0; // W at which the controller rests, in aims (the design's D)
@@ -27,11 +27,10 @@
 const K_OUTPUT: f64 = 3.0 * 0.15; // output gain, a share of what is open; tuned at alpha 1, then tripled
 const CAP_FLOOR: f64 = 6.0; // attempts over all gateways: the cap's floor, where its class still shows W
 const CAP_LEAD: f64 = 12.0; // and how far it may lead what was open
-const HEARD_FOR: Micros = 2_000_000; // µs over which heard counts age out (design)
+pub(crate) const HEARD_FOR: Micros = 2_000_000; // µs over which heard counts age out (design)
 const LAG: f64 = 0.5; // s of the peers' use that a store keeps back: sent on, but not yet told
 const ADVICE: (Micros, Micros) = (20_000, 100_000); // µs a refused client is told to wait: aims are short
 const OPEN_RISK: f64 = 0.2; // loss, of its worth, that a first attempt risks at a limit that is reached
-const SILENT: std::ops::Range<Micros> = 800_000..25_000_000; // µs of silence: share kept, then held dead
 const GOSSIP_EVERY: Micros = 200_000; // µs between messages at the least
 const INTAKE_SHARE: f64 = 0.7; // share of a peer's intake that all of us together may fill
 const TOLD_FOR: Micros = 1_000_000; // µs a customer stays in the messages; a few may be lost
@@ -39,9 +38,9 @@
 const HOMES_FROM: f64 = 500_000.0; // µs between counts to all from which they tell too little: homes instead
 const HOMES: u32 = 2; // the most homes that one try hears "short" from, and that one waits for in vain
 const PUT_MOST: u32 = 4; // times that an ask is put to a home: a lost datagram must not look like a dead one
-const ANSWER_IN: Micros = 60_000; // µs a home may take to answer; then the ask is put again
-const LEASE: Micros = 4 * ANSWER_IN; // µs after its first ask for which a grant holds under a ceiling
-const MUTE_FOR: Micros = 1_000_000; // µs for which a home that did not answer is passed over
+pub(crate) const LEASE: Micros = 240_000; // µs in which an ask is put again, and its grant holds under a ceiling
+const MUTE_FOR: Micros = 4_000_000; // µs for which a home that did not answer is passed over; a word from it ends that
+const LIVELY: Micros = 1_500_000; // µs since it spoke for which a gateway is not taken for dead
 const WANTED: f64 = 2.0; // asks that a home wants, as a multiple of what it can grant
 const THIN: f64 = 0.97; // factor by which each ask too many thins them out
 const THICKEN: f64 = 0.5; // share of tries that may ask again, a second
@@ -147,7 +146,8 @@
         let up = now.saturating_sub(self.born);
         let store = store.or_insert_with(|| {
             let store = Store::new(now, up, request.plan, &plans[request.plan.0], set, most);
-            let level = if self.newcomer && up < NEWCOMER { store.depth } else { store.level };
+            let part = self.wide || self.newcomer && up < NEWCOMER;
+            let level = if part { store.depth } else { store.level };
             Store { level, ..store }
         });
         // Danger: one request, by mistake or malice, that fixes a wrong plan or set for its customer for good.
@@ -356,95 +356,6 @@
     1e6 * f64::from(settings.gateways.saturating_sub(1)) / words
 }
 
-/// How many of a customer's other gateways are silent. Danger: cut links, where each would grant the whole
-/// rate; so one keeps its even share until it is taken for dead. It hurts while a gateway is down.
-fn silent(spoke: &[Micros], store: &Store, now: Micros) -> f64 {
-    let members = (0..store.spread as usize).map(|step| (store.first.0 as usize + step) % spoke.len());
-    members.filter(|member| SILENT.contains(&now.saturating_sub(spoke[*member]))).count() as f64
-}
-
-impl Store {
-    /// A store that has not been used for as long as this gateway is up. It holds the whole burst: with only the even
-    /// part at first, what is missing stays missing for a customer that uses nearly all. Peers' use is heard soon
-    /// enough. Its share of the ceiling holds what has come in since the start, when it may have been used up.
-    fn new(
-        now: Micros, up: Micros, id: PlanId, plan: &Plan, (first, spread): (GatewayId, u32), most: f64,
-    ) -> Self {
-        let spread = f64::from(spread.max(1));
-        let depth = (plan.burst / spread).max(most);
-        let (share, ceiling_share) = (1.0, 1.0 / spread);
-        let store = Store {
-            plan: id,
-            first,
-            spread,
-            depth,
-            level: plan.burst.max(depth),
-            filled: now,
-            ..Store::default()
-        };
-        let mut store = Store { share, ceiling_share, chance: 1.0, ..store };
-        store.fill_ceiling(plan, up as f64 / 1e6);
-        store
-    }
-
-    /// What a keeper of one of so many parts keeps: that part of the quota, full, and of the ceiling what has come in
-    /// since this gateway's start, when its last life may have used it up. Keepers never share a ceiling's part. Danger:
-    /// two stores for one quota, as a home's answers are lost now and then; who stands by begins with one try's units.
-    fn home(now: Micros, up: Micros, ask: &Ask, plan: &Plan, homes: Homes, most: f64) -> Self {
-        let Homes { parts, keepers } = homes;
-        let store = Store::new(now, 0, ask.plan, plan, (ask.first, parts), most);
-        let (share, ceiling_share) = (1.0 / f64::from(parts), 1.0 / f64::from(keepers));
-        let level = if u32::from(ask.home) < parts { store.level } else { ask.units };
-        let mut store = Store { share, ceiling_share, home: true, level, ceiling: 0.0, ..store };
-        store.fill_ceiling(plan, up as f64 / 1e6);
-        store
-    }
-
-    /// Goes over to another plan or set; nothing is gained by that, and all that is out or told stays so.
-    fn follow(&mut self, fresh: Store, ceiling: f64) {
-        let (heard, level) = (std::mem::take(&mut self.heard), self.level.min(fresh.level));
-        let (open, sent, sent_at) = (self.open, self.sent, self.sent_at);
-        *self = Store { level, ceiling, open, sent, sent_at, heard, ..fresh };
-    }
-
-    fn fill(&mut self, now: Micros, plan: &Plan, silent: f64) {
-        let span = now.saturating_sub(self.filled) as f64 / 1e6;
-        self.filled = now;
-        self.level = (self.level + self.share * plan.rate * (1.0 - silent / self.spread) * span)
-            .min((plan.burst * self.share).max(self.depth));
-        self.fill_ceiling(plan, span);
-    }
-
-    fn fill_ceiling(&mut self, plan: &Plan, span: f64) {
-        if let Some(ceiling) = plan.ceiling {
-            // Danger: a ceiling passed. A fixed share, empty at first, needs no word from anyone and holds
-            // through lost messages and restarts; it hurts where nearly all comes in through one gateway.
-            // A home keeps back what is filled while its grants are under way: they are void after that.
-            let most = self.most_under(&ceiling);
-            self.ceiling = (self.ceiling + ceiling.rate * self.ceiling_share * span).min(most);
-        }
-    }
-}
-
-impl Store {
-    fn most_under(&self, ceiling: &Ceiling) -> f64 {
-        let late = if self.home { ceiling.rate * LEASE as f64 / 1e6 } else { 0.0 };
-        (ceiling.depth - late) * self.ceiling_share
-    }
-
-    /// Whether nothing would be gained or given by dropping it: it has stood unused, and is full.
-    fn is_idle(&mut self, now: Micros, plan: &Plan, silent: f64) -> bool {
-        if self.open > 0 || now.saturating_sub(self.used) < KEEP_FOR {
-            return false;
-        }
-        self.fill(now, plan, silent);
-        self.places.retain(|place| place.2 > now);
-        let full = plan.ceiling.as_ref().is_none_or(|ceiling| self.ceiling >= self.most_under(ceiling));
-        let refilled = plan.rate <= 0.0 || self.level >= (plan.burst * self.share).max(self.depth);
-        full && refilled && self.places.is_empty() && self.peers(now, HEARD_FOR) <= 0.0
-    }
-}
-
 impl Gateway {
     /// How many servers and customers are kept in mind.
     pub fn kept(&self) -> usize {
@@ -454,6 +365,7 @@
     /// Drops what tells nothing any more. Danger: memory that grows with every customer and server ever seen.
     fn tidy(&mut self, now: Micros) {
         let (plans, spoke) = (&self.settings.plans, &self.spoke);
+        self.mute.retain(|_, until| *until > now);
         self.stores.retain(|_, store| !store.is_idle(now, &plans[store.plan.0], silent(spoke, store, now)));
         self.homes.retain(|_, store| !store.is_idle(now, &plans[store.plan.0], 0.0));
         self.servers.retain(|_, server| server.open > 0 || server.entry.standing != Standing::Gone);
@@ -485,6 +397,7 @@
             return;
         }
         self.mute.remove(&from);
+        self.lately[from.0 as usize] = now;
         let (birth, counts) = match message {
             Message::Counts(birth, counts) => (birth, counts),
             Message::Ask(ask, news) => {
@@ -621,7 +534,15 @@
         store.places.retain(|place| place.2 > now);
         let places = plan.at_once.map(|most| (most + homes.parts - 1 - number % homes.parts) / homes.parts);
         let full = places.is_some_and(|most| store.places.len() >= most as usize);
-        if short || full || plan.ceiling.is_some() && store.ceiling < ask.units {
+        let over = plan.ceiling.is_some() && store.ceiling < ask.units;
+        if short || full || over {
+            self.counts.add(if short {
+                Of::HomeShort
+            } else if full {
+                Of::HomeFull
+            } else {
+                Of::HomeOver
+            });
             return Some((Verdict::Short, chance));
         }
         store.level -= ask.units;
@@ -642,6 +563,10 @@
             return;
         }
         request.asking.open = None;
+        match request.asking.put {
+            1 => self.rto.sample(now.saturating_sub(request.asking.since)),
+            _ => self.rto.back_off(),
+        }
         let thin = |store: &mut Store| (store.chance, store.chance_at) = (said.1, now);
         self.stores.entry(request.customer).and_modify(thin);
         match said.0 {
@@ -679,19 +604,26 @@
             self.waiting.retain(|other| *other != id);
             self.give_back(granted, customer, out);
         } else if let Some((serial, at)) = request.asking.open {
-            if now <= at.saturating_add(ANSWER_IN) {
+            if now <= at.saturating_add(self.rto.wait()) {
                 return;
             }
             self.counts.add(Of::Unanswered);
-            if request.asking.put < PUT_MOST && request.asking.missed == 0 {
+            let puts = if request.asking.missed == 0 { PUT_MOST } else { 1 };
+            if request.asking.put < puts && now <= request.asking.since.saturating_add(LEASE) {
                 request.asking.put_again(now);
                 return self.put(now, &id, out);
             }
             (request.asking.missed, request.asking.open) = (request.asking.missed + 1, None);
             self.asks.remove(&serial);
-            self.mute.insert(request.asking.home.1, now.saturating_add(MUTE_FOR));
-            if request.asking.missed >= HOMES && plan.ceiling.is_none() {
-                let covered = self.stores.get(&customer).is_some_and(|store| store.level >= 0.0);
+            // Danger: a busy home whose answers are lost now and then, taken for dead, and its quota granted twice.
+            let home = request.asking.home.1;
+            let until = now.saturating_add(MUTE_FOR);
+            if now > self.lately[home.0 as usize].saturating_add(LIVELY) {
+                self.mute.insert(home, until);
+            }
+            if request.asking.missed >= HOMES {
+                let covered = plan.ceiling.is_none()
+                    && self.stores.get(&customer).is_some_and(|store| store.level >= 0.0);
                 (request.asking.granted, request.due) = (Some((self.settings.me, serial)), now);
                 self.waiting.extend(covered.then(|| id.clone()));
                 let over: &[RequestId] = if covered { &[] } else { &[id] };
--- a/crates/decision/src/counts.rs
+++ b/crates/decision/src/counts.rs
@@ -30,6 +30,12 @@
     Expired,
     /// This gateway was asked as a home.
     Homed,
+    /// As a home, said no: its part of the quota is short.
+    HomeShort,
+    /// The same: too many attempts are out.
+    HomeFull,
+    /// The same: the ceiling is near.
+    HomeOver,
     /// A first attempt.
     First,
     /// A further attempt.
@@ -70,6 +76,9 @@
     "granted",
     "grants_expired",
     "homed",
+    "home_short",
+    "home_full",
+    "home_over_ceiling",
     "first_attempts",
     "further_attempts",
     "trials",
--- a/crates/decision/src/homes.rs
+++ b/crates/decision/src/homes.rs
@@ -11,7 +11,7 @@
 const RATE: f64 = 8.0;
 /// Units of a ceiling's depth that a part must hold at the least: a few tries.
 const CEILING: f64 = 8.0;
-/// Gateways that keep each part: its home, and who stands by.
+/// Gateways that keep each part: its home, and who stands by. Danger of more: each that is asked grants at the full rate.
 const KEEPERS: u32 = 2;
 
 /// The parts of a customer's quota, and how many gateways keep one.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod interface;
 mod message;
 mod pooled;
+mod quota;
+mod rto;
 pub mod setup;
 mod state;
 mod twin;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -5,6 +5,7 @@
 use crate::interface::*;
 use crate::message::{self, Rumour};
 use crate::pooled::Pooled;
+use crate::rto::Rto;
 use crate::twin::Abroad;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -349,6 +350,7 @@
     pub(crate) asks: BTreeMap<u16, RequestId>,
     pub(crate) serial: u16,
     pub(crate) mute: BTreeMap<GatewayId, Micros>,
+    pub(crate) rto: Rto,
     /// Share of the attempts into each zone that found no connection.
     pub(crate) cut: BTreeMap<ZoneId, f64>,
     pub(crate) fuzzy: Fuzzy,
@@ -366,6 +368,8 @@
     pub(crate) crowd: Crowding,
     /// When each gateway's news was last taken in.
     pub(crate) weighed: Vec<Micros>,
+    /// When each gateway last said anything.
+    pub(crate) lately: Vec<Micros>,
     /// Answers a second at one gateway, and those since the last tick.
     pub(crate) served: f64,
     pub(crate) done: f64,
@@ -422,6 +426,7 @@
             asks: BTreeMap::new(),
             serial: 0,
             mute: BTreeMap::new(),
+            rto: Rto::default(),
             cut: BTreeMap::new(),
             fuzzy: Fuzzy { seen: vec![(0.0, 0.0); classes], ..Fuzzy::default() },
             spoke: vec![now; settings.gateways as usize],
@@ -433,6 +438,7 @@
             pooled: vec![Pooled::default(); classes],
             crowd: Crowding::default(),
             weighed: vec![0; settings.gateways as usize],
+            lately: vec![0; settings.gateways as usize],
             served: 0.0,
             done: 0.0,
             retries: 0.0,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -9,6 +9,7 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use saffronpaddle_roster::Pace;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,8 +21,6 @@
 /// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
 /// has to tell counts as told 6 s later, also on a watch that nobody serves any more.
 const SILENT_FOR: Duration = Duration::from_secs(3);
-/// Until a watch that ended is opened again: at first, doubled each time, and at the most.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 /// Most bytes of one line of a watch.
 const LINE_MOST: usize = 4 << 20;
 
@@ -29,6 +28,8 @@
 struct Follower {
     node: Rc<Node>,
     seq: Option<u64>,
+    /// Whether the last call was answered with a watch.
+    opened: bool,
 }
 
 impl Follower {
@@ -44,7 +45,7 @@
 /// Follows the list for ever, and moves when discovery gets another address. While it is down, and until the
 /// new one has spoken, the old list stands.
 pub async fn follow(node: Rc<Node>, mut address: watch::Receiver<SocketAddr>, known: Option<List>) {
-    let mut follower = Follower { node, seq: None };
+    let mut follower = Follower { node, seq: None, opened: false };
     if let Some(known) = known {
         follower.take(&List { whole: true, ..known });
     }
@@ -61,21 +62,20 @@
 
 /// Follows the list at one address, for ever.
 async fn stay(follower: &mut Follower, address: SocketAddr) {
-    let mut pause = BACKOFF.0;
+    let mut pace = Pace::of(follower.node.named.settings.gateways);
     let mut told = false;
     loop {
-        let before = follower.seq;
+        follower.opened = false;
         if let Err(error) = watch_list(follower, address).await {
             if !std::mem::replace(&mut told, true) {
                 eprintln!("discovery: {error:#}");
             }
         }
-        if follower.seq != before {
-            (pause, told) = (BACKOFF.0, false);
+        if follower.opened {
+            pace.answered();
+            told = false;
         }
-        // Spread out, so that all edge nodes do not come back at one stroke.
-        tokio::time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
-        pause = (pause * 2).min(BACKOFF.1);
+        tokio::time::sleep(pace.pause(fastrand::f64())).await;
     }
 }
 
@@ -107,6 +107,7 @@
     let request = request.header(HOST, address.to_string()).body(Empty::new())?;
     let answer = timeout(SILENT_FOR, sender.send_request(request)).await??;
     ensure!(answer.status() == StatusCode::OK, "the watch was answered {}", answer.status());
+    follower.opened = true;
     let mut body = answer.into_body();
     let mut line = Vec::new();
     // A silent machine keeps its connection open: only the missing signs of life tell.
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -11,10 +11,12 @@
 pub mod entry;
 pub mod follower;
 pub mod merge;
+pub mod pace;
 
 pub use entry::{Entry, Standing};
 pub use follower::{Follower, Header, KeyValue, Next, Rules, WatchEvent};
 pub use merge::{Merge, Source};
+pub use pace::Pace;
 
 /// A point in time: the span since some fixed moment of a clock that never goes back.
 pub type Time = std::time::Duration;
