--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -164,7 +164,7 @@
         // Danger: a client that waits so briefly that the next sweep would answer too late.
         let forgot = (now.saturating_sub(store.chance_at) as f64 / THIN_FOR).min(1.0);
         let asks = store.chance + (1.0 - store.chance) * forgot;
-        let draw = self.random.f64();
+        let draw = if self.wide { self.random.f64() } else { 0.0 };
         let thinned = self.wide && draw > asks * (1.0 - shed);
         let hopeless = request.deadline <= now.saturating_add(LAST_CALL);
         let kept = (store.peers(now, HEARD_FOR) * LAG).min(plan.burst - store.depth).max(0.0);
@@ -1190,6 +1190,8 @@
             let gained = (rate * server.warmth(&rules, now) + draw).floor();
             let saved = server.cold_credit.max(0.0) * kept;
             let credit = (rate * server.warmth(&rules, now) + saved + draw).floor();
+            // Few gateways keep all that they have saved, and parts of a send too.
+            let credit = if kept < 1.0 { credit } else { saved + gained };
             server.cold_credit = credit.min(gained.max(COLD_SAVED));
         }
     }
