Pass over rumours of a class that there is not, which ended the process

Found on reading the change again: since evidence is pooled, told() judged a server for any class that a rumour named, as what hear() said of an unknown one was ignored; one forged datagram with a known server's short name ended the process (index 7 of 4). hear() now says that there is no such class. rumours_heard again counts what tells of later only, as its description has it. Seen to fail without: a_rumour_of_an_unknown_class_is_passed_over. The decision module's 37 tests pass.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -668,12 +668,16 @@
         for rumour in news.rumours {
             let named = self.names.get(&rumour.server).copied();
             let Some(server) = named.and_then(|id| self.servers.get_mut(&id)) else { continue };
-            if rumour.age < NEWS_FOR {
-                server.hear(now, &rumour, HEARD_WEIGHT, self.typical);
-                let id = server.entry.server;
+            if rumour.age >= NEWS_FOR {
+                continue;
+            }
+            // Danger: a class that there is not, from a forged datagram.
+            let Some(later) = server.hear(now, &rumour, HEARD_WEIGHT, self.typical) else { continue };
+            let id = server.entry.server;
+            if later {
                 self.counts.add(Of::Heard);
-                self.judge(now, id, rumour.class);
             }
+            self.judge(now, id, rumour.class);
         }
     }
 }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -295,18 +295,17 @@
         self.learned = self.learned.max(seen);
     }
 
-    /// Takes in a rumour if it tells of later than what is known; whether it did.
-    pub fn hear(&mut self, now: Micros, rumour: &Rumour, weight: f64, unknown: f64) -> bool {
+    /// Takes in a rumour; whether it tells of later than what is known. `None` if it names a class that there is not.
+    pub fn hear(&mut self, now: Micros, rumour: &Rumour, weight: f64, unknown: f64) -> Option<bool> {
         let seen = now.saturating_sub(rumour.age);
-        if let Some(health) = self.health.get_mut(rumour.class.0) {
-            health.pool.mix(rumour.pool);
+        let health = self.health.get_mut(rumour.class.0)?;
+        health.pool.mix(rumour.pool);
+        let later = seen > health.seen;
+        if later {
+            health.seen = seen;
+            self.waited(seen, rumour.wait, weight, unknown);
         }
-        let Some(health) = self.health.get_mut(rumour.class.0).filter(|health| seen > health.seen) else {
-            return false;
-        };
-        health.seen = seen;
-        self.waited(seen, rumour.wait, weight, unknown);
-        true
+        Some(later)
     }
 
     pub fn ready(&self) -> bool {
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -781,6 +781,21 @@
     assert!(!used.is_empty(), "something is sent on");
 }
 
+/// A forged rumour that names a server of the list and a class that there is not.
+#[test]
+fn a_rumour_of_an_unknown_class_is_passed_over() {
+    let mut stand = Stand::with_servers(1, settings(0, 300), S, 4);
+    for server in 0..4u64 {
+        let short = (server.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 48) as u16;
+        let mut bytes = vec![2, 5, 1, 0, 0, 255, 0, 0, 0, 0];
+        bytes.extend(short.to_le_bytes());
+        bytes.extend([7 * 32 + 31, 60, 1, 0]);
+        stand.pass(S);
+        stand.event(Event::Peer { from: GatewayId(5), bytes });
+    }
+    assert_eq!(stand.gateway.rotation(), (4, 0));
+}
+
 #[test]
 fn a_customer_far_over_its_quota_does_not_drown_its_homes() {
     let mut fleet = Fleet::new(60, 40, |settings| settings.plans[0].rate = 2.0);
