Take the mean of failing once a tick, not once for each server

On reading again: fade() judged each server against a mean that walks all servers, so a tick cost their number squared (10,000 servers: 2e8 steps twice a second). The mean is taken once a class; servers judged in one tick are held to one mean, where each saw those before it moved. credit() computed what is earned twice. Decision tests pass.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -807,8 +807,10 @@
             let faded = TICK as f64 / 1e6 / EVIDENCE_FADES_IN;
             server.health.iter_mut().for_each(|health| health.pool.fade(faded));
         }
+        // Once a class, not once a server: a tick must not walk all servers for each of them.
+        let usual: Vec<f64> = (0..classes).map(|class| self.mean_failing(ClassId(class))).collect();
         for id in self.servers.keys().copied().collect::<Vec<_>>() {
-            (0..classes).for_each(|class| self.judge(now, id, ClassId(class)));
+            (0..classes).for_each(|class| self.judge_by(now, id, ClassId(class), usual[class]));
         }
     }
 
@@ -900,6 +902,11 @@
     /// Shuts a server out for a class, or takes it back in, by what is known of it.
     fn judge(&mut self, now: Micros, id: ServerId, class: ClassId) {
         let fleet = self.mean_failing(class);
+        self.judge_by(now, id, class, fleet);
+    }
+
+    /// The same, against what share of all fails.
+    fn judge_by(&mut self, now: Micros, id: ServerId, class: ClassId, fleet: f64) {
         let next = now.saturating_add(self.trial_after());
         let gateways = f64::from(self.settings.gateways);
         let Some(server) = self.servers.get_mut(&id) else { return };
@@ -1190,12 +1197,10 @@
         let rate = known.max(COLD_BLIND / gateways) * TICK as f64 / 1e6;
         let kept = (COLD_KEEPERS / gateways).clamp(COLD_KEPT, 1.0);
         for server in self.servers.values_mut().filter(|server| server.warmth(&rules, now) < 1.0) {
-            let draw = self.random.f64();
-            let gained = (rate * server.warmth(&rules, now) + draw).floor();
-            let saved = server.cold_credit.max(0.0) * kept;
-            let credit = (rate * server.warmth(&rules, now) + saved + draw).floor();
+            let earned = rate * server.warmth(&rules, now) + self.random.f64();
+            let (gained, saved) = (earned.floor(), server.cold_credit.max(0.0) * kept);
             // Few gateways keep all that they have saved, and parts of a send too.
-            let credit = if kept < 1.0 { credit } else { saved + gained };
+            let credit = if kept < 1.0 { (earned + saved).floor() } else { gained + saved };
             server.cold_credit = credit.min(gained.max(COLD_SAVED));
         }
     }
--- a/crates/decision/src/pooled.rs
+++ b/crates/decision/src/pooled.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// s in which a sample loses all but 1/e of its weight: of latencies, and of what tells a bad server.
+/// s in which a sample loses all but 1/e of its weight: of latencies.
 pub const LATENCY_FADES_IN: f64 = 2.0;
 /// The same of how many attempts are out.
 pub const OUT_FADES_IN: f64 = 1.0;
