Prefer servers that a connection is kept to, and tell counts to the log

Cause: choose() in control.rs draws among all servers in inverse to their waits, so a gateway with 7 attempts a second meets each of 163 servers every 23 s, and a connection is dropped after 9 s (IDLE_SHARE of 15 s). Ruled out: the exchange closing connections early (0 closed as idle by servers, kept ones are taken where there are any). Change: in wide fleets a server without a kept connection counts as 40 times its wait; as those kept get slow, bad or drained, others are met one by one. Narrow fleets choose as before. Three tests: fewer handshakes, the way out when kept servers fail, even load over all gateways.

Also: [log] counts_every_ms tells the figures of INFO as one line of fields, and `saffronpaddle fleet counts LOGS` adds them up over nodes and restarts, as a table or CSV; off by default.

--- a/crates/admin/src/figures.rs
+++ b/crates/admin/src/figures.rs
@@ -1,5 +1,6 @@
 //! The counts of a process, and how they are told.
 
+use crate::fields::Fields;
 use std::fmt::Write;
 
 /// How a request ended.
@@ -96,6 +97,8 @@
     pub registry_entries: usize,
     /// Those of them that get nothing new at present.
     pub out_of_rotation: usize,
+    /// Messages to peers and from them.
+    pub words: (u64, u64),
     /// What the decision module has done, by name: added up over a fleet they tell where tries and attempts go.
     pub decided: Vec<(&'static str, u64)>,
 }
@@ -103,7 +106,7 @@
 impl Figures<'_> {
     /// The figures in the text form of Prometheus, a sample a line, and the line that ends them.
     pub fn told(&self) -> String {
-        let mut text = String::with_capacity(64 * (3 * self.names.len() + 9 + self.decided.len()));
+        let mut text = String::with_capacity(64 * (3 * self.names.len() + 11 + self.decided.len()));
         type Of = fn(&ClassCounts) -> u64;
         let kinds: [(&str, Of); 3] = [
             ("fulfilled", |counts| counts.fulfilled),
@@ -117,6 +120,15 @@
                 let _ = writeln!(text, "lb_{kind}{{priority=\"{}\"}} {count}", escaped(name));
             }
         }
+        for (name, count) in self.plain() {
+            let _ = writeln!(text, "lb_{name} {count}");
+        }
+        text.push_str("EOT\n");
+        text
+    }
+
+    /// The figures that have no label.
+    fn plain(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
         let plain = [
             ("relayed", self.tally.relayed),
             ("connects", self.tally.connects),
@@ -125,12 +137,22 @@
             ("open_requests", self.tally.open()),
             ("registry_entries", self.registry_entries as u64),
             ("out_of_rotation", self.out_of_rotation as u64),
+            ("words_told", self.words.0),
+            ("words_heard", self.words.1),
         ];
-        for (name, count) in plain.into_iter().chain(self.decided.iter().copied()) {
-            let _ = writeln!(text, "lb_{name} {count}");
-        }
-        text.push_str("EOT\n");
-        text
+        plain.into_iter().chain(self.decided.iter().copied())
+    }
+
+    /// The same in one line of fields for the log, with the ends of requests over all classes.
+    pub fn line(&self, node: u32, at_ms: u64) -> String {
+        let sum = |of: fn(&ClassCounts) -> u64| self.tally.classes.iter().map(of).sum();
+        let ends = [
+            ("taken", sum(|counts| counts.taken)),
+            ("fulfilled", sum(|counts| counts.fulfilled)),
+            ("throttled", sum(|counts| counts.throttled)),
+            ("faulted", sum(|counts| counts.faulted)),
+        ];
+        Fields::line(node, at_ms, ends.into_iter().chain(self.plain()))
     }
 }
 
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -14,10 +14,12 @@
 #![warn(missing_docs)]
 
 mod desk;
+mod fields;
 mod figures;
 mod line;
 
 pub use desk::{Caller, Desk};
+pub use fields::Fields;
 pub use figures::{ClassCounts, End, Figures, Tally};
 pub use line::{Bad, Call, Line, LINE_MOST};
 
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -62,6 +62,7 @@
 const FIRST_WAIT: f64 = 0.12; // expected wait before anything was seen, as a share of the shortest aim
 const JITTER: f64 = 0.1; // spread of the choice among equal servers, so that gateways do not move as one
 const CROSSING: f64 = 30.0; // places that count more in another zone, for each 1.0 that crossing costs
+const HANDSHAKE: f64 = 40.0; // times a wait counts more where no connection is kept (`choose`)
 const AGAIN: f64 = 4.0; // places that count more at the server tried last
 const FAILING: f64 = 4.0; // times the wait counts more where all fails: failing fast must not look quick
 const CUT: (f64, f64) = (0.2, 20.0); // weight of an attempt in whether its zone is cut; what that adds
@@ -882,6 +883,10 @@
             let places = f64::from(server.open) + 1.0 + CROSSING * crossing + again;
             let cut = self.cut.get(&server.entry.zone).copied().unwrap_or(0.0) * CUT.1;
             let score = places * self.place_wait(server, now) * (1.0 + health.failing * FAILING + cut);
+            // Danger: hundreds of gateways that each meet every server, with a handshake for nearly every attempt. Each
+            // keeps to those that it has a connection to; as their waits rise it turns elsewhere, one by one.
+            let kept = server.open == 0 && now < server.answered.saturating_add(self.settings.conn_idle / 2);
+            let score = if kept || !self.wide { score } else { score * HANDSHAKE };
             let trial = health.trial.is_some() && request.attempts == 0 && !(few && self.wide);
             // Danger: hundreds of gateways that flock to the server last heard to be quick. Where each knows
             // little, a server's share is in inverse to its wait; the least of such draws does that.
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -173,6 +173,8 @@
     pub peer_messages_per_s: f64,
     /// Units of the largest request.
     pub most_units: f64,
+    /// A server closes a connection that has stood idle for so long.
+    pub conn_idle: Micros,
 }
 
 /// Settings that make no sense.
--- a/crates/decision/src/setup.rs
+++ b/crates/decision/src/setup.rs
@@ -182,6 +182,7 @@
         period: setup.period_us,
         peer_messages_per_s: setup.extra.peer_in_per_s,
         most_units: setup.extra.max_units,
+        conn_idle: setup.ceilings.conn_idle_us,
     };
     Ok(Named {
         settings,
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -49,6 +49,7 @@
         period: 2 * MS,
         peer_messages_per_s: 60.0,
         most_units: 1.0,
+        conn_idle: 15_000_000,
     }
 }
 
@@ -119,6 +120,14 @@
     }
 
     pub fn request(&mut self, class: ClassId, plan: usize, customer: u64, patience: Micros) -> RequestId {
+        self.request_of(class, plan, (customer, GatewayId(0), self.settings.gateways), patience)
+    }
+
+    /// The same of a customer with a set of its own.
+    pub fn request_of(
+        &mut self, class: ClassId, plan: usize, (customer, first, spread): (u64, GatewayId, u32),
+        patience: Micros,
+    ) -> RequestId {
         self.next += 1;
         let id = RequestId(format!("r{}", self.next).into());
         let told = Told { class: class.0, deadline: self.now + patience, open: true, ..Told::default() };
@@ -129,8 +138,8 @@
             plan: PlanId(plan),
             customer: CustomerId(customer),
             units: 1.0,
-            first: GatewayId(0),
-            spread: self.settings.gateways,
+            first,
+            spread,
             patience,
             whole: true,
         });
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -831,3 +831,62 @@
     }
     assert!(beside > 60, "{beside} of 300 went to the healthy server of that zone");
 }
+
+/// One try of a customer of this gateway's own, whose attempts are all answered so; the server that got the first.
+fn one_try(stand: &mut Stand, number: u64, outcome: impl Fn(ServerId) -> Outcome) -> Option<ServerId> {
+    let me = stand.settings.me;
+    let (id, mut first) = (stand.request_of(SAFE, 1, (number, me, 1), 2 * S), None);
+    stand.pass(50 * MS);
+    while let Some(server) = stand.out.iter().find(|out| out.0 == id).map(|out| out.2) {
+        first.get_or_insert(server);
+        stand.end(&id, outcome(server));
+        stand.pass(50 * MS);
+    }
+    first
+}
+
+/// Hundreds of gateways with a few requests a second each: met at random, a server's connection has gone idle before it is met
+/// again. Without the preference for kept connections this needs 180 and more.
+#[test]
+fn a_gateway_of_a_wide_fleet_keeps_to_servers_that_it_has_a_connection_to() {
+    let mut stand = Stand::with_servers(3, settings(0, 300), S, 100);
+    let (mut last, mut handshakes) = (BTreeMap::new(), 0);
+    for number in 0..240 {
+        let server = one_try(&mut stand, number, |_| Outcome::Ok).expect("it is sent on");
+        let kept = last.insert(server, stand.now).is_some_and(|at| stand.now - at < 9 * S);
+        handshakes += u32::from(!kept);
+    }
+    assert!(handshakes <= 80, "{handshakes} of 240");
+}
+
+/// The way out: what is kept is left as it fails.
+#[test]
+fn kept_connections_to_servers_that_fail_are_left() {
+    let mut stand = Stand::with_servers(3, settings(0, 300), S, 100);
+    let kept: std::collections::BTreeSet<_> =
+        (0..100).filter_map(|number| one_try(&mut stand, number, |_| Outcome::Ok)).collect();
+    assert!(kept.len() < 60, "{}", kept.len());
+    let fails = |server| if kept.contains(&server) { Outcome::Error } else { Outcome::Ok };
+    let met: Vec<_> = (100..300).filter_map(|number| one_try(&mut stand, number, fails)).collect();
+    let late = &met[met.len() / 2..];
+    let bad = late.iter().filter(|server| kept.contains(server)).count();
+    assert!(late.len() > 50 && bad * 4 < late.len(), "{bad} of {}", late.len());
+}
+
+/// What each gateway keeps to is its own draw, so that all together load the servers evenly.
+#[test]
+fn gateways_that_keep_to_few_servers_load_all_of_them_evenly() {
+    let mut load: BTreeMap<ServerId, u32> = BTreeMap::new();
+    for me in 0..60 {
+        let mut stand = Stand::with_servers(u64::from(me) + 1, settings(me, 300), S, 40);
+        for number in 0..100 {
+            let server = one_try(&mut stand, number, |_| Outcome::Ok).expect("it is sent on");
+            *load.entry(server).or_default() += 1;
+        }
+    }
+    let (most, least) = (load.values().max().copied(), load.values().min().copied());
+    assert!(
+        load.len() == 40 && most < Some(270) && least > Some(70),
+        "150 each on the mean: {least:?} to {most:?}"
+    );
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod counts;
 pub mod instance;
 pub mod manager;
 pub mod report;
--- a/crates/handover/tests/overlap.rs
+++ b/crates/handover/tests/overlap.rs
@@ -28,6 +28,7 @@
         period: 2_000,
         peer_messages_per_s: 60.0,
         most_units: 1.0,
+        conn_idle: 15_000_000,
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -224,11 +224,28 @@
 
     /// The figures as staff are told them.
     pub fn figures(&self) -> String {
+        self.with_figures(|figures| figures.told())
+    }
+
+    /// Tells the log the figures so often, for ever.
+    pub async fn tell_counts(self: Rc<Self>, every: Option<Duration>) {
+        let Some(every) = every else { return };
+        let born = Instant::now();
+        let me = self.named.settings.me.0;
+        loop {
+            tokio::time::sleep(every).await;
+            let at_ms = born.elapsed().as_millis() as u64;
+            eprintln!("{}", self.with_figures(|figures| figures.line(me, at_ms)));
+        }
+    }
+
+    fn with_figures(&self, told: impl FnOnce(&Figures) -> String) -> String {
         let exchange = self.exchange.borrow();
         let (registry_entries, out_of_rotation) = exchange.module().rotation();
         let (names, tally) = (&self.named.classes, exchange.tally().clone());
         let decided = exchange.module().counted().named().collect();
-        Figures { names, tally, registry_entries, out_of_rotation, decided }.told()
+        let words = self.peers.as_ref().map_or((0, 0), Peers::words);
+        told(&Figures { names, tally, registry_entries, out_of_rotation, words, decided })
     }
 
     /// A request that was not taken was answered all the same.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -5,6 +5,7 @@
 use anyhow::{Context, Result};
 use saffronpaddle_decision::interface::GatewayId;
 use socket2::{Domain, Socket, Type};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -17,6 +18,8 @@
     each: Vec<SocketAddr>,
     all: Option<SocketAddr>,
     me: usize,
+    /// Datagrams told and heard.
+    words: Cell<(u64, u64)>,
 }
 
 /// With `reuse` a successor may bind the same address; what comes goes to whoever bound it last (`socket(7)`).
@@ -32,7 +35,7 @@
     pub async fn bind(addresses: PeerAddresses, me: GatewayId, reuse: bool) -> Result<Peers> {
         let PeerAddresses { listen, each, all } = addresses;
         let socket = bind_datagrams(listen, reuse).with_context(|| format!("peer_listen {listen}"))?;
-        Ok(Peers { socket, each, all, me: me.0 as usize })
+        Ok(Peers { socket, each, all, me: me.0 as usize, words: Cell::default() })
     }
 
     pub fn tell(&self, to: GatewayId, bytes: &[u8]) {
@@ -51,6 +54,8 @@
 
     fn send(&self, bytes: &[u8], to: SocketAddr) {
         if bytes.len() <= MOST {
+            let (told, heard) = self.words.get();
+            self.words.set((told + 1, heard));
             // Losing one is in the nature of datagrams.
             let _ = self.socket.try_send_to(bytes, to);
         }
@@ -61,8 +66,15 @@
         let (length, from) = self.socket.recv_from(&mut buffer).await.ok()?;
         let sender = self.each.iter().position(|address| *address == from)?;
         let bytes = buffer.get(..length).filter(|bytes| bytes.len() <= MOST)?;
+        let (told, heard) = self.words.get();
+        self.words.set((told, heard + 1));
         Some((GatewayId(sender as u32), bytes.to_vec()))
     }
+
+    /// Datagrams told and heard so far; one to all counts as one.
+    pub fn words(&self) -> (u64, u64) {
+        self.words.get()
+    }
 }
 
 /// Hands what peers say to the node, for ever. Who sent it is told by its address alone; datagrams from
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -247,6 +247,7 @@
         let (standing, seen) = watch::channel(Standing::unready());
         let (moved, discovery) = watch::channel(self.discovery);
         let etcd = files.operator.as_ref().and_then(|file| file.says.etcd.clone());
+        let counts_every = files.operator.as_ref().and_then(|file| file.says.log.counts_every);
         let (ask, calls) = mpsc::channel(admin::CALLS_MOST);
         let beside = [
             tokio::task::spawn_local(roster::follow(Rc::clone(&node), etcd, discovery, self.known)),
@@ -256,6 +257,7 @@
             tokio::task::spawn_local(handover::serve(Rc::clone(&node), self.meeting, self.elder)),
             tokio::task::spawn_local(admin::serve(self.admin, Rc::clone(&node), ask)),
             tokio::task::spawn_local(ring_sockets(Rc::clone(&node))),
+            tokio::task::spawn_local(Rc::clone(&node).tell_counts(counts_every)),
             tokio::task::spawn_local(life::feed(Rc::clone(&node), Rc::clone(&manager))),
         ];
         let clients = clients::serve(self.listener, self.shared, node, self.seats, seen);
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -40,6 +40,8 @@
     pub reload: Reload,
     /// `[manager]`
     pub manager: Manager,
+    /// `[log]`
+    pub log: Log,
     /// `[etcd]`; `None` while it names no endpoints.
     pub etcd: Option<Etcd>,
     /// `[sockets]`; `None` while it names no class.
@@ -97,6 +99,13 @@
     pub watchdog: bool,
 }
 
+/// What the log is told beside events.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Log {
+    /// The figures of the program are told this often, as one line of fields; `None` for never.
+    pub counts_every: Option<Duration>,
+}
+
 /// The roster of app servers in etcd.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Etcd {
@@ -155,6 +164,9 @@
                 notify: section.flag("notify", true),
                 watchdog: section.flag("watchdog", true),
             }),
+            log: file.section("log", |section| Log {
+                counts_every: section.span_ms_or_none("counts_every_ms", 0, 3_600_000),
+            }),
             etcd: file.section("etcd", etcd),
             sockets: file.section("sockets", sockets),
         }
--- a/crates/saffronpaddle/src/fleet.rs
+++ b/crates/saffronpaddle/src/fleet.rs
@@ -7,11 +7,28 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Adds the counts in logs up: a table, or CSV.
+fn counts(mut arguments: lexopt::Parser) -> Result<ExitCode> {
+    let (mut paths, mut csv) = (Vec::new(), false);
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Value(path) => paths.push(PathBuf::from(path)),
+            Long("csv") => csv = true,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    anyhow::ensure!(!paths.is_empty(), "fleet counts takes logs, or folders of logs");
+    let counts = saffronpaddle_fleet::counts::Counts::read(&paths)?;
+    print!("{}", if csv { counts.csv() } else { counts.table() });
+    Ok(ExitCode::SUCCESS)
+}
+
 pub fn fleet(mut arguments: lexopt::Parser) -> Result<ExitCode> {
     let (mut named, mut seed, mut json, mut keep) = (None, 1, None, None);
     let mut overrides = Overrides::default();
     while let Some(argument) = arguments.next()? {
         match argument {
+            Value(name) if named.is_none() && name == "counts" => return counts(arguments),
             Value(name) if named.is_none() => named = Some(name.to_string_lossy().into_owned()),
             Long("seed") => seed = arguments.value()?.parse()?,
             Long("json") => json = Some(PathBuf::from(arguments.value()?)),
--- a/crates/saffronpaddle/src/main.rs
+++ b/crates/saffronpaddle/src/main.rs
@@ -24,6 +24,8 @@
         [--seed N] [--json FILE]          a file, or the name of one that comes with the program:
         [--instances N] [--rate N]        thirty, short, forty-cold, calm, drains, etcd, flips
         [--seconds N] [--keep FOLDER]   [--roster] reads from discovery, etcd or both, whatever the scenario says
+  saffronpaddle fleet counts LOGS...      adds up the figures that nodes told their logs (log.counts_every_ms): a table,
+        [--csv]                           or CSV with a line a node; LOGS are files or folders
   saffronpaddle --help | --version
 ";
 
