Keep quotas of wide fleets by homes that say how long to stay away and how full they are

After restarts a home begins full (Store::home). A ceiling's part was halved between a home and who stands by. Ruled out: servers (1,100 bad attempts of 54,000), thinned tries alone (8,657). Change: a package of its own without I/O, saffronpaddle-quota. Homes tell how long nothing can be had (who asks refuses at once till then) and how full they are (a restarted home goes by it); places fall free after three times an attempt's length; a gateway that hears nobody decides at once, at the pace that homes granted to it; the home holds three quarters of its ceiling's part; news rides on ten messages a second. Builds of yesterday are still spoken to.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -5,10 +5,11 @@
 use crate::fuzzy::{chance_under, infer, rank};
 use crate::homes::Homes;
 use crate::interface::*;
-use crate::message::{self, Ask, Message, News, Rumour, Verdict};
+use crate::message::{self, Ask, Message, News, Rumour};
 use crate::pooled::{EVIDENCE_FADES_IN, LATENCY_FADES_IN};
-use crate::quota::silent;
-use crate::state::{Attempt, AttemptKey, Fuzzy, Out, Ran, Request, Server, Stage, Step, Store};
+use crate::quota::{silent, HEARD_FOR, KEEP_FOR};
+use crate::state::{Attempt, AttemptKey, Fuzzy, Home, Out, Ran, Request, Server, Stage, Step, Store};
+use saffronpaddle_quota::{Keeper, Said, Start, Verdict, LEASE};
 
 pub use crate::state::Gateway;
 
@@ -27,7 +28,6 @@
 const K_OUTPUT: f64 = 3.0 * 0.15; // output gain, a share of what is open; tuned at alpha 1, then tripled
 const CAP_FLOOR: f64 = 6.0; // attempts over all gateways: the cap's floor, where its class still shows W
 const CAP_LEAD: f64 = 12.0; // and how far it may lead what was open
-pub(crate) const HEARD_FOR: Micros = 2_000_000; // µs over which heard counts age out (design)
 const LAG: f64 = 0.5; // s of the peers' use that a store keeps back: sent on, but not yet told
 const ADVICE: (Micros, Micros) = (20_000, 100_000); // µs a refused client is told to wait: aims are short
 const OPEN_RISK: f64 = 0.2; // loss, of its worth, that a first attempt risks at a limit that is reached
@@ -38,14 +38,12 @@
 const HOMES_FROM: f64 = 500_000.0; // µs between counts to all from which they tell too little: homes instead
 const HOMES: u32 = 2; // the most homes that one try hears "short" from, and that one waits for in vain
 const PUT_MOST: u32 = 4; // times that an ask is put to a home: a lost datagram must not look like a dead one
-pub(crate) const LEASE: Micros = 240_000; // µs in which an ask is put again, and its grant holds under a ceiling
 const MUTE_FOR: Micros = 4_000_000; // µs for which a home that did not answer is passed over; a word from it ends that
+const DEAF: u32 = 5; // asks in vain, with nothing heard from anybody since, from which this gateway is cut off
+const PROBE_EVERY: Micros = 200_000; // µs between asks that try that out
 const LIVELY: Micros = 1_500_000; // µs since it spoke for which a gateway is not taken for dead
-const WANTED: f64 = 2.0; // asks that a home wants, as a multiple of what it can grant
-const THIN: f64 = 0.97; // factor by which each ask too many thins them out
-const THICKEN: f64 = 0.5; // share of tries that may ask again, a second
-const THIN_FOR: f64 = 2e6; // µs in which a gateway forgets what share may ask
 const WEIGHED_EVERY: Micros = 500_000; // µs between two times that one gateway's news is taken in
+const NEWS_EVERY: Micros = 100_000; // µs between messages that carry news: every byte of one is paid for
 const RUMOURS: (usize, usize) = (6, 4); // rumours in a message, bad news and good
 const NEWS_FOR: Micros = 4_000_000; // µs for which evidence is news
 const HEARD_WEIGHT: f64 = 0.4; // weight of a rumour at the one told
@@ -91,6 +89,9 @@
         gateway.lowest = ClassId(lowest.unwrap_or(0));
         gateway.wide = (HOMES_FROM..f64::INFINITY).contains(&pace);
         gateway.spoke[gateway.settings.me.0 as usize] = Micros::MAX;
+        if gateway.wide {
+            gateway.spoke.fill(Micros::MAX); // peers do not speak unasked, so silence is no sign
+        }
         let first = gateway.shortest_aim * FIRST_WAIT;
         (gateway.latency, gateway.typical, gateway.retries) = (first, first, RETRY_MOST);
         gateway.next_tick = now + TICK;
@@ -149,7 +150,9 @@
             let store = Store::new(now, up, request.plan, &plans[request.plan.0], set, most);
             let part = self.wide || self.newcomer && up < NEWCOMER;
             let level = if part { store.depth } else { store.level };
-            Store { level, ..store }
+            // Danger: no home heard, and hundreds of gateways that each fill at the whole rate. Each has its even part.
+            let share = if self.wide { 1.0 / store.spread } else { store.share };
+            Store { level, share, ..store }
         });
         // Danger: one request, by mistake or malice, that fixes a wrong plan or set for its customer for good.
         let named = (request.plan, set.0, f64::from(set.1));
@@ -161,12 +164,17 @@
         }
         let plan = &plans[store.plan.0];
         store.fill(now, plan, silent(&self.spoke, store, now));
+        let gap = if store.used == 0 { Micros::MAX } else { now - store.used };
         store.used = now;
+        self.counts.add(match gap {
+            0..1_000_000 => Of::Soon,
+            1_000_000..10_000_000 => Of::Later,
+            _ => Of::Anew,
+        });
         // Danger: a client that waits so briefly that the next sweep would answer too late.
-        let forgot = (now.saturating_sub(store.chance_at) as f64 / THIN_FOR).min(1.0);
-        let asks = store.chance + (1.0 - store.chance) * forgot;
+        let (held, asks) = (self.wide && store.memory.held(now), store.memory.chance(now));
         let draw = if self.wide { self.random.f64() } else { 0.0 };
-        let thinned = self.wide && draw > asks * (1.0 - shed);
+        let thinned = held || self.wide && draw > asks * (1.0 - shed);
         let hopeless = request.deadline <= now.saturating_add(LAST_CALL);
         let kept = (store.peers(now, HEARD_FOR) * LAG).min(plan.burst - store.depth).max(0.0);
         let short = plan.rate > 0.0 && store.level - kept < units;
@@ -175,6 +183,8 @@
         if hopeless || thinned || short && !self.wide {
             let why = if !thinned {
                 Of::Short
+            } else if held {
+                Of::Held
             } else if draw > asks {
                 Of::Thinned
             } else {
@@ -368,7 +378,11 @@
         let (plans, spoke) = (&self.settings.plans, &self.spoke);
         self.mute.retain(|_, until| *until > now);
         self.stores.retain(|_, store| !store.is_idle(now, &plans[store.plan.0], silent(spoke, store, now)));
-        self.homes.retain(|_, store| !store.is_idle(now, &plans[store.plan.0], 0.0));
+        let most = self.settings.most_units;
+        self.homes.retain(|_, home| {
+            let plan = &plans[home.plan.0];
+            !home.keeper.is_idle(now, &Homes::of(plan, home.spread).terms(plan, home.number, most), KEEP_FOR)
+        });
         self.servers.retain(|_, server| server.open > 0 || server.entry.standing != Standing::Gone);
         self.names.retain(|_, server| self.servers.contains_key(server));
     }
@@ -398,21 +412,31 @@
             return;
         }
         self.mute.remove(&from);
+        self.deaf = 0;
         self.lately[from.0 as usize] = now;
+        self.newer[from.0 as usize] |=
+            matches!(message, Message::Ask(Ask { beside: Some(_), .. }, _) | Message::Answer(..));
         let (birth, counts) = match message {
             Message::Counts(birth, counts) => (birth, counts),
             Message::Ask(ask, news) => {
-                self.told(now, from, news);
-                let Some((verdict, chance)) = self.grant(now, from, &ask) else { return };
-                let answer = Message::Answer(ask.serial, verdict, chance, self.news(now));
+                news.into_iter().for_each(|news| self.told(now, from, news));
+                let Some(said) = self.grant(now, from, &ask) else { return };
+                let answer = match ask.beside {
+                    Some(_) => Message::Answer(ask.serial, said, self.news_if_due(now)),
+                    None => Message::OldAnswer(ask.serial, said, self.news(now)),
+                };
                 return out.push(Action::Tell { to: from, bytes: message::write(&answer) });
             }
-            Message::Answer(serial, verdict, chance, news) => {
+            Message::Answer(serial, said, news) => {
+                news.into_iter().for_each(|news| self.told(now, from, news));
+                return self.answered(now, serial, said, out);
+            }
+            Message::OldAnswer(serial, said, news) => {
                 self.told(now, from, news);
-                return self.answered(now, serial, (verdict, chance), out);
+                return self.answered(now, serial, said, out);
             }
             Message::Done(serial, of) => {
-                return self.homes.get_mut(&of).into_iter().for_each(|store| store.release((from, serial)));
+                return self.homes.get_mut(&of).into_iter().for_each(|home| home.keeper.done(from.0, serial));
             }
         };
         self.spoke[from.0 as usize] = now;
@@ -474,7 +498,13 @@
         };
         let keeper = |number| homes.keeper(customer, set, number, self.settings.gateways);
         let speaks = |number: &u32| self.mute.get(&keeper(*number)).is_none_or(|until| *until <= now);
-        let number = homes.in_turn(start).find(speaks).unwrap_or(start);
+        // Danger: every try waits in vain where no peer is heard at all. One now and then finds out when that is over.
+        let deaf = self.deaf >= DEAF && now < self.next_probe;
+        let number = homes
+            .in_turn(start)
+            .find(|number| (!deaf || keeper(*number) == self.settings.me) && speaks(number));
+        let Some(number) = number else { return self.alone(now, id, out) };
+        self.next_probe = now + PROBE_EVERY;
         let to = keeper(number);
         self.serial = self.serial.wrapping_add(1);
         let serial = self.serial;
@@ -483,7 +513,7 @@
         self.put(now, &id, out);
     }
 
-    /// Puts the ask that is open to its home, for the first time or again.
+    /// Puts the ask that is open to its home, for the first time or again: a build of yesterday knows the second alone.
     fn put(&mut self, now: Micros, id: &RequestId, out: &mut Out) {
         let Some(request) = self.requests.get(id) else { return };
         let Some(store) = self.stores.get(&request.customer) else { return };
@@ -491,19 +521,23 @@
         let (customer, plan, units, (number, to)) =
             (request.customer, request.plan, request.units, request.asking.home);
         let (first, spread, home) = (store.first, store.spread as u32, number as u8);
-        let ask = Ask { serial, customer, plan, first, spread, home, units };
+        let up = (now.saturating_sub(self.born) / 1_000_000).min(u64::from(u8::MAX)) as u8;
+        let beside =
+            (request.asking.put != 2 || self.newer[to.0 as usize]).then(|| (up, store.memory.level(now)));
+        let ask = Ask { serial, customer, plan, first, spread, home, units, beside };
         self.counts.add(Of::Asked);
         if to == self.settings.me {
-            let verdict = self.grant(now, to, &ask);
-            self.answered(now, serial, verdict.unwrap_or((Verdict::Short, 1.0)), out);
+            let said = self.grant(now, to, &ask);
+            let nothing = Said { verdict: Verdict::Short, chance: 1.0, wait: 0, level: 0.0 };
+            self.answered(now, serial, said.unwrap_or(nothing), out);
         } else {
-            let bytes = message::write(&Message::Ask(ask, self.news(now)));
-            out.push(Action::Tell { to, bytes });
+            let news = if ask.beside.is_some() { self.news_if_due(now) } else { Some(self.news(now)) };
+            out.push(Action::Tell { to, bytes: message::write(&Message::Ask(ask, news)) });
         }
     }
 
     /// As a home: whether a try fits this part of its customer's store, ceiling and places.
-    fn grant(&mut self, now: Micros, from: GatewayId, ask: &Ask) -> Option<(Verdict, f64)> {
+    fn grant(&mut self, now: Micros, from: GatewayId, ask: &Ask) -> Option<Said> {
         let plan = self.settings.plans.get(ask.plan.0)?;
         let spread = ask.spread.clamp(1, self.settings.gateways);
         let homes = Homes::of(plan, spread);
@@ -512,52 +546,34 @@
         if home != self.settings.me || number >= homes.keepers {
             return None;
         }
-        let most = self.settings.most_units;
         self.counts.add(Of::Homed);
-        let store = self.homes.entry(ask.customer);
+        let terms = homes.terms(plan, number, self.settings.most_units);
         let up = now.saturating_sub(self.born);
-        let store = store.or_insert_with(|| Store::home(now, up, ask, plan, homes, most));
-        let span = now.saturating_sub(store.filled) as f64 / 1e6;
-        store.fill(now, plan, 0.0);
-        store.used = now;
-        // Danger: an ask that is put again, as its answer was lost, and takes its units twice.
-        store.granted.retain(|granted| granted.2 > now);
-        if store.granted.iter().any(|granted| (granted.0, granted.1) == (from, ask.serial)) {
-            return Some((Verdict::Granted, store.chance));
-        }
-        // Danger: a customer far over its quota whose asks drown its homes. A share of its tries asks.
-        store.asked = store.asked * (-span).exp() + ask.units;
-        let wanted = (WANTED * plan.rate * store.share).max(1.0);
-        let short = plan.rate > 0.0 && store.level < ask.units;
-        let pressed = short && store.asked > wanted;
-        store.chance = if pressed { store.chance * THIN } else { (store.chance + THICKEN * span).min(1.0) };
-        let chance = store.chance;
-        store.places.retain(|place| place.2 > now);
-        let places = plan.at_once.map(|most| (most + homes.parts - 1 - number % homes.parts) / homes.parts);
-        let full = places.is_some_and(|most| store.places.len() >= most as usize);
-        let over = plan.ceiling.is_some() && store.ceiling < ask.units;
-        if short || full || over {
-            self.counts.add(if short {
-                Of::HomeShort
-            } else if full {
-                Of::HomeFull
-            } else {
-                Of::HomeOver
-            });
-            return Some((Verdict::Short, chance));
-        }
-        store.level -= ask.units;
-        store.ceiling -= ask.units;
-        store.granted.push((from, ask.serial, now.saturating_add(LEASE)));
-        if places.is_some() {
-            // A place whose return is lost falls free by itself.
-            let longest = self.settings.classes.iter().map(|class| class.aim).max().unwrap_or(0);
-            store.places.push((from, ask.serial, now.saturating_add(longest)));
-        }
-        Some((Verdict::Granted, chance))
+        // Danger: a gateway that was restarted, and grants anew what its last life has granted. Who asks is older then.
+        let (age, told) = ask.beside.unwrap_or_default();
+        self.newcomer |= u64::from(age) * 1_000_000 > up + NEWCOMER;
+        let start = match told {
+            // Danger: two stores for one quota, as a home's answers are lost now and then.
+            _ if number >= homes.parts => Start::Since(ask.units, 0),
+            _ if !self.newcomer => Start::Full,
+            Some((level, ago)) if ago > up => Start::Told(level, ago),
+            _ => Start::Since(ask.units, up),
+        };
+        let fresh = || Home { keeper: Keeper::open(now, start, up, &terms), ..Home::default() };
+        let home = self.homes.entry(ask.customer).or_insert_with(fresh);
+        (home.plan, home.spread, home.number) = (ask.plan, spread, number);
+        let asks = saffronpaddle_quota::Ask { from: from.0, serial: ask.serial, units: ask.units };
+        let said = home.keeper.ask(now, asks, &terms, self.latency as Micros);
+        match said.verdict {
+            Verdict::Granted => {}
+            Verdict::Short => self.counts.add(Of::HomeShort),
+            Verdict::Full => self.counts.add(Of::HomeFull),
+            Verdict::Over => self.counts.add(Of::HomeOver),
+        }
+        Some(said)
     }
 
-    fn answered(&mut self, now: Micros, serial: u16, said: (Verdict, f64), out: &mut Out) {
+    fn answered(&mut self, now: Micros, serial: u16, said: Said, out: &mut Out) {
         let Some(id) = self.asks.remove(&serial) else { return self.counts.add(Of::AnsweredLate) };
         let Some(request) = self.requests.get_mut(&id) else { return };
         if request.asking.open.is_none_or(|asked| asked.0 != serial) {
@@ -568,27 +584,23 @@
             1 => self.rto.sample(now.saturating_sub(request.asking.since)),
             _ => self.rto.back_off(),
         }
-        let thin = |store: &mut Store| (store.chance, store.chance_at) = (said.1, now);
-        self.stores.entry(request.customer).and_modify(thin);
-        match said.0 {
-            Verdict::Granted => {
-                self.counts.add(Of::Granted);
-                (request.asking.lease, request.due) = (request.asking.since.saturating_add(LEASE), now);
-                request.asking.granted = Some((request.asking.home.1, serial));
-                self.waiting.push(id);
-            }
-            Verdict::Short => {
-                request.asking.short += 1;
-                let plan = &self.settings.plans[request.plan.0];
-                let spread = self.stores.get(&request.customer).map_or(1, |store| store.spread as u32);
-                let parts = Homes::of(plan, spread).parts;
-                if request.asking.short < HOMES.min(parts) && said.1 >= 1.0 {
-                    self.ask(now, id, out);
-                } else {
-                    self.finish(now, &id, Of::Short, out);
-                }
-            }
-        }
+        let Some(store) = self.stores.get_mut(&request.customer) else { return };
+        if said.verdict == Verdict::Granted {
+            store.memory.said(now, &said, true);
+            store.memory.granted(now, request.units);
+            self.counts.add(Of::Granted);
+            (request.asking.lease, request.due) = (request.asking.since.saturating_add(LEASE), now);
+            request.asking.granted = Some((request.asking.home.1, serial));
+            return self.waiting.push(id);
+        }
+        request.asking.short += 1;
+        let parts = Homes::of(&self.settings.plans[request.plan.0], store.spread as u32).parts;
+        let last = request.asking.short >= HOMES.min(parts) || said.chance < 1.0;
+        store.memory.said(now, &said, last);
+        if !last {
+            return self.ask(now, id, out);
+        }
+        self.finish(now, &id, Of::Short, out);
     }
 
     /// A try not yet sent on: its home was silent, its customer's limit full, or its grant has run out.
@@ -609,6 +621,7 @@
                 return;
             }
             self.counts.add(Of::Unanswered);
+            self.deaf += 1;
             let puts = if request.asking.missed == 0 { PUT_MOST } else { 1 };
             if request.asking.put < puts && now <= request.asking.since.saturating_add(LEASE) {
                 request.asking.put_again(now);
@@ -623,27 +636,42 @@
                 self.mute.insert(home, until);
             }
             if request.asking.missed >= HOMES {
-                let covered = plan.ceiling.is_none()
-                    && self.stores.get(&customer).is_some_and(|store| store.level >= 0.0);
-                (request.asking.granted, request.due) = (Some((self.settings.me, serial)), now);
-                self.waiting.extend(covered.then(|| id.clone()));
-                let over: &[RequestId] = if covered { &[] } else { &[id] };
-                return over.iter().for_each(|id| self.finish(now, id, Of::Homeless, out));
+                return self.alone(now, id, out);
             }
         }
         self.ask(now, id, out);
     }
 
+    /// No home is heard: what homes granted here lately decides. A ceiling can't be kept so.
+    fn alone(&mut self, now: Micros, id: RequestId, out: &mut Out) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let store = self.stores.get_mut(&request.customer);
+        let ceiling = self.settings.plans[request.plan.0].ceiling.is_some();
+        if ceiling || !store.is_some_and(|store| store.memory.alone(now, request.units)) {
+            return self.finish(now, &id, Of::Homeless, out);
+        }
+        self.counts.add(Of::Alone);
+        (request.asking.granted, request.due) = (Some((self.settings.me, self.serial)), now);
+        self.waiting.push(id);
+    }
+
     /// Gives back the place that a home held for a try.
     fn give_back(&mut self, (home, serial): (GatewayId, u16), customer: CustomerId, out: &mut Out) {
         if home == self.settings.me {
-            self.homes.get_mut(&customer).into_iter().for_each(|store| store.release((home, serial)));
+            self.homes.get_mut(&customer).into_iter().for_each(|kept| kept.keeper.done(home.0, serial));
         } else if self.plan_of(customer).is_some_and(|plan| plan.at_once.is_some()) {
             out.push(Action::Tell { to: home, bytes: message::write(&Message::Done(serial, customer)) });
         }
     }
     // ---- News of the fleet ----
 
+    /// What rides on a message, now and then.
+    fn news_if_due(&mut self, now: Micros) -> Option<News> {
+        let due = now >= self.next_news;
+        self.next_news = if due { now + NEWS_EVERY } else { self.next_news };
+        due.then(|| self.news(now))
+    }
+
     /// What rides on a message: how this gateway's answers fare, bad servers, and what was seen last.
     fn news(&mut self, now: Micros) -> News {
         let typical = self.typical;
--- a/crates/decision/src/counts.rs
+++ b/crates/decision/src/counts.rs
@@ -6,14 +6,25 @@
 /// What is counted, each an event here at one gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Of {
+    /// A try whose customer was last seen here under a second ago, under ten, or longer ago or never: whether units drawn ahead
+    /// would be used.
+    Soon,
+    /// See there.
+    Later,
+    /// See there.
+    Anew,
     /// A try refused: its customer's share or its homes have no room.
     Short,
+    /// Refused unasked: its homes have said that nothing can be had yet.
+    Held,
     /// Refused unasked: its customer asks far too much.
     Thinned,
     /// Refused unasked: the back end is pressed, and it is worth little.
     Shed,
     /// Refused: no home answered, and the own store has no room.
     Homeless,
+    /// Let go unasked, as no home is heard.
+    Alone,
     /// Refused: by half of its time it was not sent, or its aim was out of reach.
     Unsent,
     /// Refused or failed at the end of its time, or as it may not be sent again.
@@ -64,10 +75,15 @@
 const ALL: usize = Of::NoRoom as usize + 1;
 /// Their names, in the same order.
 const NAMES: [&str; ALL] = [
+    "seen_within_1s",
+    "seen_within_10s",
+    "seen_anew",
     "refused_short",
+    "refused_held",
     "refused_thinned",
     "refused_shed",
     "refused_homeless",
+    "alone",
     "refused_unsent",
     "refused_spent",
     "asked",
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::{ClassId, CustomerId, GatewayId, Micros, PlanId, ServerId};
 use crate::pooled::Pooled;
+use saffronpaddle_quota::{Said, Verdict};
 
 const VERSION: u8 = 2;
 /// Version and kind; the least that a message holds.
@@ -13,6 +14,11 @@
 const PART: f64 = 16.0;
 const WAIT_STEP: f64 = 8_000.0;
 const AGE_STEP: u64 = 32_000;
+/// The same of how long ago a home said how full it was, and how long to stay away.
+const AGO_STEP: u64 = 64_000;
+const WAIT_FOR_STEP: u64 = 8_000;
+/// Verdicts by their numbers.
+const VERDICTS: [Verdict; 4] = [Verdict::Granted, Verdict::Short, Verdict::Full, Verdict::Over];
 /// Levels in which a share of failures travels, and how many classes a rumour can name.
 const LEVELS: u8 = 31;
 const CLASSES: usize = 8;
@@ -53,20 +59,18 @@
     /// Which of the homes is meant.
     pub home: u8,
     pub units: f64,
-}
-
-/// What a home says of an ask.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Verdict {
-    Granted,
-    Short,
+    /// What a build of yesterday does not tell: s for which who asks is up, and how much of its depth a home was said to hold,
+    /// how long ago.
+    pub beside: Option<(u8, Option<(f64, Micros)>)>,
 }
 
 pub(crate) enum Message {
     // Kinds 1 and 2 were asks and answers without the weights of aims; who sends those is passed over.
     Counts(u32, Vec<(CustomerId, u16)>),
-    Ask(Ask, News),
-    Answer(u16, Verdict, f64, News),
+    // Kinds 4 and 5 are those of yesterday, without what goes beside an ask and how long to stay away; both are still spoken.
+    Ask(Ask, Option<News>),
+    Answer(u16, Said, Option<News>),
+    OldAnswer(u16, Said, News),
     Done(u16, CustomerId),
 }
 
@@ -76,6 +80,11 @@
     (mixed >> 48) as u16
 }
 
+/// A span in steps; the largest number stands for none, or for longer.
+fn steps(span: Micros, step: u64) -> u8 {
+    (span / step).min(254) as u8
+}
+
 fn small(value: f64) -> u8 {
     value.round().clamp(0.0, 255.0) as u8
 }
@@ -93,19 +102,34 @@
             }
         }
         Message::Ask(ask, news) => {
-            bytes.push(4);
+            bytes.push(if ask.beside.is_some() { 6 } else { 4 });
             bytes.extend_from_slice(&ask.serial.to_le_bytes());
             bytes.extend_from_slice(&ask.customer.0.to_le_bytes()[..COUNT - 2]);
             bytes.extend_from_slice(&[ask.plan.0 as u8, ask.home]);
             bytes.extend_from_slice(&(ask.first.0 as u16).to_le_bytes());
             bytes.extend_from_slice(&(ask.spread as u16).to_le_bytes());
             bytes.extend_from_slice(&((ask.units * PART).round() as u16).to_le_bytes());
-            write_news(news, &mut bytes);
+            if let Some((age, told)) = &ask.beside {
+                let told =
+                    told.map_or([0, u8::MAX], |(level, ago)| [small(level * 255.0), steps(ago, AGO_STEP)]);
+                bytes.push(*age);
+                bytes.extend(told);
+            }
+            news.iter().for_each(|news| write_news(news, &mut bytes));
+        }
+        Message::Answer(serial, said, news) => {
+            bytes.push(7);
+            bytes.extend_from_slice(&serial.to_le_bytes());
+            let verdict = VERDICTS.iter().position(|verdict| *verdict == said.verdict).unwrap_or(1) as u8;
+            bytes.extend_from_slice(&[verdict, small(said.chance * 255.0)]);
+            bytes.extend_from_slice(&[steps(said.wait, WAIT_FOR_STEP), small(said.level * 255.0)]);
+            news.iter().for_each(|news| write_news(news, &mut bytes));
         }
-        Message::Answer(serial, verdict, chance, news) => {
+        Message::OldAnswer(serial, said, news) => {
             bytes.push(5);
             bytes.extend_from_slice(&serial.to_le_bytes());
-            bytes.extend_from_slice(&[*verdict as u8, small(chance * 255.0)]);
+            bytes
+                .extend_from_slice(&[u8::from(said.verdict != Verdict::Granted), small(said.chance * 255.0)]);
             write_news(news, &mut bytes);
         }
         Message::Done(serial, customer) => {
@@ -150,6 +174,15 @@
         Some(taken.iter().rev().fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
     }
 
+    /// News, where any ride on it; the outer `None` is for those that are cut short.
+    #[allow(clippy::option_option)]
+    fn news_if_any(&mut self) -> Option<Option<News>> {
+        if self.0.is_empty() {
+            return Some(None);
+        }
+        self.news().map(Some)
+    }
+
     fn news(&mut self) -> Option<News> {
         let served = self.number(1)? as f64 / PART;
         let out = Pooled::told(self.number(1)? as f64 / PART, self.number(1)? as u8);
@@ -191,23 +224,34 @@
             }
             Message::Counts(birth, counts)
         }
-        4 => {
+        kind @ (4 | 6) => {
             let serial = taken.number(2)? as u16;
             let customer = CustomerId(taken.number(COUNT - 2)?);
             let (plan, home) = (PlanId(taken.number(1)? as usize), taken.number(1)? as u8);
             let (first, spread) = (GatewayId(taken.number(2)? as u32), taken.number(2)? as u32);
             let units = taken.number(2)? as f64 / PART;
-            Message::Ask(Ask { serial, customer, plan, first, spread, home, units }, taken.news()?)
+            let mut beside = None;
+            if kind == 6 {
+                let (age, level, ago) = (taken.number(1)? as u8, taken.number(1)?, taken.number(1)?);
+                let told = (ago < u64::from(u8::MAX)).then_some((level as f64 / 255.0, ago * AGO_STEP));
+                beside = Some((age, told));
+            }
+            let news = if kind == 4 { Some(taken.news()?) } else { taken.news_if_any()? };
+            Message::Ask(Ask { serial, customer, plan, first, spread, home, units, beside }, news)
         }
         5 => {
             let serial = taken.number(2)? as u16;
-            let verdict = match taken.number(1)? {
-                0 => Verdict::Granted,
-                1 => Verdict::Short,
-                _ => return None,
-            };
+            let verdict = *VERDICTS[..2].get(taken.number(1)? as usize)?;
+            let chance = taken.number(1)? as f64 / 255.0;
+            let level = if verdict == Verdict::Granted { 1.0 } else { 0.0 };
+            Message::OldAnswer(serial, Said { verdict, chance, wait: 0, level }, taken.news()?)
+        }
+        7 => {
+            let serial = taken.number(2)? as u16;
+            let verdict = *VERDICTS.get(taken.number(1)? as usize)?;
             let chance = taken.number(1)? as f64 / 255.0;
-            Message::Answer(serial, verdict, chance, taken.news()?)
+            let (wait, level) = (taken.number(1)? * WAIT_FOR_STEP, taken.number(1)? as f64 / 255.0);
+            Message::Answer(serial, Said { verdict, chance, wait, level }, taken.news_if_any()?)
         }
         3 => {
             let serial = taken.number(2)? as u16;
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -1,14 +1,14 @@
-//! A customer's store: how it fills and what it holds, at a gateway that counts for itself and at one that keeps a part
-//! for a wide fleet. Who may draw on it is decided in `control`.
+//! A customer's store at a gateway that counts for itself: how it fills and what it holds. Who may draw on it is decided in
+//! `control`; what homes keep for a wide fleet is in the package `quota`.
 
-use crate::control::{HEARD_FOR, LEASE};
-use crate::homes::Homes;
 use crate::interface::*;
-use crate::message::Ask;
 use crate::state::Store;
 
+/// µs over which heard counts age out (design).
+pub(crate) const HEARD_FOR: Micros = 2_000_000;
+
 const SILENT: std::ops::Range<Micros> = 800_000..25_000_000; // µs of silence: share kept, then held dead
-const KEEP_FOR: Micros = 60_000_000; // µs without a try for which a customer's store is kept at the least
+pub(crate) const KEEP_FOR: Micros = 60_000_000; // µs without a try for which a customer's store is kept at the least
 
 /// How many of a customer's other gateways are silent. Danger: cut links, where each would grant the whole
 /// rate; so one keeps its even share until it is taken for dead. It hurts while a gateway is down.
@@ -36,20 +36,7 @@
             filled: now,
             ..Store::default()
         };
-        let mut store = Store { share, ceiling_share, chance: 1.0, ..store };
-        store.fill_ceiling(plan, up as f64 / 1e6);
-        store
-    }
-
-    /// What a keeper of one of so many parts keeps: that part of the quota, full, and of the ceiling what has come in
-    /// since this gateway's start, when its last life may have used it up. Keepers never share a ceiling's part. Danger:
-    /// two stores for one quota, as a home's answers are lost now and then; who stands by begins with one try's units.
-    pub(crate) fn home(now: Micros, up: Micros, ask: &Ask, plan: &Plan, homes: Homes, most: f64) -> Self {
-        let Homes { parts, keepers } = homes;
-        let store = Store::new(now, 0, ask.plan, plan, (ask.first, parts), most);
-        let (share, ceiling_share) = (1.0 / f64::from(parts), 1.0 / f64::from(keepers));
-        let level = if u32::from(ask.home) < parts { store.level } else { ask.units };
-        let mut store = Store { share, ceiling_share, home: true, level, ceiling: 0.0, ..store };
+        let mut store = Store { share, ceiling_share, ..store };
         store.fill_ceiling(plan, up as f64 / 1e6);
         store
     }
@@ -73,26 +60,20 @@
         if let Some(ceiling) = plan.ceiling {
             // Danger: a ceiling passed. A fixed share, empty at first, needs no word from anyone and holds
             // through lost messages and restarts; it hurts where nearly all comes in through one gateway.
-            // A home keeps back what is filled while its grants are under way: they are void after that.
-            let most = self.most_under(&ceiling);
+            let most = ceiling.depth * self.ceiling_share;
             self.ceiling = (self.ceiling + ceiling.rate * self.ceiling_share * span).min(most);
         }
     }
 
-    pub(crate) fn most_under(&self, ceiling: &Ceiling) -> f64 {
-        let late = if self.home { ceiling.rate * LEASE as f64 / 1e6 } else { 0.0 };
-        (ceiling.depth - late) * self.ceiling_share
-    }
-
     /// Whether nothing would be gained or given by dropping it: it has stood unused, and is full.
     pub(crate) fn is_idle(&mut self, now: Micros, plan: &Plan, silent: f64) -> bool {
         if self.open > 0 || now.saturating_sub(self.used) < KEEP_FOR {
             return false;
         }
         self.fill(now, plan, silent);
-        self.places.retain(|place| place.2 > now);
-        let full = plan.ceiling.as_ref().is_none_or(|ceiling| self.ceiling >= self.most_under(ceiling));
+        let most = |ceiling: &Ceiling| ceiling.depth * self.ceiling_share;
+        let full = plan.ceiling.as_ref().is_none_or(|ceiling| self.ceiling >= most(ceiling));
         let refilled = plan.rate <= 0.0 || self.level >= (plan.burst * self.share).max(self.depth);
-        full && refilled && self.places.is_empty() && self.peers(now, HEARD_FOR) <= 0.0
+        full && refilled && self.peers(now, HEARD_FOR) <= 0.0
     }
 }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -7,6 +7,7 @@
 use crate::pooled::Pooled;
 use crate::rto::Rto;
 use crate::twin::Abroad;
+use saffronpaddle_quota::{Keeper, Memory};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -184,16 +185,18 @@
     /// What part of the quota and of the ceiling is kept here.
     pub share: f64,
     pub ceiling_share: f64,
-    /// As a home: who holds a place of the limit on attempts at once, and until when.
-    pub places: Vec<(GatewayId, u16, Micros)>,
-    /// As a home: that it is one; the asks that it has let go, until they can't be put again.
-    pub home: bool,
-    pub granted: Vec<(GatewayId, u16, Micros)>,
-    /// As a home: units asked for in about a second.
-    pub asked: f64,
-    /// The share of tries that may ask, and when that was told.
-    pub chance: f64,
-    pub chance_at: Micros,
+    /// What its homes have said.
+    pub memory: Memory,
+}
+
+/// A part of a customer's quota that is kept here.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct Home {
+    pub plan: PlanId,
+    pub spread: u32,
+    pub number: u32,
+    pub keeper: Keeper,
 }
 
 impl Store {
@@ -221,11 +224,6 @@
     pub fn terms(&self, units: f64) -> TwinTerms {
         TwinTerms { plan: self.plan, units, set: (self.first, self.spread as u32) }
     }
-
-    /// Frees the place held under an ask.
-    pub fn release(&mut self, holder: (GatewayId, u16)) {
-        self.places.retain(|place| (place.0, place.1) != holder);
-    }
 }
 
 /// State of the self-tuning fuzzy controller.
@@ -345,11 +343,14 @@
     /// Whether customers have homes; the stores kept here as a home; open asks and the number of the last;
     /// who did not answer, and until when it is passed over.
     pub(crate) wide: bool,
-    pub(crate) homes: BTreeMap<CustomerId, Store>,
+    pub(crate) homes: BTreeMap<CustomerId, Home>,
     pub(crate) asks: BTreeMap<u16, RequestId>,
     pub(crate) serial: u16,
     pub(crate) mute: BTreeMap<GatewayId, Micros>,
     pub(crate) rto: Rto,
+    /// Asks in vain since anything was heard, and when one may be put all the same.
+    pub(crate) deaf: u32,
+    pub(crate) next_probe: Micros,
     /// Share of the attempts into each zone that found no connection.
     pub(crate) cut: BTreeMap<ZoneId, f64>,
     pub(crate) fuzzy: Fuzzy,
@@ -367,8 +368,9 @@
     pub(crate) crowd: Crowding,
     /// When each gateway's news was last taken in.
     pub(crate) weighed: Vec<Micros>,
-    /// When each gateway last said anything.
+    /// When each gateway last said anything, and whether it is known to speak as this build does.
     pub(crate) lately: Vec<Micros>,
+    pub(crate) newer: Vec<bool>,
     /// Answers a second at one gateway, and those since the last tick.
     pub(crate) served: f64,
     pub(crate) done: f64,
@@ -376,6 +378,7 @@
     /// When the next wake-up, gossip and tick are due.
     pub(crate) woken: Micros,
     pub(crate) next_gossip: Micros,
+    pub(crate) next_news: Micros,
     pub(crate) next_tick: Micros,
     pub(crate) counts: Counts,
 }
@@ -426,6 +429,8 @@
             serial: 0,
             mute: BTreeMap::new(),
             rto: Rto::default(),
+            deaf: 0,
+            next_probe: now,
             cut: BTreeMap::new(),
             fuzzy: Fuzzy { seen: vec![(0.0, 0.0); classes], ..Fuzzy::default() },
             spoke: vec![now; settings.gateways as usize],
@@ -438,11 +443,13 @@
             crowd: Crowding::default(),
             weighed: vec![0; settings.gateways as usize],
             lately: vec![0; settings.gateways as usize],
+            newer: vec![false; settings.gateways as usize],
             served: 0.0,
             done: 0.0,
             retries: 0.0,
             woken: Micros::MAX,
             next_gossip: now,
+            next_news: now,
             next_tick: now,
             counts: Counts::default(),
             settings,
--- a/crates/decision/src/twin.rs
+++ b/crates/decision/src/twin.rs
@@ -1,7 +1,7 @@
 //! What a gateway keeps in mind, as its next process takes it over. Plain data; nothing is decided here.
 
 use crate::interface::*;
-use crate::state::{Attempt, Fuzzy, Gateway, Server, Stage, Store};
+use crate::state::{Attempt, Fuzzy, Gateway, Home, Server, Stage, Store};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -14,7 +14,7 @@
     newcomer: bool,
     stores: Vec<(CustomerId, Store)>,
     servers: Vec<Server>,
-    homes: Vec<(CustomerId, Store)>,
+    homes: Vec<(CustomerId, Home)>,
     fuzzy: Fuzzy,
     spoke: Vec<Micros>,
     latency: f64,
@@ -67,7 +67,8 @@
         let fits = |(_, store): &(CustomerId, Store)| store.plan.0 < plans && store.spread >= 1.0;
         (self.born, self.newcomer) = (self.born.min(kept.born), kept.newcomer);
         self.stores = kept.stores.into_iter().filter(fits).collect();
-        self.homes = kept.homes.into_iter().filter(fits).collect();
+        let kept_here = |(_, home): &(CustomerId, Home)| home.plan.0 < plans && home.spread >= 1;
+        self.homes = kept.homes.into_iter().filter(kept_here).collect();
         let known = kept.servers.into_iter().filter(|server| server.health.len() == classes);
         self.servers = known.map(|server| (server.entry.server, server)).collect();
         self.names = self.servers.keys().map(|server| (crate::message::short(*server), *server)).collect();
--- /dev/null
+++ b/crates/quota/src/keeper.rs
@@ -0,0 +1,206 @@
+//! What a home keeps of a customer's quota: one part of its store and of its ceiling, and places under its limit on attempts
+//! at once.
+//!
+//! A part never grants more than its store holds: each grant takes its units off before the word goes out, an ask that is put
+//! again under its number takes none, and a word that is lost or late gives nothing back. What is granted and never used is
+//! lost to the customer, not to the quota. So the parts together grant `burst + rate * t` at the most, whatever words are lost,
+//! late or doubled. Beyond that goes only what a home grants that has lost its state (see [`Start`]) and what who stands by grants
+//! while a home that is alive is not heard.
+
+use crate::Micros;
+use serde::{Deserialize, Serialize};
+
+/// µs in which an ask may be put again, and in which its grant holds under a ceiling.
+pub const LEASE: Micros = 240_000;
+/// Asks that a home wants, as a multiple of what it can grant.
+const WANTED: f64 = 2.0;
+/// Factor by which each ask too many thins them out, and the share of tries that may ask again, a second.
+const THIN: f64 = 0.97;
+const THICKEN: f64 = 0.5;
+/// The longest that anybody is told to stay away, µs: what is given back meanwhile would lie idle for so long.
+const WAIT_MOST: f64 = 2e6;
+/// How many times as long as an attempt is out as a rule its place is held, if no word comes that it has ended. Danger: a place
+/// held far too long as its return was lost, one in five where homes are busy; and one given out twice, while a slow attempt
+/// that holds it is still out.
+const PLACE_LASTS: u64 = 3;
+/// Asks whose numbers are kept, at the most. Guards memory against a peer that asks without end; it grants no more then.
+const GRANTED_MOST: usize = 4_096;
+
+/// The terms of one part.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Units a second; 0 for no limit by rate.
+    pub rate: f64,
+    /// Most units that it holds.
+    pub depth: f64,
+    /// Attempts that may be out at once; `None` for no limit.
+    pub at_once: Option<u32>,
+    /// Units a second, and most units, of the hard ceiling.
+    pub ceiling: Option<(f64, f64)>,
+}
+
+/// With what a part begins.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Start {
+    /// Full: this gateway is as old as the fleet, so nothing was taken before.
+    Full,
+    /// Somebody else may have granted all there was, so long ago: no more is there than one try's units and what has come in
+    /// since. So begins who stands by, and a home whose gateway was restarted.
+    Since(f64, Micros),
+    /// A home whose gateway was restarted, where who asks was told so long ago how much of its depth the part held.
+    Told(f64, Micros),
+}
+
+/// A try that asks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ask {
+    /// Who asks.
+    pub from: u32,
+    /// Under which number.
+    pub serial: u16,
+    /// What it counts.
+    pub units: f64,
+}
+
+/// What a home says of an ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It may go.
+    Granted,
+    /// The part of the store is short.
+    Short,
+    /// As many attempts are out as may be.
+    Full,
+    /// The ceiling is near.
+    Over,
+}
+
+/// What goes back to who asks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Said {
+    /// Whether it may go.
+    pub verdict: Verdict,
+    /// What share of the customer's tries may ask.
+    pub chance: f64,
+    /// µs in which no ask can be granted.
+    pub wait: Micros,
+    /// How much of its depth the part holds, 0 to 1.
+    pub level: f64,
+}
+
+/// One part of a customer's quota.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Keeper {
+    level: f64,
+    ceiling: f64,
+    filled: Micros,
+    used: Micros,
+    /// Asks let go, until they can't be put again.
+    granted: Vec<(u32, u16, Micros)>,
+    /// Who holds a place, and until when.
+    places: Vec<(u32, u16, Micros)>,
+    /// Units asked for in about a second.
+    asked: f64,
+    chance: f64,
+}
+
+impl Keeper {
+    /// A part as it begins. Its ceiling holds what has come in while this gateway was up: what was granted before may have used
+    /// it up.
+    pub fn open(now: Micros, start: Start, up: Micros, terms: &Terms) -> Keeper {
+        let since = |span: Micros| span as f64 / 1e6;
+        let level = match start {
+            Start::Full => terms.depth,
+            Start::Since(units, ago) => units + terms.rate * since(ago),
+            Start::Told(level, ago) => level.clamp(0.0, 1.0) * terms.depth + terms.rate * since(ago),
+        };
+        let level = level.min(terms.depth);
+        let mut keeper = Keeper { level, filled: now, used: now, chance: 1.0, ..Keeper::default() };
+        keeper.fill_ceiling(terms, since(up));
+        keeper
+    }
+
+    /// Fills up to now.
+    pub fn fill(&mut self, now: Micros, terms: &Terms) {
+        let span = now.saturating_sub(self.filled) as f64 / 1e6;
+        self.filled = self.filled.max(now);
+        self.level = (self.level + terms.rate * span).min(terms.depth);
+        self.fill_ceiling(terms, span);
+    }
+
+    fn fill_ceiling(&mut self, terms: &Terms, span: f64) {
+        if let Some((rate, depth)) = terms.ceiling {
+            self.ceiling = (self.ceiling + rate * span).min(depth);
+        }
+    }
+
+    /// Whether a try may go. `lasts`: how long an attempt is out, as a rule; its place falls free by itself after a multiple of
+    /// that.
+    pub fn ask(&mut self, now: Micros, ask: Ask, terms: &Terms, lasts: Micros) -> Said {
+        let span = now.saturating_sub(self.filled) as f64 / 1e6;
+        self.fill(now, terms);
+        self.used = now;
+        // Danger: an ask that is put again, as its answer was lost, and takes its units twice.
+        self.granted.retain(|granted| granted.2 > now);
+        if self.granted.iter().any(|granted| (granted.0, granted.1) == (ask.from, ask.serial)) {
+            return self.say(Verdict::Granted, 0.0, terms);
+        }
+        // Danger: a customer far over its quota whose asks drown its homes. A share of its tries asks.
+        self.asked = self.asked * (-span).exp() + ask.units;
+        let wanted = (WANTED * terms.rate).max(1.0);
+        let short = terms.rate > 0.0 && self.level < ask.units;
+        let pressed = short && self.asked > wanted;
+        self.chance = if pressed { self.chance * THIN } else { (self.chance + THICKEN * span).min(1.0) };
+        self.places.retain(|place| place.2 > now);
+        let full = terms.at_once.is_some_and(|most| self.places.len() >= most as usize);
+        let over = terms.ceiling.is_some() && self.ceiling < ask.units;
+        if short {
+            return self.say(Verdict::Short, (ask.units - self.level) / terms.rate.max(f64::EPSILON), terms);
+        }
+        if over {
+            let rate = terms.ceiling.map_or(0.0, |ceiling| ceiling.0);
+            return self.say(Verdict::Over, (ask.units - self.ceiling) / rate.max(f64::EPSILON), terms);
+        }
+        if full || self.granted.len() >= GRANTED_MOST {
+            // One of those that are out ends about every so often.
+            let next = lasts as f64 / 1e6 / self.places.len().max(1) as f64;
+            return self.say(Verdict::Full, next / 2.0, terms);
+        }
+        self.level -= ask.units;
+        self.ceiling -= ask.units;
+        self.granted.push((ask.from, ask.serial, now.saturating_add(LEASE)));
+        if terms.at_once.is_some() {
+            self.places.push((ask.from, ask.serial, now.saturating_add(lasts.saturating_mul(PLACE_LASTS))));
+        }
+        self.say(Verdict::Granted, 0.0, terms)
+    }
+
+    fn say(&self, verdict: Verdict, wait_s: f64, terms: &Terms) -> Said {
+        let wait = (wait_s * 1e6).clamp(0.0, WAIT_MOST) as Micros;
+        let level = (self.level / terms.depth.max(f64::EPSILON)).clamp(0.0, 1.0);
+        Said { verdict, chance: self.chance, wait, level }
+    }
+
+    /// The attempt of an ask has ended: its place is free.
+    pub fn done(&mut self, from: u32, serial: u16) {
+        self.places.retain(|place| (place.0, place.1) != (from, serial));
+    }
+
+    /// Whether nothing would be gained or given by dropping it: unused for so long, and full.
+    pub fn is_idle(&mut self, now: Micros, terms: &Terms, unused_for: Micros) -> bool {
+        if now.saturating_sub(self.used) < unused_for {
+            return false;
+        }
+        self.fill(now, terms);
+        self.places.retain(|place| place.2 > now);
+        let refilled = terms.rate <= 0.0 || self.level >= terms.depth;
+        let ceiling = terms.ceiling.is_none_or(|(_, depth)| self.ceiling >= depth);
+        refilled && ceiling && self.places.is_empty()
+    }
+
+    /// Units that it holds.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+}
