Have watches in the tests of the etcd client begin at a revision

Seen: fragments_come_with_their_mark_and_end_without_it timed out after 60 s once, beside a build; alone it takes 0.1 s. A watch without a start revision begins when the stand-in hears of it, and what was put before that never comes: the client returns before that is sure. Ruled out: a slow machine (the other four tests ended in time). Lines at fault: drives.rs, the two watches without a start revision.

--- a/compat/etcd-client/tests/drives.rs
+++ b/compat/etcd-client/tests/drives.rs
@@ -87,7 +87,8 @@
     let etcd = Etcd::start(1).await.expect("a cluster");
     etcd.members[0].set(|faults| faults.fragment_at = 2);
     let mut client = connected(&etcd).await;
-    let options = WatchOptions::new().with_prefix().with_fragment();
+    // A watch without a revision begins when it comes: on a busy machine that is after what is put next.
+    let options = WatchOptions::new().with_prefix().with_fragment().with_start_revision(etcd.revision() + 1);
     let mut stream = client.watch("f/", Some(options)).await.expect("watch");
     etcd.put_all(&[("f/1", Some("x")), ("f/2", Some("x")), ("f/3", Some("x")), ("f/4", Some("x")), ("f/5", Some("x"))]);
     let mut events = 0;
@@ -113,7 +114,8 @@
     assert_eq!(client.get("l/1", None).await.expect("get").count(), 1, "1.6 s later");
     let told = client.lease_time_to_live(lease, Some(LeaseTimeToLiveOptions::new().with_keys())).await;
     assert_eq!(told.expect("its time").keys(), [b"l/1".to_vec()]);
-    let mut stream = client.watch("l/", Some(WatchOptions::new().with_prefix())).await.expect("watch");
+    let options = WatchOptions::new().with_prefix().with_start_revision(etcd.revision() + 1);
+    let mut stream = client.watch("l/", Some(options)).await.expect("watch");
     let gone = loop {
         let response = next(&mut stream).await;
         if let Some(event) = response.events().first() {
