Give instances ports that the machine does not hand out, and show their last words

Seen: a_short_scenario_keeps_all_rules failed once beside other load: instance 4 ended by itself with status 1. Of what ends a node so, only binding can depend on the load: the rig took ports from the machine's own range and let them go before the instances bound them (rig.rs, set_up: drop(held)); a killed instance's port is free for 1.5 s, and any other test that asks for a port then may get it. Ruled out: listeners handed over (held by the rig), a slow start (status 1 is an error, not a time-out). The lines that the log ended with were not kept, so this is the cause that remains, not one that was seen. Change: ports below ip_local_port_range, never given twice in a process, as the scripted node's already were; a fault shows the last four lines of the instance's log.

--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -890,3 +890,69 @@
         "150 each on the mean: {least:?} to {most:?}"
     );
 }
+
+/// Cut off, tries do not wait for homes: most are decided at once, and an ask now and then finds out when that is over.
+#[test]
+fn a_gateway_that_hears_nobody_decides_at_once_and_probes() {
+    let mut stand = Stand::with_servers(3, settings(0, 300), S, 40);
+    for number in 0..20u64 {
+        stand.request(SAFE, 0, number, 2 * S);
+        stand.pass(50 * MS);
+        for (id, _, _) in stand.out.clone() {
+            stand.end(&id, Outcome::Ok);
+        }
+    }
+    stand.log.clear();
+    let mut at_once = 0;
+    for number in 100..200u64 {
+        let id = stand.request(SAFE, 0, number, 2 * S);
+        at_once += u32::from(stand.out.iter().any(|out| out.0 == id));
+        stand.pass(20 * MS);
+        for (id, _, _) in stand.out.clone() {
+            stand.end(&id, Outcome::Ok);
+        }
+    }
+    let asks = stand.log.iter().filter(|action| matches!(action, Action::Tell { .. })).count();
+    assert!(at_once >= 80, "{at_once} of 100 went at once");
+    assert!((5..=60).contains(&asks), "{asks} asks in 2 s");
+}
+
+/// What a home says of how long to stay away holds here: no word goes out till then.
+#[test]
+fn a_customer_that_is_held_off_costs_no_words() {
+    let mut fleet =
+        Fleet::new(60, 40, |settings| (settings.plans[0].rate, settings.plans[0].burst) = (0.5, 2.0));
+    // All of one gateway's tries, far over the quota: an ask and an answer for each unit that comes in, not for each try.
+    for _ in 0..200 {
+        fleet.stands[5].request(SAFE, 0, 7, 2 * S);
+        fleet.collect(5);
+        fleet.pass(30 * MS);
+        fleet.serve_all();
+    }
+    assert!(fleet.told <= 60, "{} words for 200 tries in 6 s, of which 5 are inside the quota", fleet.told);
+}
+
+/// Restarted homes, asked by gateways that know how full they were: without that each restart fills the store anew.
+#[test]
+fn homes_that_are_restarted_do_not_grant_the_burst_again() {
+    let mut fleet = Fleet::new(60, 40, |settings| {
+        (settings.plans[0].rate, settings.plans[0].burst) = (1.0, 12.0);
+    });
+    let mut sent = fleet.drive(0, 20, 8);
+    let before = sent;
+    // The customer's homes are those that heard the most.
+    let mut heard: Vec<(u64, usize)> = fleet.most_heard.iter().map(|(me, heard)| (*heard, *me)).collect();
+    heard.sort();
+    for (_, me) in heard.into_iter().rev().take(2) {
+        let (now, mut settings) = (fleet.stands[me].now, settings(me as u32, 60));
+        (settings.plans[0].rate, settings.plans[0].burst) = (1.0, 12.0);
+        fleet.stands[me] = Stand::with_servers(me as u64, settings, now, 40);
+        fleet.read[me] = 0;
+    }
+    sent += fleet.drive(0, 20, 4);
+    assert!(
+        sent - before <= 12,
+        "{} in 4 s at 1 a second, where a burst of 12 was used up before",
+        sent - before
+    );
+}
--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -18,6 +18,9 @@
 /// An instance that was told to stop must have ended by then: its bound is 3.6 s.
 const END_WITHIN: Duration = Duration::from_secs(15);
 
+/// Lines of an instance's log that a fault shows.
+const LAST_LINES: usize = 4;
+
 /// What an instance's processes have cost and how they went.
 #[derive(Clone, Debug, Default)]
 pub struct Cost {
@@ -101,13 +104,24 @@
         self.cost().faults.push(format!("instance {}: {}", self.number, line.into()));
     }
 
+    fn log(&self) -> PathBuf {
+        self.folder.join(format!("node-{}.log", self.number))
+    }
+
+    /// The last lines of its log, in one: why it ended stands there.
+    fn last_words(&self) -> String {
+        let text = std::fs::read(self.log()).map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+        let text = text.unwrap_or_default();
+        let lines: Vec<&str> = text.lines().rev().take(LAST_LINES).collect();
+        lines.into_iter().rev().collect::<Vec<_>>().join(" | ")
+    }
+
     /// Starts a process and waits until it is ready; a fault where it is not in time.
     ///
     /// # Errors
     /// It could not be started at all.
     pub async fn start(self: &Arc<Self>, ready_within: Duration) -> Result<()> {
-        let log = self.folder.join(format!("node-{}.log", self.number));
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(self.log())?;
         let mut command = Command::new(&self.program);
         command.arg("run").arg("--operator").arg(self.folder.join("operator.toml"));
         for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LISTEN_FDS", "LISTEN_PID", "LISTEN_FDNAMES"] {
@@ -148,7 +162,10 @@
                 }
             }
             Err(_) if *process.told.lock().unwrap_or_else(PoisonError::into_inner) => {}
-            Err(_) => self.fault(format!("not ready in time: {}", self.manager.heard().status)),
+            Err(_) => {
+                let status = self.manager.heard().status;
+                self.fault(format!("not ready in time: {status}; its log ends: {}", self.last_words()));
+            }
         }
         Ok(())
     }
@@ -177,9 +194,11 @@
         }
         let told = *process.told.lock().unwrap_or_else(PoisonError::into_inner);
         match status {
-            _ if !told => self.fault(format!("ended by itself: {status:?}")),
+            _ if !told => {
+                self.fault(format!("ended by itself: {status:?}; its log ends: {}", self.last_words()));
+            }
             Some(status) if !status.success() && !killed(status) => {
-                self.fault(format!("ended badly: {status}"))
+                self.fault(format!("ended badly: {status}; its log ends: {}", self.last_words()))
             }
             _ => {}
         }
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -10,10 +10,11 @@
 use saffronpaddle_standins::etcd::Etcd;
 use saffronpaddle_standins::load::{Customer, Front};
 use saffronpaddle_standins::peers::Network;
+use saffronpaddle_standins::ports::unclaimed;
 use saffronpaddle_standins::servers::{AppServer, Spec};
 use saffronpaddle_standins::settings::{configuration, Fleet, Places};
 use saffronpaddle_standins::World;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -167,12 +168,9 @@
         let world = World::begin(fleet.bounds.clone());
         let discovery = Discovery::new(Arc::clone(&world));
         let servers = servers(&scenario, &fleet, &world, &discovery)?;
-        // Ports are held until all of the rig's own sockets have theirs.
-        let held = (0..scenario.instances).map(|_| UdpSocket::bind("127.0.0.1:0"));
-        let held = held.collect::<std::io::Result<Vec<_>>>().context("ports for datagrams")?;
-        let datagrams = held.iter().map(UdpSocket::local_addr).collect::<std::io::Result<Vec<_>>>()?;
+        let datagrams = (0..scenario.instances).map(|_| unclaimed());
+        let datagrams = datagrams.collect::<std::io::Result<Vec<_>>>().context("ports for datagrams")?;
         let network = Network::start(datagrams.clone()).await.context("the network between instances")?;
-        drop(held);
         let mut operator = options.operator.clone();
         let etcd = match scenario.roster {
             Roster::Discovery => None,
@@ -195,7 +193,7 @@
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let mut instances = Vec::new();
         for (number, peer_listen) in datagrams.into_iter().enumerate() {
-            let listener = TcpListener::bind("127.0.0.1:0").context("a listener")?;
+            let listener = TcpListener::bind(unclaimed()?).context("a listener")?;
             let address = listener.local_addr()?;
             let manager =
                 Manager::start(&format!("saffronpaddle-fleet-{}-{run}-{number}", std::process::id()))?;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ledger;
 pub mod load;
 pub mod peers;
+pub mod ports;
 pub mod process;
 pub mod scripted;
 pub mod servers;
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -2,12 +2,12 @@
 //!
 //! Made for tests: what can't go on panics.
 
+use crate::ports::unclaimed;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -351,9 +351,9 @@
 
 /// Starts a node that can't go on: how it ended, and what it said.
 pub fn start_badly(tag: &str, sockets: usize, change: impl FnOnce(&mut Command)) -> (ExitStatus, String) {
-    let nowhere = unclaimed();
+    let nowhere = unclaimed().expect("a port");
     let (child, config) =
-        start_with(tag, &configuration(nowhere, &[], sockets, unclaimed(), nowhere), change);
+        start_with(tag, &configuration(nowhere, &[], sockets, unclaimed().expect("a port"), nowhere), change);
     let output = child.wait_with_output().expect("it ends");
     let _ = std::fs::remove_file(config);
     (output.status, String::from_utf8_lossy(&output.stderr).into_owned())
@@ -384,7 +384,7 @@
     ) -> Node {
         let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
         peer.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-        let datagrams = unclaimed();
+        let datagrams = unclaimed().expect("a port");
         let peer_address = peer.local_addr().expect("an address");
         let config = configuration(discovery, hosts, sockets, datagrams, peer_address);
         let (child, config) = start_with(tag, &alter(config), change);
@@ -557,16 +557,3 @@
     stream.set_nonblocking(false).expect("a mode");
     matches!(seen, Ok(0)) || seen.is_err_and(|error| error.kind() != std::io::ErrorKind::WouldBlock)
 }
-
-/// An address for datagrams that stays free between two processes that bind it one after the other: below the ports that
-/// the machine hands out by itself, and never twice the same in one process.
-fn unclaimed() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    const FIRST: u16 = 12_000;
-    const SPAN: u16 = 18_000;
-    let base = (std::process::id() % 9) as u16 * 2_000;
-    let mut ports = (0..SPAN).map(|_| FIRST + (base + NEXT.fetch_add(1, Ordering::Relaxed)) % SPAN);
-    let free = ports
-        .find_map(|port| UdpSocket::bind(("127.0.0.1", port)).and_then(|socket| socket.local_addr()).ok());
-    free.expect("a port")
-}
