Have at most four asks of one customer open at a gateway

Cause: the home of a hot customer drowns (intake 60 a second), no answer comes, so nothing holds the customer off, and ask() in control.rs puts each try to it four times and to who stands by.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -37,6 +37,7 @@
 const COUNT_STEP: f64 = 1.0 / 8.0; // counts in messages are in this part of a unit, so that fractions add up
 const HOMES_FROM: f64 = 500_000.0; // µs between counts to all from which they tell too little: homes instead
 const HOMES: u32 = 2; // the most homes that one try hears "short" from, and that one waits for in vain
+const OPEN_ASKS: usize = 4; // asks of one customer that one gateway has open: at a way of 76 ms there and back, 50 a second
 const PUT_MOST: u32 = 4; // times that an ask is put to a home: a lost datagram must not look like a dead one
 const MUTE_FOR: Micros = 4_000_000; // µs for which a home that did not answer is passed over; a word from it ends that
 const DEAF: u32 = 5; // asks in vain, with nothing heard from anybody since, from which this gateway is cut off
@@ -172,7 +173,13 @@
             _ => Of::Anew,
         });
         // Danger: a client that waits so briefly that the next sweep would answer too late.
-        let (held, asks) = (self.wide && store.memory.held(now), store.memory.chance(now));
+        // Danger: a home that drowns, and every try of its customer that is put to it again and again.
+        let open = self
+            .asks
+            .values()
+            .filter(|id| self.requests.get(id).is_some_and(|of| of.customer == request.customer));
+        let held = self.wide && (store.memory.held(now) || open.count() >= OPEN_ASKS);
+        let asks = store.memory.chance(now);
         let draw = if self.wide { self.random.f64() } else { 0.0 };
         let thinned = held || self.wide && draw > asks * (1.0 - shed);
         let hopeless = request.deadline <= now.saturating_add(LAST_CALL);
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -956,3 +956,16 @@
         sent - before
     );
 }
+
+/// A home that drowns: its customer's tries, however many, are not each put to it again and again. Without the bound all fifty
+/// are, two hundred words in all.
+#[test]
+fn few_asks_of_one_customer_are_open_at_once() {
+    let mut stand = Stand::with_servers(3, settings(0, 300), S, 40);
+    for _ in 0..50 {
+        stand.request(SAFE, 0, 7, 2 * S);
+    }
+    stand.pass(230 * MS);
+    let asks = stand.log.iter().filter(|action| matches!(action, Action::Tell { .. })).count();
+    assert!((4..=16).contains(&asks), "{asks}");
+}
