--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -1175,7 +1175,7 @@
     fn twins(&mut self, ended: Option<u32>, shared: bool, hushed: bool) {
         (self.shared, self.hushed) = (shared, hushed);
         let Some(ended) = ended else { return };
-        let gone: crate::twin::Abroad;
+        let gone: crate::state::Abroad;
         (gone, self.abroad) =
             std::mem::take(&mut self.abroad).into_iter().partition(|(_, (link, _))| *link == ended);
         gone.values().for_each(|(_, attempt)| self.release(attempt));
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -11,6 +11,7 @@
 mod homes;
 pub mod interface;
 mod message;
+mod pairs;
 mod pooled;
 mod quota;
 mod rto;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -6,7 +6,6 @@
 use crate::message::{self, Rumour};
 use crate::pooled::Pooled;
 use crate::rto::Rto;
-use crate::twin::Abroad;
 use saffronpaddle_quota::{Keeper, Memory};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -120,6 +119,9 @@
     pub stage: Stage,
 }
 
+/// An attempt of another process of this gateway, and over which link it is heard.
+pub(crate) type Abroad = BTreeMap<(RequestId, AttemptNo), (u32, Attempt)>;
+
 /// How far an attempt is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Stage {
@@ -179,7 +181,7 @@
     pub sent: f64,
     pub sent_at: Micros,
     pub open: u32,
-    #[serde(with = "crate::twin::pairs")]
+    #[serde(with = "crate::pairs")]
     pub heard: BTreeMap<GatewayId, Heard>,
     pub ceiling: f64,
     /// What part of the quota and of the ceiling is kept here.
--- a/crates/decision/src/twin.rs
+++ b/crates/decision/src/twin.rs
@@ -3,7 +3,6 @@
 use crate::interface::*;
 use crate::state::{Attempt, Fuzzy, Gateway, Home, Server, Stage, Store};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 
 /// All that a gateway knows and has promised, but for its open requests: these stay with the process that took them.
 /// What a build does not know yet has its default.
@@ -88,9 +87,6 @@
     }
 }
 
-/// An attempt of another process of this gateway, and over which link it is heard.
-pub(crate) type Abroad = BTreeMap<(RequestId, AttemptNo), (u32, Attempt)>;
-
 impl TwinOut {
     pub(crate) fn attempt(self, link: u32) -> ((RequestId, AttemptNo), (u32, Attempt)) {
         let TwinOut { id, attempt, server, customer, class, due, sent, places, .. } = self;
@@ -106,21 +102,3 @@
         TwinOut { id: id.clone(), attempt: number, server, customer, class, due, sent, places, first: None }
     }
 }
-
-/// A map as a list of pairs: its keys are no texts.
-pub(crate) mod pairs {
-    use serde::{Deserialize, Deserializer, Serialize, Serializer};
-    use std::collections::BTreeMap;
-
-    pub fn serialize<K: Serialize, V: Serialize, S: Serializer>(
-        map: &BTreeMap<K, V>, serializer: S,
-    ) -> Result<S::Ok, S::Error> {
-        serializer.collect_seq(map)
-    }
-
-    pub fn deserialize<'de, K: Deserialize<'de> + Ord, V: Deserialize<'de>, D: Deserializer<'de>>(
-        deserializer: D,
-    ) -> Result<BTreeMap<K, V>, D::Error> {
-        Ok(Vec::<(K, V)>::deserialize(deserializer)?.into_iter().collect())
-    }
-}
