Say once what answers of both builds share, and drop what the pace when alone left behind

On reading again: an old build's answer is handled as a new one; Memory::alone derived one of its cases twice (who was never granted anything has a pace of 0 anyway), and held_for had no caller; what a part of a ceiling holds at the most was written twice; the comment on a wide set's share still spoke of the store that decided before the pace did; a comment had come apart from its line.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -151,7 +151,7 @@
             let store = Store::new(now, up, request.plan, &plans[request.plan.0], set, most);
             let part = self.wide || self.newcomer && up < NEWCOMER;
             let level = if part { store.depth } else { store.level };
-            // Danger: no home heard, and hundreds of gateways that each fill at the whole rate. Each has its even part.
+            // In a wide set it is no more than what advice to refused clients goes by: this gateway's even part.
             let share = if self.wide { 1.0 / store.spread } else { store.share };
             Store { level, share, ..store }
         });
@@ -172,7 +172,6 @@
             1_000_000..10_000_000 => Of::Later,
             _ => Of::Anew,
         });
-        // Danger: a client that waits so briefly that the next sweep would answer too late.
         // Danger: a home that drowns, and every try of its customer that is put to it again and again.
         let open = self
             .asks
@@ -182,6 +181,7 @@
         let asks = store.memory.chance(now);
         let draw = if self.wide { self.random.f64() } else { 0.0 };
         let thinned = held || self.wide && draw > asks * (1.0 - shed);
+        // Danger: a client that waits so briefly that the next sweep would answer too late.
         let hopeless = request.deadline <= now.saturating_add(LAST_CALL);
         let kept = (store.peers(now, HEARD_FOR) * LAG).min(plan.burst - store.depth).max(0.0);
         let short = plan.rate > 0.0 && store.level - kept < units;
@@ -430,18 +430,14 @@
                 let Some(said) = self.grant(now, from, &ask) else { return };
                 let answer = match ask.beside {
                     Some(_) => Message::Answer(ask.serial, said, self.news_if_due(now)),
-                    None => Message::OldAnswer(ask.serial, said, self.news(now)),
+                    None => Message::OldAnswer(ask.serial, said, Some(self.news(now))),
                 };
                 return out.push(Action::Tell { to: from, bytes: message::write(&answer) });
             }
-            Message::Answer(serial, said, news) => {
+            Message::Answer(serial, said, news) | Message::OldAnswer(serial, said, news) => {
                 news.into_iter().for_each(|news| self.told(now, from, news));
                 return self.answered(now, serial, said, out);
             }
-            Message::OldAnswer(serial, said, news) => {
-                self.told(now, from, news);
-                return self.answered(now, serial, said, out);
-            }
             Message::Done(serial, of) => {
                 return self.homes.get_mut(&of).into_iter().for_each(|home| home.keeper.done(from.0, serial));
             }
--- a/crates/decision/src/homes.rs
+++ b/crates/decision/src/homes.rs
@@ -5,7 +5,7 @@
 //! is silent.
 
 use crate::fuzzy::mix;
-use crate::interface::{CustomerId, GatewayId, Plan};
+use crate::interface::{Ceiling, CustomerId, GatewayId, Plan};
 use saffronpaddle_quota::{Terms, LEASE};
 
 /// Units a second that one home of a customer looks after: its intake bounds it.
@@ -43,7 +43,7 @@
         let own = if beside > 0.0 { HOME_CEILING } else { 1.0 };
         let part = if number < self.parts { own } else { (1.0 - own) / beside } / parts;
         let places = |most: u32| (most + self.parts - 1 - number % self.parts) / self.parts;
-        let ceiling = |ceiling: crate::interface::Ceiling| {
+        let ceiling = |ceiling: Ceiling| {
             let late = ceiling.rate * LEASE as f64 / 1e6;
             (ceiling.rate * part, (ceiling.depth - late) * part)
         };
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -70,7 +70,7 @@
     // Kinds 4 and 5 are those of yesterday, without what goes beside an ask and how long to stay away; both are still spoken.
     Ask(Ask, Option<News>),
     Answer(u16, Said, Option<News>),
-    OldAnswer(u16, Said, News),
+    OldAnswer(u16, Said, Option<News>),
     Done(u16, CustomerId),
 }
 
@@ -130,7 +130,7 @@
             bytes.extend_from_slice(&serial.to_le_bytes());
             bytes
                 .extend_from_slice(&[u8::from(said.verdict != Verdict::Granted), small(said.chance * 255.0)]);
-            write_news(news, &mut bytes);
+            news.iter().for_each(|news| write_news(news, &mut bytes));
         }
         Message::Done(serial, customer) => {
             bytes.push(3);
@@ -244,7 +244,7 @@
             let verdict = *VERDICTS[..2].get(taken.number(1)? as usize)?;
             let chance = taken.number(1)? as f64 / 255.0;
             let level = if verdict == Verdict::Granted { 1.0 } else { 0.0 };
-            Message::OldAnswer(serial, Said { verdict, chance, wait: 0, level }, taken.news()?)
+            Message::OldAnswer(serial, Said { verdict, chance, wait: 0, level }, Some(taken.news()?))
         }
         7 => {
             let serial = taken.number(2)? as u16;
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -60,19 +60,22 @@
         if let Some(ceiling) = plan.ceiling {
             // Danger: a ceiling passed. A fixed share, empty at first, needs no word from anyone and holds
             // through lost messages and restarts; it hurts where nearly all comes in through one gateway.
-            let most = ceiling.depth * self.ceiling_share;
+            let most = self.most_under(&ceiling);
             self.ceiling = (self.ceiling + ceiling.rate * self.ceiling_share * span).min(most);
         }
     }
 
+    fn most_under(&self, ceiling: &Ceiling) -> f64 {
+        ceiling.depth * self.ceiling_share
+    }
+
     /// Whether nothing would be gained or given by dropping it: it has stood unused, and is full.
     pub(crate) fn is_idle(&mut self, now: Micros, plan: &Plan, silent: f64) -> bool {
         if self.open > 0 || now.saturating_sub(self.used) < KEEP_FOR {
             return false;
         }
         self.fill(now, plan, silent);
-        let most = |ceiling: &Ceiling| ceiling.depth * self.ceiling_share;
-        let full = plan.ceiling.as_ref().is_none_or(|ceiling| self.ceiling >= most(ceiling));
+        let full = plan.ceiling.as_ref().is_none_or(|ceiling| self.ceiling >= self.most_under(ceiling));
         let refilled = plan.rate <= 0.0 || self.level >= (plan.burst * self.share).max(self.depth);
         full && refilled && self.peers(now, HEARD_FOR) <= 0.0
     }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -342,7 +342,7 @@
     /// Servers by the short names of rumours.
     pub(crate) names: BTreeMap<u16, ServerId>,
     pub(crate) stores: BTreeMap<CustomerId, Store>,
-    /// Whether customers have homes; the stores kept here as a home; open asks and the number of the last;
+    /// Whether customers have homes; the parts kept here as a home; open asks and the number of the last;
     /// who did not answer, and until when it is passed over.
     pub(crate) wide: bool,
     pub(crate) homes: BTreeMap<CustomerId, Home>,
--- a/crates/quota/src/memory.rs
+++ b/crates/quota/src/memory.rs
@@ -71,17 +71,20 @@
     /// is no more than `burst + rate * t`, so that a fleet whose gateways hear none of each other lets go, in `t` seconds, at the
     /// most 1.5 times its pace and 1.5 s of it at once, and one try for each gateway that knew nothing of the customer.
     pub fn alone(&mut self, now: Micros, units: f64) -> bool {
-        let since = now.saturating_sub(self.granted_at) as f64;
-        // What came in since is not granted any more, but the pace was that while homes were heard.
-        let faded = if self.alone.is_none() { (-since / GRANTS_FOR).exp() } else { 1.0 };
-        self.granted *= faded;
-        let room = if self.level >= 0.5 && !self.wants_more(now) { ALONE.1 } else { ALONE.0 };
-        let rate = self.granted * room;
-        let known = self.granted_at > 0 || self.wants_more(now);
-        let first =
-            if known { (rate * ALONE_DEPTH).max(if self.wants_more(now) { 0.0 } else { 1.0 }) } else { 1.0 };
+        if self.alone.is_none() {
+            // Only while homes are heard: once they are not, the pace stays.
+            let since = now.saturating_sub(self.granted_at) as f64;
+            self.granted *= (-since / GRANTS_FOR).exp();
+        }
+        let greedy = self.wants_more(now);
+        let rate = self.granted * if self.level >= 0.5 && !greedy { ALONE.1 } else { ALONE.0 };
+        let depth = rate * ALONE_DEPTH;
         let span = now.saturating_sub(self.alone_at) as f64 / 1e6;
-        let held = self.alone.map_or(first, |held| (held + rate * span).min((rate * ALONE_DEPTH).max(1.0)));
+        let held = match self.alone {
+            Some(held) => (held + rate * span).min(depth.max(1.0)),
+            None if greedy => depth,
+            None => depth.max(1.0),
+        };
         self.alone_at = now;
         let goes = held >= units;
         self.alone = Some(if goes { held - units } else { held });
@@ -106,11 +109,6 @@
         now < self.held_until
     }
 
-    /// µs until one need not be.
-    pub fn held_for(&self, now: Micros) -> Micros {
-        self.held_until.saturating_sub(now)
-    }
-
     /// The share of tries that may ask now.
     pub fn chance(&self, now: Micros) -> f64 {
         let forgot = (now.saturating_sub(self.chance_at) as f64 / THIN_FOR).min(1.0);
