Take over the state of the build before, and give a try let go alone a number of its own

The parts have a key of their own now; old homes are passed over, stores and servers are taken over. The test fails without the key. By reading: alone() in control.rs named its grant by the last ask's number; given back, it could free the place of that ask at this gateway's own home. It takes a number of its own.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -654,6 +654,7 @@
             return self.finish(now, &id, Of::Homeless, out);
         }
         self.counts.add(Of::Alone);
+        self.serial = self.serial.wrapping_add(1); // its own: the last one may hold a place that is given back with it
         (request.asking.granted, request.due) = (Some((self.settings.me, self.serial)), now);
         self.waiting.push(id);
     }
--- a/crates/decision/src/twin.rs
+++ b/crates/decision/src/twin.rs
@@ -13,6 +13,8 @@
     newcomer: bool,
     stores: Vec<(CustomerId, Store)>,
     servers: Vec<Server>,
+    /// Danger: builds before had `homes`, whose stores are no parts: read as such, all of the state would be lost.
+    #[serde(rename = "parts")]
     homes: Vec<(CustomerId, Home)>,
     fuzzy: Fuzzy,
     spoke: Vec<Micros>,
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -5,7 +5,7 @@
 use common::*;
 use saffronpaddle_decision::control::inferred;
 use saffronpaddle_decision::interface::*;
-use saffronpaddle_decision::Gateway;
+use saffronpaddle_decision::{Gateway, Kept};
 use std::collections::BTreeMap;
 
 fn change_of(error: f64, change: f64) -> f64 {
@@ -969,3 +969,16 @@
     let asks = stand.log.iter().filter(|action| matches!(action, Action::Tell { .. })).count();
     assert!((4..=16).contains(&asks), "{asks}");
 }
+
+/// An upgrade in place from a build whose homes were kept as stores: the rest of its state is taken over.
+#[test]
+fn what_a_build_before_has_kept_is_taken_over_without_its_homes() {
+    let store =
+        r#"{"plan":0,"first":0,"spread":60.0,"depth":4.0,"level":2.0,"home":true,"granted":[],"chance":1.0}"#;
+    let kept = format!(r#"{{"born":1000000,"stores":[[7,{store}]],"homes":[[7,{store}]]}}"#);
+    let kept: Kept = serde_json::from_str(&kept).expect("it is read");
+    assert_eq!(kept.size(), (1, 0));
+    let mut gateway = Gateway::new(1, settings(0, 300), 2 * S).expect("sound settings");
+    gateway.resume(kept, 0);
+    assert_eq!(gateway.kept(), 1, "the customer's store, and no part");
+}
