Pace calls on the list service by what an operator says it bears; doubt an empty list

Need: a fleet that starts at one stroke made all its first calls at once (24 of 24 within a second), gave a slow service up after 3 s while that worked on, and a service that was back empty took all servers away. On the platform the list comes from an agent on the node's machine at no cost, so nothing changes there: all of it hangs on `[list] calls_per_s`.

First calls lie in a span by the nodes' numbers; pauses keep the fleet to the figure from the first failure on; Retry-After is obeyed; an empty list is believed once it has lasted, and asked for whole then. The log says why a watch was given up.

The rig: one deed on an instance at a time. Seen in the tests: a kill during a restart ran one instance twice.

The flaky `an_instance_killed_mid_request...`: the stand-in clients came again with a key at any time, also when servers had forgotten it (2 s), which a busy machine makes likely. They come again within 300 ms or not at all; half of them obey Retry-After.

--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -48,6 +48,8 @@
     pub address: SocketAddr,
     /// What it tells its manager.
     pub manager: Arc<Manager>,
+    /// Held by who starts or ends its processes: one deed at a time.
+    pub turn: tokio::sync::Mutex<()>,
     listener: Option<TcpListener>,
     program: PathBuf,
     folder: PathBuf,
@@ -77,8 +79,8 @@
         program: &Path, folder: &Path,
     ) -> Instance {
         let (program, folder) = (program.to_owned(), folder.to_owned());
-        let (process, cost) = Default::default();
-        Instance { number, address, manager, listener, program, folder, process, cost }
+        let (turn, process, cost) = Default::default();
+        Instance { number, address, manager, turn, listener, program, folder, process, cost }
     }
 
     fn process(&self) -> Option<Arc<Process>> {
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -286,7 +286,8 @@
         let mut starts = tokio::task::JoinSet::new();
         let absent = &self.scenario.absent;
         let present = |instance: &Arc<Instance>| !absent.contains(&instance.number);
-        for instance in self.instances.iter().filter(|instance| present(instance)).cloned() {
+        for instance in self.instances.iter().filter(|instance| present(instance)) {
+            let instance = Arc::clone(instance);
             if self.scenario.together {
                 starts.spawn(async move { instance.start(within).await });
             } else {
@@ -374,6 +375,15 @@
         let (within, lateness) = (self.scenario.ready_within, self.scenario.lateness);
         let deed = step.deed.clone();
         async move {
+            let whose = match deed {
+                Deed::Start(who) | Deed::Restart(who) | Deed::Kill(who, _) | Deed::Pause(who, _) => Some(who),
+                _ => None,
+            };
+            // Danger: an instance that is killed while it is restarted, and runs twice.
+            let _turn = match whose {
+                Some(who) => Some(instances[who].turn.lock().await),
+                None => None,
+            };
             match deed {
                 Deed::Start(who) if !instances[who].runs() => start(&instances[who], within).await,
                 Deed::Start(_) => {}
--- a/crates/fleet/src/ways.rs
+++ b/crates/fleet/src/ways.rs
@@ -7,6 +7,9 @@
 use saffronpaddle_standins::links::{End, Which};
 use std::collections::BTreeMap;
 
+/// What one rule does to a node's link with a server: there, back, and who it is where nodes heal one by one.
+type Sign = (bool, bool, Option<usize>);
+
 /// The links that a scenario's steps touch.
 #[derive(Clone, Debug)]
 pub struct Ways {
@@ -36,10 +39,10 @@
         let mut relays = Vec::new();
         for server in 0..self.counts.1 {
             let far = End::Server(server);
-            let mut alike: BTreeMap<Vec<(bool, bool, Option<usize>)>, Vec<usize>> = BTreeMap::new();
+            let mut alike: BTreeMap<Vec<Sign>, Vec<usize>> = BTreeMap::new();
             for node in (0..self.counts.0).filter(|node| self.touches(End::Node(*node), far)) {
                 let near = End::Node(node);
-                let sign = |(which, alone): &(Which, bool)| {
+                let sign = |(which, alone): &(Which, bool)| -> Sign {
                     (which.has(near, far), which.has(far, near), alone.then_some(node))
                 };
                 alike.entry(self.rules.iter().map(sign).collect()).or_default().push(node);
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,22 +1,22 @@
 //! Discovery: a watch on the list of app servers, opened again whenever it ends or falls silent.
 
-use crate::config::List;
+use crate::config::{Health, List};
 use crate::node::Node;
-use anyhow::{bail, ensure, Context, Result};
+use anyhow::{bail, Context, Result};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
-use hyper::header::HOST;
+use hyper::header::{HOST, RETRY_AFTER};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use saffronpaddle_roster::Pace;
+use saffronpaddle_roster::{Doubt, Pace, Terms};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
 /// has to tell counts as told 6 s later, also on a watch that nobody serves any more.
@@ -30,10 +30,43 @@
     seq: Option<u64>,
     /// Whether the last call was answered with a watch.
     opened: bool,
+    /// What the installation says of its list service, if it says anything; and what the service said of the next call.
+    terms: Option<Terms>,
+    come_back: Option<Duration>,
+    /// Servers that are known, and whether an empty list is in doubt.
+    known: usize,
+    doubt: Doubt,
+    born: Instant,
 }
 
 impl Follower {
+    /// How long a call may take to be answered.
+    fn answers(&self) -> Duration {
+        self.terms.as_ref().map_or(SILENT_FOR, |terms| terms.answer_within)
+    }
+
+    /// Whether a list is to be believed; one that is not is asked for whole again.
+    fn believes(&mut self, list: &List) -> bool {
+        let Some(terms) = self.terms.as_ref().filter(|_| list.whole) else { return true };
+        let believed =
+            self.doubt.believes(self.born.elapsed(), list.hosts.len(), self.known, terms.empty_after);
+        if !believed {
+            eprintln!(
+                "discovery: its list is empty; {} servers are kept until that has lasted {} ms",
+                self.known,
+                terms.empty_after.as_millis()
+            );
+        }
+        believed
+    }
+
     fn take(&mut self, list: &List) {
+        if !self.believes(list) {
+            return;
+        }
+        let gone = list.hosts.iter().filter(|host| host.health == Health::Gone).count();
+        self.known =
+            if list.whole { list.hosts.len() } else { self.known.max(list.hosts.len()).saturating_sub(gone) };
         if list.whole || self.seq.is_none_or(|seq| list.seq > seq) {
             self.seq = Some(list.seq);
             self.node.listed(list);
@@ -44,11 +77,19 @@
 
 /// Follows the list for ever, and moves when discovery gets another address. While it is down, and until the
 /// new one has spoken, the old list stands.
-pub async fn follow(node: Rc<Node>, mut address: watch::Receiver<SocketAddr>, known: Option<List>) {
-    let mut follower = Follower { node, seq: None, opened: false };
+pub async fn follow(
+    node: Rc<Node>, mut address: watch::Receiver<SocketAddr>, known: Option<List>, terms: Option<Terms>,
+) {
+    let place = (node.named.settings.me.0, node.named.settings.gateways);
+    let (come_back, doubt, born) = (None, Doubt::default(), Instant::now());
+    let mut follower = Follower { node, seq: None, opened: false, terms, come_back, known: 0, doubt, born };
     if let Some(known) = known {
         follower.take(&List { whole: true, ..known });
     }
+    // Danger: a fleet that starts at one stroke, whose first calls take the service away from all that it serves.
+    if let Some(first) = follower.terms.as_ref().map(|terms| terms.first_call(place, fastrand::f64())) {
+        tokio::time::sleep(first).await;
+    }
     loop {
         let now = *address.borrow_and_update();
         tokio::select! {
@@ -62,7 +103,9 @@
 
 /// Follows the list at one address, for ever.
 async fn stay(follower: &mut Follower, address: SocketAddr) {
-    let mut pace = Pace::of(follower.node.named.settings.gateways);
+    let nodes = follower.node.named.settings.gateways;
+    let mut pace =
+        follower.terms.as_ref().map_or_else(|| Pace::of(nodes), |terms| Pace::within(nodes, terms));
     let mut told = false;
     loop {
         follower.opened = false;
@@ -75,7 +118,11 @@
             pace.answered();
             told = false;
         }
-        tokio::time::sleep(pace.pause(fastrand::f64())).await;
+        let pause = match follower.come_back.take() {
+            Some(after) => pace.told(after, fastrand::f64()),
+            None => pace.pause(fastrand::f64()),
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
@@ -90,7 +137,7 @@
 
 /// One watch, until it ends.
 async fn watch_list(follower: &mut Follower, address: SocketAddr) -> Result<()> {
-    let stream = timeout(SILENT_FOR, TcpStream::connect(address)).await??;
+    let stream = timeout(SILENT_FOR, TcpStream::connect(address)).await.context("it does not come up")??;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let _driver = Driver(tokio::task::spawn_local(async move {
         // How it ended shows in the watch.
@@ -102,16 +149,36 @@
 async fn read(
     follower: &mut Follower, sender: &mut http1::SendRequest<Empty<Bytes>>, address: SocketAddr,
 ) -> Result<()> {
-    let from = follower.seq.map_or(String::new(), |seq| format!("&from={seq}"));
+    // A list that is in doubt is asked for whole.
+    let settles = follower.terms.as_ref().and_then(|terms| follower.doubt.asks_again(terms.empty_after));
+    let from = follower.seq.filter(|_| settles.is_none());
+    let from = from.map_or(String::new(), |seq| format!("&from={seq}"));
     let request = Request::builder().uri(format!("/api/targets?watch=1{from}"));
     let request = request.header(HOST, address.to_string()).body(Empty::new())?;
-    let answer = timeout(SILENT_FOR, sender.send_request(request)).await??;
-    ensure!(answer.status() == StatusCode::OK, "the watch was answered {}", answer.status());
+    let answer = timeout(follower.answers(), sender.send_request(request)).await;
+    let answer = answer.context("the call is not answered")??;
+    if answer.status() != StatusCode::OK {
+        let after =
+            answer.headers().get(RETRY_AFTER).and_then(|after| after.to_str().ok()?.trim().parse().ok());
+        follower.come_back = after.map(Duration::from_secs);
+        bail!("the watch was answered {}", answer.status());
+    }
     follower.opened = true;
     let mut body = answer.into_body();
     let mut line = Vec::new();
     // A silent machine keeps its connection open: only the missing signs of life tell.
-    while let Some(frame) = timeout(SILENT_FOR, body.frame()).await.context("the watch is silent")? {
+    loop {
+        let doubt = follower.terms.as_ref().and_then(|terms| follower.doubt.asks_again(terms.empty_after));
+        let settles = doubt.map(|at| at.saturating_sub(follower.born.elapsed()));
+        let patience = settles.map_or(SILENT_FOR, |settles| settles.min(SILENT_FOR));
+        let frame = match timeout(patience, body.frame()).await {
+            Ok(frame) => frame,
+            Err(_) if settles.is_some_and(|settles| settles <= SILENT_FOR) => {
+                bail!("its empty list is settled")
+            }
+            Err(_) => bail!("the watch is silent"),
+        };
+        let Some(frame) = frame else { break };
         let Ok(data) = frame?.into_data() else { continue };
         let mut rest = &data[..];
         while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -3,21 +3,29 @@
 use crate::config::List;
 use crate::discovery;
 use crate::node::Node;
-use saffronpaddle_operator::Etcd;
+use saffronpaddle_operator::{Calls, Etcd};
+use saffronpaddle_roster::Terms;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
 
 /// Follows what the operator file names, for ever. Without etcd that is the platform's discovery alone.
 pub async fn follow(
-    node: Rc<Node>, etcd: Option<Etcd>, address: watch::Receiver<SocketAddr>, known: Option<List>,
+    node: Rc<Node>, (etcd, calls): (Option<Etcd>, Option<Calls>), address: watch::Receiver<SocketAddr>,
+    known: Option<List>,
 ) {
-    let Some(etcd) = etcd else { return discovery::follow(node, address, known).await };
+    let terms = calls.map(|calls| Terms {
+        calls_per_s: calls.calls_per_s,
+        first_within: calls.first_within,
+        answer_within: calls.answer_within,
+        empty_after: calls.empty_after,
+    });
+    let Some(etcd) = etcd else { return discovery::follow(node, address, known, terms).await };
     #[cfg(not(feature = "etcd"))]
     {
         let _ = etcd;
         eprintln!("etcd: this program was built without it; the platform's discovery is followed");
-        discovery::follow(node, address, known).await
+        discovery::follow(node, address, known, terms).await
     }
     #[cfg(feature = "etcd")]
     {
@@ -28,7 +36,10 @@
             known.iter().for_each(|known| by_etcd::begin_with(&node, known));
             by_etcd::follow(node, etcd).await
         } else {
-            tokio::join!(discovery::follow(Rc::clone(&node), address, known), by_etcd::follow(node, etcd));
+            tokio::join!(
+                discovery::follow(Rc::clone(&node), address, known, terms),
+                by_etcd::follow(node, etcd)
+            );
         }
     }
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -246,11 +246,12 @@
         let born = Instant::now();
         let (standing, seen) = watch::channel(Standing::unready());
         let (moved, discovery) = watch::channel(self.discovery);
-        let etcd = files.operator.as_ref().and_then(|file| file.says.etcd.clone());
+        let says = files.operator.as_ref().map(|file| &file.says);
+        let sources = says.map(|says| (says.etcd.clone(), says.list.clone())).unwrap_or_default();
         let counts_every = files.operator.as_ref().and_then(|file| file.says.log.counts_every);
         let (ask, calls) = mpsc::channel(admin::CALLS_MOST);
         let beside = [
-            tokio::task::spawn_local(roster::follow(Rc::clone(&node), etcd, discovery, self.known)),
+            tokio::task::spawn_local(roster::follow(Rc::clone(&node), sources, discovery, self.known)),
             tokio::task::spawn_local(peers::listen(Rc::clone(&node))),
             tokio::task::spawn_local(Rc::clone(&node).ring()),
             tokio::task::spawn_local(Rc::clone(&node).hear_left()),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -42,6 +42,8 @@
     pub manager: Manager,
     /// `[log]`
     pub log: Log,
+    /// `[list]`; `None` while it says no number of calls.
+    pub list: Option<Calls>,
     /// `[etcd]`; `None` while it names no endpoints.
     pub etcd: Option<Etcd>,
     /// `[sockets]`; `None` while it names no class.
@@ -106,6 +108,19 @@
     pub counts_every: Option<Duration>,
 }
 
+/// Calls on the list service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Calls {
+    /// Calls a second that all nodes together may make.
+    pub calls_per_s: f64,
+    /// The first call is made within this span of the start.
+    pub first_within: Duration,
+    /// A call to be answered.
+    pub answer_within: Duration,
+    /// A list that is empty at one stroke is believed after so long.
+    pub empty_after: Duration,
+}
+
 /// The roster of app servers in etcd.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Etcd {
@@ -167,6 +182,7 @@
             log: file.section("log", |section| Log {
                 counts_every: section.span_ms_or_none("counts_every_ms", 0, 3_600_000),
             }),
+            list: file.section("list", list),
             etcd: file.section("etcd", etcd),
             sockets: file.section("sockets", sockets),
         }
@@ -197,6 +213,16 @@
     }
 }
 
+fn list(section: &mut Section) -> Option<Calls> {
+    let calls = Calls {
+        calls_per_s: section.figure("calls_per_s", 0.0, 0.0..=100_000.0),
+        first_within: section.span_ms("first_within_ms", 30_000, 0..=600_000),
+        answer_within: section.span_ms("answer_within_ms", 10_000, 100..=120_000),
+        empty_after: section.span_ms("empty_after_ms", 30_000, 0..=86_400_000),
+    };
+    (calls.calls_per_s > 0.0).then_some(calls)
+}
+
 fn etcd(section: &mut Section) -> Option<Etcd> {
     let text = |text: &str| (!text.is_empty()).then(|| text.to_owned());
     let prefix =
--- a/crates/roster/src/pace.rs
+++ b/crates/roster/src/pace.rs
@@ -16,6 +16,56 @@
 /// Longest pause of any fleet. Guards drains, which a node without its list does not hear of.
 const MOST: Duration = Duration::from_secs(12);
 
+/// What an installation sets for calls on its list service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    /// Calls a second that all nodes together make, whatever befalls them.
+    pub calls_per_s: f64,
+    /// The first call is made within this span of the start. Where more nodes start at once than the two figures allow,
+    /// this one holds: a node must not stay for ever without a list.
+    pub first_within: Duration,
+    /// A call to be answered.
+    pub answer_within: Duration,
+    /// A list of two servers or more that is empty at one stroke is believed once that has lasted for so long.
+    pub empty_after: Duration,
+}
+
+impl Terms {
+    /// When a node makes its first call, from its start on: each has a place by its number, and a draw inside it, so that
+    /// a fleet that starts at one stroke calls evenly.
+    pub fn first_call(&self, (number, nodes): (u32, u32), draw: f64) -> Duration {
+        let nodes = nodes.max(1);
+        let span = Duration::from_secs_f64(f64::from(nodes) / self.calls_per_s).min(self.first_within);
+        span.mul_f64((f64::from(number % nodes) + draw.clamp(0.0, 1.0)) / f64::from(nodes))
+    }
+}
+
+/// Whether a list that has become empty at one stroke is believed. Danger: a service that is back without its entries, and
+/// a fleet that therefore sends nothing to anybody.
+#[derive(Clone, Debug, Default)]
+pub struct Doubt {
+    since: Option<Duration>,
+}
+
+impl Doubt {
+    /// A whole list has come, with so many servers, where so many were known; whether it is believed at this time.
+    pub fn believes(&mut self, now: Duration, listed: usize, known: usize, after: Duration) -> bool {
+        if listed > 0 || known < 2 {
+            self.since = None;
+            return true;
+        }
+        now.saturating_sub(*self.since.get_or_insert(now)) >= after
+    }
+
+    /// When a list that is in doubt is to be asked for again: then it is believed if it is still so.
+    pub fn asks_again(&self, after: Duration) -> Option<Duration> {
+        self.since.map(|since| since + after)
+    }
+}
+
+/// Longest that a service may tell a node to stay away.
+const TOLD_MOST: Duration = Duration::from_secs(120);
+
 /// Pauses between the calls of one node.
 #[derive(Clone, Debug)]
 pub struct Pace {
@@ -32,6 +82,19 @@
         Pace { first, longest: longest.max(first), next: first }
     }
 
+    /// Those of a node whose installation says what the service bears: where all calls fail at once, all nodes together
+    /// still keep to that, from the first pause on.
+    pub fn within(nodes: u32, terms: &Terms) -> Self {
+        let share = Duration::from_secs_f64(f64::from(nodes) / terms.calls_per_s);
+        let first = share.max(LEAST.0);
+        Pace { first, longest: (first * 2).max(LEAST.1), next: first }
+    }
+
+    /// The service has said when to come back: no sooner, and spread out behind that as after any other end.
+    pub fn told(&mut self, after: Duration, draw: f64) -> Duration {
+        after.min(TOLD_MOST) + self.pause(draw)
+    }
+
     /// A call was answered: the next that fails is a first one again.
     pub fn answered(&mut self) {
         self.next = self.first;
@@ -96,6 +159,80 @@
         assert!(comes_back(100, 20.0, |_| Pace::of(3)).is_none_or(|after| after > 60.0));
     }
 
+    fn terms() -> Terms {
+        let s = Duration::from_secs;
+        Terms { calls_per_s: 25.0, first_within: s(60), answer_within: s(10), empty_after: s(30) }
+    }
+
+    /// The most calls in any second of these.
+    fn most(mut at: Vec<f64>) -> usize {
+        at.sort_by(f64::total_cmp);
+        (0..at.len())
+            .map(|place| at[place..].iter().take_while(|later| **later < at[place] + 1.0).count())
+            .max()
+            .unwrap_or(0)
+    }
+
+    #[test]
+    fn first_calls_of_a_fleet_that_starts_at_once_are_even() {
+        let mut random = fastrand::Rng::with_seed(7);
+        for nodes in [3, 30, 300, 1000] {
+            let calls =
+                (0..nodes).map(|number| terms().first_call((number, nodes), random.f64()).as_secs_f64());
+            let calls: Vec<f64> = calls.collect();
+            let last = calls.iter().copied().fold(0.0, f64::max);
+            assert!(last <= f64::from(nodes) / 25.0, "{nodes} nodes: {last} s");
+            let most = most(calls);
+            assert!(most <= 27, "{nodes} nodes: {most} in a second");
+        }
+        // The span is what holds where the two can't both.
+        let soon = Terms { first_within: Duration::from_secs(4), ..terms() };
+        assert!(soon.first_call((999, 1000), 1.0) <= Duration::from_secs(4));
+    }
+
+    #[test]
+    fn calls_that_all_fail_keep_to_what_the_service_bears() {
+        let mut random = fastrand::Rng::with_seed(9);
+        for nodes in [30, 300, 1000] {
+            let mut at = Vec::new();
+            for _ in 0..nodes {
+                let (mut pace, mut now) = (Pace::within(nodes, &terms()), 0.0);
+                while now < 100.0 {
+                    now += pace.pause(random.f64()).as_secs_f64();
+                    at.push(now);
+                }
+            }
+            // Chance gathers some: four deviations above the mean of 25.
+            let most = most(at);
+            assert!(most <= 50, "{nodes} nodes: {most} in a second");
+        }
+    }
+
+    #[test]
+    fn who_is_told_when_to_come_back_comes_no_sooner() {
+        let mut pace = Pace::within(300, &terms());
+        for draw in [0.0, 0.5, 1.0] {
+            assert!(pace.told(Duration::from_secs(7), draw) >= Duration::from_secs(7));
+        }
+        assert!(
+            pace.told(Duration::from_secs(86_400), 0.0) < Duration::from_secs(200),
+            "a forged one has an end"
+        );
+    }
+
+    #[test]
+    fn an_empty_list_is_believed_once_it_has_lasted() {
+        let (mut doubt, s) = (Doubt::default(), Duration::from_secs);
+        assert!(doubt.believes(s(0), 5, 0, s(30)));
+        assert!(!doubt.believes(s(1), 0, 5, s(30)));
+        assert_eq!(doubt.asks_again(s(30)), Some(s(31)));
+        assert!(!doubt.believes(s(30), 0, 5, s(30)));
+        assert!(doubt.believes(s(31), 0, 5, s(30)));
+        assert!(doubt.believes(s(32), 3, 5, s(30)), "and one with servers at once");
+        assert!(!doubt.believes(s(40), 0, 3, s(30)), "the doubt begins anew");
+        assert!(doubt.believes(s(41), 0, 1, s(30)), "the last server may go");
+    }
+
     #[test]
     fn a_small_fleet_is_back_within_a_second() {
         let mut pace = Pace::of(3);
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -22,6 +22,11 @@
 const SHIFT: Duration = Duration::from_secs(8);
 /// Share of a customer's tries that goes to its busiest node.
 const BUSIEST: f64 = 0.6;
+/// A keyed request is sent again by its client no later than this after the first time: a node sends what it took by half
+/// of its time, so that it runs while servers still drop repeats of the first.
+const KEY_AGAIN: Duration = Duration::from_millis(300);
+/// Share of clients that come back when they are told to, and longest that they stay away.
+const COMPLY: (f64, Duration) = (0.5, Duration::from_secs(2));
 /// Idle connections kept to one node.
 const IDLE_MOST: usize = 64;
 
@@ -99,7 +104,8 @@
 }
 
 enum End {
-    Answered(Answer),
+    /// With how long to stay away, where that was said.
+    Answered(Answer, Option<Duration>),
     Unanswered(Unanswered),
 }
 
@@ -185,17 +191,25 @@
     /// One client's request, with its retries.
     async fn client(&self, customer: Customer, class: usize) {
         let key = self.fleet.classes[class].keyed.then(|| format!("{:032x}", fastrand::u128(..)));
+        let begun = self.world.now();
+        let complies = fastrand::f64() < COMPLY.0;
         for retry in 0..3 {
+            // Danger: an effect that takes place twice as its client came again when servers had forgotten the key.
+            if key.is_some() && retry > 0 && self.world.now() > begun + KEY_AGAIN {
+                return;
+            }
             let number = self.next.fetch_add(1, Ordering::Relaxed);
             let id = format!("{:08x}{number:08x}", self.seed as u32);
             let request = Request { id, key: key.clone(), class, customer: customer.clone() };
-            match self.send(&request).await {
-                Some(End::Answered(Answer::Served)) => return,
-                Some(End::Answered(_)) | Some(End::Unanswered(_)) | None => {}
-            }
+            let after = match self.send(&request).await {
+                Some(End::Answered(Answer::Served, _)) => return,
+                Some(End::Answered(_, after)) => after.filter(|_| complies),
+                Some(End::Unanswered(_)) | None => None,
+            };
             if retry < 2 {
                 self.figures.retries.fetch_add(1, Ordering::Relaxed);
-                tokio::time::sleep(Duration::from_millis(100 + fastrand::u64(0..400))).await;
+                let least = after.unwrap_or_default().min(COMPLY.1);
+                tokio::time::sleep(least + Duration::from_millis(100 + fastrand::u64(0..400))).await;
             }
         }
     }
@@ -223,7 +237,7 @@
             let end = self.exchange(request, node, wire, fresh).await;
             let (id, world) = (&request.id, &self.world);
             match &end {
-                End::Answered(answer) => world.ledger().answered(world.now(), id, *answer),
+                End::Answered(answer, _) => world.ledger().answered(world.now(), id, *answer),
                 // Its connection closed unread: the client sends it once more on a new one.
                 End::Unanswered(Unanswered::NotTaken) if !fresh => {
                     self.figures.resent.fetch_add(1, Ordering::Relaxed);
@@ -316,7 +330,9 @@
                         return End::Unanswered(why);
                     }
                 }
-                End::Answered(answer)
+                let after =
+                    message.header("retry-after").parse().ok().filter(|after| (0.0..1e6).contains(after));
+                End::Answered(answer, after.map(Duration::from_secs_f64))
             }
             ended => {
                 let closed = matches!(ended, Ok(Ok(None) | Err(_)));
