Let an idle gateway without peers sleep, and judge a repeat by when it came to the server

`fleet` sets the work of tries that came while load was offered beside what servers could do in that span. Tests of the module: an idle gateway's wakes, and what quick and slow answers of a cold server bring.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -475,11 +475,15 @@
     /// Tells the peers what was lately sent on. It goes out even when there is nothing to tell.
     fn gossip(&mut self, now: Micros, out: &mut Out) {
         let pace = gossip_pace(&self.settings);
+        if now < self.next_gossip {
+            return;
+        }
+        // Danger: an hour that stays due where nobody is to be told, so that an idle gateway wakes at every sweep.
+        self.next_gossip = now + GOSSIP_EVERY.max(if pace < f64::INFINITY { pace as Micros } else { TICK });
         // Danger: two processes that tell the same counts, so that the peers' intake is filled twice.
-        if now < self.next_gossip || self.wide || self.hushed || !(pace > 0.0 && pace < f64::INFINITY) {
+        if self.wide || self.hushed || !(pace > 0.0 && pace < f64::INFINITY) {
             return;
         }
-        self.next_gossip = now + GOSSIP_EVERY.max(pace as Micros);
         let counts = self.counts(now, TOLD_FOR, COUNT_STEP).into_iter();
         let counts = Message::Counts((self.born / 1000) as u32, counts.take(message::ROOM).collect());
         out.push(Action::TellAll { bytes: message::write(&counts) });
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -982,3 +982,42 @@
     gateway.resume(kept, 0);
     assert_eq!(gateway.kept(), 1, "the customer's store, and no part");
 }
+
+/// Danger: an idle gateway that wakes at every sweep, a hundred times a second, as an hour that nobody keeps stays due.
+#[test]
+fn an_idle_gateway_wakes_a_few_times_a_second() {
+    for gateways in [1, 3, 300] {
+        let mut stand = Stand::with_servers(3, settings(0, gateways), 100 * S, 4);
+        stand.pass(2 * S);
+        let before = stand.log.len();
+        stand.pass(4 * S);
+        let wakes = stand.log[before..].iter().filter(|action| matches!(action, Action::Wake { .. })).count();
+        assert!(wakes <= 4 * 8, "{gateways} gateways: {wakes} times in 4 s");
+    }
+}
+
+/// Danger: a fleet that knows cold servers alone sends 1.5 requests a second, however much they can do.
+#[test]
+fn answers_of_a_cold_server_bring_more_to_it_and_late_ones_do_not() {
+    let sent = |takes: u64| {
+        let mut stand = Stand::new(3, settings(0, 1), 100 * S);
+        stand.servers(ListKind::Complete, vec![ServerEntry { started: Some(stand.now), ..entry(9) }]);
+        let mut out: Vec<(u64, RequestId)> = Vec::new();
+        for step in 0..150 {
+            let id = stand.request(SAFE, 1, 7, 2 * S);
+            stand.pass(20 * MS);
+            out.extend(stand.out.iter().any(|(other, _, _)| *other == id).then_some((step + takes, id)));
+            for (id, _, _) in stand.out.clone() {
+                let due = out.iter().find(|(_, other)| *other == id).is_some_and(|(at, _)| *at <= step);
+                let late = !out.iter().any(|(_, other)| *other == id);
+                if due || late {
+                    stand.end(&id, Outcome::Ok);
+                }
+            }
+        }
+        sends(&stand.log)
+    };
+    let (quick, slow) = (sent(10), sent(60));
+    assert!(quick > 20, "{quick} in 3 s");
+    assert!(slow < quick / 2, "{slow} and {quick}");
+}
--- a/crates/explore/src/nodes.rs
+++ b/crates/explore/src/nodes.rs
@@ -534,7 +534,7 @@
         };
         if runs {
             let cell = self.servers[at_server].cell;
-            self.ledger.ran(self.since(), cell, &id.0);
+            self.ledger.ran(self.since(), self.since(), cell, &id.0);
         }
         match mood {
             Mood::Silent => {}
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -43,6 +43,8 @@
     pub rows: Vec<Row>,
     /// Seconds of work that the servers could do while load was offered.
     pub could_s: f64,
+    /// For how long load was offered, whole seconds.
+    pub offered_s: usize,
     /// What happened in each second, by side.
     pub windows: Vec<Windows>,
     /// What was asked of the list service, and when load was begun, on the run's clock.
@@ -79,9 +81,9 @@
         kinds
     }
 
-    /// Seconds of work of what was served.
+    /// Seconds of work of the tries that came while load was offered and were served.
     pub fn served_s(&self) -> f64 {
-        self.windows.first().map_or(0.0, |all| all.seconds.iter().map(|of| of.served_work).sum())
+        self.within("all", 0, self.offered_s).served_work
     }
 
     /// Most calls on the list service in any second, from the start of the first instance on.
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -169,6 +169,7 @@
         counts: rig.front.counts(),
         rows: rig.instances.iter().map(row).collect(),
         could_s,
+        offered_s: duration.as_secs() as usize,
         windows,
         list: rig.discovery.calls(),
         begun,
--- a/crates/standins/src/servers.rs
+++ b/crates/standins/src/servers.rs
@@ -226,6 +226,7 @@
 
 async fn run(inside: Arc<Inside>, id: String, work: f64, _held: Held, mine: u64) -> Done {
     let world = &inside.world;
+    let came = world.now();
     let temper = *lock(&inside.temper);
     if temper.silent {
         let mut life = inside.life.subscribe();
@@ -239,7 +240,7 @@
     if *inside.life.borrow() != mine {
         return Done::Reset;
     }
-    world.ledger().ran(world.now(), inside.spec.block, &id);
+    world.ledger().ran(world.now(), came, inside.spec.block, &id);
     match fastrand::f64() {
         chance if chance < temper.resets => Done::Reset,
         chance if chance < temper.resets + temper.errors => Done::Answer(answer("500 Oh", "", "")),
