--- a/crates/warmup/src/lib.rs
+++ b/crates/warmup/src/lib.rs
@@ -28,12 +28,12 @@
 pub type Micros = u64;
 
 /// Share of what makes a server fall that answers may bring a fleet to send, in the worst case.
-pub const USED: f64 = 0.7;
-/// Requests a second that all gateways together send in turns. A server that bears less while it is cold than a third of
-/// this, at a multiple of 3, would be pushed over; one core that does the aimed work does more.
-const TURNS_A_SECOND: f64 = 1.5;
+pub const USED: f64 = 0.6;
+/// Requests a second that all gateways together send in turns. Danger: a server of one core, which bears some seven requests
+/// in its first second: turns must leave room for what answers bring (seen at 1.5: 1.09 of what makes one fall).
+const TURNS_A_SECOND: f64 = 0.75;
 /// Rights that an answer in good time brings until the first that was late, at the most, and after it.
-const GROWTH: (f64, f64) = (1.5, 1.25);
+const GROWTH: (f64, f64) = (1.35, 1.2);
 /// Rights that an answer brings that took longer than it should, but came within the aim.
 const SLOW: f64 = 0.75;
 /// An answer is in good time within this share of the aim ...
--- a/crates/warmup/tests/fleet.rs
+++ b/crates/warmup/tests/fleet.rs
@@ -167,6 +167,15 @@
     }
 }
 
+/// Two hundred servers of one core each, which bear some seven requests in their first second: by chance none falls.
+#[test]
+fn of_two_hundred_small_servers_none_is_pushed_over() {
+    let worst = (0..200).map(|seed| play(&World { seed, seconds: 8, ..world(300, 1, 100.0) }, sound).worst);
+    let worst = worst.fold(0.0, f64::max);
+    println!("small: {worst}");
+    assert!(worst < 1.0, "{worst}");
+}
+
 #[test]
 fn half_of_the_fleet_that_comes_later_pushes_nobody_over() {
     let late = World { absent: (20, 5 * S), ..world(40, 4, 200.0) };
@@ -181,7 +190,7 @@
     budget.begins(S, COLD_FOR);
     let answer = Answer { served: true, took: 100 * MS, aim: AIM, warmth: 0.3, draw: 0.9 };
     budget.ended(2 * S, 0, answer, &mut natural, &rules);
-    assert_eq!(budget.held(2 * S), 2);
+    assert_eq!(budget.held(2 * S), 2, "1.35 and a draw of 0.9");
     budget.begins(S, COLD_FOR);
     assert_eq!(budget.held(2 * S), 2, "the same word again changes nothing");
     budget.begins(3 * S, COLD_FOR);
@@ -227,7 +236,7 @@
                 while sent.front().is_some_and(|at| at + S <= now) {
                     sent.pop_front();
                 }
-                assert!(sent.len() <= 4, "{} within a second", sent.len());
+                assert!(sent.len() <= 3, "{} within a second", sent.len());
             }
         }
     }
