Say the list's terms once, and count no retry that is not sent

The operator's [list] is the roster's own type, as [ready] is the life cycle's (a copy field by field goes). How many servers are known when an empty list is doubted is the node's to say: the count kept beside it did not see servers that a change added. When a refused client may come back is worked out in one place. Warm servers are counted by one function, relays of a run once. A field and a check that nothing could fail are gone.

The rig counted a retry of a keyed request as it was due, though its client then let it be: figures of retries were too high, in all builds alike.

--- a/crates/decision/src/cold.rs
+++ b/crates/decision/src/cold.rs
@@ -67,11 +67,16 @@
         }
     }
 
+    /// How many ready servers are warm.
+    fn warm(&self, now: Micros) -> f64 {
+        let ready = self.servers.values().filter(|server| server.ready());
+        ready.filter(|server| server.warmth(&self.settings.rules, now) >= 1.0).count() as f64
+    }
+
     /// Notes whether warm servers tell enough.
     pub(crate) fn look_for_warm(&mut self, now: Micros) {
-        let rules = self.settings.rules;
+        let warm = self.warm(now);
         let ready = self.servers.values().filter(|server| server.ready());
-        let warm = ready.clone().filter(|server| server.warmth(&rules, now) >= 1.0).count() as f64;
         let lately = ready.clone().any(|server| self.is_warming(server, now));
         let ready = ready.count() as f64;
         let few = ready > 0.0 && warm < WARM_FEW * ready;
@@ -133,10 +138,8 @@
         }
         let rules = rules(&self.settings);
         let mut gift = None;
-        for server in self.servers.values_mut().filter(|server| server.ready()) {
-            if server.entry.started.is_none() {
-                continue;
-            }
+        let lately = |server: &&mut Server| server.ready() && server.entry.started.is_some();
+        for server in self.servers.values_mut().filter(lately) {
             if gift.is_none() && now >= self.next_gift {
                 let spare = server.budget.spare(now, server.entry.server.0, &rules);
                 gift = spare.map(|gift| (message::short(server.entry.server), gift));
@@ -167,8 +170,7 @@
         self.cold_rate += (self.cold_sent / span - self.cold_rate) * RATE_WEIGHT;
         self.cold_sent = 0.0;
         let rules = self.settings.rules;
-        let warm = |server: &&Server| server.ready() && server.warmth(&rules, now) >= 1.0;
-        let warm = self.servers.values().filter(warm).count().max(1) as f64;
+        let warm = self.warm(now).max(1.0);
         let gateways = f64::from(self.settings.gateways);
         let known = self.served / warm * COLD_SAFE * rules.fall_multiple;
         let rate = known.max(COLD_BLIND / gateways) * span;
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -256,7 +256,6 @@
         self.counts.add(why);
         let (refused, id_told) = (self.permits(request, now, Step::Refuse), id.clone());
         let retry_in = Some(self.advice(request));
-        let retry_in = self.cold_advice().or(retry_in);
         let refusal = |id| Action::Refuse { id, retry_in };
         out.push(if refused { refusal(id_told) } else { Action::Fail { id: id_told } });
         self.forget(id, out);
@@ -264,6 +263,9 @@
 
     /// When a refused client may come back: once its store and ceiling are likely to hold what it asks for.
     fn advice(&self, request: &Request) -> Micros {
+        if let Some(after) = self.cold_advice() {
+            return after;
+        }
         let Some(store) = self.stores.get(&request.customer) else { return ADVICE.0 };
         let plan = &self.settings.plans[request.plan.0];
         let until =
@@ -1080,7 +1082,8 @@
         self.counts.add(if first { Of::First } else { Of::Again });
         if self.blind || to.warmth(&self.settings.rules, now) < 1.0 {
             to.warm_up(&self.settings, self.blind, now);
-            (self.cold_sent, _) = (self.cold_sent + 1.0, self.counts.add(Of::Cold));
+            self.cold_sent += 1.0;
+            self.counts.add(Of::Cold);
         }
         if let Some(at) = &mut to.health[request.class.0].trial {
             *at = now.saturating_add(next);
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -47,10 +47,8 @@
     pub offered_s: usize,
     /// What happened in each second, by side.
     pub windows: Vec<Windows>,
-    /// What was asked of the list service, and when load was begun, on the run's clock.
+    /// What was asked of the list service.
     pub list: Calls,
-    /// See there.
-    pub begun: Duration,
     /// Connections made to each app server, and requests that came.
     pub met: Vec<(Vec<Duration>, usize)>,
     /// Datagrams that were longer than allowed, and bytes of all.
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -172,7 +172,6 @@
         offered_s: duration.as_secs() as usize,
         windows,
         list: rig.discovery.calls(),
-        begun,
         met: rig.servers.iter().map(AppServer::met).collect(),
         too_long: rig.network.too_long(),
         peer_bytes: rig.network.bytes(),
@@ -198,13 +197,12 @@
             bears.turns_away = scenario.list_turns_away;
         });
         let ways = Ways::of(&scenario);
-        if !ways.servers().is_empty() {
-            anyhow::ensure!(
-                scenario.roster == Roster::Discovery,
-                "links to servers need the platform's discovery"
-            );
-        }
-        for (nodes, server) in ways.servers() {
+        let relays = ways.servers();
+        anyhow::ensure!(
+            relays.is_empty() || scenario.roster == Roster::Discovery,
+            "links to servers need the platform's discovery"
+        );
+        for (nodes, server) in relays {
             let (listen, target) = (unclaimed()?, &servers[server]);
             let ends = (End::Node(nodes[0]), End::Server(server));
             Relay::start(&links, ends, listen, target.address()).await.context("a relay to a server")?;
--- a/crates/fleet/src/windows.rs
+++ b/crates/fleet/src/windows.rs
@@ -78,8 +78,7 @@
         named.map(|side| Windows { side: side.to_owned(), seconds: Vec::new() }).collect();
     for seen in ledger.seen() {
         let on = |place: usize| place == 0 || sides[place - 1].ends.contains(&End::Node(seen.node));
-        for (place, windows) in all.iter_mut().enumerate().filter(|(place, _)| on(*place)) {
-            debug_assert!(place <= sides.len());
+        for (_, windows) in all.iter_mut().enumerate().filter(|(place, _)| on(*place)) {
             if let Some(of) = windows.at(seen.at.checked_sub(begun)) {
                 of.tries += 1;
                 match seen.answer {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery: a watch on the list of app servers, opened again whenever it ends or falls silent.
 
-use crate::config::{Health, List};
+use crate::config::List;
 use crate::node::Node;
 use anyhow::{bail, Context, Result};
 use bytes::Bytes;
@@ -33,8 +33,7 @@
     /// What the installation says of its list service, if it says anything; and what the service said of the next call.
     terms: Option<Terms>,
     come_back: Option<Duration>,
-    /// Servers that are known, and whether an empty list is in doubt.
-    known: usize,
+    /// Whether an empty list is in doubt.
     doubt: Doubt,
     born: Instant,
 }
@@ -48,12 +47,11 @@
     /// Whether a list is to be believed; one that is not is asked for whole again.
     fn believes(&mut self, list: &List) -> bool {
         let Some(terms) = self.terms.as_ref().filter(|_| list.whole) else { return true };
-        let believed =
-            self.doubt.believes(self.born.elapsed(), list.hosts.len(), self.known, terms.empty_after);
+        let known = self.node.ready();
+        let believed = self.doubt.believes(self.born.elapsed(), list.hosts.len(), known, terms.empty_after);
         if !believed {
             eprintln!(
-                "discovery: its list is empty; {} servers are kept until that has lasted {} ms",
-                self.known,
+                "discovery: its list is empty; {known} servers are kept until that has lasted {} ms",
                 terms.empty_after.as_millis()
             );
         }
@@ -64,9 +62,6 @@
         if !self.believes(list) {
             return;
         }
-        let gone = list.hosts.iter().filter(|host| host.health == Health::Gone).count();
-        self.known =
-            if list.whole { list.hosts.len() } else { self.known.max(list.hosts.len()).saturating_sub(gone) };
         if list.whole || self.seq.is_none_or(|seq| list.seq > seq) {
             self.seq = Some(list.seq);
             self.node.listed(list);
@@ -82,7 +77,7 @@
 ) {
     let place = (node.named.settings.me.0, node.named.settings.gateways);
     let (come_back, doubt, born) = (None, Doubt::default(), Instant::now());
-    let mut follower = Follower { node, seq: None, opened: false, terms, come_back, known: 0, doubt, born };
+    let mut follower = Follower { node, seq: None, opened: false, terms, come_back, doubt, born };
     if let Some(known) = known {
         follower.take(&List { whole: true, ..known });
     }
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -3,7 +3,7 @@
 use crate::config::List;
 use crate::discovery;
 use crate::node::Node;
-use saffronpaddle_operator::{Calls, Etcd};
+use saffronpaddle_operator::Etcd;
 use saffronpaddle_roster::Terms;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,15 +11,9 @@
 
 /// Follows what the operator file names, for ever. Without etcd that is the platform's discovery alone.
 pub async fn follow(
-    node: Rc<Node>, (etcd, calls): (Option<Etcd>, Option<Calls>), address: watch::Receiver<SocketAddr>,
+    node: Rc<Node>, (etcd, terms): (Option<Etcd>, Option<Terms>), address: watch::Receiver<SocketAddr>,
     known: Option<List>,
 ) {
-    let terms = calls.map(|calls| Terms {
-        calls_per_s: calls.calls_per_s,
-        first_within: calls.first_within,
-        answer_within: calls.answer_within,
-        empty_after: calls.empty_after,
-    });
     let Some(etcd) = etcd else { return discovery::follow(node, address, known, terms).await };
     #[cfg(not(feature = "etcd"))]
     {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -18,6 +18,7 @@
 pub use reader::{Fault, Faults, Section};
 
 use saffronpaddle_lifecycle::readiness::Conditions;
+use saffronpaddle_roster::Terms;
 use saffronpaddle_sockets::table::Limits;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -43,7 +44,7 @@
     /// `[log]`
     pub log: Log,
     /// `[list]`; `None` while it says no number of calls.
-    pub list: Option<Calls>,
+    pub list: Option<Terms>,
     /// `[etcd]`; `None` while it names no endpoints.
     pub etcd: Option<Etcd>,
     /// `[sockets]`; `None` while it names no class.
@@ -108,19 +109,6 @@
     pub counts_every: Option<Duration>,
 }
 
-/// Calls on the list service.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Calls {
-    /// Calls a second that all nodes together may make.
-    pub calls_per_s: f64,
-    /// The first call is made within this span of the start.
-    pub first_within: Duration,
-    /// A call to be answered.
-    pub answer_within: Duration,
-    /// A list that is empty at one stroke is believed after so long.
-    pub empty_after: Duration,
-}
-
 /// The roster of app servers in etcd.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Etcd {
@@ -213,14 +201,14 @@
     }
 }
 
-fn list(section: &mut Section) -> Option<Calls> {
-    let calls = Calls {
+fn list(section: &mut Section) -> Option<Terms> {
+    let terms = Terms {
         calls_per_s: section.figure("calls_per_s", 0.0, 0.0..=100_000.0),
         first_within: section.span_ms("first_within_ms", 30_000, 0..=600_000),
         answer_within: section.span_ms("answer_within_ms", 10_000, 100..=120_000),
         empty_after: section.span_ms("empty_after_ms", 30_000, 0..=86_400_000),
     };
-    (calls.calls_per_s > 0.0).then_some(calls)
+    (terms.calls_per_s > 0.0).then_some(terms)
 }
 
 fn etcd(section: &mut Section) -> Option<Etcd> {
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -194,10 +194,6 @@
         let begun = self.world.now();
         let complies = fastrand::f64() < COMPLY.0;
         for retry in 0..3 {
-            // Danger: an effect that takes place twice as its client came again when servers had forgotten the key.
-            if key.is_some() && retry > 0 && self.world.now() > begun + KEY_AGAIN {
-                return;
-            }
             let number = self.next.fetch_add(1, Ordering::Relaxed);
             let id = format!("{:08x}{number:08x}", self.seed as u32);
             let request = Request { id, key: key.clone(), class, customer: customer.clone() };
@@ -207,9 +203,13 @@
                 Some(End::Unanswered(_)) | None => None,
             };
             if retry < 2 {
-                self.figures.retries.fetch_add(1, Ordering::Relaxed);
                 let least = after.unwrap_or_default().min(COMPLY.1);
                 tokio::time::sleep(least + Duration::from_millis(100 + fastrand::u64(0..400))).await;
+                // Danger: an effect that takes place twice as its client came again when servers had forgotten the key.
+                if key.is_some() && self.world.now() > begun + KEY_AGAIN {
+                    return;
+                }
+                self.figures.retries.fetch_add(1, Ordering::Relaxed);
             }
         }
     }
