--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -434,10 +434,11 @@
 const MOST: u64 = 400;
 
 /// The scenarios that come with the program, by name.
-pub const SHIPPED: [(&str, &str); 8] = [
+pub const SHIPPED: [(&str, &str); 9] = [
     ("thirty", include_str!("../scenarios/thirty.toml")),
     ("short", include_str!("../scenarios/short.toml")),
     ("forty-cold", include_str!("../scenarios/forty-cold.toml")),
+    ("cold-thirty", include_str!("../scenarios/cold-thirty.toml")),
     ("cold-hundreds", include_str!("../scenarios/cold-hundreds.toml")),
     ("calm", include_str!("../scenarios/calm.toml")),
     ("drains", include_str!("../scenarios/drains.toml")),
--- a/crates/saffronpaddle/src/main.rs
+++ b/crates/saffronpaddle/src/main.rs
@@ -22,7 +22,7 @@
   saffronpaddle demo [--listen ADDRESS]   one edge node before stand-in app servers on loopback, nothing to set up
   saffronpaddle fleet SCENARIO            plays a scenario on real instances before stand-ins, all on loopback;
         [--seed N] [--json FILE]          a file, or the name of one that comes with the program:
-        [--instances N] [--rate N]        thirty, short, forty-cold, cold-hundreds, calm, drains, etcd, flips
+        [--instances N] [--rate N]        thirty, short, forty-cold, cold-thirty, cold-hundreds, calm, drains, etcd, flips
         [--seconds N] [--keep FOLDER]   [--roster] reads from discovery, etcd or both, whatever the scenario says;
         [--servers N] [--table]           --table shows each second by side; --operator FILE is the instances' operator
         [--operator FILE] [--program P]   file; --program plays another build of the program
