Remember what warm servers did when all are replaced, and believe a few of them less

Nodes in service, all of whose servers are replaced, went by turns and answers as if they had never seen a warm one (cold.rs, `look_for_warm`); turns of 1.5 a second had hidden it.

A gateway that has seen half of the servers warm remembers what one did and goes by it. Half instead of a tenth, since `credit` sets all answers beside the warm servers alone: with a tenth warm that is up to ten times what one does, times 1.2, where three times pushes a server over; the first that are warm again are believed 2.5 times what one did at the most. Found by reading, not seen.

--- a/crates/decision/src/cold.rs
+++ b/crates/decision/src/cold.rs
@@ -1,7 +1,8 @@
 //! Servers that warm up: how much of what waits may go to them, and what is refused meanwhile.
 //!
-//! While warm servers tell what one can do, each gateway earns sends by that (`credit`). Where hardly any is warm, as when
-//! a whole fleet starts, nobody knows: then the fleet goes by `saffronpaddle_warmup`.
+//! While warm servers tell what one can do, or have told it before all of them were replaced, each gateway earns sends by
+//! that (`credit`). Where it has seen hardly any warm one, as when a whole fleet starts, it does not know: then it goes by
+//! `saffronpaddle_warmup`.
 
 use crate::control::{ADVICE, TICK};
 use crate::counts::Of;
@@ -15,8 +16,11 @@
 const COLD_KEEPERS: f64 = 6.0;
 const COLD_KEPT: f64 = 0.5; // share of what is saved that is kept for another tick by more: few requests come by
 const COLD_SAFE: f64 = 0.4; // part of the fall multiple that is used, of what warm servers are seen to do
-/// Share of the ready servers that must be warm, or what they do tells too little of the others.
-const WARM_FEW: f64 = 0.1;
+/// Share of the ready servers that must be warm, or what they do tells too little of the others: all answers are set beside
+/// the warm ones alone, so that twice what one does is the most that is believed of it.
+const WARM_FEW: f64 = 0.5;
+/// Where fewer are warm in a fleet that has seen them, the most that one of these is believed to do, in times of what it did.
+const PACE_MOST: f64 = 2.5;
 /// Times that it takes to warm up, since a server's start, for which it is sent only what rights allow where requests
 /// wait without end.
 const PRESSED_FOR: u64 = 4;
@@ -80,8 +84,11 @@
         let lately = ready.clone().any(|server| self.is_warming(server, now));
         let ready = ready.count() as f64;
         let few = ready > 0.0 && warm < WARM_FEW * ready;
+        self.pace = if few || ready == 0.0 { self.pace } else { self.served / warm };
+        // Danger: a fleet in service, all of whose servers are replaced, that forgets what such servers can do.
+        let told = self.pace > COLD_BLIND / f64::from(self.settings.gateways);
         // Once they are warm, it ends with the first look at which nothing waits.
-        self.blind = few || self.blind && lately && !self.waiting.is_empty();
+        self.blind = few && !told || self.blind && lately && !self.waiting.is_empty();
     }
 
     /// What the end of an attempt tells of a cold server.
@@ -170,9 +177,12 @@
         self.cold_rate += (self.cold_sent / span - self.cold_rate) * RATE_WEIGHT;
         self.cold_sent = 0.0;
         let rules = self.settings.rules;
-        let warm = self.warm(now).max(1.0);
+        let warm = self.warm(now);
         let gateways = f64::from(self.settings.gateways);
-        let known = self.served / warm * COLD_SAFE * rules.fall_multiple;
+        // What one warm server does for this gateway; where none is, what one did. Danger: a few that have just become warm
+        // taken for the ones that do what all do together.
+        let does = if warm > 0.0 { self.served / warm } else { self.pace };
+        let known = does.min(self.pace * PACE_MOST) * COLD_SAFE * rules.fall_multiple;
         let rate = known.max(COLD_BLIND / gateways) * span;
         let kept = (COLD_KEEPERS / gateways).clamp(COLD_KEPT, 1.0);
         for server in self.servers.values_mut().filter(|server| server.warmth(&rules, now) < 1.0) {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -386,9 +386,10 @@
     pub(crate) next_news: Micros,
     pub(crate) next_tick: Micros,
     pub(crate) counts: Counts,
-    /// Whether hardly any warm server tells what servers can do; what requests take where nobody waits; attempts at
+    /// Whether hardly any warm server tells what servers can do, nor has told it; answers a second of one, here, when last half of them were warm; what requests take where nobody waits; attempts at
     /// cold servers since the last tick, and a second; when rights that nobody used here are given away.
     pub(crate) blind: bool,
+    pub(crate) pace: f64,
     pub(crate) natural: Natural,
     pub(crate) cold_sent: f64,
     pub(crate) cold_rate: f64,
@@ -466,6 +467,7 @@
             next_tick: now,
             counts: Counts::default(),
             blind: false,
+            pace: 0.0,
             natural: Natural::default(),
             cold_sent: 0.0,
             cold_rate: 0.0,
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -415,14 +415,14 @@
     let cold = ServerEntry { started: Some(stand.now), ..entry(9) };
     stand.servers(ListKind::Complete, vec![cold]);
     let mut sent = 0;
-    for step in 0..50 {
+    for _ in 0..50 {
         let before = sends(&stand.log);
         stand.request(SAFE, 1, 7, 2 * S);
         stand.pass(20 * MS);
         sent += sends(&stand.log) - before;
-        // It does what it can, one after the other: what it answers is what it is sent more by.
-        let first = stand.out.first().map(|(id, _, _)| id.clone());
-        first.filter(|_| step % 6 == 5).into_iter().for_each(|id| _ = stand.end(&id, Outcome::Ok));
+        for (id, _, _) in stand.out.clone() {
+            stand.end(&id, Outcome::Ok);
+        }
     }
     // A warm one was seen to do some 45 a second; this one can do a fifth of it, and falls at three times that.
     assert!((1..=27).contains(&sent), "{sent}");
@@ -1021,3 +1021,39 @@
     assert!(quick > 20, "{quick} in 3 s");
     assert!(slow < quick / 2, "{slow} and {quick}");
 }
+
+/// Danger: a fleet in service, all of whose servers are replaced at one stroke, that forgets what such servers can do; and
+/// one that takes the first of many to be warm for one that does what all do together.
+#[test]
+fn what_warm_servers_did_is_remembered_when_all_are_replaced() {
+    let serve = |stand: &mut Stand, steps: u64| {
+        let before = sends(&stand.log);
+        for _ in 0..steps {
+            stand.request(SAFE, 1, 7, 2 * S);
+            stand.pass(10 * MS);
+            for (id, _, _) in stand.out.clone() {
+                stand.end(&id, Outcome::Ok);
+            }
+        }
+        sends(&stand.log) - before
+    };
+    let mut stand = Stand::with_servers(3, settings(0, 1), 100 * S, 6);
+    serve(&mut stand, 800);
+    let cold = |started, server| ServerEntry { started: Some(started), ..entry(server) };
+    let all = |now: Micros| (10..16).map(|server| cold(now, server)).collect::<Vec<_>>();
+    stand.servers(ListKind::Complete, all(stand.now));
+    // Some 16 a second were seen of each; these do a fifth of it, and may be sent 1.2 times that.
+    let remembered = serve(&mut stand, 100);
+    assert!((12..=40).contains(&remembered), "{remembered} in the first second");
+    // One that was there all the time, of seven: not taken for one that did all.
+    let mut stand = Stand::with_servers(3, settings(0, 1), 100 * S, 6);
+    serve(&mut stand, 800);
+    let mut mixed = all(stand.now);
+    mixed.push(entry(0));
+    stand.servers(ListKind::Complete, mixed);
+    let before = stand.log.len();
+    serve(&mut stand, 100);
+    let to = |action: &Action| matches!(action, Action::Send { server, .. } if server.0 >= 10);
+    let cold = stand.log[before..].iter().filter(|action| to(action)).count();
+    assert!(cold <= 85, "{cold} to cold ones in the first second: 2.5 times of what one did at the most");
+}
