Call a silent agent again at once, as what it has counts as told without a watch

Where lists are pushed the address is the agent of the node's own machine, which answers at once and at no cost; a node waited up to 2 n / 25 s (24 s at 300 nodes) before it called again, and 3 s for each call, while the agent's list counted as told. Change: Pace::agent, a call each 120 ms beside those that are open (eight at the most, each 960 ms), so that one is there within 150 ms of the moment in which the agent has a list, and a slow agent still gets its time. Services that all nodes share keep their paces ([list], etcd, settings that ask).

The new test over loopback fails with the file before.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -2,21 +2,23 @@
 
 use crate::config::List;
 use crate::node::Node;
-use anyhow::{bail, Context, Result};
+use anyhow::{anyhow, bail, Context, Result};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{HOST, RETRY_AFTER};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use saffronpaddle_roster::{Doubt, Pace, Terms};
+use saffronpaddle_decision::interface::Discovery;
+use saffronpaddle_roster::{Doubt, Hedged, Pace, Terms};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
-use tokio::time::{timeout, Instant};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{sleep, timeout, Instant};
 
 /// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
 /// has to tell counts as told 6 s later, also on a watch that nobody serves any more.
@@ -99,12 +101,17 @@
 /// Follows the list at one address, for ever.
 async fn stay(follower: &mut Follower, address: SocketAddr) {
     let nodes = follower.node.named.settings.gateways;
-    let mut pace =
-        follower.terms.as_ref().map_or_else(|| Pace::of(nodes), |terms| Pace::within(nodes, terms));
+    let pushed = follower.node.named.settings.discovery == Discovery::Pushed;
+    let mut pace = match &follower.terms {
+        Some(terms) => Pace::within(nodes, terms),
+        // Where lists are pushed the address is the agent of this machine.
+        None if pushed => Pace::agent(),
+        None => Pace::of(nodes),
+    };
     let mut told = false;
     loop {
         follower.opened = false;
-        if let Err(error) = watch_list(follower, address).await {
+        if let Err(error) = watch_list(follower, address, pace.hedged()).await {
             if !std::mem::replace(&mut told, true) {
                 eprintln!("discovery: {error:#}");
             }
@@ -130,36 +137,81 @@
     }
 }
 
-/// One watch, until it ends.
-async fn watch_list(follower: &mut Follower, address: SocketAddr) -> Result<()> {
-    let stream = timeout(SILENT_FOR, TcpStream::connect(address)).await.context("it does not come up")??;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let _driver = Driver(tokio::task::spawn_local(async move {
-        // How it ended shows in the watch.
-        let _ = connection.await;
-    }));
-    read(follower, &mut sender, address).await
+/// A call that was answered with a watch, and what drives its connection.
+type Watch = (Driver, Incoming);
+
+/// What a call was answered that is no watch.
+enum NoWatch {
+    /// The service has said when to come back.
+    ComeBack(StatusCode, Duration),
+    Failed(anyhow::Error),
+}
+
+/// One call, until it is answered. `answers`: how long that may take.
+async fn call(address: SocketAddr, path: String, answers: Duration) -> Result<Watch, NoWatch> {
+    let opened = async {
+        let connect = TcpStream::connect(address);
+        let stream = timeout(SILENT_FOR.min(answers), connect).await.context("it does not come up")??;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let driver = Driver(tokio::task::spawn_local(async move {
+            // How it ended shows in the watch.
+            let _ = connection.await;
+        }));
+        let request = Request::builder().uri(path).header(HOST, address.to_string());
+        let answer = timeout(answers, sender.send_request(request.body(Empty::<Bytes>::new())?)).await;
+        anyhow::Ok((driver, answer.context("the call is not answered")??))
+    };
+    let (driver, answer) = opened.await.map_err(NoWatch::Failed)?;
+    if answer.status() == StatusCode::OK {
+        return Ok((driver, answer.into_body()));
+    }
+    let after = answer.headers().get(RETRY_AFTER).and_then(|after| after.to_str().ok()?.trim().parse().ok());
+    let failed = || NoWatch::Failed(anyhow!("the watch was answered {}", answer.status()));
+    Err(after.map_or_else(failed, |after| NoWatch::ComeBack(answer.status(), Duration::from_secs(after))))
 }
 
-async fn read(
-    follower: &mut Follower, sender: &mut http1::SendRequest<Empty<Bytes>>, address: SocketAddr,
-) -> Result<()> {
+/// Calls again and again while earlier calls are still open, until one is answered with a watch. The others end with it.
+async fn soonest(address: SocketAddr, path: &str, hedged: Hedged) -> Watch {
+    let mut calls = JoinSet::new();
+    let mut told = false;
+    loop {
+        calls.spawn_local(call(address, path.to_owned(), hedged.answer_within));
+        let next = sleep(hedged.every);
+        tokio::pin!(next);
+        loop {
+            tokio::select! {
+                () = &mut next => break,
+                Some(ended) = calls.join_next() => match ended {
+                    Ok(Ok(watch)) => return watch,
+                    Ok(Err(NoWatch::Failed(error))) if !std::mem::replace(&mut told, true) => {
+                        eprintln!("discovery: {error:#}");
+                    }
+                    Ok(Err(_)) | Err(_) => {}
+                },
+            }
+        }
+    }
+}
+
+/// One watch, until it ends.
+async fn watch_list(follower: &mut Follower, address: SocketAddr, hedged: Option<Hedged>) -> Result<()> {
     // A list that is in doubt is asked for whole.
     let settles = follower.terms.as_ref().and_then(|terms| follower.doubt.asks_again(terms.empty_after));
     let from = follower.seq.filter(|_| settles.is_none());
     let from = from.map_or(String::new(), |seq| format!("&from={seq}"));
-    let request = Request::builder().uri(format!("/api/targets?watch=1{from}"));
-    let request = request.header(HOST, address.to_string()).body(Empty::new())?;
-    let answer = timeout(follower.answers(), sender.send_request(request)).await;
-    let answer = answer.context("the call is not answered")??;
-    if answer.status() != StatusCode::OK {
-        let after =
-            answer.headers().get(RETRY_AFTER).and_then(|after| after.to_str().ok()?.trim().parse().ok());
-        follower.come_back = after.map(Duration::from_secs);
-        bail!("the watch was answered {}", answer.status());
-    }
+    let path = format!("/api/targets?watch=1{from}");
+    let (_driver, mut body) = match hedged {
+        Some(hedged) => soonest(address, &path, hedged).await,
+        None => match call(address, path, follower.answers()).await {
+            Ok(watch) => watch,
+            Err(NoWatch::Failed(error)) => return Err(error),
+            Err(NoWatch::ComeBack(status, after)) => {
+                follower.come_back = Some(after);
+                bail!("the watch was answered {status}");
+            }
+        },
+    };
     follower.opened = true;
-    let mut body = answer.into_body();
     let mut line = Vec::new();
     // A silent machine keeps its connection open: only the missing signs of life tell.
     loop {
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -16,7 +16,7 @@
 pub use entry::{Entry, Standing};
 pub use follower::{Follower, Header, KeyValue, Next, Rules, WatchEvent};
 pub use merge::{Merge, Source};
-pub use pace::{Doubt, Pace, Terms};
+pub use pace::{Doubt, Hedged, Pace, Terms};
 
 /// A point in time: the span since some fixed moment of a clock that never goes back.
 pub type Time = std::time::Duration;
--- a/crates/roster/src/pace.rs
+++ b/crates/roster/src/pace.rs
@@ -66,9 +66,28 @@
 /// Longest that a service may tell a node to stay away.
 const TOLD_MOST: Duration = Duration::from_secs(120);
 
+/// How calls go out to an agent on the node's own machine: so often while none is answered, and each waits so long.
+///
+/// Danger that it guards against: an agent that was silent for a while and has a list again counts as having told it, whether or
+/// not a watch is open. A call of that moment must be there to take it, well within what a drain allows (250 ms); and an
+/// agent that takes its time must not be left each time just before it answers, so several calls are open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hedged {
+    /// Between two calls.
+    pub every: Duration,
+    /// What each may take to be answered.
+    pub answer_within: Duration,
+}
+
+/// Those of an agent: eight calls are open at the most.
+const AGENT: Hedged = Hedged { every: Duration::from_millis(120), answer_within: Duration::from_millis(960) };
+/// Between the end of an agent's watch and the next call.
+const AGENT_PAUSE: Duration = Duration::from_millis(30);
+
 /// Pauses between the calls of one node.
 #[derive(Clone, Debug)]
 pub struct Pace {
+    hedged: Option<Hedged>,
     first: Duration,
     longest: Duration,
     next: Duration,
@@ -79,7 +98,17 @@
     pub fn of(nodes: u32) -> Self {
         let share = |a_second: f64| Duration::from_secs_f64(f64::from(nodes) / a_second).min(MOST);
         let (first, longest) = (share(FIRST_A_SECOND).max(LEAST.0), share(LATER_A_SECOND).max(LEAST.1));
-        Pace { first, longest: longest.max(first), next: first }
+        Pace { hedged: None, first, longest: longest.max(first), next: first }
+    }
+
+    /// Those of a node whose agent answers at once and at no cost: nobody else is kept waiting by its calls.
+    pub fn agent() -> Self {
+        Pace { hedged: Some(AGENT), first: AGENT_PAUSE, longest: AGENT_PAUSE, next: AGENT_PAUSE }
+    }
+
+    /// Whether more calls go out while one is open, and how.
+    pub fn hedged(&self) -> Option<Hedged> {
+        self.hedged
     }
 
     /// Those of a node whose installation says what the service bears: where all calls fail at once, all nodes together
@@ -87,7 +116,7 @@
     pub fn within(nodes: u32, terms: &Terms) -> Self {
         let share = Duration::from_secs_f64(f64::from(nodes) / terms.calls_per_s);
         let first = share.max(LEAST.0);
-        Pace { first, longest: (first * 2).max(LEAST.1), next: first }
+        Pace { hedged: None, first, longest: (first * 2).max(LEAST.1), next: first }
     }
 
     /// The service has said when to come back: no sooner, and spread out behind that as after any other end.
@@ -233,6 +262,18 @@
         assert!(doubt.believes(s(41), 0, 1, s(30)), "the last server may go");
     }
 
+    /// The rule on drains leaves 250 ms from when an agent has a list: a call has to be there within that, whatever the size
+    /// of the fleet.
+    #[test]
+    fn an_agent_that_has_a_list_again_is_called_within_what_a_drain_allows() {
+        let mut pace = Pace::agent();
+        let hedged = pace.hedged().expect("several calls are open");
+        let pause = (0..50).map(|draw| pace.pause(f64::from(draw) / 50.0)).max().expect("some");
+        assert!(pause + hedged.every <= Duration::from_millis(200), "{pause:?} and {hedged:?}");
+        assert!(hedged.answer_within >= hedged.every * 4, "a slow agent gets its time");
+        assert!(Pace::of(300).hedged().is_none(), "a service that all share is not called so");
+    }
+
     #[test]
     fn a_small_fleet_is_back_within_a_second() {
         let mut pace = Pace::of(3);
--- a/crates/saffronpaddle/tests/edge.rs
+++ b/crates/saffronpaddle/tests/edge.rs
@@ -339,6 +339,36 @@
     drop(silent);
 }
 
+/// Danger: what an agent has counts as told, whether or not a watch is open. While it is silent calls go on beside those that
+/// are open, so that one is there in the moment in which it has a list again.
+#[test]
+fn an_agent_that_is_silent_is_called_again_beside_calls_that_wait() {
+    let agent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let servers = Servers::new();
+    let known = host("s-1", servers.start("s-1", &[SERVES]), 1, "ready");
+    let node = Node::start("silent-agent", agent.local_addr().expect("an address"), &[known]);
+    let mut calls: Vec<std::net::TcpStream> = Vec::new();
+    // Each call waits in vain; before the next, the last was left.
+    while calls.iter().filter(|call| !closed_by_now(call)).count() < 3 {
+        let (call, _) = agent.accept().expect("it calls on");
+        Message::read(&mut std::io::BufReader::new(&call)).expect("a call");
+        calls.push(call);
+        assert!(calls.len() < 30, "never three at once");
+    }
+    let mut last = calls.pop().expect("some");
+    drop(calls);
+    last.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("written");
+    write_list(&mut last, &list(2, true, &[host("s-2", servers.start("s-2", &[SERVES]), 2, "ready")]));
+    let mut client = node.client();
+    for number in 0.. {
+        assert_eq!(client.ask(&request(&format!("r{number}"), "read", "20000m")).status(), 200);
+        if servers.next().server == "s-2" {
+            break;
+        }
+        assert!(number < 1000, "it never takes the list");
+    }
+}
+
 /// SIGHUP ends a process that does not ask for it. The new discovery's versions are numbered anew, and the old
 /// list stands until it has spoken.
 #[test]
