Look at a node's own state four times a second, and list no descriptors for it

Need: 300 idle nodes on one machine. Seen: an idle node read /proc/self/status and listed /proc/self/fd twice a second and looked at readiness ten times; ruled out: the module's tick (twice a second, microseconds where nothing is known). Change: descriptors are the folder's size (proc(5), since Linux 6.2; older ones are listed as before), memory is statm's, four looks a second.

--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -183,7 +183,7 @@
 
 impl Lifecycle {
     /// How often [`Event::Seen`] must come in service for the bounds to hold to this span.
-    pub const NEXT: Duration = Duration::from_millis(100);
+    pub const NEXT: Duration = Duration::from_millis(250);
     /// The same while it starts: what it waits for is mostly a matter of milliseconds.
     pub const NEXT_STARTING: Duration = Duration::from_millis(10);
 
--- a/crates/node/src/facts.rs
+++ b/crates/node/src/facts.rs
@@ -63,16 +63,29 @@
 
 /// Descriptors that are open; none where the machine does not tell.
 fn descriptors() -> u64 {
+    // The folder's size is their number (`proc(5)`, since Linux 6.2; 0 before): a list of them all, made twice a second,
+    // was most of what an idle node did, and 2% of a core with 20,000.
+    match fs::metadata("/proc/self/fd").map_or(0, |folder| folder.len()) {
+        0 => listed_descriptors(),
+        open => open,
+    }
+}
+
+fn listed_descriptors() -> u64 {
     // The look itself takes one.
     fs::read_dir("/proc/self/fd").map_or(0, |list| (list.count() as u64).saturating_sub(1))
 }
 
 /// Bytes of memory in use; none where the machine does not tell.
 fn resident() -> u64 {
-    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kilobytes = line.and_then(|line| line.trim().trim_end_matches("kB").trim().parse::<u64>().ok());
-    kilobytes.unwrap_or(0) * 1024
+    // In pages, the second figure (`proc(5)`, statm): a tenth of the work that `status` is.
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * page_size()
+}
+
+fn page_size() -> u64 {
+    nix::unistd::sysconf(nix::unistd::SysconfVar::PAGE_SIZE).ok().flatten().map_or(4096, |size| size as u64)
 }
 
 #[cfg(test)]
@@ -85,6 +98,7 @@
         let more: Vec<_> =
             (0..5).map(|_| fs::File::open("/proc/self/status").expect("it is there")).collect();
         assert!(before >= 3 && descriptors() >= before + more.len() as u64 - 2, "others may close some");
+        assert!(listed_descriptors().abs_diff(descriptors()) <= 3, "both ways of counting agree");
         assert!(resident() > 100_000);
     }
 }
