--- a/crates/decision/src/cold.rs
+++ b/crates/decision/src/cold.rs
@@ -36,10 +36,11 @@
 const GIFTS_EVERY: Micros = 100_000;
 
 /// What binds the fleet at cold servers.
-fn rules(settings: &Settings) -> Warming {
+fn rules(settings: &Settings, up_since: Micros) -> Warming {
     Warming {
         gateways: settings.gateways,
         me: settings.me.0,
+        up_since,
         fall_multiple: settings.rules.fall_multiple,
         fall_window: settings.rules.fall_window,
     }
@@ -47,8 +48,8 @@
 
 impl Server {
     /// An attempt goes to it while it is cold.
-    pub(crate) fn warm_up(&mut self, settings: &Settings, blind: bool, now: Micros) {
-        if !blind || !self.budget.spend(now, self.entry.server.0, &rules(settings)) {
+    pub(crate) fn warm_up(&mut self, (settings, up_since): (&Settings, Micros), blind: bool, now: Micros) {
+        if !blind || !self.budget.spend(now, self.entry.server.0, &rules(settings, up_since)) {
             self.cold_credit -= 1.0;
         }
     }
@@ -66,7 +67,7 @@
     /// Whether a cold server may be sent one more from here.
     pub(crate) fn may_warm(&self, server: &Server, now: Micros) -> bool {
         match self.blind {
-            true => server.budget.may(now, server.entry.server.0, &rules(&self.settings)),
+            true => server.budget.may(now, server.entry.server.0, &rules(&self.settings, self.born)),
             false => server.cold_credit >= 1.0,
         }
     }
@@ -93,7 +94,7 @@
 
     /// What the end of an attempt tells of a cold server.
     pub(crate) fn earn(&mut self, now: Micros, attempt: &Attempt, outcome: Outcome) {
-        let rules = rules(&self.settings);
+        let rules = rules(&self.settings, self.born);
         let Some(server) = self.servers.get_mut(&attempt.server).filter(|_| self.blind) else { return };
         let warmth = server.warmth(&self.settings.rules, attempt.sent);
         // What was sent to an earlier life proves nothing of this one.
@@ -113,7 +114,7 @@
 
     /// A right that another gateway could not use.
     pub(crate) fn given(&mut self, now: Micros, from: GatewayId, server: u16, gift: Gift) {
-        let rules = rules(&self.settings);
+        let rules = rules(&self.settings, self.born);
         let server = self.names.get(&server).and_then(|id| self.servers.get_mut(id));
         if server.is_some_and(|server| server.budget.take(now, from.0, gift, &rules)) {
             self.counts.add(Of::Gifted);
@@ -143,7 +144,7 @@
         if !self.waiting.is_empty() || !self.settings.allowed.messages || self.settings.gateways < 2 {
             return;
         }
-        let rules = rules(&self.settings);
+        let rules = rules(&self.settings, self.born);
         let mut gift = None;
         let lately = |server: &&mut Server| server.ready() && server.entry.started.is_some();
         for server in self.servers.values_mut().filter(lately) {
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -7,9 +7,8 @@
 use crate::interface::*;
 use crate::message::{self, Ask, Message, News, Rumour};
 use crate::pooled::{EVIDENCE_FADES_IN, LATENCY_FADES_IN};
-use crate::quota::{silent, HEARD_FOR, KEEP_FOR};
-use crate::state::{Attempt, AttemptKey, Fuzzy, Home, Out, Ran, Request, Server, Stage, Step, Store};
-use saffronpaddle_quota::{Keeper, Said, Start, Verdict, LEASE};
+use crate::quota::{kept_for, silent, HEARD_FOR, KEEP_FOR};
+use crate::state::{Attempt, AttemptKey, Fuzzy, Out, Ran, Request, Server, Stage, Step, Store};
 
 pub use crate::state::Gateway;
 
@@ -17,7 +16,7 @@
 
 const SWEEP: Micros = 10_000; // µs between sweeps, well under the aims
 const LATE: Micros = 50_000; // µs by which a sweep may be late before this gateway itself is what is slow
-const NEWCOMER: Micros = 4_000_000; // µs by which peers are older, and for how long, where this gateway restarted
+pub(crate) const NEWCOMER: Micros = 4_000_000; // µs by which peers are older, and for how long, where this gateway restarted
 const DOUBTS: u32 = 3; // requests on end that name another plan or set, until their customer's store follows
 const LAST_CALL: Micros = 2 * SWEEP; // µs before its time is up that a client is answered, if a sweep is late
 pub(crate) const TICK: Micros = 500_000; // µs of a controller tick; the paper's 4 s is longer than the bursts here
@@ -36,13 +35,7 @@
 const TOLD_FOR: Micros = 1_000_000; // µs a customer stays in the messages; a few may be lost
 const COUNT_STEP: f64 = 1.0 / 8.0; // counts in messages are in this part of a unit, so that fractions add up
 const HOMES_FROM: f64 = 500_000.0; // µs between counts to all from which they tell too little: homes instead
-const HOMES: u32 = 2; // the most homes that one try hears "short" from, and that one waits for in vain
 const OPEN_ASKS: usize = 4; // asks of one customer that one gateway has open: at a way of 76 ms there and back, 50 a second
-const PUT_MOST: u32 = 4; // times that an ask is put to a home: a lost datagram must not look like a dead one
-const MUTE_FOR: Micros = 4_000_000; // µs for which a home that did not answer is passed over; a word from it ends that
-const DEAF: u32 = 5; // asks in vain, with nothing heard from anybody since, from which this gateway is cut off
-const PROBE_EVERY: Micros = 200_000; // µs between asks that try that out
-const LIVELY: Micros = 1_500_000; // µs since it spoke for which a gateway is not taken for dead
 const WEIGHED_EVERY: Micros = 500_000; // µs between two times that one gateway's news is taken in
 const NEWS_EVERY: Micros = 100_000; // µs between messages that carry news: every byte of one is paid for
 const RUMOURS: (usize, usize) = (6, 4); // rumours in a message, bad news and good
@@ -177,9 +170,12 @@
         let held = self.wide && (store.memory.held(now) || open.count() >= OPEN_ASKS);
         let asks = store.memory.chance(now);
         let draw = if self.wide { self.random.f64() } else { 0.0 };
-        let thinned = held || self.wide && draw > asks * (1.0 - shed);
         // Danger: a client that waits so briefly that the next sweep would answer too late.
         let hopeless = request.deadline <= now.saturating_add(LAST_CALL);
+        // A place under a limit on attempts at once is a home's to give.
+        let lent = self.wide && !hopeless && plan.at_once.is_none() && draw <= 1.0 - shed;
+        let lent = lent && store.memory.lent(now, units, false);
+        let thinned = !lent && (held || self.wide && draw > asks * (1.0 - shed));
         let kept = (store.peers(now, HEARD_FOR) * LAG).min(plan.burst - store.depth).max(0.0);
         let short = plan.rate > 0.0 && store.level - kept < units;
         store.level -= units;
@@ -195,6 +191,8 @@
                 Of::Shed
             };
             self.finish(now, &id, why, out);
+        } else if lent {
+            self.goes(now, id, Of::Lent);
         } else if self.wide {
             self.ask(now, id, out);
         } else {
@@ -389,10 +387,11 @@
         let (plans, spoke) = (&self.settings.plans, &self.spoke);
         self.mute.retain(|_, until| *until > now);
         self.stores.retain(|_, store| !store.is_idle(now, &plans[store.plan.0], silent(spoke, store, now)));
-        let most = self.settings.most_units;
+        let (most, fenced) = (self.settings.most_units, self.settings.fenced);
         self.homes.retain(|_, home| {
             let plan = &plans[home.plan.0];
-            !home.keeper.is_idle(now, &Homes::of(plan, home.spread).terms(plan, home.number, most), KEEP_FOR)
+            let terms = Homes::of(plan, home.spread).terms(plan, home.number, most, fenced);
+            !home.keeper.is_idle(now, &terms, KEEP_FOR)
         });
         self.servers.retain(|_, server| server.open > 0 || server.entry.standing != Standing::Gone);
         self.names.retain(|_, server| self.servers.contains_key(server));
@@ -426,36 +425,50 @@
         self.deaf = 0;
         self.lately[from.0 as usize] = now;
         self.newer[from.0 as usize] |=
-            matches!(message, Message::Ask(Ask { beside: Some(_), .. }, _) | Message::Answer(..));
+            matches!(message, Message::Ask(Ask { wish: Some(_), .. }, _) | Message::Answer(_, _, Some(_), _));
         let (birth, counts) = match message {
             Message::Counts(birth, counts) => (birth, counts),
             Message::Ask(ask, news) => {
                 news.into_iter().for_each(|news| self.told(now, from, news));
-                let Some(said) = self.grant(now, from, &ask) else { return };
-                let answer = match ask.beside {
-                    Some(_) => Message::Answer(ask.serial, said, self.news_if_due(now)),
-                    None => Message::OldAnswer(ask.serial, said, Some(self.news(now))),
+                let Some((said, loan)) = self.grant(now, from, &ask, out) else { return };
+                let answer = match (ask.beside, ask.wish) {
+                    (Some(_), Some(_)) => {
+                        Message::Answer(ask.serial, said, Some(loan), self.news_if_due(now))
+                    }
+                    (Some(_), None) => Message::Answer(ask.serial, said, None, self.news_if_due(now)),
+                    (None, _) => Message::OldAnswer(ask.serial, said, Some(self.news(now))),
                 };
                 return out.push(Action::Tell { to: from, bytes: message::write(&answer) });
             }
-            Message::Answer(serial, said, news) | Message::OldAnswer(serial, said, news) => {
+            Message::Answer(serial, said, loan, news) => {
+                news.into_iter().for_each(|news| self.told(now, from, news));
+                return self.answered(now, serial, (said, loan.flatten()), out);
+            }
+            Message::OldAnswer(serial, said, news) => {
                 news.into_iter().for_each(|news| self.told(now, from, news));
-                return self.answered(now, serial, said, out);
+                return self.answered(now, serial, (said, None), out);
             }
             Message::Gift(server, gift) => return self.given(now, from, server, gift),
             Message::Done(serial, of) => {
                 return self.homes.get_mut(&of).into_iter().for_each(|home| home.keeper.done(from.0, serial));
             }
         };
-        self.spoke[from.0 as usize] = now;
+        let spoke = std::mem::replace(&mut self.spoke[from.0 as usize], now);
+        let silence = &mut self.silence[from.0 as usize];
+        *silence = if kept_for(now, spoke) > 0.0 { (spoke, now) } else { *silence };
+        let (silent_from, kept_for) = (silence.0, kept_for(silence.1, silence.0));
         self.met(now, birth);
         for (customer, count) in counts {
             let Some(store) = self.stores.get_mut(&customer) else { continue };
-            store.fill(now, &self.settings.plans[store.plan.0], silent(&self.spoke, store, now));
+            let plan = &self.settings.plans[store.plan.0];
+            store.fill(now, plan, silent(&self.spoke, store, now));
             let heard = store.heard.entry(from).or_default();
+            let first = heard.at <= silent_from;
             let steps = heard.steps(now, HEARD_FOR, birth, count);
-            let units = f64::from(steps) * COUNT_STEP;
-            heard.recent.extend((steps > 0).then_some((now, units)));
+            // Danger: a peer that is heard again, and all that it sent meanwhile taken off a store that had kept its share for it.
+            let kept = if first { plan.rate / store.spread * kept_for } else { 0.0 };
+            let units = (f64::from(steps) * COUNT_STEP - kept).max(0.0);
+            heard.recent.extend((units > 0.0).then_some((now, units)));
             store.level = if steps > 0 { (store.level - units).max(-store.depth) } else { store.level };
         }
     }
@@ -490,196 +503,10 @@
         let counts = Message::Counts((self.born / 1000) as u32, counts.take(message::ROOM).collect());
         out.push(Action::TellAll { bytes: message::write(&counts) });
     }
-    // ---- Homes: quotas of wide sets ----
-
-    // Exception to the design, where counts to all come too seldom (`HOMES_FROM`): a store that hardly sees
-    // its customer knows nothing. A few of the customer's gateways, found by hash, keep it in parts; a try
-    // asks one before it is first sent on, and another if that is short or silent. Danger: hundreds of
-    // gateways, each with its own burst. It costs a round trip. With all silent the own store decides.
-
-    /// Asks a home for a try: at first any part's, then that of the next part or who stands by.
-    fn ask(&mut self, now: Micros, id: RequestId, out: &mut Out) {
-        let Some(request) = self.requests.get(&id) else { return };
-        let Some(store) = self.stores.get(&request.customer) else { return };
-        let (customer, set) = (request.customer, (store.first, store.spread as u32));
-        let homes = Homes::of(&self.settings.plans[request.plan.0], set.1);
-        let asking = &request.asking;
-        let start = match (asking.short + asking.missed, asking.short) {
-            (0, _) => self.random.u32(0..homes.parts),
-            (_, short) => (asking.home.0 + short.min(1)) % homes.parts,
-        };
-        let keeper = |number| homes.keeper(customer, set, number, self.settings.gateways);
-        let speaks = |number: &u32| self.mute.get(&keeper(*number)).is_none_or(|until| *until <= now);
-        // Danger: every try waits in vain where no peer is heard at all. One now and then finds out when that is over.
-        let deaf = self.deaf >= DEAF && now < self.next_probe;
-        let number = homes
-            .in_turn(start)
-            .find(|number| (!deaf || keeper(*number) == self.settings.me) && speaks(number));
-        let Some(number) = number else { return self.alone(now, id, out) };
-        self.next_probe = now + PROBE_EVERY;
-        let to = keeper(number);
-        self.serial = self.serial.wrapping_add(1);
-        let serial = self.serial;
-        self.asks.insert(serial, id.clone());
-        self.requests.entry(id.clone()).and_modify(|request| request.asking.ask(now, serial, (number, to)));
-        self.put(now, &id, out);
-    }
-
-    /// Puts the ask that is open to its home, for the first time or again: a build of yesterday knows the second alone.
-    fn put(&mut self, now: Micros, id: &RequestId, out: &mut Out) {
-        let Some(request) = self.requests.get(id) else { return };
-        let Some(store) = self.stores.get(&request.customer) else { return };
-        let Some((serial, _)) = request.asking.open else { return };
-        let (customer, plan, units, (number, to)) =
-            (request.customer, request.plan, request.units, request.asking.home);
-        let (first, spread, home) = (store.first, store.spread as u32, number as u8);
-        let up = (now.saturating_sub(self.born) / 1_000_000).min(u64::from(u8::MAX)) as u8;
-        let beside =
-            (request.asking.put != 2 || self.newer[to.0 as usize]).then(|| (up, store.memory.level(now)));
-        let ask = Ask { serial, customer, plan, first, spread, home, units, beside };
-        self.counts.add(Of::Asked);
-        if to == self.settings.me {
-            let said = self.grant(now, to, &ask);
-            let nothing = Said { verdict: Verdict::Short, chance: 1.0, wait: 0, level: 0.0 };
-            self.answered(now, serial, said.unwrap_or(nothing), out);
-        } else {
-            let news = if ask.beside.is_some() { self.news_if_due(now) } else { Some(self.news(now)) };
-            out.push(Action::Tell { to, bytes: message::write(&Message::Ask(ask, news)) });
-        }
-    }
-
-    /// As a home: whether a try fits this part of its customer's store, ceiling and places.
-    fn grant(&mut self, now: Micros, from: GatewayId, ask: &Ask) -> Option<Said> {
-        let plan = self.settings.plans.get(ask.plan.0)?;
-        let spread = ask.spread.clamp(1, self.settings.gateways);
-        let homes = Homes::of(plan, spread);
-        let number = u32::from(ask.home);
-        let home = homes.keeper(ask.customer, (ask.first, spread), number, self.settings.gateways);
-        if home != self.settings.me || number >= homes.keepers {
-            return None;
-        }
-        self.counts.add(Of::Homed);
-        let terms = homes.terms(plan, number, self.settings.most_units);
-        let up = now.saturating_sub(self.born);
-        // Danger: a gateway that was restarted, and grants anew what its last life has granted. Who asks is older then.
-        let (age, told) = ask.beside.unwrap_or_default();
-        self.newcomer |= u64::from(age) * 1_000_000 > up + NEWCOMER;
-        let start = match told {
-            // Danger: two stores for one quota, as a home's answers are lost now and then.
-            _ if number >= homes.parts => Start::Since(ask.units, 0),
-            _ if !self.newcomer => Start::Full,
-            Some((level, ago)) if ago > up => Start::Told(level, ago),
-            _ => Start::Since(ask.units, up),
-        };
-        let fresh = || Home { keeper: Keeper::open(now, start, up, &terms), ..Home::default() };
-        let home = self.homes.entry(ask.customer).or_insert_with(fresh);
-        (home.plan, home.spread, home.number) = (ask.plan, spread, number);
-        let asks = saffronpaddle_quota::Ask { from: from.0, serial: ask.serial, units: ask.units };
-        let said = home.keeper.ask(now, asks, &terms, self.latency as Micros);
-        match said.verdict {
-            Verdict::Granted => {}
-            Verdict::Short => self.counts.add(Of::HomeShort),
-            Verdict::Full => self.counts.add(Of::HomeFull),
-            Verdict::Over => self.counts.add(Of::HomeOver),
-        }
-        Some(said)
-    }
-
-    fn answered(&mut self, now: Micros, serial: u16, said: Said, out: &mut Out) {
-        let Some(id) = self.asks.remove(&serial) else { return self.counts.add(Of::AnsweredLate) };
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        if request.asking.open.is_none_or(|asked| asked.0 != serial) {
-            return;
-        }
-        request.asking.open = None;
-        match request.asking.put {
-            1 => self.rto.sample(now.saturating_sub(request.asking.since)),
-            _ => self.rto.back_off(),
-        }
-        let Some(store) = self.stores.get_mut(&request.customer) else { return };
-        if said.verdict == Verdict::Granted {
-            store.memory.said(now, &said, true);
-            store.memory.granted(now, request.units);
-            self.counts.add(Of::Granted);
-            (request.asking.lease, request.due) = (request.asking.since.saturating_add(LEASE), now);
-            request.asking.granted = Some((request.asking.home.1, serial));
-            return self.waiting.push(id);
-        }
-        request.asking.short += 1;
-        let parts = Homes::of(&self.settings.plans[request.plan.0], store.spread as u32).parts;
-        let last = request.asking.short >= HOMES.min(parts) || said.chance < 1.0;
-        store.memory.said(now, &said, last);
-        if !last {
-            return self.ask(now, id, out);
-        }
-        self.finish(now, &id, Of::Short, out);
-    }
-
-    /// A try not yet sent on: its home was silent, its customer's limit full, or its grant has run out.
-    fn unanswered(&mut self, now: Micros, id: RequestId, out: &mut Out) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let (plan, customer) = (&self.settings.plans[request.plan.0], request.customer);
-        if let Some(granted) = request.asking.granted {
-            // Danger: a ceiling passed by grants that are used late. It must be granted anew.
-            if plan.ceiling.is_none() || now <= request.asking.lease {
-                return;
-            }
-            request.asking.granted = None;
-            self.counts.add(Of::Expired);
-            self.waiting.retain(|other| *other != id);
-            self.give_back(granted, customer, out);
-        } else if let Some((serial, at)) = request.asking.open {
-            if now <= at.saturating_add(self.rto.wait()) {
-                return;
-            }
-            self.counts.add(Of::Unanswered);
-            self.deaf += 1;
-            let puts = if request.asking.missed == 0 { PUT_MOST } else { 1 };
-            if request.asking.put < puts && now <= request.asking.since.saturating_add(LEASE) {
-                request.asking.put_again(now);
-                return self.put(now, &id, out);
-            }
-            (request.asking.missed, request.asking.open) = (request.asking.missed + 1, None);
-            self.asks.remove(&serial);
-            // Danger: a busy home whose answers are lost now and then, taken for dead, and its quota granted twice.
-            let home = request.asking.home.1;
-            let until = now.saturating_add(MUTE_FOR);
-            if now > self.lately[home.0 as usize].saturating_add(LIVELY) {
-                self.mute.insert(home, until);
-            }
-            if request.asking.missed >= HOMES {
-                return self.alone(now, id, out);
-            }
-        }
-        self.ask(now, id, out);
-    }
-
-    /// No home is heard: what homes granted here lately decides. A ceiling can't be kept so.
-    fn alone(&mut self, now: Micros, id: RequestId, out: &mut Out) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
-        let store = self.stores.get_mut(&request.customer);
-        let ceiling = self.settings.plans[request.plan.0].ceiling.is_some();
-        if ceiling || !store.is_some_and(|store| store.memory.alone(now, request.units)) {
-            return self.finish(now, &id, Of::Homeless, out);
-        }
-        self.counts.add(Of::Alone);
-        self.serial = self.serial.wrapping_add(1); // its own: the last one may hold a place that is given back with it
-        (request.asking.granted, request.due) = (Some((self.settings.me, self.serial)), now);
-        self.waiting.push(id);
-    }
-
-    /// Gives back the place that a home held for a try.
-    fn give_back(&mut self, (home, serial): (GatewayId, u16), customer: CustomerId, out: &mut Out) {
-        if home == self.settings.me {
-            self.homes.get_mut(&customer).into_iter().for_each(|kept| kept.keeper.done(home.0, serial));
-        } else if self.plan_of(customer).is_some_and(|plan| plan.at_once.is_some()) {
-            out.push(Action::Tell { to: home, bytes: message::write(&Message::Done(serial, customer)) });
-        }
-    }
     // ---- News of the fleet ----
 
     /// What rides on a message, now and then.
-    fn news_if_due(&mut self, now: Micros) -> Option<News> {
+    pub(crate) fn news_if_due(&mut self, now: Micros) -> Option<News> {
         let due = now >= self.next_news;
         self.next_news = if due { now + NEWS_EVERY } else { self.next_news };
         due.then(|| self.news(now))
@@ -1081,7 +908,7 @@
         self.retries = if first { (self.retries + RETRY_SHARE).min(RETRY_MOST) } else { self.retries };
         self.counts.add(if first { Of::First } else { Of::Again });
         if self.blind || to.warmth(&self.settings.rules, now) < 1.0 {
-            to.warm_up(&self.settings, self.blind, now);
+            to.warm_up((&self.settings, self.born), self.blind, now);
             self.cold_sent += 1.0;
             self.counts.add(Of::Cold);
         }
@@ -1156,7 +983,7 @@
                 let drawn = told.first.as_ref().and_then(|terms| self.drawn_by_twin(now, customer, terms));
                 if let Some(server) = self.servers.get_mut(&server) {
                     server.open += 1;
-                    server.warm_up(&self.settings, self.blind, now);
+                    server.warm_up((&self.settings, self.born), self.blind, now);
                 }
                 let sent = |store: &mut Store| store.sent_on(now, drawn.unwrap_or(0.0), drawn.is_some());
                 self.stores.entry(customer).and_modify(sent);
--- a/crates/decision/src/counts.rs
+++ b/crates/decision/src/counts.rs
@@ -25,6 +25,10 @@
     Homeless,
     /// Let go unasked, as no home is heard.
     Alone,
+    /// Let go unasked, by what a home has lent.
+    Lent,
+    /// As a home, lent something.
+    Lends,
     /// Refused: by half of its time it was not sent, or its aim was out of reach.
     Unsent,
     /// Refused or failed at the end of its time, or as it may not be sent again.
@@ -90,6 +94,8 @@
     "refused_shed",
     "refused_homeless",
     "alone",
+    "went_by_loan",
+    "loans",
     "refused_unsent",
     "refused_spent",
     "asked",
--- a/crates/decision/src/homes.rs
+++ b/crates/decision/src/homes.rs
@@ -12,8 +12,8 @@
 const RATE: f64 = 8.0;
 /// Units of a ceiling's depth that a part must hold at the least: a few tries.
 const CEILING: f64 = 8.0;
-/// Share of a part of a ceiling that its home holds, beside those that stand by.
-const HOME_CEILING: f64 = 0.75;
+/// Share of a part of a ceiling, and of a store where keepers are fenced, that its home holds, beside those that stand by.
+const HOME_PART: f64 = 0.75;
 /// Gateways that keep each part: its home, and who stands by. Danger of more: each that is asked grants at the full rate.
 const KEEPERS: u32 = 2;
 
@@ -34,22 +34,24 @@
         Homes { parts, keepers: (parts * KEEPERS).min(spread) }
     }
 
-    /// The terms of the part that a number keeps: keepers of one part share its store's, and never its ceiling's. Of a ceiling it
+    /// The terms of the part that a number keeps: keepers of one part share its store's, unless they are `fenced`, and never its
+    /// ceiling's. Of a ceiling it
     /// keeps back what comes in while its grants are under way: they are void after that.
-    pub fn terms(self, plan: &Plan, number: u32, most_units: f64) -> Terms {
+    pub fn terms(self, plan: &Plan, number: u32, most_units: f64, fenced: bool) -> Terms {
         let parts = f64::from(self.parts);
         // Who stands by holds a part of its own, so that no word is needed; the home, which is asked nearly always, the most.
         let beside = (self.keepers - self.parts) as f64 / parts;
-        let own = if beside > 0.0 { HOME_CEILING } else { 1.0 };
+        let own = if beside > 0.0 { HOME_PART } else { 1.0 };
         let part = if number < self.parts { own } else { (1.0 - own) / beside } / parts;
         let places = |most: u32| (most + self.parts - 1 - number % self.parts) / self.parts;
         let ceiling = |ceiling: Ceiling| {
             let late = ceiling.rate * LEASE as f64 / 1e6;
             (ceiling.rate * part, (ceiling.depth - late) * part)
         };
+        let of_store = if fenced { part } else { 1.0 / parts };
         Terms {
-            rate: plan.rate / parts,
-            depth: (plan.burst / parts).max(most_units),
+            rate: plan.rate * of_store,
+            depth: (plan.burst * of_store).max(most_units),
             at_once: plan.at_once.map(places),
             ceiling: plan.ceiling.map(ceiling),
         }
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -175,6 +175,9 @@
     pub most_units: f64,
     /// A server closes a connection that has stood idle for so long.
     pub conn_idle: Micros,
+    /// Whether each keeper of a customer's quota holds a part of its own, so that two that do not hear each other never grant more
+    /// than the whole. The same at all gateways.
+    pub fenced: bool,
 }
 
 /// Settings that make no sense.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod asking;
 mod check;
 mod cold;
 pub mod control;
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::{ClassId, CustomerId, GatewayId, Micros, PlanId, ServerId};
 use crate::pooled::Pooled;
-use saffronpaddle_quota::{Said, Verdict};
+use saffronpaddle_quota::{Loan, Said, Verdict, Wish};
 use saffronpaddle_warmup::Gift;
 
 const VERSION: u8 = 2;
@@ -15,6 +15,10 @@
 const PART: f64 = 16.0;
 const WAIT_STEP: f64 = 8_000.0;
 const AGE_STEP: u64 = 32_000;
+/// Parts of a unit a second in which the rate of a loan travels: coarser ones would leave some of each idle.
+const LOAN_PART: f64 = 512.0;
+/// Parts of a unit in which the room of a loan travels.
+const ROOM_PART: f64 = 8.0;
 /// The same of how long ago a home said how full it was, and how long to stay away.
 const AGO_STEP: u64 = 64_000;
 const WAIT_FOR_STEP: u64 = 8_000;
@@ -51,6 +55,7 @@
 }
 
 /// A try that asks one of its customer's homes.
+#[derive(Clone, Copy)]
 pub(crate) struct Ask {
     pub serial: u16,
     pub customer: CustomerId,
@@ -63,14 +68,18 @@
     /// What a build of yesterday does not tell: s for which who asks is up, and how much of its depth a home was said to hold,
     /// how long ago.
     pub beside: Option<(u8, Option<(f64, Micros)>)>,
+    /// What a build of yesterday does not tell: what it would borrow, and has.
+    pub wish: Option<Wish>,
 }
 
 pub(crate) enum Message {
     // Kinds 1 and 2 were asks and answers without the weights of aims; who sends those is passed over.
     Counts(u32, Vec<(CustomerId, u16)>),
-    // Kinds 4 and 5 are those of yesterday, without what goes beside an ask and how long to stay away; both are still spoken.
+    // Kinds 6 and 7 are those of yesterday, without what is wished and lent, and both are still spoken; 4 and 5, without what goes
+    // beside an ask and how long to stay away, are those of the build before, and are only answered.
     Ask(Ask, Option<News>),
-    Answer(u16, Said, Option<News>),
+    /// The inner loan is what is lent, the outer one is none where the word is of the build before.
+    Answer(u16, Said, Option<Option<Loan>>, Option<News>),
     OldAnswer(u16, Said, Option<News>),
     Done(u16, CustomerId),
     /// A right to send to a cold server, by its short name; a build of yesterday passes it over.
@@ -88,6 +97,11 @@
     (span / step).min(254) as u8
 }
 
+/// The rate of a loan, rounded so.
+fn two_bytes(rate: f64, round: impl Fn(f64) -> f64) -> [u8; 2] {
+    (round(rate * LOAN_PART).clamp(0.0, 65_535.0) as u16).to_le_bytes()
+}
+
 fn small(value: f64) -> u8 {
     value.round().clamp(0.0, 255.0) as u8
 }
@@ -105,7 +119,11 @@
             }
         }
         Message::Ask(ask, news) => {
-            bytes.push(if ask.beside.is_some() { 6 } else { 4 });
+            bytes.push(match (ask.beside, ask.wish) {
+                (Some(_), Some(_)) => 9,
+                (Some(_), None) => 6,
+                (None, _) => 4,
+            });
             bytes.extend_from_slice(&ask.serial.to_le_bytes());
             bytes.extend_from_slice(&ask.customer.0.to_le_bytes()[..COUNT - 2]);
             bytes.extend_from_slice(&[ask.plan.0 as u8, ask.home]);
@@ -117,15 +135,32 @@
                     told.map_or([0, u8::MAX], |(level, ago)| [small(level * 255.0), steps(ago, AGO_STEP)]);
                 bytes.push(*age);
                 bytes.extend(told);
+                if let Some(wish) = &ask.wish {
+                    // What is held is told rounded up: its keeper must not reckon with less.
+                    let up = |value: f64, part: f64| (value * part).ceil().clamp(0.0, 255.0) as u8;
+                    let held = wish.held.map_or([0, 0, 0, u8::MAX], |(rate, room, left)| {
+                        let [low, high] = two_bytes(rate, f64::ceil);
+                        [low, high, up(room, ROOM_PART), steps(left, AGO_STEP).saturating_add(1).min(254)]
+                    });
+                    bytes.extend(two_bytes(wish.rate, f64::round));
+                    bytes.extend(held);
+                }
             }
             news.iter().for_each(|news| write_news(news, &mut bytes));
         }
-        Message::Answer(serial, said, news) => {
-            bytes.push(7);
+        Message::Answer(serial, said, loan, news) => {
+            bytes.push(if loan.is_some() { 10 } else { 7 });
             bytes.extend_from_slice(&serial.to_le_bytes());
             let verdict = VERDICTS.iter().position(|verdict| *verdict == said.verdict).unwrap_or(1) as u8;
             bytes.extend_from_slice(&[verdict, small(said.chance * 255.0)]);
             bytes.extend_from_slice(&[steps(said.wait, WAIT_FOR_STEP), small(said.level * 255.0)]);
+            if let Some(loan) = loan {
+                // Rounded down: a borrower must not have more than its keeper reckons with.
+                let down = |value: f64, part: f64| (value * part).floor().clamp(0.0, 255.0) as u8;
+                let loan = loan.unwrap_or_default();
+                bytes.extend(two_bytes(loan.rate, f64::floor));
+                bytes.extend([down(loan.room, ROOM_PART), down(loan.units, ROOM_PART)]);
+            }
             news.iter().for_each(|news| write_news(news, &mut bytes));
         }
         Message::OldAnswer(serial, said, news) => {
@@ -234,20 +269,27 @@
             }
             Message::Counts(birth, counts)
         }
-        kind @ (4 | 6) => {
+        kind @ (4 | 6 | 9) => {
             let serial = taken.number(2)? as u16;
             let customer = CustomerId(taken.number(COUNT - 2)?);
             let (plan, home) = (PlanId(taken.number(1)? as usize), taken.number(1)? as u8);
             let (first, spread) = (GatewayId(taken.number(2)? as u32), taken.number(2)? as u32);
             let units = taken.number(2)? as f64 / PART;
-            let mut beside = None;
-            if kind == 6 {
+            let (mut beside, mut wish) = (None, None);
+            if kind >= 6 {
                 let (age, level, ago) = (taken.number(1)? as u8, taken.number(1)?, taken.number(1)?);
                 let told = (ago < u64::from(u8::MAX)).then_some((level as f64 / 255.0, ago * AGO_STEP));
                 beside = Some((age, told));
             }
+            if kind == 9 {
+                let rate = taken.number(2)? as f64 / LOAN_PART;
+                let held = (taken.number(2)? as f64 / LOAN_PART, taken.number(1)? as f64 / ROOM_PART);
+                let left = taken.number(1)?;
+                let held = (left < u64::from(u8::MAX)).then_some((held.0, held.1, left * AGO_STEP));
+                wish = Some(Wish { rate, held });
+            }
             let news = if kind == 4 { Some(taken.news()?) } else { taken.news_if_any()? };
-            Message::Ask(Ask { serial, customer, plan, first, spread, home, units, beside }, news)
+            Message::Ask(Ask { serial, customer, plan, first, spread, home, units, beside, wish }, news)
         }
         5 => {
             let serial = taken.number(2)? as u16;
@@ -256,12 +298,18 @@
             let level = if verdict == Verdict::Granted { 1.0 } else { 0.0 };
             Message::OldAnswer(serial, Said { verdict, chance, wait: 0, level }, Some(taken.news()?))
         }
-        7 => {
+        kind @ (7 | 10) => {
             let serial = taken.number(2)? as u16;
             let verdict = *VERDICTS.get(taken.number(1)? as usize)?;
             let chance = taken.number(1)? as f64 / 255.0;
             let (wait, level) = (taken.number(1)? * WAIT_FOR_STEP, taken.number(1)? as f64 / 255.0);
-            Message::Answer(serial, Said { verdict, chance, wait, level }, taken.news_if_any()?)
+            let mut loan = None;
+            if kind == 10 {
+                let (rate, room) = (taken.number(2)? as f64 / LOAN_PART, taken.number(1)? as f64 / ROOM_PART);
+                let units = taken.number(1)? as f64 / ROOM_PART;
+                loan = Some((rate > 0.0).then_some(Loan { rate, room, units }));
+            }
+            Message::Answer(serial, Said { verdict, chance, wait, level }, loan, taken.news_if_any()?)
         }
         8 => {
             let server = taken.number(2)? as u16;
--- a/crates/decision/src/quota.rs
+++ b/crates/decision/src/quota.rs
@@ -17,6 +17,11 @@
     members.filter(|member| SILENT.contains(&now.saturating_sub(spoke[*member]))).count() as f64
 }
 
+/// s for which a gateway's share was kept back for it, as it had been silent since then.
+pub(crate) fn kept_for(now: Micros, spoke: Micros) -> f64 {
+    now.saturating_sub(spoke).min(SILENT.end).saturating_sub(SILENT.start) as f64 / 1e6
+}
+
 impl Store {
     /// A store that has not been used for as long as this gateway is up. It holds the whole burst: with only the even
     /// part at first, what is missing stays missing for a customer that uses nearly all. Peers' use is heard soon
--- a/crates/decision/src/setup.rs
+++ b/crates/decision/src/setup.rs
@@ -183,6 +183,8 @@
         peer_messages_per_s: setup.extra.peer_in_per_s,
         most_units: setup.extra.max_units,
         conn_idle: setup.ceilings.conn_idle_us,
+        // The installation's to set, not the platform's.
+        fenced: false,
     };
     Ok(Named {
         settings,
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -351,6 +351,8 @@
     pub(crate) homes: BTreeMap<CustomerId, Home>,
     pub(crate) asks: BTreeMap<u16, RequestId>,
     pub(crate) serial: u16,
+    /// Asks of homes for what their stand-bys hold: whose quota, and since when.
+    pub(crate) borrows: BTreeMap<u16, (CustomerId, Micros)>,
     pub(crate) mute: BTreeMap<GatewayId, Micros>,
     pub(crate) rto: Rto,
     /// Asks in vain since anything was heard, and when one may be put all the same.
@@ -361,6 +363,8 @@
     pub(crate) fuzzy: Fuzzy,
     /// When each gateway was last heard; this one is never silent.
     pub(crate) spoke: Vec<Micros>,
+    /// When each gateway was last found to have been silent: from when to when.
+    pub(crate) silence: Vec<(Micros, Micros)>,
     /// µs: mean latency, and the median wait of the servers.
     pub(crate) latency: f64,
     pub(crate) typical: f64,
@@ -448,6 +452,8 @@
             cut: BTreeMap::new(),
             fuzzy: Fuzzy { seen: vec![(0.0, 0.0); classes], ..Fuzzy::default() },
             spoke: vec![now; settings.gateways as usize],
+            silence: vec![(0, 0); settings.gateways as usize],
+            borrows: BTreeMap::new(),
             latency: 0.0,
             typical: 0.0,
             low_out: 0.0,
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -50,6 +50,7 @@
         peer_messages_per_s: 60.0,
         most_units: 1.0,
         conn_idle: 15_000_000,
+        fenced: false,
     }
 }
 
--- a/crates/explore/src/setups.rs
+++ b/crates/explore/src/setups.rs
@@ -290,6 +290,7 @@
         peer_messages_per_s: 0.0,
         most_units: 1.0,
         conn_idle: 15_000_000,
+        fenced: false,
     };
     Ok(Real(Gateway::new(1, settings, 1_000_000)?))
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod counts;
+pub mod customers;
 pub mod ends;
 pub mod instance;
 pub mod manager;
@@ -12,6 +13,7 @@
 pub mod rig;
 pub mod room;
 pub mod scenario;
+pub mod virtually;
 pub mod ways;
 pub mod windows;
 
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -59,6 +59,8 @@
     pub processes: u64,
     /// See there.
     pub reloads: u64,
+    /// What the decision modules counted, summed over all nodes, where the run sees into them: in virtual time.
+    pub decided: Vec<(&'static str, u64)>,
     /// Instances that crashed, were not ready or did not end, each in a line.
     pub faults: Vec<String>,
 }
@@ -168,6 +170,7 @@
                 "handshakes_most_s": self.handshakes_most(),
                 "requests": self.met.iter().map(|(_, requests)| requests).collect::<Vec<_>>(),
             },
+            "decided": self.decided.iter().map(|(name, count)| json!([name, count])).collect::<Vec<_>>(),
             "windows": self.windows.iter().map(crate::windows::Windows::json).collect::<Vec<_>>(),
         })
     }
@@ -259,6 +262,19 @@
             self.served_s(), self.could_s, self.served_s() / self.could_s.max(1e-9),
             self.met.iter().map(|(at, _)| at.len()).sum::<usize>(), self.handshakes_most()
         )?;
+        let all = self.within("all", 0, usize::MAX);
+        writeln!(
+            f,
+            "refused with room: {} of {} tries: {:.3}",
+            all.with_room,
+            all.tries,
+            all.with_room as f64 / all.tries.max(1) as f64
+        )?;
+        let decided: Vec<String> =
+            self.decided.iter().map(|(name, count)| format!("{name}={count}")).collect();
+        if !decided.is_empty() {
+            writeln!(f, "decided: {}", decided.join(" "))?;
+        }
         for (kind, count) in self.kinds() {
             writeln!(f, "BROKEN {kind}: {count}")?;
         }
--- a/crates/fleet/src/room.rs
+++ b/crates/fleet/src/room.rs
@@ -15,6 +15,8 @@
 const EACH_RELAY: usize = 40;
 /// Bytes of an instance: idle it takes 8 MB, and as much again with its connections.
 const INSTANCE_BYTES: u64 = 16_000_000;
+/// Most instances as processes.
+const PROCESSES: usize = 400;
 /// Bytes of the rig itself.
 const RIG_BYTES: u64 = 500_000_000;
 
@@ -34,6 +36,11 @@
 /// # Errors
 /// The machine can't hold it, with what it lacks.
 pub fn make(scenario: &Scenario) -> Result<()> {
+    ensure!(
+        scenario.instances <= PROCESSES,
+        "{} instances: {PROCESSES} processes are the most, and more are for virtual time",
+        scenario.instances
+    );
     let (descriptors, bytes) = needs(scenario);
     let (soft, hard) = getrlimit(Resource::RLIMIT_NOFILE).context("the limit of descriptors")?;
     ensure!(
--- /dev/null
+++ b/crates/fleet/src/virtually/lists.rs
@@ -0,0 +1,288 @@
+//! The list service in virtual time, and what each node's follower does; when it calls is decided by `saffronpaddle_roster`,
+//! as in a process.
+
+use super::{Virtual, START, WAY};
+use crate::scenario::Scenario;
+use saffronpaddle_decision::interface::{CellId, ListKind, Micros, ServerEntry, ServerId, Standing, ZoneId};
+use saffronpaddle_roster::{Doubt, Pace, Terms};
+use saffronpaddle_standins::discovery::{Back, Bearing, Calls, LINE_MOST};
+use saffronpaddle_standins::links::End;
+use std::time::Duration;
+
+/// A watch that says nothing for so long is left, and a call without terms that is not answered, µs.
+const SILENT_FOR: Micros = 3_000_000;
+/// While nothing changes, a sign of life comes this often, µs.
+const SIGN_OF_LIFE: Micros = 2_000_000;
+/// Bytes of a list's entry, and of the rest of a line, for the service's line.
+const BYTES: (usize, usize) = (150, 40);
+/// A server that no longer exists; the lists of yesterday have some.
+const GONE: u64 = 1 << 40;
+
+/// What comes about between a node and the list service. The number is the call's: what belongs to an earlier one is void.
+#[derive(Debug)]
+pub(super) enum Comes {
+    Call,
+    Answered(u64),
+    Told(u64),
+    Sign(u64),
+    Ended(u64, Option<Duration>),
+}
+
+/// A server on a line of a watch: its number, its health, when it started.
+type Line = (usize, &'static str, Option<Micros>);
+
+/// The list, each entry with the version of its last change.
+#[derive(Clone, Default)]
+struct List {
+    seq: u64,
+    entries: Vec<(u64, &'static str, Option<Micros>)>,
+}
+
+pub(super) struct Service {
+    list: List,
+    first: List,
+    pub bears: Bearing,
+    pub silent: bool,
+    busy: Micros,
+    pub calls: Calls,
+}
+
+impl Service {
+    pub fn of(scenario: &Scenario) -> Service {
+        let (calls_per_s, bytes_per_s) = scenario.list_bears;
+        let born = scenario.cold.then_some(START);
+        let list = List { seq: 1, entries: vec![(1, "ready", born); scenario.servers] };
+        let bears = Bearing { calls_per_s, bytes_per_s, turns_away: scenario.list_turns_away, down: false };
+        let first = list.clone();
+        Service { list, first, bears, silent: false, busy: 0, calls: Calls::default() }
+    }
+
+    pub fn back(&mut self, back: Back) {
+        match back {
+            Back::Older => self.list = self.first.clone(),
+            Back::Empty => self.list = List::default(),
+            Back::Renumbered => {
+                self.list.seq = 1;
+                self.list.entries.iter_mut().for_each(|entry| entry.0 = 1);
+            }
+        }
+    }
+
+    /// A server has started then.
+    pub fn born(&mut self, at: usize, now: Micros) {
+        if let Some(entry) = self.list.entries.get_mut(at) {
+            entry.2 = Some(now);
+        }
+    }
+
+    /// The entries since a version, and whether they are the whole list.
+    fn since(&self, from: Option<u64>) -> (bool, Vec<Line>) {
+        let from = from.filter(|from| *from <= self.list.seq);
+        let changed = |(at, health, _): &(u64, &'static str, _)| match from {
+            Some(from) => *at > from,
+            None => *health != "gone",
+        };
+        let entries = self.list.entries.iter().enumerate().filter(|(_, entry)| changed(entry));
+        (from.is_none(), entries.map(|(at, (_, health, born))| (at, *health, *born)).collect())
+    }
+}
+
+/// One node's follower.
+pub(super) struct Follower {
+    seq: Option<u64>,
+    /// The number of the call that is out or answered, and whether it was answered.
+    call: u64,
+    watches: bool,
+    pace: Pace,
+    doubt: Doubt,
+}
+
+impl Follower {
+    pub fn new(nodes: u32, terms: Option<&Terms>) -> Follower {
+        // Without terms the address is the agent of the node's machine.
+        let pace = terms.map_or_else(Pace::agent, |terms| Pace::within(nodes, terms));
+        Follower { seq: None, call: 0, watches: false, pace, doubt: Doubt::default() }
+    }
+}
+
+impl Virtual {
+    /// What a node's configuration holds: the list as it is, or one of yesterday.
+    pub(super) fn knows(&mut self, at: usize, stale: bool) {
+        let (_, entries) = self.service.since(None);
+        let known = |(place, (server, health, born)): (usize, Line)| {
+            let entry = entry(server, health, born);
+            match stale {
+                true if place % 2 == 1 => ServerEntry { server: ServerId(GONE + place as u64), ..entry },
+                true => ServerEntry { started: None, ..entry },
+                false => entry,
+            }
+        };
+        let entries = entries.into_iter().enumerate().map(known).collect();
+        self.nodes[at].follower.seq = Some(if stale { 0 } else { self.service.list.seq });
+        self.listed(at, ListKind::Complete, entries);
+    }
+
+    /// An entry is written.
+    pub(super) fn write(&mut self, server: usize, health: &'static str) {
+        let list = &mut self.service.list;
+        list.seq += 1;
+        let seq = list.seq;
+        if let Some(entry) = list.entries.get_mut(server) {
+            (entry.0, entry.1) = (seq, health);
+        }
+        self.push();
+    }
+
+    /// All open watches are told of what has changed, as late as the service is.
+    pub(super) fn push(&mut self) {
+        let late = self.scenario.lateness.as_micros() as Micros;
+        for at in 0..self.nodes.len() {
+            let (life, call) = (self.nodes[at].life, self.nodes[at].follower.call);
+            if self.nodes[at].follower.watches {
+                let way = self.way();
+                self.later(late + way, super::Comes::List(at, life, Comes::Told(call)));
+            }
+        }
+    }
+
+    /// All watches end at one stroke.
+    pub(super) fn end_watches(&mut self) {
+        for at in 0..self.nodes.len() {
+            let (life, call) = (self.nodes[at].life, self.nodes[at].follower.call);
+            if self.nodes[at].follower.watches {
+                let way = self.way();
+                self.later(way, super::Comes::List(at, life, Comes::Ended(call, None)));
+            }
+        }
+    }
+
+    fn list_later(&mut self, at: usize, after: Micros, comes: Comes) {
+        let life = self.nodes[at].life;
+        self.later(after, super::Comes::List(at, life, comes));
+    }
+
+    /// Whether words of the service come through to a node.
+    fn hears_list(&self, at: usize) -> bool {
+        let fault = self.links.on(End::List, End::Node(at));
+        !self.service.silent && !fault.stalled && !fault.reset
+    }
+
+    pub(super) fn list(&mut self, at: usize, comes: Comes) {
+        let call = self.nodes[at].follower.call;
+        match comes {
+            Comes::Call => self.calls(at),
+            Comes::Answered(of) if of == call => {
+                self.nodes[at].follower.pace.answered();
+                self.nodes[at].follower.watches = true;
+                self.service.calls.open += 1;
+                self.service.calls.open_most = self.service.calls.open_most.max(self.service.calls.open);
+                self.told(at);
+                self.list_later(at, SIGN_OF_LIFE, Comes::Sign(call));
+            }
+            Comes::Told(of) if of == call && self.nodes[at].follower.watches => {
+                if self.hears_list(at) {
+                    self.told(at);
+                }
+            }
+            Comes::Sign(of) if of == call && self.nodes[at].follower.watches => {
+                // A list in doubt is asked for again when it is to be settled.
+                let terms = self.terms.as_ref();
+                let doubt =
+                    terms.and_then(|terms| self.nodes[at].follower.doubt.asks_again(terms.empty_after));
+                let settled = doubt.is_some_and(|at| at <= Duration::from_micros(self.now - START));
+                if !self.hears_list(at) || settled {
+                    let after = if settled { 0 } else { SILENT_FOR - SIGN_OF_LIFE };
+                    self.list_later(at, after, Comes::Ended(call, None));
+                } else {
+                    self.list_later(at, SIGN_OF_LIFE, Comes::Sign(call));
+                }
+            }
+            Comes::Ended(of, after) if of == call => {
+                let draw = self.random.f64();
+                let follower = &mut self.nodes[at].follower;
+                follower.call += 1;
+                if std::mem::take(&mut follower.watches) {
+                    self.service.calls.open -= 1;
+                }
+                let pause = match after {
+                    Some(after) => follower.pace.told(after, draw),
+                    None => follower.pace.pause(draw),
+                };
+                self.list_later(at, pause.as_micros() as Micros, Comes::Call);
+            }
+            Comes::Answered(_) | Comes::Told(_) | Comes::Sign(_) | Comes::Ended(..) => {}
+        }
+    }
+
+    fn calls(&mut self, at: usize) {
+        let call = self.nodes[at].follower.call;
+        // Of an agent's calls that go out beside one another the first that is answered counts: one, given up that often, stands for them.
+        let every = self.nodes[at].follower.pace.hedged().map(|hedged| hedged.every);
+        let answers = self.terms.as_ref().map(|terms| terms.answer_within).or(every);
+        let answers = answers.map_or(SILENT_FOR, |span| span.as_micros() as Micros);
+        let way = self.random.u64(WAY);
+        let there = self.links.on(End::Node(at), End::List);
+        if self.service.bears.down || there.reset {
+            return self.list_later(at, way, Comes::Ended(call, None));
+        }
+        if there.stalled || there.unheard || !self.hears_list(at) {
+            return self.list_later(at, answers, Comes::Ended(call, None));
+        }
+        let since = self.since();
+        self.service.calls.at.push(since);
+        let Bearing { calls_per_s, bytes_per_s, turns_away, .. } = self.service.bears;
+        let (_, entries) = self.service.since(self.nodes[at].follower.seq);
+        let bytes = entries.len() * BYTES.0 + BYTES.1;
+        let share = |of: f64, a_second: f64| if a_second > 0.0 { of / a_second } else { 0.0 };
+        let takes = share(1.0, calls_per_s) + share(bytes as f64, bytes_per_s);
+        let line = self.service.busy.saturating_sub(self.now);
+        if turns_away && u128::from(line) > LINE_MOST.as_micros() {
+            self.service.calls.turned_away += 1;
+            let after = Duration::from_secs((line / 1_000_000).max(1));
+            return self.list_later(at, way, Comes::Ended(call, Some(after)));
+        }
+        // It works on what it took though the caller has left.
+        self.service.busy = self.service.busy.max(self.now) + (takes * 1e6) as Micros;
+        let after = self.service.busy - self.now + 2 * way;
+        match after > answers {
+            true => self.list_later(at, answers, Comes::Ended(call, None)),
+            false => self.list_later(at, after, Comes::Answered(call)),
+        }
+    }
+
+    /// A line of the watch: what has changed since the last.
+    fn told(&mut self, at: usize) {
+        let from = self.nodes[at].follower.seq;
+        let (whole, entries) = self.service.since(from);
+        let since = self.since();
+        self.service.calls.first.entry(at).or_insert(since);
+        self.service.calls.bytes += (entries.len() * BYTES.0 + BYTES.1) as u64;
+        for (server, health, _) in &entries {
+            self.ledger.told(since, at, &format!("s-{server}"), *health == "ready");
+        }
+        if let Some(terms) = self.terms.as_ref().filter(|_| whole) {
+            let known = self.nodes[at].gateway.rotation().0;
+            if !self.nodes[at].follower.doubt.believes(since, entries.len(), known, terms.empty_after) {
+                return;
+            }
+        }
+        self.nodes[at].follower.seq = Some(self.service.list.seq);
+        let entries = entries.into_iter().map(|(server, health, born)| entry(server, health, born)).collect();
+        self.listed(at, if whole { ListKind::Complete } else { ListKind::Changes }, entries);
+    }
+}
+
+fn entry(server: usize, health: &str, born: Option<Micros>) -> ServerEntry {
+    ServerEntry {
+        server: ServerId(server as u64),
+        zone: ZoneId((server % 2) as u32),
+        cell: CellId((server / 3) as u64),
+        standing: match health {
+            "ready" => Standing::Ready,
+            "draining" => Standing::Draining,
+            _ => Standing::Gone,
+        },
+        size: 1.0,
+        started: born,
+    }
+}
--- a/crates/fleet/src/windows.rs
+++ b/crates/fleet/src/windows.rs
@@ -17,6 +17,8 @@
     pub refused: u64,
     /// See there.
     pub failed: u64,
+    /// Refused while half or more of what binds the customer was unused.
+    pub with_room: u64,
     /// Units that came to servers then, and those of them beyond their customers' quotas.
     pub units: f64,
     /// See there.
@@ -33,6 +35,7 @@
             served: self.served + other.served,
             refused: self.refused + other.refused,
             failed: self.failed + other.failed,
+            with_room: self.with_room + other.with_room,
             units: self.units + other.units,
             beyond: self.beyond + other.beyond,
             served_work: self.served_work + other.served_work,
@@ -53,11 +56,20 @@
     /// As JSON.
     pub fn json(&self) -> Value {
         let second = |of: &Of| {
-            json!([of.tries, of.served, of.refused, of.failed, of.units, of.beyond, of.served_work])
+            json!([
+                of.tries,
+                of.served,
+                of.refused,
+                of.failed,
+                of.with_room,
+                of.units,
+                of.beyond,
+                of.served_work
+            ])
         };
         json!({
             "side": self.side,
-            "figures": ["tries", "served", "refused", "failed", "units", "beyond", "served_work_s"],
+            "figures": ["tries", "served", "refused", "failed", "refused_with_room", "units", "beyond", "served_work_s"],
             "seconds": self.seconds.iter().map(second).collect::<Vec<_>>(),
         })
     }
@@ -85,7 +97,10 @@
                     Some(Answer::Served) => {
                         (of.served, of.served_work) = (of.served + 1, of.served_work + seen.work)
                     }
-                    Some(Answer::Refused) => of.refused += 1,
+                    Some(Answer::Refused) => {
+                        (of.refused, of.with_room) =
+                            (of.refused + 1, of.with_room + u64::from(seen.with_room));
+                    }
                     Some(Answer::Failed) => of.failed += 1,
                     None => {}
                 }
@@ -103,12 +118,12 @@
 
 /// A table for people.
 pub fn table(all: &[Windows]) -> String {
-    let mut text = String::from("side      second  tries served refused failed  units beyond\n");
+    let mut text = String::from("side      second  tries served refused failed with-room  units beyond\n");
     for windows in all {
         for (second, of) in windows.seconds.iter().enumerate() {
             text.push_str(&format!(
-                "{:<10}{second:>6}{:>7}{:>7}{:>8}{:>7}{:>7.0}{:>7.0}\n",
-                windows.side, of.tries, of.served, of.refused, of.failed, of.units, of.beyond
+                "{:<10}{second:>6}{:>7}{:>7}{:>8}{:>7}{:>10}{:>7.0}{:>7.0}\n",
+                windows.side, of.tries, of.served, of.refused, of.failed, of.with_room, of.units, of.beyond
             ));
         }
     }
--- a/crates/handover/tests/overlap.rs
+++ b/crates/handover/tests/overlap.rs
@@ -29,6 +29,7 @@
         peer_messages_per_s: 60.0,
         most_units: 1.0,
         conn_idle: 15_000_000,
+        fenced: false,
     }
 }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -153,7 +153,9 @@
     /// # Errors
     /// What could not be bound.
     pub async fn bind(options: Options) -> Result<Edge> {
-        let Options { config, operator, handed, meeting, manager } = options;
+        let Options { mut config, operator, handed, meeting, manager } = options;
+        let fenced = operator.as_ref().is_some_and(|file| file.says.quotas.fenced);
+        config.named.settings.fenced = fenced;
         let shared = handed.is_some();
         let overlaps = meeting.is_some();
         let links = Links::new(&config.name, overlaps);
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -45,12 +45,22 @@
     pub log: Log,
     /// `[list]`; `None` while it says no number of calls.
     pub list: Option<Terms>,
+    /// `[quotas]`
+    pub quotas: Quotas,
     /// `[etcd]`; `None` while it names no endpoints.
     pub etcd: Option<Etcd>,
     /// `[sockets]`; `None` while it names no class.
     pub sockets: Option<Sockets>,
 }
 
+/// How quotas are shared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quotas {
+    /// Whether each keeper of a customer's quota holds a part of its own, so that two that do not hear each other never grant more
+    /// than the whole.
+    pub fenced: bool,
+}
+
 /// WebSocket.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sockets {
@@ -171,6 +181,7 @@
                 counts_every: section.span_ms_or_none("counts_every_ms", 0, 3_600_000),
             }),
             list: file.section("list", list),
+            quotas: file.section("quotas", |section| Quotas { fenced: section.flag("fenced", false) }),
             etcd: file.section("etcd", etcd),
             sockets: file.section("sockets", sockets),
         }
--- a/crates/quota/src/keeper.rs
+++ b/crates/quota/src/keeper.rs
@@ -7,6 +7,7 @@
 //! late or doubled. Beyond that goes only what a home grants that has lost its state (see [`Start`]) and what who stands by grants
 //! while a home that is alive is not heard.
 
+use crate::lease::{Held, Lender, Loan, Wish, CALM_FOR, LOAN, OF_CEILING, OF_STORE};
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +24,8 @@
 /// held far too long as its return was lost, one in five where homes are busy; and one given out twice, while a slow attempt
 /// that holds it is still out.
 const PLACE_LASTS: u64 = 3;
+/// µs between asks of a home for what its stand-by holds, which go without being put again.
+const BORROWS_EVERY: Micros = 400_000;
 /// Asks whose numbers are kept, at the most. Guards memory against a peer that asks without end; it grants no more then.
 const GRANTED_MOST: usize = 4_096;
 
@@ -103,6 +106,16 @@
     /// Units asked for in about a second.
     asked: f64,
     chance: f64,
+    /// When it last refused somebody for want of units, or was opened.
+    short_at: Micros,
+    /// What is lent, and of the ceiling what an earlier life may have lent.
+    lender: Lender,
+    before: Lender,
+    /// What this home has borrowed of who stands by, and when it last asked for that. Its next process asks anew.
+    #[serde(skip)]
+    borrowed: Option<Held>,
+    #[serde(skip)]
+    borrows_at: Micros,
 }
 
 impl Keeper {
@@ -116,23 +129,91 @@
             Start::Told(level, ago) => level.clamp(0.0, 1.0) * terms.depth + terms.rate * since(ago),
         };
         let level = level.min(terms.depth);
-        let mut keeper = Keeper { level, filled: now, used: now, chance: 1.0, ..Keeper::default() };
-        keeper.fill_ceiling(terms, since(up));
+        let mut keeper =
+            Keeper { level, filled: now, used: now, chance: 1.0, short_at: now, ..Keeper::default() };
+        let Some(ceiling) = terms.ceiling else { return keeper };
+        // Danger: a ceiling passed by what the last life of this gateway lent, and this one fills as well.
+        let born = now.saturating_sub(up);
+        keeper.before.unknown(ceiling, born.saturating_add(LOAN));
+        keeper.fill_ceiling(born, now, terms);
         keeper
     }
 
     /// Fills up to now.
     pub fn fill(&mut self, now: Micros, terms: &Terms) {
-        let span = now.saturating_sub(self.filled) as f64 / 1e6;
+        let (from, span) = (self.filled, now.saturating_sub(self.filled) as f64 / 1e6);
         self.filled = self.filled.max(now);
-        self.level = (self.level + terms.rate * span).min(terms.depth);
-        self.fill_ceiling(terms, span);
+        let (lent, room) = self.lender.between(from, now, true);
+        self.level = (self.level + terms.rate * span - lent).min(terms.depth - room);
+        self.fill_ceiling(from, now, terms);
+        self.lender.tidy(now);
+        self.before.tidy(now);
     }
 
-    fn fill_ceiling(&mut self, terms: &Terms, span: f64) {
+    fn fill_ceiling(&mut self, from: Micros, now: Micros, terms: &Terms) {
         if let Some((rate, depth)) = terms.ceiling {
-            self.ceiling = (self.ceiling + rate * span).min(depth);
+            let span = now.saturating_sub(from) as f64 / 1e6;
+            let ((lent, room), (before, before_room)) =
+                (self.lender.between(from, now, false), self.before.between(from, now, false));
+            // What borrowers tell of is part of what the last life may have lent.
+            let (lent, room) = (lent.max(before), room.max(before_room));
+            self.ceiling = (self.ceiling + rate * span - lent).min(depth - room);
+        }
+    }
+
+    /// Lends to who has just asked, and notes what it still holds. `units`: those of a try. Where attempts at once are limited only of
+    /// the ceiling is lent: places are this home's to give, and what is lent is for who does not hear it.
+    pub fn lend(&mut self, now: Micros, ask: Ask, wish: &Wish, terms: &Terms, units: f64) -> Option<Loan> {
+        // Who asks for no units is the home of the part, which has the places.
+        let home = ask.units <= 0.0;
+        let of_store = terms.at_once.is_none() || home;
+        self.lender.told(now, ask.from, wish, of_store);
+        let (most, most_hard) = if home { (1.0, 1.0) } else { (OF_STORE, OF_CEILING) };
+        let store =
+            (terms.rate > 0.0 && of_store).then_some((terms.rate * most, terms.depth * most, self.level));
+        let hard = |(rate, depth)| (rate * most_hard, depth * most_hard, self.ceiling);
+        let ceiling = terms.ceiling.map(hard);
+        let part = match (store, ceiling) {
+            (Some(a), Some(b)) => (a.0.min(b.0), a.1.min(b.1), a.2.min(b.2)),
+            (one, other) => one.or(other)?,
+        };
+        let (loan, fresh) =
+            self.lender.lend(now, (ask.from, ask.serial), wish, part, (units, of_store, home))?;
+        if fresh {
+            self.level -= loan.units;
+            self.ceiling -= loan.units;
         }
+        Some(loan)
+    }
+
+    /// Whether it has refused nobody for want of units for a while: then what it lends is no rate that somebody else waits for.
+    pub fn is_calm(&self, now: Micros) -> bool {
+        now >= self.short_at.saturating_add(CALM_FOR)
+    }
+
+    /// How the part stands, with nothing asked of it.
+    pub fn look(&mut self, now: Micros, terms: &Terms) -> Said {
+        self.fill(now, terms);
+        self.used = now;
+        self.say(Verdict::Granted, 0.0, terms)
+    }
+
+    /// What this home would borrow of who stands by: all that it can have.
+    pub fn wish(&self, now: Micros) -> Wish {
+        Wish { rate: f64::from(u8::MAX), held: self.borrowed.and_then(|held| held.told(now)) }
+    }
+
+    /// Whether it is time to borrow of who stands by; it counts as asked then.
+    pub fn wants_to_borrow(&mut self, now: Micros) -> bool {
+        let due = self.borrowed.is_none_or(|held| held.is_due(now));
+        let wants = due && now >= self.borrows_at.saturating_add(BORROWS_EVERY);
+        self.borrows_at = if wants { now } else { self.borrows_at };
+        wants
+    }
+
+    /// Who stands by has lent this, asked at that time.
+    pub fn borrowed(&mut self, now: Micros, asked: Micros, loan: Loan) {
+        self.borrowed = Some(Held::after(self.borrowed, now, asked, 0, loan));
     }
 
     /// Whether a try may go. `lasts`: how long an attempt is out, as a rule; its place falls free by itself after a multiple of
@@ -149,17 +230,28 @@
         // Danger: a customer far over its quota whose asks drown its homes. A share of its tries asks.
         self.asked = self.asked * (-span).exp() + ask.units;
         let wanted = (WANTED * terms.rate).max(1.0);
+        // A unit of the stand-by's is of its store and of its ceiling.
+        let lacks =
+            terms.rate > 0.0 && self.level < ask.units || terms.ceiling.is_some() && self.ceiling < ask.units;
+        let beside = lacks && self.borrowed.as_mut().is_some_and(|held| held.take(now, ask.units));
+        if beside {
+            self.level += ask.units;
+            self.ceiling += ask.units;
+        }
         let short = terms.rate > 0.0 && self.level < ask.units;
         let pressed = short && self.asked > wanted;
         self.chance = if pressed { self.chance * THIN } else { (self.chance + THICKEN * span).min(1.0) };
         self.places.retain(|place| place.2 > now);
         let full = terms.at_once.is_some_and(|most| self.places.len() >= most as usize);
         let over = terms.ceiling.is_some() && self.ceiling < ask.units;
+        self.short_at = if short || over { now } else { self.short_at };
+        let borrowed = self.borrowed.map_or(0.0, |held| held.rate(now));
         if short {
-            return self.say(Verdict::Short, (ask.units - self.level) / terms.rate.max(f64::EPSILON), terms);
+            let rate = (terms.rate + borrowed).max(f64::EPSILON);
+            return self.say(Verdict::Short, (ask.units - self.level) / rate, terms);
         }
         if over {
-            let rate = terms.ceiling.map_or(0.0, |ceiling| ceiling.0);
+            let rate = terms.ceiling.map_or(0.0, |ceiling| ceiling.0) + borrowed;
             return self.say(Verdict::Over, (ask.units - self.ceiling) / rate.max(f64::EPSILON), terms);
         }
         if full || self.granted.len() >= GRANTED_MOST {
@@ -194,7 +286,7 @@
         }
         self.fill(now, terms);
         self.places.retain(|place| place.2 > now);
-        let refilled = terms.rate <= 0.0 || self.level >= terms.depth;
+        let refilled = (terms.rate <= 0.0 || self.level >= terms.depth) && self.lender.is_empty();
         let ceiling = terms.ceiling.is_none_or(|(_, depth)| self.ceiling >= depth);
         refilled && ceiling && self.places.is_empty()
     }
--- /dev/null
+++ b/crates/quota/src/lease.rs
@@ -0,0 +1,234 @@
+//! Parts of a quota that are lent: a keeper gives who asks a rate, room and units of its own for a while, to be used without
+//! a word, so that a gateway that hears nobody goes on with its part and no more.
+//!
+//! **What holds.** A part's units are in one place each: the keeper's level, or one borrower's. While a loan stands the keeper
+//! fills at its rate less what it has lent, up to its depth less the room that it has lent; the borrower fills at what was lent up to that room.
+//! So the sum of all levels never passes what one store of the whole would hold, whoever hears whom.
+//!
+//! **The old holder's part ends before the new one's begins.** A borrower counts the life of a loan from when it *asked*, less
+//! [`DRIFT`]; the keeper from when it *answered*, whole. The ask left before it came, so the borrower's end is the earlier
+//! one, with clocks that need not agree and may run [`DRIFT`] apart. A word that is late only shortens the borrower's part; one that is
+//! doubled is answered as before and lends nothing more; one that is lost leaves the keeper with less for a loan's life.
+//!
+//! What is lent and not used by its end lapses: it is lost to the customer, not to the quota.
+
+use crate::Micros;
+use serde::{Deserialize, Serialize};
+
+/// How long a loan lasts, µs. Danger of longer: rate that lies idle where a customer's traffic has moved on. Of shorter: a
+/// cut-off gateway that has nothing left before its peers are back.
+pub const LOAN: Micros = 6_000_000;
+/// How far apart clocks may run: a part in so many.
+pub const DRIFT: Micros = 100;
+/// A borrower asks anew once less than this is left of its loan, µs.
+const RENEWED: Micros = 2_000_000;
+/// Most of a part's rate and depth that is lent at a time, of a store; the rest serves those that have borrowed nothing.
+pub(crate) const OF_STORE: f64 = 0.75;
+/// The same of a ceiling. Danger of more: a keeper that has just started must take all of it for lent until a loan's life is over.
+pub(crate) const OF_CEILING: f64 = 0.35;
+/// Room in a loan, s of its rate, where one try's units are not more.
+const ROOM: f64 = 1.0;
+/// What a borrower wants, as a multiple of what it was granted lately: its pace swings.
+const WANTED: f64 = 1.25;
+/// Loans of one part at a time. Guards memory.
+const LOANS_MOST: usize = 64;
+/// Units a second under which a gateway borrows nothing: what it would be lent lapses before its next try.
+const LEAST_PACE: f64 = 0.4;
+/// µs for which a part must have refused nobody to lend to who asks. Danger: a customer that wants all of its quota, whose rate lies idle
+/// at gateways that its tries have left (seen: four tenths of all quotas unused, 24 gateways at half as much again).
+pub(crate) const CALM_FOR: Micros = 10_000_000;
+/// Less than this is no loan, units a second.
+const LEAST: f64 = 0.05;
+
+/// A loan as it is told: units a second, the most units that it may gather, and units that come with it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Loan {
+    /// Units a second.
+    pub rate: f64,
+    /// Most units at once.
+    pub room: f64,
+    /// Units from the first moment.
+    pub units: f64,
+}
+
+/// What who asks says of loans.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Wish {
+    /// Units a second that it would use.
+    pub rate: f64,
+    /// What it still holds of this keeper's: the rate, the room, and for how long.
+    pub held: Option<(f64, f64, Micros)>,
+}
+
+/// A loan at the keeper.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+struct Lent {
+    from: u32,
+    serial: u16,
+    loan: Loan,
+    until: Micros,
+    /// Whether it is of the store too, or of the ceiling alone.
+    of_store: bool,
+}
+
+/// What a keeper has lent.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Lender {
+    lent: Vec<Lent>,
+}
+
+impl Lender {
+    /// Units that borrowers have taken in between two moments, and the room that is lent at the second: of the store, or of the
+    /// ceiling.
+    pub fn between(&self, from: Micros, to: Micros, of_store: bool) -> (f64, f64) {
+        let of = || self.lent.iter().filter(|lent| lent.of_store || !of_store);
+        let units = |lent: &Lent| lent.loan.rate * lent.until.min(to).saturating_sub(from) as f64 / 1e6;
+        let stands = of().filter(|lent| lent.until > to);
+        (of().map(units).sum(), stands.map(|lent| lent.loan.room).sum())
+    }
+
+    /// Drops what has ended.
+    pub fn tidy(&mut self, now: Micros) {
+        self.lent.retain(|lent| lent.until > now);
+    }
+
+    /// Whether nothing is lent.
+    pub fn is_empty(&self) -> bool {
+        self.lent.is_empty()
+    }
+
+    /// Units a second that are lent now.
+    pub fn rate(&self, now: Micros) -> f64 {
+        self.lent.iter().filter(|lent| lent.until > now).map(|lent| lent.loan.rate).sum()
+    }
+
+    /// Notes a loan that who asks still holds and that is not known here. Danger: a keeper that was restarted and fills at a rate
+    /// that its last life has lent.
+    pub fn told(&mut self, now: Micros, from: u32, wish: &Wish, of_store: bool) {
+        let Some((rate, room, left)) = wish.held else { return };
+        let known = self.lent.iter().any(|lent| lent.from == from && lent.until > now);
+        if known || self.lent.len() >= LOANS_MOST {
+            return;
+        }
+        let until = now.saturating_add(left.min(LOAN));
+        self.lent.push(Lent { from, serial: 0, loan: Loan { rate, room, units: 0.0 }, until, of_store });
+    }
+
+    /// A ceiling of which nobody knows what an earlier life of this keeper has lent, until then: as much as may have been.
+    pub fn unknown(&mut self, (rate, depth): (f64, f64), until: Micros) {
+        let loan = Loan { rate: rate * OF_CEILING, room: depth * OF_CEILING, units: 0.0 };
+        self.lent.push(Lent { from: u32::MAX, serial: 0, loan, until, of_store: false });
+    }
+
+    /// Lends to who asks under this number, of what may be lent of a rate and a depth, where so many units are held. The same ask again is
+    /// answered as before; whether it is a new one. `all`: to another keeper, which uses all that may be lent.
+    pub fn lend(
+        &mut self, now: Micros, (from, serial): (u32, u16), wish: &Wish,
+        (rate, depth, level): (f64, f64, f64), (try_units, of_store, all): (f64, bool, bool),
+    ) -> Option<(Loan, bool)> {
+        self.tidy(now);
+        let mine = |lent: &&Lent| lent.from == from;
+        if let Some(again) = self.lent.iter().filter(mine).find(|lent| lent.serial == serial) {
+            return Some((again.loan, false));
+        }
+        if wish.rate < LEAST_PACE {
+            return None;
+        }
+        // The next loan follows the last without a step: it is the same one, with a later end. A borrower that wants half of it or less
+        // lets it lapse.
+        if let Some(last) = self.lent.iter_mut().find(|lent| lent.from == from && lent.of_store == of_store) {
+            if last.until > now + RENEWED + LOAN / 10 || wish.rate * WANTED < last.loan.rate / 2.0 {
+                return None;
+            }
+            (last.serial, last.until) = (serial, now.saturating_add(LOAN));
+            last.loan.units = 0.0;
+            return Some((last.loan, false));
+        }
+        if self.lent.len() >= LOANS_MOST {
+            return None;
+        }
+        let room: f64 = self.lent.iter().map(|lent| lent.loan.room).sum();
+        let (free_rate, free_depth) = (rate - self.rate(now), depth - room);
+        let wanted = (wish.rate * WANTED).min(free_rate);
+        if wanted < LEAST || free_depth < try_units {
+            return None;
+        }
+        let most = if all { free_depth } else { (wanted * ROOM).max(try_units).min(free_depth) };
+        // A whole try's units from the first moment, where the part can spare them: a gateway is cut off without a warning.
+        let units = if of_store && level >= 2.0 * try_units { try_units } else { 0.0 };
+        let loan = Loan { rate: wanted, room: most, units };
+        self.lent.push(Lent { from, serial, loan, until: now.saturating_add(LOAN), of_store });
+        Some((loan, true))
+    }
+}
+
+/// A loan at who has it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Held {
+    /// Which of the customer's keepers lent it.
+    pub keeper: u32,
+    loan: Loan,
+    level: f64,
+    filled: Micros,
+    until: Micros,
+}
+
+impl Held {
+    /// What came of an ask that was first put then.
+    pub fn new(now: Micros, asked: Micros, keeper: u32, loan: Loan) -> Held {
+        // It fills from now on: its keeper had lent it before the word left.
+        let until = asked.saturating_add(LOAN - LOAN / DRIFT);
+        Held { keeper, loan, level: loan.units.min(loan.room), filled: now, until }
+    }
+
+    /// The next one, behind one that may still have units.
+    pub fn after(last: Option<Held>, now: Micros, asked: Micros, keeper: u32, loan: Loan) -> Held {
+        let left = match last {
+            Some(mut last) if last.keeper == keeper && !last.is_over(now) => {
+                last.take(now, 0.0);
+                last.level
+            }
+            _ => 0.0,
+        };
+        let next = Held::new(now, asked, keeper, loan);
+        Held { level: (next.level + left).min(loan.room), ..next }
+    }
+
+    /// Whether it has ended.
+    pub fn is_over(&self, now: Micros) -> bool {
+        now >= self.until
+    }
+
+    /// Whether it is time to ask for the next one.
+    pub fn is_due(&self, now: Micros) -> bool {
+        now.saturating_add(RENEWED) >= self.until
+    }
+
+    /// Takes so many units, if they are there.
+    pub fn take(&mut self, now: Micros, units: f64) -> bool {
+        if self.is_over(now) {
+            return false;
+        }
+        let span = now.saturating_sub(self.filled) as f64 / 1e6;
+        self.filled = self.filled.max(now);
+        self.level = (self.level + self.loan.rate * span).min(self.loan.room);
+        let takes = self.level >= units;
+        self.level -= if takes { units } else { 0.0 };
+        takes
+    }
+
+    /// Units a second that it brings.
+    pub fn rate(&self, now: Micros) -> f64 {
+        if self.is_over(now) {
+            0.0
+        } else {
+            self.loan.rate
+        }
+    }
+
+    /// What its keeper is told of it: the rate, the room, and for how long.
+    pub fn told(&self, now: Micros) -> Option<(f64, f64, Micros)> {
+        (!self.is_over(now)).then(|| (self.loan.rate, self.loan.room, self.until - now))
+    }
+}
--- a/crates/quota/src/memory.rs
+++ b/crates/quota/src/memory.rs
@@ -1,5 +1,6 @@
 //! What a gateway that asks remembers of a customer's home.
 
+use crate::lease::{Held, Loan, Wish};
 use crate::{Micros, Said, Verdict};
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +39,9 @@
     /// Units that may be let go with no home heard, as of when; `None` before that was ever the case.
     alone: Option<f64>,
     alone_at: Micros,
+    /// What a home has lent. Another process of this gateway does not take it over: two would use it.
+    #[serde(skip)]
+    held: Option<Held>,
 }
 
 impl Default for Memory {
@@ -53,6 +57,7 @@
             granted_at: 0,
             alone: None,
             alone_at: 0,
+            held: None,
         }
     }
 }
@@ -60,9 +65,41 @@
 impl Memory {
     /// A home has let so many units go here. Its word ends being alone.
     pub fn granted(&mut self, now: Micros, units: f64) {
+        self.went(now, units);
+        self.alone = None;
+    }
+
+    fn went(&mut self, now: Micros, units: f64) {
+        self.granted = self.pace(now) + units * 1e6 / GRANTS_FOR;
+        self.granted_at = now;
+    }
+
+    /// Units a second that went by homes' words lately.
+    fn pace(&self, now: Micros) -> f64 {
         let span = now.saturating_sub(self.granted_at) as f64;
-        self.granted = self.granted * (-span / GRANTS_FOR).exp() + units * 1e6 / GRANTS_FOR;
-        (self.granted_at, self.alone) = (now, None);
+        self.granted * (-span / GRANTS_FOR).exp()
+    }
+
+    /// Whether a try of so many units goes by what a home has lent; it takes them then. A loan that is nearly over is only used
+    /// where no home will be asked (`late`): the ask brings the next one.
+    pub fn lent(&mut self, now: Micros, units: f64, late: bool) -> bool {
+        let Some(held) = &mut self.held else { return false };
+        let takes = (late || !held.is_due(now)) && held.take(now, units);
+        if takes {
+            self.went(now, units);
+        }
+        takes
+    }
+
+    /// What is to be borrowed of one of the customer's keepers, which is asked for so many units.
+    pub fn wish(&self, now: Micros, keeper: u32, units: f64) -> Wish {
+        let held = self.held.filter(|held| held.keeper == keeper).and_then(|held| held.told(now));
+        Wish { rate: self.pace(now) + units * 1e6 / GRANTS_FOR, held }
+    }
+
+    /// A keeper has lent this, asked at that time.
+    pub fn borrowed(&mut self, now: Micros, asked: Micros, keeper: u32, loan: Loan) {
+        self.held = Some(Held::after(self.held, now, asked, keeper, loan));
     }
 
     /// Whether a try of so many units may go with no home heard; it takes them then.
--- a/crates/saffronpaddle/src/fleet.rs
+++ b/crates/saffronpaddle/src/fleet.rs
@@ -26,6 +26,7 @@
 pub fn fleet(mut arguments: lexopt::Parser) -> Result<ExitCode> {
     let (mut named, mut seed, mut json, mut keep) = (None, 1, None, None);
     let (mut table, mut program, mut operator) = (false, None, String::new());
+    let mut in_virtual_time = false;
     let mut overrides = Overrides::default();
     while let Some(argument) = arguments.next()? {
         match argument {
@@ -35,6 +36,7 @@
             Long("json") => json = Some(PathBuf::from(arguments.value()?)),
             Long("keep") => keep = Some(PathBuf::from(arguments.value()?)),
             Long("table") => table = true,
+            Long("virtual") => in_virtual_time = true,
             Long("program") => program = Some(PathBuf::from(arguments.value()?)),
             Long("operator") => {
                 let path = PathBuf::from(arguments.value()?);
@@ -55,11 +57,16 @@
         None => std::fs::read_to_string(&named).with_context(|| named.clone())?,
     };
     let scenario = Scenario::parse_with(&text, &overrides, seed).with_context(|| named.clone())?;
+    // What the command line names goes before what the scenario says.
+    let operator = if operator.is_empty() { scenario.operator.clone() } else { operator };
     let program = program.map_or_else(std::env::current_exe, Ok).context("this program")?;
     let temporary = || std::env::temp_dir().join(format!("saffronpaddle-fleet-{}", std::process::id()));
     let (kept, folder) = (keep.is_some(), keep.unwrap_or_else(temporary));
     let options = Options { program, seed, folder, operator, say: true };
-    let report = saffronpaddle_fleet::run(scenario, &options, kept)?;
+    let report = match in_virtual_time {
+        true => saffronpaddle_fleet::virtually::play(scenario, seed, &options.operator)?,
+        false => saffronpaddle_fleet::run(scenario, &options, kept)?,
+    };
     if let Some(path) = json {
         std::fs::write(&path, format!("{:#}\n", report.json()))
             .with_context(|| path.display().to_string())?;
--- a/crates/saffronpaddle/src/main.rs
+++ b/crates/saffronpaddle/src/main.rs
@@ -22,10 +22,12 @@
   saffronpaddle demo [--listen ADDRESS]   one edge node before stand-in app servers on loopback, nothing to set up
   saffronpaddle fleet SCENARIO            plays a scenario on real instances before stand-ins, all on loopback;
         [--seed N] [--json FILE]          a file, or the name of one that comes with the program:
-        [--instances N] [--rate N]        thirty, short, forty-cold, cold-thirty, cold-hundreds, calm, drains, etcd, flips
+        [--instances N] [--rate N]        thirty, short, forty-cold, cold-thirty, cold-hundreds, calm, drains, etcd, flips,
+                                          halves, apart
         [--seconds N] [--keep FOLDER]   [--roster] reads from discovery, etcd or both, whatever the scenario says;
         [--servers N] [--table]           --table shows each second by side; --operator FILE is the instances' operator
-        [--operator FILE] [--program P]   file; --program plays another build of the program
+        [--operator FILE] [--program P]   file; --program plays another build of the program; --virtual plays the decision
+        [--virtual]                       modules of the fleet alone, in virtual time, up to 1,000 nodes
   saffronpaddle fleet counts LOGS...      adds up the figures that nodes told their logs (log.counts_every_ms): a table,
         [--csv]                           or CSV with a line a node; LOGS are files or folders
   saffronpaddle --help | --version
--- a/crates/saffronpaddle/tests/cold.rs
+++ b/crates/saffronpaddle/tests/cold.rs
@@ -84,6 +84,15 @@
     assert!(a.tries > 0 && b.tries > 0 && a.tries + b.tries == report.within("all", 0, 6).tries, "{report}");
 }
 
+/// Connections that never come up cost their attempts a quarter of a second, and nobody an answer.
+#[test]
+fn servers_whose_connections_never_come_up_cost_nobody_an_answer() {
+    let step = "[[step]]\ndo = \"link\"\nfrom = \"nodes\"\nto = \"s0-s1\"\nunheard = true\nat_ms = 1000\nfor_ms = 3000\n";
+    let report = fleet_with("cold-unheard", &warm("unheard", step), "");
+    assert!(report.good(), "{report}");
+    assert!(report.verdict.served * 2 > report.verdict.tries, "{report}");
+}
+
 const PACED: &str = "[list]\ncalls_per_s = 8\nfirst_within_ms = 30000\nempty_after_ms = 2500\n\
                      [ready]\nlist_within_ms = 200\npeers_within_ms = 100\n";
 
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -15,7 +15,7 @@
 /// While nothing changes, an empty line comes this often.
 const SIGN_OF_LIFE: Duration = Duration::from_secs(2);
 /// A caller that would wait for longer than this is turned away, if the service does that at all.
-const LINE_MOST: Duration = Duration::from_secs(10);
+pub const LINE_MOST: Duration = Duration::from_secs(10);
 
 /// What the service can bear, and how it is.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -141,6 +141,8 @@
     sent: Option<(Duration, f64)>,
     /// Seconds of work of its last attempt on a warm server.
     work: f64,
+    /// Refused while half or more of its customer's quota and ceiling, and what it takes, was unused.
+    with_room: bool,
 }
 
 /// A try as the ledger saw it.
@@ -158,6 +160,8 @@
     pub units: f64,
     /// Seconds of work of its last attempt on a warm server.
     pub work: f64,
+    /// Refused while half or more of its customer's quota and ceiling, and what it takes, was unused.
+    pub with_room: bool,
 }
 
 #[derive(Debug)]
@@ -182,6 +186,12 @@
         self.level = (self.level + self.rate * span).min(self.depth);
     }
 
+    /// Whether half of it or more is unused, and so much is there.
+    fn has_room(&mut self, now: Duration, units: f64) -> bool {
+        self.fill(now);
+        self.level >= units.max(self.depth / 2.0)
+    }
+
     /// Takes units whether or not they are there, as a ceiling is judged.
     fn take(&mut self, now: Duration, units: f64) {
         self.fill(now);
@@ -325,6 +335,7 @@
             effects: 0,
             sent: None,
             work: 0.0,
+            with_room: false,
         };
         let node = entry.asked.node;
         self.tries.entry(id).or_insert(entry).asked.node = node;
@@ -340,6 +351,11 @@
             return self.double.push(Breach::AnsweredTwice(id.to_owned()));
         }
         entry.answer = Some((answer, now));
+        let (customer, units) = (entry.asked.customer, entry.asked.units);
+        let room = |limits: &mut BTreeMap<u64, Limit>| {
+            limits.get_mut(&customer).is_none_or(|limit| limit.has_room(now, units))
+        };
+        entry.with_room = answer == Answer::Refused && room(&mut self.quotas) && room(&mut self.ceilings);
         if now > entry.at + entry.asked.patience + bounds.slack {
             let late = (now - entry.at - entry.asked.patience).as_millis();
             self.double.push(Breach::LateAnswer(format!("{id}: {late} ms")));
@@ -519,6 +535,7 @@
             sent: entry.sent,
             units: entry.asked.units,
             work: entry.work,
+            with_room: entry.with_room,
         })
     }
 
--- a/crates/standins/src/settings.rs
+++ b/crates/standins/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings as the platform gives them to an edge node, for fleets of stand-ins.
 
-use crate::ledger::Bounds;
+use crate::ledger::{Bounds, Ledger};
+use crate::load::Customer;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -79,6 +80,12 @@
         self.classes.iter().map(|class| class.share * class.work.as_secs_f64()).sum()
     }
 
+    /// Notes what binds a customer.
+    pub fn limit(&self, ledger: &mut Ledger, customer: &Customer) {
+        let plan = &self.plans[customer.plan];
+        ledger.limit(customer.id, (plan.rate, plan.burst), plan.ceiling);
+    }
+
     /// The settings of one node.
     pub fn settings(&self, me: usize) -> Value {
         let micros = |span: Duration| span.as_micros() as u64;
--- a/crates/warmup/src/lib.rs
+++ b/crates/warmup/src/lib.rs
@@ -56,6 +56,9 @@
     pub gateways: u32,
     /// See there.
     pub me: u32,
+    /// Since when this gateway's process knows what it has sent: a turn that began before is not its own. Danger: a gateway
+    /// that is killed in its turn, and is back in it.
+    pub up_since: Micros,
     /// More than this multiple of what a server can do ...
     pub fall_multiple: f64,
     /// ... within this span pushes it over.
@@ -82,7 +85,7 @@
 }
 
 /// A right on its way to another gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Gift {
     /// Which life of the server it is for.
     pub started: Micros,
@@ -129,7 +132,7 @@
 }
 
 /// One gateway's rights to send to one server that warms up.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Budget {
     /// When the server started: rights of another life are void.
@@ -163,7 +166,11 @@
     }
 
     fn turn(&self, now: Micros, server: u64, rules: &Rules) -> Option<u64> {
-        let turn = now.checked_sub(self.started)? / rules.turn(self.fallen);
+        let length = rules.turn(self.fallen);
+        let turn = now.checked_sub(self.started)? / length;
+        if self.started.saturating_add(turn.saturating_mul(length)) <= rules.up_since {
+            return None;
+        }
         let whose = (server % u64::from(rules.gateways.max(1)) + turn) % u64::from(rules.gateways.max(1));
         (whose == u64::from(rules.me) && turn + 1 > self.used_turn).then_some(turn + 1)
     }
@@ -240,6 +247,11 @@
     /// Takes a gift. Danger: a word that is doubled, forged or of an earlier life, which would be a right that nobody gave.
     pub fn take(&mut self, now: Micros, from: u32, gift: Gift, rules: &Rules) -> bool {
         self.came.retain(|(_, _, until)| *until > now);
+        // Danger: a gateway that was killed and forgot what it took, and is given the same again by a word that was doubled. No gift
+        // lives longer than a turn.
+        if now < rules.up_since.saturating_add(rules.turn(self.fallen)) {
+            return false;
+        }
         let until = gift.until.min(now.saturating_add(rules.life().max(rules.turn(self.fallen))));
         let known = self.came.iter().any(|(whose, serial, _)| (*whose, *serial) == (from, gift.serial));
         if known || gift.started != self.started || until <= now || self.came.len() >= HELD_MOST {
