Put asks again only within a budget of words, where an installation wants it

Need: at 30% lost and 300 ms late 24 nodes said 72 words a node and second, of which 18 without a fault, as each ask that is not answered is put again up to four times, just when the way is broken.

--- a/crates/decision/src/asking.rs
+++ b/crates/decision/src/asking.rs
@@ -175,6 +175,7 @@
 
     /// A try not yet sent on: its home was silent, its customer's limit full, or its grant has run out.
     pub(crate) fn unanswered(&mut self, now: Micros, id: RequestId, out: &mut Out) {
+        let words_a_second = self.words_a_second();
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (plan, customer) = (&self.settings.plans[request.plan.0], request.customer);
         if let Some(granted) = request.asking.granted {
@@ -190,13 +191,21 @@
             if now <= at.saturating_add(self.rto.wait()) {
                 return;
             }
+            let puts = if request.asking.missed == 0 { PUT_MOST } else { 1 };
+            let again = request.asking.put < puts && now <= request.asking.since.saturating_add(LEASE);
+            if again && self.settings.spare_words && !self.words.may(now, words_a_second) {
+                // It waits for its answer, or for words.
+                return;
+            }
             self.counts.add(Of::Unanswered);
             self.deaf += 1;
-            let puts = if request.asking.missed == 0 { PUT_MOST } else { 1 };
-            if request.asking.put < puts && now <= request.asking.since.saturating_add(LEASE) {
+            if again {
                 request.asking.put_again(now);
                 return self.put(now, &id, out);
             }
+            if request.asking.put < puts {
+                self.counts.add(Of::Unsaid);
+            }
             (request.asking.missed, request.asking.open) = (request.asking.missed + 1, None);
             self.asks.remove(&serial);
             // Danger: a busy home whose answers are lost now and then, taken for dead, and its quota granted twice.
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -90,6 +90,7 @@
 
     /// Takes in one event; what is to be done about it is added to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Out) {
+        let before = out.len();
         let follow = (self.settings.discovery == Discovery::Followed).then_some(Action::Follow);
         if !std::mem::replace(&mut self.begun, true) {
             out.extend(follow.clone());
@@ -121,6 +122,10 @@
             Event::Twins { ended, shared, hushed } => self.twins(ended, shared, hushed),
         }
         self.dispatch(now, out);
+        let words = out.iter().skip(before).filter(|action| matches!(action, Action::Tell { .. })).count();
+        if words > 0 {
+            self.words.said(now, words as f64, self.words_a_second());
+        }
         let next = if self.wide { self.next_tick } else { self.next_tick.min(self.next_gossip) };
         let next = if self.requests.is_empty() { next.max(now + SWEEP) } else { now + SWEEP };
         let next = next.min(self.spare_at.max(now + SWEEP));
@@ -377,6 +382,11 @@
 }
 
 impl Gateway {
+    /// Words a second that one gateway may say: all of them together keep to this share of each one's intake.
+    pub(crate) fn words_a_second(&self) -> f64 {
+        self.settings.peer_messages_per_s * INTAKE_SHARE
+    }
+
     /// How many servers and customers are kept in mind.
     pub fn kept(&self) -> usize {
         self.servers.len() + self.names.len() + self.stores.len() + self.homes.len()
--- a/crates/decision/src/counts.rs
+++ b/crates/decision/src/counts.rs
@@ -37,6 +37,8 @@
     Asked,
     /// A home did not answer in time.
     Unanswered,
+    /// An ask was given up that might have been put again: its time was over, or there were no words for it.
+    Unsaid,
     /// An answer came after that.
     AnsweredLate,
     /// A home let a try go.
@@ -100,6 +102,7 @@
     "refused_spent",
     "asked",
     "unanswered",
+    "given_up_early",
     "answered_late",
     "granted",
     "grants_expired",
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -178,6 +178,8 @@
     /// Whether each keeper of a customer's quota holds a part of its own, so that two that do not hear each other never grant more
     /// than the whole. The same at all gateways.
     pub fenced: bool,
+    /// Whether asks are put again only within a budget of words.
+    pub spare_words: bool,
 }
 
 /// Settings that make no sense.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod setup;
 mod state;
 mod twin;
+mod words;
 
 pub use control::Gateway;
 pub use twin::Kept;
--- a/crates/decision/src/setup.rs
+++ b/crates/decision/src/setup.rs
@@ -185,6 +185,7 @@
         conn_idle: setup.ceilings.conn_idle_us,
         // The installation's to set, not the platform's.
         fenced: false,
+        spare_words: false,
     };
     Ok(Named {
         settings,
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -6,6 +6,7 @@
 use crate::message::{self, Rumour};
 use crate::pooled::Pooled;
 use crate::rto::Rto;
+use crate::words::Words;
 use saffronpaddle_quota::{Keeper, Memory};
 use saffronpaddle_warmup::{Budget, Natural};
 use serde::{Deserialize, Serialize};
@@ -351,6 +352,8 @@
     pub(crate) homes: BTreeMap<CustomerId, Home>,
     pub(crate) asks: BTreeMap<u16, RequestId>,
     pub(crate) serial: u16,
+    /// What may be said that need not be.
+    pub(crate) words: Words,
     /// Asks of homes for what their stand-bys hold: whose quota, and since when.
     pub(crate) borrows: BTreeMap<u16, (CustomerId, Micros)>,
     pub(crate) mute: BTreeMap<GatewayId, Micros>,
@@ -453,6 +456,7 @@
             fuzzy: Fuzzy { seen: vec![(0.0, 0.0); classes], ..Fuzzy::default() },
             spoke: vec![now; settings.gateways as usize],
             silence: vec![(0, 0); settings.gateways as usize],
+            words: Words::default(),
             borrows: BTreeMap::new(),
             latency: 0.0,
             typical: 0.0,
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -51,6 +51,7 @@
         most_units: 1.0,
         conn_idle: 15_000_000,
         fenced: false,
+        spare_words: false,
     }
 }
 
--- a/crates/explore/src/setups.rs
+++ b/crates/explore/src/setups.rs
@@ -291,6 +291,7 @@
         most_units: 1.0,
         conn_idle: 15_000_000,
         fenced: false,
+        spare_words: false,
     };
     Ok(Real(Gateway::new(1, settings, 1_000_000)?))
 }
--- a/crates/fleet/src/virtually/mod.rs
+++ b/crates/fleet/src/virtually/mod.rs
@@ -19,7 +19,7 @@
 };
 use saffronpaddle_decision::setup::{self, Named};
 use saffronpaddle_decision::Gateway;
-use saffronpaddle_operator::Operator;
+use saffronpaddle_operator::{Operator, Quotas};
 use saffronpaddle_roster::Terms;
 use saffronpaddle_standins::ledger::{Answer, Asked, Ledger, Repeats, Unanswered};
 use saffronpaddle_standins::links::{End, Links, Which};
@@ -159,13 +159,13 @@
         "there is no etcd in virtual time"
     );
     let says = Operator::parse(operator)?;
-    let mut run = Virtual::new(scenario, seed, (says.list, says.quotas.fenced))?;
+    let mut run = Virtual::new(scenario, seed, (says.list, says.quotas))?;
     run.run();
     Ok(run.report())
 }
 
 impl Virtual {
-    fn new(scenario: Scenario, seed: u64, (terms, fenced): (Option<Terms>, bool)) -> Result<Virtual> {
+    fn new(scenario: Scenario, seed: u64, (terms, quotas): (Option<Terms>, Quotas)) -> Result<Virtual> {
         // What links and clients draw comes from the thread's own generator.
         fastrand::seed(seed);
         let fleet = Fleet::usual(scenario.instances);
@@ -201,7 +201,7 @@
         run.begin_servers();
         for at in 0..run.scenario.instances {
             let mut named = setup::read(&run.fleet.settings(at).to_string()).map_err(anyhow::Error::msg)?;
-            named.settings.fenced = fenced;
+            (named.settings.fenced, named.settings.spare_words) = (quotas.fenced, quotas.spare_words);
             let gateway = Gateway::new(seed ^ at as u64, named.settings.clone(), run.now)?;
             let follower = Follower::new(run.scenario.instances as u32, run.terms.as_ref());
             run.nodes.push(Node {
--- a/crates/fleet/tests/virtual_time.rs
+++ b/crates/fleet/tests/virtual_time.rs
@@ -76,6 +76,20 @@
     }
 }
 
+/// Asks that are put again come out of what is left: with a third of the words lost and the rest late there are no more of them than
+/// peers take in (72 a node and second without the budget).
+#[test]
+fn words_keep_to_their_budget_while_many_are_lost() {
+    let lossy = "[[step]]\ndo = \"peers\"\nloss = 0.3\ndelay_ms = 300\ndelay_least_ms = 250\n";
+    let words = |operator: &str| {
+        let report = play(&pressed(24, lossy), 1, operator);
+        assert!(report.good(), "{report}");
+        report.rows.iter().map(|row| row.sent_s).sum::<f64>() / 24.0
+    };
+    let (without, within) = (words(""), words("[quotas]\nspare_words = true\n"));
+    assert!(within < 50.0 && without > 60.0, "{within} with the budget, {without} without");
+}
+
 /// Words a node and second, from 24 nodes to 1,000, with the load that goes with the size.
 #[test]
 fn words_a_node_and_second_do_not_grow_with_the_fleet() {
--- a/crates/handover/tests/overlap.rs
+++ b/crates/handover/tests/overlap.rs
@@ -30,6 +30,7 @@
         most_units: 1.0,
         conn_idle: 15_000_000,
         fenced: false,
+        spare_words: false,
     }
 }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -154,8 +154,10 @@
     /// What could not be bound.
     pub async fn bind(options: Options) -> Result<Edge> {
         let Options { mut config, operator, handed, meeting, manager } = options;
-        let fenced = operator.as_ref().is_some_and(|file| file.says.quotas.fenced);
-        config.named.settings.fenced = fenced;
+        if let Some(file) = &operator {
+            let settings = &mut config.named.settings;
+            (settings.fenced, settings.spare_words) = (file.says.quotas.fenced, file.says.quotas.spare_words);
+        }
         let shared = handed.is_some();
         let overlaps = meeting.is_some();
         let links = Links::new(&config.name, overlaps);
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -59,6 +59,8 @@
     /// Whether each keeper of a customer's quota holds a part of its own, so that two that do not hear each other never grant more
     /// than the whole.
     pub fenced: bool,
+    /// Whether asks of homes are put again only within a budget of words.
+    pub spare_words: bool,
 }
 
 /// WebSocket.
@@ -181,7 +183,10 @@
                 counts_every: section.span_ms_or_none("counts_every_ms", 0, 3_600_000),
             }),
             list: file.section("list", list),
-            quotas: file.section("quotas", |section| Quotas { fenced: section.flag("fenced", false) }),
+            quotas: file.section("quotas", |section| Quotas {
+                fenced: section.flag("fenced", false),
+                spare_words: section.flag("spare_words", false),
+            }),
             etcd: file.section("etcd", etcd),
             sockets: file.section("sockets", sockets),
         }
