Say once how links are waited for, homes answered and watches told, and count no spare words

One wait for a link (Relay::until) in place of three loops; one answer by the asker's build; groups and places of stand-in servers named once for the rig and virtual time; what a keeper lacks, what a gateway's pace is and how long it is up worked out in one place. Gone: a figure that nobody read, Lender::rate, Held::new. Words are counted only where they are spared, not for each event. A silence keeps its seconds in place of its end. Two comments claimed shares of work that were not measured. One figure was wrong: watches of nodes that ended stayed open in virtual runs (open_most).

--- a/crates/decision/src/asking.rs
+++ b/crates/decision/src/asking.rs
@@ -6,8 +6,7 @@
 use crate::homes::Homes;
 use crate::interface::*;
 use crate::message::{self, Ask, Message};
-use crate::state::Gateway;
-use crate::state::{Home, Out};
+use crate::state::{Gateway, Home, Out};
 use saffronpaddle_quota::{Keeper, Loan, Said, Start, Verdict, LEASE, LOAN};
 
 const HOMES: u32 = 2; // the most homes that one try hears "short" from, and that one waits for in vain
@@ -61,8 +60,7 @@
         let (customer, plan, units, (number, to)) =
             (request.customer, request.plan, request.units, request.asking.home);
         let (first, spread, home) = (store.first, store.spread as u32, number as u8);
-        let up = (now.saturating_sub(self.born) / 1_000_000).min(u64::from(u8::MAX)) as u8;
-        let beside = Some((up, store.memory.level(now)));
+        let beside = Some((self.up_s(now), store.memory.level(now)));
         let newest = request.asking.put != 2 || self.newer[to.0 as usize];
         let wish = (self.settings.fenced && newest).then(|| store.memory.wish(now, number, units));
         let ask = Ask { serial, customer, plan, first, spread, home, units, beside, wish };
@@ -77,6 +75,11 @@
         }
     }
 
+    /// s for which this gateway is up, as they are told.
+    fn up_s(&self, now: Micros) -> u8 {
+        (now.saturating_sub(self.born) / 1_000_000).min(u64::from(u8::MAX)) as u8
+    }
+
     /// As a home: whether a try fits this part of its customer's store, ceiling and places, and what is lent beside.
     pub(crate) fn grant(
         &mut self, now: Micros, from: GatewayId, ask: &Ask, out: &mut Out,
@@ -107,12 +110,13 @@
         (home.plan, home.spread, home.number) = (ask.plan, spread, number);
         let asks = saffronpaddle_quota::Ask { from: from.0, serial: ask.serial, units: ask.units };
         // A home that borrows of who stands by asks for no units.
-        let said = match ask.units > 0.0 {
-            true => home.keeper.ask(now, asks, &terms, self.latency as Micros),
-            false => home.keeper.look(now, &terms),
+        let (said, try_units, lends) = if ask.units > 0.0 {
+            let said = home.keeper.ask(now, asks, &terms, self.latency as Micros);
+            (said, ask.units, home.keeper.is_calm(now))
+        } else {
+            (home.keeper.look(now, &terms), self.settings.most_units, true)
         };
-        let try_units = if ask.units > 0.0 { ask.units } else { self.settings.most_units };
-        let wish = ask.wish.filter(|_| ask.units <= 0.0 || home.keeper.is_calm(now));
+        let wish = ask.wish.filter(|_| lends);
         let loan = wish.and_then(|wish| home.keeper.lend(now, asks, &wish, &terms, try_units));
         if loan.is_some() {
             self.counts.add(Of::Lends);
@@ -123,8 +127,7 @@
             Verdict::Full => self.counts.add(Of::HomeFull),
             Verdict::Over => self.counts.add(Of::HomeOver),
         }
-        let pressed = self.settings.fenced && number < homes.parts && said.level < 0.5;
-        if pressed && homes.keepers > homes.parts {
+        if self.settings.fenced && number < homes.parts && said.level < 0.5 {
             self.borrow_beside(now, ask, homes, out);
         }
         Some((said, loan))
@@ -262,10 +265,9 @@
             return;
         }
         self.borrows.insert(self.serial, (ask.customer, now));
-        let (up, wish) = ((now.saturating_sub(self.born) / 1_000_000).min(255) as u8, home.keeper.wish(now));
-        let beside = Some((up, None));
-        let ask =
-            Ask { serial: self.serial, home: number as u8, units: 0.0, beside, wish: Some(wish), ..*ask };
+        let wish = Some(home.keeper.wish(now));
+        let (serial, beside) = (self.serial, Some((self.up_s(now), None)));
+        let ask = Ask { serial, home: number as u8, units: 0.0, beside, wish, ..*ask };
         out.push(Action::Tell { to, bytes: message::write(&Message::Ask(ask, None)) });
     }
 
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -122,9 +122,9 @@
             Event::Twins { ended, shared, hushed } => self.twins(ended, shared, hushed),
         }
         self.dispatch(now, out);
-        let words = out.iter().skip(before).filter(|action| matches!(action, Action::Tell { .. })).count();
-        if words > 0 {
-            self.words.said(now, words as f64, self.words_a_second());
+        if self.settings.spare_words {
+            let told = out.iter().skip(before).filter(|action| matches!(action, Action::Tell { .. }));
+            self.words.said(now, told.count() as f64, self.words_a_second());
         }
         let next = if self.wide { self.next_tick } else { self.next_tick.min(self.next_gossip) };
         let next = if self.requests.is_empty() { next.max(now + SWEEP) } else { now + SWEEP };
@@ -441,12 +441,11 @@
             Message::Ask(ask, news) => {
                 news.into_iter().for_each(|news| self.told(now, from, news));
                 let Some((said, loan)) = self.grant(now, from, &ask, out) else { return };
-                let answer = match (ask.beside, ask.wish) {
-                    (Some(_), Some(_)) => {
-                        Message::Answer(ask.serial, said, Some(loan), self.news_if_due(now))
+                let answer = match ask.beside {
+                    Some(_) => {
+                        Message::Answer(ask.serial, said, ask.wish.map(|_| loan), self.news_if_due(now))
                     }
-                    (Some(_), None) => Message::Answer(ask.serial, said, None, self.news_if_due(now)),
-                    (None, _) => Message::OldAnswer(ask.serial, said, Some(self.news(now))),
+                    None => Message::OldAnswer(ask.serial, said, self.news(now)),
                 };
                 return out.push(Action::Tell { to: from, bytes: message::write(&answer) });
             }
@@ -455,7 +454,7 @@
                 return self.answered(now, serial, (said, loan.flatten()), out);
             }
             Message::OldAnswer(serial, said, news) => {
-                news.into_iter().for_each(|news| self.told(now, from, news));
+                self.told(now, from, news);
                 return self.answered(now, serial, (said, None), out);
             }
             Message::Gift(server, gift) => return self.given(now, from, server, gift),
@@ -464,9 +463,9 @@
             }
         };
         let spoke = std::mem::replace(&mut self.spoke[from.0 as usize], now);
-        let silence = &mut self.silence[from.0 as usize];
-        *silence = if kept_for(now, spoke) > 0.0 { (spoke, now) } else { *silence };
-        let (silent_from, kept_for) = (silence.0, kept_for(silence.1, silence.0));
+        let (silence, kept_for) = (&mut self.silence[from.0 as usize], kept_for(now, spoke));
+        *silence = if kept_for > 0.0 { (spoke, kept_for) } else { *silence };
+        let (silent_from, kept_for) = *silence;
         self.met(now, birth);
         for (customer, count) in counts {
             let Some(store) = self.stores.get_mut(&customer) else { continue };
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -80,7 +80,7 @@
     Ask(Ask, Option<News>),
     /// The inner loan is what is lent, the outer one is none where the word is of the build before.
     Answer(u16, Said, Option<Option<Loan>>, Option<News>),
-    OldAnswer(u16, Said, Option<News>),
+    OldAnswer(u16, Said, News),
     Done(u16, CustomerId),
     /// A right to send to a cold server, by its short name; a build of yesterday passes it over.
     Gift(u16, Gift),
@@ -168,7 +168,7 @@
             bytes.extend_from_slice(&serial.to_le_bytes());
             bytes
                 .extend_from_slice(&[u8::from(said.verdict != Verdict::Granted), small(said.chance * 255.0)]);
-            news.iter().for_each(|news| write_news(news, &mut bytes));
+            write_news(news, &mut bytes);
         }
         Message::Gift(server, gift) => {
             bytes.push(8);
@@ -296,7 +296,7 @@
             let verdict = *VERDICTS[..2].get(taken.number(1)? as usize)?;
             let chance = taken.number(1)? as f64 / 255.0;
             let level = if verdict == Verdict::Granted { 1.0 } else { 0.0 };
-            Message::OldAnswer(serial, Said { verdict, chance, wait: 0, level }, Some(taken.news()?))
+            Message::OldAnswer(serial, Said { verdict, chance, wait: 0, level }, taken.news()?)
         }
         kind @ (7 | 10) => {
             let serial = taken.number(2)? as u16;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -366,8 +366,8 @@
     pub(crate) fuzzy: Fuzzy,
     /// When each gateway was last heard; this one is never silent.
     pub(crate) spoke: Vec<Micros>,
-    /// When each gateway was last found to have been silent: from when to when.
-    pub(crate) silence: Vec<(Micros, Micros)>,
+    /// Since when each gateway was silent when it last was, and for how many s its share was kept back then.
+    pub(crate) silence: Vec<(Micros, f64)>,
     /// µs: mean latency, and the median wait of the servers.
     pub(crate) latency: f64,
     pub(crate) typical: f64,
@@ -455,7 +455,7 @@
             cut: BTreeMap::new(),
             fuzzy: Fuzzy { seen: vec![(0.0, 0.0); classes], ..Fuzzy::default() },
             spoke: vec![now; settings.gateways as usize],
-            silence: vec![(0, 0); settings.gateways as usize],
+            silence: vec![(0, 0.0); settings.gateways as usize],
             words: Words::default(),
             borrows: BTreeMap::new(),
             latency: 0.0,
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -192,7 +192,7 @@
 }
 
 /// What stands at these shares of sorted figures.
-fn at(sorted: &[f64], shares: &[f64]) -> Vec<f64> {
+pub(crate) fn at(sorted: &[f64], shares: &[f64]) -> Vec<f64> {
     let place = |share: f64| (sorted.len() as f64 * share) as usize;
     shares.iter().map(|share| sorted.get(place(*share)).copied().unwrap_or(0.0)).collect()
 }
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -5,7 +5,7 @@
 use crate::manager::Manager;
 use crate::report::{Report, Row};
 use crate::room;
-use crate::scenario::{Deed, Known, Roster, Scenario, Step};
+use crate::scenario::{Deed, Known, Roster, Scenario, Step, GROUP, SLOTS};
 use crate::ways::Ways;
 use crate::windows;
 use anyhow::{Context, Result};
@@ -512,9 +512,9 @@
     for number in 0..scenario.servers {
         let spec = Spec {
             name: format!("s-{number}"),
-            block: number as u64 / 3,
+            block: (number / GROUP) as u64,
             cores,
-            slots: cores * 16,
+            slots: cores * SLOTS,
             work: fleet.classes.iter().map(|class| (class.name.to_owned(), class.work)).collect(),
         };
         let block = spec.block;
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -459,6 +459,10 @@
     }
 }
 
+/// Requests that an app server holds at once for each core, beyond which it turns away unseen.
+pub const SLOTS: usize = 16;
+/// App servers in a group that drops repeats.
+pub const GROUP: usize = 3;
 /// Most instances, and most app servers.
 const MOST: u64 = 1000;
 
--- a/crates/fleet/src/virtually/lists.rs
+++ b/crates/fleet/src/virtually/lists.rs
@@ -2,7 +2,7 @@
 //! as in a process.
 
 use super::{Virtual, START, WAY};
-use crate::scenario::Scenario;
+use crate::scenario::{Scenario, GROUP};
 use saffronpaddle_decision::interface::{CellId, ListKind, Micros, ServerEntry, ServerId, Standing, ZoneId};
 use saffronpaddle_roster::{Doubt, Pace, Terms};
 use saffronpaddle_standins::discovery::{Back, Bearing, Calls, LINE_MOST};
@@ -136,24 +136,29 @@
     /// All open watches are told of what has changed, as late as the service is.
     pub(super) fn push(&mut self) {
         let late = self.scenario.lateness.as_micros() as Micros;
+        self.tell_watches(late, Comes::Told);
+    }
+
+    /// Something comes to each node whose watch is open.
+    fn tell_watches(&mut self, after: Micros, comes: impl Fn(u64) -> Comes) {
         for at in 0..self.nodes.len() {
-            let (life, call) = (self.nodes[at].life, self.nodes[at].follower.call);
             if self.nodes[at].follower.watches {
-                let way = self.way();
-                self.later(late + way, super::Comes::List(at, life, Comes::Told(call)));
+                let (way, call) = (self.way(), self.nodes[at].follower.call);
+                self.list_later(at, after + way, comes(call));
             }
         }
     }
 
+    /// A node's watch is open no more, if it was.
+    pub(super) fn unwatch(&mut self, at: usize) {
+        if std::mem::take(&mut self.nodes[at].follower.watches) {
+            self.service.calls.open -= 1;
+        }
+    }
+
     /// All watches end at one stroke.
     pub(super) fn end_watches(&mut self) {
-        for at in 0..self.nodes.len() {
-            let (life, call) = (self.nodes[at].life, self.nodes[at].follower.call);
-            if self.nodes[at].follower.watches {
-                let way = self.way();
-                self.later(way, super::Comes::List(at, life, Comes::Ended(call, None)));
-            }
-        }
+        self.tell_watches(0, |call| Comes::Ended(call, None));
     }
 
     fn list_later(&mut self, at: usize, after: Micros, comes: Comes) {
@@ -189,7 +194,7 @@
                 let terms = self.terms.as_ref();
                 let doubt =
                     terms.and_then(|terms| self.nodes[at].follower.doubt.asks_again(terms.empty_after));
-                let settled = doubt.is_some_and(|at| at <= Duration::from_micros(self.now - START));
+                let settled = doubt.is_some_and(|at| at <= self.since());
                 if !self.hears_list(at) || settled {
                     let after = if settled { 0 } else { SILENT_FOR - SIGN_OF_LIFE };
                     self.list_later(at, after, Comes::Ended(call, None));
@@ -199,11 +204,9 @@
             }
             Comes::Ended(of, after) if of == call => {
                 let draw = self.random.f64();
+                self.unwatch(at);
                 let follower = &mut self.nodes[at].follower;
                 follower.call += 1;
-                if std::mem::take(&mut follower.watches) {
-                    self.service.calls.open -= 1;
-                }
                 let pause = match after {
                     Some(after) => follower.pace.told(after, draw),
                     None => follower.pace.pause(draw),
@@ -276,7 +279,7 @@
     ServerEntry {
         server: ServerId(server as u64),
         zone: ZoneId((server % 2) as u32),
-        cell: CellId((server / 3) as u64),
+        cell: CellId((server / GROUP) as u64),
         standing: match health {
             "ready" => Standing::Ready,
             "draining" => Standing::Draining,
--- a/crates/fleet/src/virtually/mod.rs
+++ b/crates/fleet/src/virtually/mod.rs
@@ -7,7 +7,7 @@
 mod servers;
 
 use crate::customers::customers;
-use crate::report::{Report, Row};
+use crate::report::{at, Report, Row};
 use crate::rig::DRAINS_FOR;
 use crate::scenario::{Deed, Known, Roster, Scenario};
 use crate::windows;
@@ -15,7 +15,7 @@
 use lists::{Follower, Service};
 use saffronpaddle_decision::interface::{
     Action, AttemptNo, ClassId, CustomerId, Event, GatewayId, ListKind, Micros, Outcome, PlanId, RequestId,
-    ServerId,
+    ServerEntry, ServerId,
 };
 use saffronpaddle_decision::setup::{self, Named};
 use saffronpaddle_decision::Gateway;
@@ -43,7 +43,7 @@
 const FINISHES: Micros = 3_100_000;
 /// A process that stands still is dealt clients for so long, µs.
 const SEEN_STILL: Micros = 1_250_000;
-/// Words that the machine keeps for a process that does not read, and those that one takes in a second.
+/// Words that the machine keeps for a process that does not read.
 const UNREAD: usize = 270;
 /// Load begins so long after the first process started.
 const BEFORE: Micros = 500_000;
@@ -116,7 +116,7 @@
     wires: HashMap<usize, Micros>,
     follower: Follower,
     words: (u64, u64),
-    /// Words taken in the second that runs.
+    /// When its intake was last filled, and for how many words it has room.
     intake: (Micros, f64),
 }
 
@@ -141,10 +141,10 @@
     decided: BTreeMap<&'static str, u64>,
     processes: u64,
     words_bytes: u64,
-    words_lost: u64,
     retries: u64,
     nobody: u64,
-    late_us: Vec<u32>,
+    /// How long served answers took, ms.
+    took_ms: Vec<f64>,
     requests: u64,
 }
 
@@ -187,10 +187,9 @@
             decided: BTreeMap::new(),
             processes: 0,
             words_bytes: 0,
-            words_lost: 0,
             retries: 0,
             nobody: 0,
-            late_us: Vec::new(),
+            took_ms: Vec::new(),
             requests: 0,
             scenario,
             fleet,
@@ -380,13 +379,19 @@
         self.later(seen, Comes::Opens(at, life, true));
     }
 
+    /// Adds up what its module has counted.
+    fn count(&mut self, at: usize) {
+        for (name, count) in self.nodes[at].gateway.counted().named() {
+            *self.decided.entry(name).or_default() += count;
+        }
+    }
+
     /// Its process ends in this moment, with all that it held.
     fn ends(&mut self, at: usize, why: Unanswered) {
         let since = self.since();
+        self.count(at);
+        self.unwatch(at);
         let node = &mut self.nodes[at];
-        for (name, count) in node.gateway.counted().named() {
-            *self.decided.entry(name).or_default() += count;
-        }
         (node.runs, node.open, node.still) = (false, false, None);
         node.life += 1;
         for (id, waiting) in std::mem::take(&mut node.waits) {
@@ -427,7 +432,8 @@
 
     fn tries(&mut self, client: Client) {
         let customer = &self.customers[client.customer];
-        let mut nodes = customer.nodes(self.nodes.len(), Duration::from_micros(self.now - START));
+        let since = self.since();
+        let mut nodes = customer.nodes(self.nodes.len(), since);
         let Some(at) = nodes.find(|node| self.nodes[*node].open) else {
             self.nobody += 1;
             return;
@@ -444,7 +450,6 @@
             units: 1.0,
             patience: class.deadline,
         };
-        let since = Duration::from_micros(self.now - START);
         self.ledger.asked(since, asked);
         if self.nodes[at].still.is_some() {
             self.ledger.unanswered(&id.0, Unanswered::Paused);
@@ -551,7 +556,6 @@
         let fault = self.links.on(End::Node(from), End::Node(to));
         for _ in 0..1 + usize::from(fastrand::f64() < fault.doubled) {
             if fault.loses() || !self.takes_in(to) {
-                self.words_lost += 1;
                 continue;
             }
             let way = self.way() + fault.way().as_micros() as Micros;
@@ -648,9 +652,9 @@
     fn report(mut self) -> Report {
         let (began, duration) = (Duration::from_micros(self.began - START), self.scenario.duration);
         let seconds = duration.as_secs_f64();
-        for node in self.nodes.iter().filter(|node| node.runs) {
-            for (name, count) in node.gateway.counted().named() {
-                *self.decided.entry(name).or_default() += count;
+        for at in 0..self.nodes.len() {
+            if self.nodes[at].runs {
+                self.count(at);
             }
         }
         let capacities: Vec<(String, f64)> =
@@ -663,18 +667,15 @@
             sent_s: node.words.0 as f64 / seconds,
             received_s: node.words.1 as f64 / seconds,
         };
-        self.late_us.sort_unstable();
-        let late = |share: f64| {
-            let place = (self.late_us.len() as f64 * share) as usize;
-            self.late_us.get(place).map_or(0.0, |us| f64::from(*us) / 1e3)
-        };
+        self.took_ms.sort_by(f64::total_cmp);
+        let took = at(&self.took_ms, &[0.5, 0.99]);
         let counts = Counts {
             refused_connections: 0,
             resent: 0,
             retries: self.retries,
             nobody: self.nobody,
-            p50_ms: late(0.5),
-            p99_ms: late(0.99),
+            p50_ms: took[0],
+            p99_ms: took[1],
         };
         Report {
             scenario: self.scenario.name.clone(),
@@ -698,9 +699,7 @@
     }
 
     /// Tells a node of servers.
-    fn listed(
-        &mut self, at: usize, kind: ListKind, entries: Vec<saffronpaddle_decision::interface::ServerEntry>,
-    ) {
+    fn listed(&mut self, at: usize, kind: ListKind, entries: Vec<ServerEntry>) {
         self.tell(at, Event::Servers { kind, entries });
     }
 }
--- a/crates/fleet/src/virtually/servers.rs
+++ b/crates/fleet/src/virtually/servers.rs
@@ -1,15 +1,11 @@
 //! App servers in virtual time: cores, a waiting room, and how warm they are.
 
 use super::{Comes, Virtual, START};
+use crate::scenario::{GROUP, SLOTS};
 use saffronpaddle_decision::interface::{AttemptNo, Micros, Outcome, RequestId};
 use saffronpaddle_standins::links::End;
 use std::time::Duration;
 
-/// Requests held at once for each core, beyond which a server turns away unseen.
-const SLOTS: usize = 16;
-/// Servers in a group that drops repeats.
-const GROUP: usize = 3;
-
 pub(super) struct Server {
     pub name: String,
     pub block: u64,
@@ -158,7 +154,7 @@
             return;
         }
         if outcome == Outcome::Ok {
-            self.late_us.push((self.now - flight.first).min(u64::from(u32::MAX)) as u32);
+            self.took_ms.push((self.now - flight.first) as f64 / 1e3);
         }
         self.over(flight.node, flight.id.clone(), outcome);
     }
--- a/crates/node/src/facts.rs
+++ b/crates/node/src/facts.rs
@@ -63,8 +63,8 @@
 
 /// Descriptors that are open; none where the machine does not tell.
 fn descriptors() -> u64 {
-    // The folder's size is their number (`proc(5)`, since Linux 6.2; 0 before): a list of them all, made twice a second,
-    // was most of what an idle node did, and 2% of a core with 20,000.
+    // The folder's size is their number (`proc(5)`, since Linux 6.2; 0 before). A list of them all, made twice a second, is 2%
+    // of a core with 20,000.
     match fs::metadata("/proc/self/fd").map_or(0, |folder| folder.len()) {
         0 => listed_descriptors(),
         open => open,
@@ -78,7 +78,7 @@
 
 /// Bytes of memory in use; none where the machine does not tell.
 fn resident() -> u64 {
-    // In pages, the second figure (`proc(5)`, statm): a tenth of the work that `status` is.
+    // In pages, the second figure (`proc(5)`, statm).
     let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
     pages.unwrap_or(0) * page_size()
--- a/crates/quota/src/keeper.rs
+++ b/crates/quota/src/keeper.rs
@@ -231,19 +231,20 @@
         self.asked = self.asked * (-span).exp() + ask.units;
         let wanted = (WANTED * terms.rate).max(1.0);
         // A unit of the stand-by's is of its store and of its ceiling.
-        let lacks =
-            terms.rate > 0.0 && self.level < ask.units || terms.ceiling.is_some() && self.ceiling < ask.units;
-        let beside = lacks && self.borrowed.as_mut().is_some_and(|held| held.take(now, ask.units));
-        if beside {
+        let lacks = |keeper: &Keeper| {
+            let over = terms.ceiling.is_some() && keeper.ceiling < ask.units;
+            (terms.rate > 0.0 && keeper.level < ask.units, over)
+        };
+        let (mut short, mut over) = lacks(self);
+        if (short || over) && self.borrowed.as_mut().is_some_and(|held| held.take(now, ask.units)) {
             self.level += ask.units;
             self.ceiling += ask.units;
+            (short, over) = lacks(self);
         }
-        let short = terms.rate > 0.0 && self.level < ask.units;
         let pressed = short && self.asked > wanted;
         self.chance = if pressed { self.chance * THIN } else { (self.chance + THICKEN * span).min(1.0) };
         self.places.retain(|place| place.2 > now);
         let full = terms.at_once.is_some_and(|most| self.places.len() >= most as usize);
-        let over = terms.ceiling.is_some() && self.ceiling < ask.units;
         self.short_at = if short || over { now } else { self.short_at };
         let borrowed = self.borrowed.map_or(0.0, |held| held.rate(now));
         if short {
--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -98,11 +98,6 @@
         self.lent.is_empty()
     }
 
-    /// Units a second that are lent now.
-    pub fn rate(&self, now: Micros) -> f64 {
-        self.lent.iter().filter(|lent| lent.until > now).map(|lent| lent.loan.rate).sum()
-    }
-
     /// Notes a loan that who asks still holds and that is not known here. Danger: a keeper that was restarted and fills at a rate
     /// that its last life has lent.
     pub fn told(&mut self, now: Micros, from: u32, wish: &Wish, of_store: bool) {
@@ -148,8 +143,8 @@
         if self.lent.len() >= LOANS_MOST {
             return None;
         }
-        let room: f64 = self.lent.iter().map(|lent| lent.loan.room).sum();
-        let (free_rate, free_depth) = (rate - self.rate(now), depth - room);
+        let lent = |of: fn(&Loan) -> f64| self.lent.iter().map(|lent| of(&lent.loan)).sum::<f64>();
+        let (free_rate, free_depth) = (rate - lent(|loan| loan.rate), depth - lent(|loan| loan.room));
         let wanted = (wish.rate * WANTED).min(free_rate);
         if wanted < LEAST || free_depth < try_units {
             return None;
@@ -175,14 +170,7 @@
 }
 
 impl Held {
-    /// What came of an ask that was first put then.
-    pub fn new(now: Micros, asked: Micros, keeper: u32, loan: Loan) -> Held {
-        // It fills from now on: its keeper had lent it before the word left.
-        let until = asked.saturating_add(LOAN - LOAN / DRIFT);
-        Held { keeper, loan, level: loan.units.min(loan.room), filled: now, until }
-    }
-
-    /// The next one, behind one that may still have units.
+    /// What came of an ask that was first put then, behind one that may still have units.
     pub fn after(last: Option<Held>, now: Micros, asked: Micros, keeper: u32, loan: Loan) -> Held {
         let left = match last {
             Some(mut last) if last.keeper == keeper && !last.is_over(now) => {
@@ -191,8 +179,9 @@
             }
             _ => 0.0,
         };
-        let next = Held::new(now, asked, keeper, loan);
-        Held { level: (next.level + left).min(loan.room), ..next }
+        // It fills from now on: its keeper had lent it before the word left.
+        let until = asked.saturating_add(LOAN - LOAN / DRIFT);
+        Held { keeper, loan, level: (loan.units + left).min(loan.room), filled: now, until }
     }
 
     /// Whether it has ended.
--- a/crates/quota/src/memory.rs
+++ b/crates/quota/src/memory.rs
@@ -110,8 +110,7 @@
     pub fn alone(&mut self, now: Micros, units: f64) -> bool {
         if self.alone.is_none() {
             // Only while homes are heard: once they are not, the pace stays.
-            let since = now.saturating_sub(self.granted_at) as f64;
-            self.granted *= (-since / GRANTS_FOR).exp();
+            self.granted = self.pace(now);
         }
         let greedy = self.wants_more(now);
         let rate = self.granted * if self.level >= 0.5 && !greedy { ALONE.1 } else { ALONE.0 };
--- a/crates/standins/src/links.rs
+++ b/crates/standins/src/links.rs
@@ -221,7 +221,6 @@
     /// Lets no connection come up until the fault is lifted: the queue of those that wait to be accepted is kept full, and
     /// the machine drops the first packet of any more.
     async fn hears_nobody(&self, listener: &TcpListener, at: SocketAddr) {
-        let mut changed = self.links.changed.subscribe();
         let queue = |length| socket2::SockRef::from(listener).listen(length);
         // Where the machine does not let the queue be shortened, connections come up and stall: no run depends on more.
         let _ = queue(0);
@@ -232,12 +231,7 @@
             let Ok(Ok(stream)) = comes_up else { break };
             own.push(stream);
         }
-        while self.links.on(self.near, self.far).unheard {
-            changed.borrow_and_update();
-            if self.links.on(self.near, self.far).unheard {
-                let _ = changed.changed().await;
-            }
-        }
+        self.until(self.near, self.far, |fault| !fault.unheard).await;
         let _ = queue(BACKLOG);
         let own: BTreeSet<SocketAddr> = own.iter().filter_map(|stream| stream.local_addr().ok()).collect();
         for _ in 0..own.len() {
@@ -281,29 +275,27 @@
         }
     }
 
-    /// Waits until bytes may pass one way; an error where the link resets.
-    async fn open(&self, from: End, to: End) -> Result<Fault, ()> {
+    /// Waits until what lies on a link is such.
+    async fn until(&self, from: End, to: End, such: impl Fn(&Fault) -> bool) -> Fault {
         let mut changed = self.links.changed.subscribe();
         loop {
             changed.borrow_and_update();
-            match self.links.on(from, to) {
-                fault if fault.reset => return Err(()),
-                fault if !fault.stalled => return Ok(fault),
-                // The sender lives as long as the links do.
-                _ => _ = changed.changed().await,
+            let fault = self.links.on(from, to);
+            if such(&fault) {
+                return fault;
             }
+            // The sender lives as long as the links do.
+            let _ = changed.changed().await;
         }
     }
 
-    /// Comes back once the link resets.
-    async fn resets(&self, from: End, to: End) {
-        let mut changed = self.links.changed.subscribe();
-        loop {
-            changed.borrow_and_update();
-            if self.links.on(from, to).reset {
-                return;
-            }
-            let _ = changed.changed().await;
+    /// Waits until bytes may pass one way; an error where the link resets.
+    async fn open(&self, from: End, to: End) -> Result<Fault, ()> {
+        let fault = self.until(from, to, |fault| fault.reset || !fault.stalled).await;
+        if fault.reset {
+            Err(())
+        } else {
+            Ok(fault)
         }
     }
 
@@ -312,7 +304,7 @@
         loop {
             let length = tokio::select! {
                 length = read.read(&mut buffer) => length,
-                () = self.resets(from, to) => return Ended::Reset,
+                _ = self.until(from, to, |fault| fault.reset) => return Ended::Reset,
             };
             let Ok(length) = length else { return Ended::Reset };
             let Ok(fault) = self.open(from, to).await else { return Ended::Reset };
