Take drains before requests, read lists as they end, answer what came whole at the end

Lists are read as they end (roster::Objects), also where two come in one piece or the end of a line is missing; - a loop that was late found a drain and requests at once and wrote the requests first (upstream.rs, Gated::ask): before a first byte the watch's own socket is looked at, and what has come on it is taken first; what is turned away so costs no attempt and no retry (control.rs, ended); - where lists are asked for, the pause after a watch that had been open grew with the fleet (Pace::of, 12 s at the mean with 300 nodes): a second at the most now, while an installation's own [list] terms are kept to as before; - SIGHUP left the old watch at once (follow): it is heard on until the new address has told its first list. The test in edge.rs that had the old watch end before the new one spoke now has it end right after: what the old one told in between was lost; - a client that left behind bytes sent ahead was not seen while its request waited (the library stops reading then): the machine's word on the connection is looked at each 100 ms; - half a head on a kept connection was dropped as the node closed; a request on the way out could outlive the process; a connection that made way or was silent for too long was cut though its request's last byte had come (unit test in clients.rs: a_request_that_comes_whole_as_its_connection_makes_way).

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -961,6 +961,7 @@
         }
         request.cancelled = false;
         request.reached |= !matches!(outcome, Outcome::Unreachable | Outcome::NotSent);
+        request.unsent += u32::from(outcome == Outcome::NotSent);
         let unproved = !matches!(outcome, Outcome::Full | Outcome::Unreachable | Outcome::NotSent);
         if unproved && request.ran.is_none() {
             let server = self.servers.get(&attempt.server);
@@ -968,13 +969,16 @@
         }
         let class = &self.settings.classes[request.class.0];
         let worth = class.late_value > 0.0 || now < request.arrived.saturating_add(class.aim);
-        let spent =
-            request.attempts >= self.settings.allowed.attempts || self.retries < 1.0 || request.single;
+        // What was turned away before its first byte is no attempt; but that has an end too.
+        let most = self.settings.allowed.attempts;
+        let free = outcome == Outcome::NotSent && request.unsent <= most;
+        let spent = request.attempts >= most + request.unsent.min(most);
+        let spent = spent || !free && self.retries < 1.0 || request.single;
         let never = request.ran.is_some() && class.effect == Effect::Unsafe;
         if now >= request.deadline || spent || never {
             self.finish(now, &id, Of::Spent, out);
         } else if worth {
-            self.retries -= 1.0;
+            self.retries -= if free { 0.0 } else { 1.0 };
             self.waiting.push(id);
         }
     }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -41,6 +41,8 @@
     pub due: Micros,
     pub deadline: Micros,
     pub attempts: u32,
+    /// Those among them of which no byte was written.
+    pub unsent: u32,
     pub out: Option<AttemptNo>,
     pub cancelled: bool,
     /// Its body has not come whole: what is out has not begun at the server, and draws nothing yet.
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -367,6 +367,27 @@
     }
 }
 
+/// A drain that is told between the choice of a server and the first byte costs a request none of its attempts; but what is
+/// turned away again and again has an end.
+#[test]
+fn what_is_turned_away_before_its_first_byte_is_not_charged_as_an_attempt() {
+    for class in [SAFE, KEYED, UNSAFE, KEYED_ALL] {
+        let mut stand = Stand::with_servers(3, settings(0, 1), S, 4);
+        let id = stand.request(class, 1, 7, 2 * S);
+        for _ in 0..stand.settings.allowed.attempts {
+            assert_eq!(sends(&stand.end(&id, Outcome::NotSent)), 1, "{class:?}");
+        }
+        for _ in 1..stand.settings.allowed.attempts {
+            assert_eq!(sends(&stand.end(&id, Outcome::Unreachable)), 1, "{class:?}: all of its own are left");
+        }
+        assert_eq!(sends(&stand.end(&id, Outcome::Unreachable)), 0, "{class:?}");
+    }
+    let mut stand = Stand::with_servers(3, settings(0, 1), S, 4);
+    let id = stand.request(SAFE, 1, 7, 2 * S);
+    let again = (0..100).take_while(|_| sends(&stand.end(&id, Outcome::NotSent)) == 1).count();
+    assert!(again < 2 * stand.settings.allowed.attempts as usize, "{again}");
+}
+
 #[test]
 fn a_keyed_request_outside_its_window_fails_and_is_not_refused() {
     let mut stand = Stand::with_servers(3, settings(0, 1), S, 4);
--- a/crates/fleet/src/virtually/lists.rs
+++ b/crates/fleet/src/virtually/lists.rs
@@ -177,7 +177,6 @@
         match comes {
             Comes::Call => self.calls(at),
             Comes::Answered(of) if of == call => {
-                self.nodes[at].follower.pace.answered();
                 self.nodes[at].follower.watches = true;
                 self.service.calls.open += 1;
                 self.service.calls.open_most = self.service.calls.open_most.max(self.service.calls.open);
@@ -204,11 +203,13 @@
             }
             Comes::Ended(of, after) if of == call => {
                 let draw = self.random.f64();
+                let watched = self.nodes[at].follower.watches;
                 self.unwatch(at);
                 let follower = &mut self.nodes[at].follower;
                 follower.call += 1;
                 let pause = match after {
                     Some(after) => follower.pace.told(after, draw),
+                    None if watched => follower.pace.ended(draw),
                     None => follower.pace.pause(draw),
                 };
                 self.list_later(at, pause.as_micros() as Micros, Comes::Call);
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -70,12 +70,16 @@
 }
 
 impl Limits {
+    /// What an answer may take from its deadline until it is written. The platform's kill comes 700 ms after the longest
+    /// deadline: 600 ms of leaving and these stay below that.
+    const LAST_WORDS: Duration = Duration::from_millis(50);
+
     /// Ready as soon as it listens, whatever it knows: how an edge node without an operator file behaves.
     pub fn immediate(longest_deadline: Duration) -> Limits {
         Limits {
             readiness: readiness::Conditions::none(),
             leave_for: Duration::from_millis(600),
-            finish_within: longest_deadline,
+            finish_within: longest_deadline + Limits::LAST_WORDS,
             reload_within: Duration::from_secs(10),
         }
     }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::bodies::{self, joined, Gathered, Pipe, BODY_MOST, LARGEST};
 use crate::node::{Answer, Node, Payload};
 use crate::seats::{Busy, Seat, Watched};
+use crate::shared::has_ended;
 use crate::sockets;
 use crate::upstream::{Forward, Going};
 use bytes::Bytes;
@@ -28,7 +29,7 @@
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -54,6 +55,10 @@
 /// How long a connection that has never asked may still ask once the edge node closes. Guards a request that is on its
 /// way when the node that the machine gave the connection to is told to stop.
 const FIRST_WITHIN: Duration = Duration::from_millis(500);
+/// Rounds of the loop in which bytes that the machine holds reach a request's reader: the driver's, the connection's and one more.
+const LAST_LOOKS: usize = 3;
+/// A node that ends answers all that it has so much before its bound. Guards answers that are made and not yet written.
+const LAST_WORDS: Duration = Duration::from_millis(30);
 /// Pause after a connection that could not be accepted, for lack of descriptors mostly.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -78,12 +83,14 @@
     /// Whether the five rules can be kept for new work, and if not, why.
     pub ready: bool,
     pub why: Reasons,
+    /// When the process ends, whatever is still open.
+    pub ends: Option<Instant>,
 }
 
 impl Standing {
     /// How it stands before anything was seen.
     pub fn unready() -> Standing {
-        Standing { phase: Phase::Serving, accepts: true, ready: false, why: Reasons::default() }
+        Standing { phase: Phase::Serving, accepts: true, ready: false, why: Reasons::default(), ends: None }
     }
 }
 
@@ -98,28 +105,42 @@
 struct Crowd {
     began: Instant,
     tasks: JoinSet<()>,
-    seats: Vec<(Arc<Seat>, AbortHandle)>,
+    seats: Vec<Taken>,
+}
+
+/// One of them. Its socket is its task's; here it is only looked at.
+struct Taken {
+    seat: Arc<Seat>,
+    stream: Weak<TcpStream>,
+    task: AbortHandle,
 }
 
 impl Crowd {
     fn seat(&mut self, stream: TcpStream, node: &Rc<Node>, phase: &watch::Receiver<Standing>) {
-        let seat = Seat::new(self.began);
+        let (seat, stream) = (Seat::new(self.began), Arc::new(stream));
+        let looked_at = Arc::downgrade(&stream);
         let talk = converse(stream, Rc::clone(node), phase.clone(), Arc::clone(&seat));
-        let handle = self.tasks.spawn_local(talk);
-        self.seats.push((seat, handle));
+        let task = self.tasks.spawn_local(talk);
+        self.seats.push(Taken { seat, stream: looked_at, task });
     }
 
     /// Forgets connections that have ended.
     fn tidy(&mut self) {
-        self.seats.retain(|(_, handle)| !handle.is_finished());
+        self.seats.retain(|taken| !taken.task.is_finished());
     }
 
-    /// Closes connections whose time is up.
+    /// Has connections go whose time is up, and closes those whose client has gone. Danger: the library stops reading where a
+    /// client has sent more than its request, and does not see that it leaves: what waits would be sent on for nobody.
     fn look(&mut self) {
         self.tidy();
         let now = self.began.elapsed();
-        let over = self.seats.iter().filter(|(seat, _)| Limits::USUAL.over(now, &seat.seen()));
-        over.for_each(|(_, handle)| handle.abort());
+        for Taken { seat, stream, task } in &self.seats {
+            if seat.unwatched() && stream.upgrade().is_some_and(|stream| has_ended(&stream)) {
+                task.abort();
+            } else if Limits::USUAL.over(now, &seat.seen()) {
+                seat.send_away();
+            }
+        }
     }
 
     /// Makes room for one more. Guards against crowds that shut out others: where all seats are taken, who has been silent
@@ -127,9 +148,9 @@
     async fn make_room(&mut self, most: usize) {
         while self.tasks.len() >= most {
             self.tidy();
-            let seen: Vec<_> = self.seats.iter().map(|(seat, _)| seat.seen()).collect();
+            let seen: Vec<_> = self.seats.iter().map(|taken| taken.seat.seen()).collect();
             if let Some(place) = Limits::USUAL.weakest(self.began.elapsed(), &seen) {
-                self.seats.swap_remove(place).1.abort();
+                self.seats[place].seat.send_away();
             }
             // One that ends, by itself or not, has closed its socket; meanwhile another may have become idle.
             let _ = tokio::time::timeout(ACCEPT_AGAIN, self.tasks.join_next()).await;
@@ -190,7 +211,32 @@
     }
 }
 
-async fn converse(stream: TcpStream, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Arc<Seat>) {
+/// One client's connection, until it ends or is sent away.
+async fn converse(stream: Arc<TcpStream>, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Arc<Seat>) {
+    let talk = talk(stream, node, phase, Arc::clone(&seat));
+    tokio::pin!(talk);
+    loop {
+        tokio::select! {
+            biased;
+            () = &mut talk => return,
+            () = seat.sent_away() => {}
+        }
+        // Danger: a request whose last byte comes in the instant in which its connection is closed. What the machine holds
+        // is read first; who turns out to have asked stays.
+        for _ in 0..LAST_LOOKS {
+            tokio::task::yield_now().await;
+            if tokio::time::timeout(Duration::ZERO, &mut talk).await.is_ok() {
+                return;
+            }
+        }
+        if !seat.is_busy() {
+            return;
+        }
+        seat.stays();
+    }
+}
+
+async fn talk(stream: Arc<TcpStream>, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Arc<Seat>) {
     let _ = stream.set_nodelay(true);
     let seen = phase.clone();
     let held = Arc::clone(&seat);
@@ -220,7 +266,12 @@
     }
     // What the machine holds is read before the connection counts as idle.
     tokio::task::yield_now().await;
-    let wait = if seat.asked() { Duration::ZERO } else { FIRST_WITHIN };
+    // Danger: the library takes a kept connection for idle though half of a head has come on it.
+    let wait = match seat.seen() {
+        seen if seen.head.is_some() => Limits::USUAL.head_within,
+        seen if seen.asked => Duration::ZERO,
+        _ => FIRST_WITHIN,
+    };
     if tokio::time::timeout(wait, &mut connection).await.is_ok() {
         return;
     }
@@ -254,7 +305,7 @@
     };
     let upgrades = offer.as_ref().map(|_| hyper::upgrade::on(&mut request));
     let (head, body) = request.into_parts();
-    let asked = match read(&node.named, &head) {
+    let mut asked = match read(&node.named, &head) {
         Ok(asked) => asked,
         Err(bad) => return unread(node, &head.headers, bad),
     };
@@ -278,6 +329,11 @@
     if asked.effect == Effect::Safe && (pipe.is_some() || !body.is_empty()) {
         return turned_away(StatusCode::BAD_REQUEST, "this class takes no body\n");
     }
+    if let Some(ends) = phase.borrow().ends {
+        // Danger: a request that is taken on the way out, whose client would wait for longer than this process is there.
+        let left = ends.saturating_duration_since(Instant::now()).saturating_sub(LAST_WORDS);
+        asked.patience = asked.patience.min(left + DELIVERY);
+    }
     let patience = asked.patience.saturating_sub(DELIVERY);
     let (mut event, mut forward) = asked.arrived(head, body);
     let pipe = pipe.map(|(first, rest)| {
@@ -356,8 +412,9 @@
     tokio::task::spawn_local(async move {
         // It fails where the client has gone before its answer.
         let Ok(upgraded) = upgrades.await else { return };
-        if let Ok(parts) = upgraded.downcast::<TokioIo<Watched>>() {
-            sockets::relay(place, parts.io.into_inner().into_inner(), parts.read_buf, *switched).await;
+        let Ok(parts) = upgraded.downcast::<TokioIo<Watched>>() else { return };
+        if let Some(stream) = parts.io.into_inner().into_inner() {
+            sockets::relay(place, stream, parts.read_buf, *switched).await;
         }
     });
     answer
@@ -606,6 +663,60 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::config::Config;
+    use crate::handover::Links;
+    use crate::upstream::Upstream;
+    use saffronpaddle_standins::settings::{configuration, Fleet, Places};
+    use std::io::Write;
+    use tokio::io::AsyncReadExt;
+
+    fn node() -> Rc<Node> {
+        let [nowhere, free] = ["127.0.0.1:9", "127.0.0.1:0"].map(|text| text.parse().expect("an address"));
+        let places = Places {
+            name: "n0".to_owned(),
+            listen: free,
+            discovery: nowhere,
+            peer_listen: free,
+            peers: vec![nowhere],
+            sockets: 256,
+            memory_mb: 64,
+        };
+        let text = configuration(&places, &Fleet::usual(1).settings(0), None, 1);
+        let named = Config::parse(std::path::Path::new("none"), &text).expect("a good configuration").named;
+        let bounds = (100, Links::new("n0", false));
+        Node::new(1, named, Upstream::new(), bounds, None, None, None).expect("a node")
+    }
+
+    /// Danger: a crowd presses, and the last byte of a request comes in the instant in which its connection makes way. What came
+    /// whole is answered; half a head, and an idle connection, go without a word.
+    #[test]
+    fn a_request_that_comes_whole_as_its_connection_makes_way_is_answered() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (node, (_standing, seen)) = (node(), watch::channel(Standing::unready()));
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let (half, rest) = ("GET /-/ready HTTP/1.1\r\nHo", "st: n0\r\n\r\n");
+            for (first, then, status) in [(half, rest, "HTTP/1.1 503"), (half, "", ""), ("", "", "")] {
+                let mut crowd = Crowd { began: Instant::now(), tasks: JoinSet::new(), seats: Vec::new() };
+                let address = listener.local_addr().expect("an address");
+                let mut client = std::net::TcpStream::connect(address).expect("it listens");
+                let (stream, _) = listener.accept().await.expect("one has come");
+                crowd.seat(stream, &node, &seen);
+                client.write_all(first.as_bytes()).expect("written");
+                while crowd.seats[0].seat.seen().head.is_some() == first.is_empty() {
+                    tokio::task::yield_now().await;
+                }
+                // The machine has the rest, and this node's loop has not looked yet.
+                client.write_all(then.as_bytes()).expect("written");
+                crowd.make_room(1).await;
+                client.set_nonblocking(true).expect("it can be");
+                let mut got = String::new();
+                let mut client = TcpStream::from_std(client).expect("it is open");
+                let _ = client.read_to_string(&mut got).await;
+                assert!(got.starts_with(status) && got.is_empty() == status.is_empty(), "{first:?}: {got:?}");
+            }
+        });
+    }
 
     #[test]
     fn spans_have_a_number_and_a_unit() {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,34 +1,83 @@
-//! Discovery: a watch on the list of app servers, opened again whenever it ends or falls silent.
+//! Discovery: a watch on the list of app servers, opened again whenever it ends or falls silent, and held on to while its
+//! address moves until the new one has spoken.
 
 use crate::config::List;
 use crate::node::Node;
+use crate::shared::{is_quiet, Shared};
 use anyhow::{anyhow, bail, Context, Result};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty};
-use hyper::body::Incoming;
+use http_body_util::Empty;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{HOST, RETRY_AFTER};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use saffronpaddle_decision::interface::Discovery;
-use saffronpaddle_roster::{Doubt, Hedged, Pace, Terms};
+use saffronpaddle_roster::{Doubt, Hedged, Objects, Pace, Terms};
+use std::cell::{Cell, RefCell};
+use std::future::{pending, poll_fn, Future};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::sync::{Arc, Weak as Looked};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{sleep, timeout, Instant};
 
 /// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
 /// has to tell counts as told 6 s later, also on a watch that nobody serves any more.
 const SILENT_FOR: Duration = Duration::from_secs(3);
-/// Most bytes of one line of a watch.
-const LINE_MOST: usize = 4 << 20;
+/// Most bytes of one list.
+const LIST_MOST: usize = 4 << 20;
 
-/// Applies versions in order. `known` may be old, and a watch may tell again what is known.
+/// How one address stands to the list.
+#[derive(Default)]
+struct Word {
+    /// It has told its first list.
+    told: Cell<bool>,
+    first: Notify,
+    /// A watch of it is open.
+    open: Cell<bool>,
+    /// The connection of that watch, and whether all that was read of it has been taken.
+    watch: RefCell<Looked<TcpStream>>,
+    taken: Cell<bool>,
+    /// Discovery has moved: nothing new is asked of this one.
+    left: Cell<bool>,
+}
+
+impl Word {
+    /// Whether something of it has come that the node has not taken yet.
+    fn is_behind(&self) -> bool {
+        let watch = self.watch.borrow().upgrade();
+        self.open.get() && (!self.taken.get() || watch.is_some_and(|watch| !is_quiet(&watch)))
+    }
+}
+
+/// The addresses of discovery that are followed now: one, or two while it moves.
+#[derive(Default)]
+pub struct Words(RefCell<Vec<Weak<Word>>>);
+
+impl Words {
+    fn follow(&self, word: &Rc<Word>) {
+        let mut words = self.0.borrow_mut();
+        words.retain(|word| word.strong_count() > 0);
+        words.push(Rc::downgrade(word));
+    }
+
+    /// Whether news of the list has come to this machine that the node has not taken yet. Danger: a loop that was late, which
+    /// finds a drain and a request waiting for it and writes the request first.
+    pub fn are_behind(&self) -> bool {
+        self.0.borrow().iter().filter_map(Weak::upgrade).any(|word| word.is_behind())
+    }
+}
+
+/// Applies versions of one address in order. `known` may be old, and a watch may tell again what is known.
 struct Follower {
     node: Rc<Node>,
+    word: Rc<Word>,
+    /// The version that was taken last, as this address numbers them.
     seq: Option<u64>,
     /// Whether the last call was answered with a watch.
     opened: bool,
@@ -69,37 +118,77 @@
             self.node.listed(list);
             self.node.remember(list);
         }
+        if !self.word.told.replace(true) {
+            self.word.first.notify_one();
+        }
     }
 }
 
 /// Follows the list for ever, and moves when discovery gets another address. While it is down, and until the
-/// new one has spoken, the old list stands.
+/// new one has spoken, the old list stands, and a watch that is open at the old address is heard on. Danger: a drain that
+/// the old one still tells while the new one is silent.
 pub async fn follow(
     node: Rc<Node>, mut address: watch::Receiver<SocketAddr>, known: Option<List>, terms: Option<Terms>,
 ) {
     let place = (node.named.settings.me.0, node.named.settings.gateways);
-    let (come_back, doubt, born) = (None, Doubt::default(), Instant::now());
-    let mut follower = Follower { node, seq: None, opened: false, terms, come_back, doubt, born };
+    let born = Instant::now();
+    let follower = || Follower {
+        node: Rc::clone(&node),
+        word: Rc::default(),
+        seq: None,
+        opened: false,
+        terms: terms.clone(),
+        come_back: None,
+        doubt: Doubt::default(),
+        born,
+    };
+    let mut first = follower();
     if let Some(known) = known {
-        follower.take(&List { whole: true, ..known });
+        first.take(&List { whole: true, ..known });
+        first.word = Rc::default();
     }
     // Danger: a fleet that starts at one stroke, whose first calls take the service away from all that it serves.
-    if let Some(first) = follower.terms.as_ref().map(|terms| terms.first_call(place, fastrand::f64())) {
+    if let Some(first) = terms.as_ref().map(|terms| terms.first_call(place, fastrand::f64())) {
         tokio::time::sleep(first).await;
     }
+    let mut next = Some(first);
+    let mut before: Option<Staying> = None;
     loop {
-        let now = *address.borrow_and_update();
-        tokio::select! {
-            () = stay(&mut follower, now) => {}
-            Ok(()) = address.changed() => {}
+        // Guards against versions of one discovery that are numbered otherwise than those of the next: each has its own.
+        let follower = next.take().unwrap_or_else(follower);
+        let (word, now) = (Rc::clone(&follower.word), *address.borrow_and_update());
+        node.words.follow(&word);
+        let mut staying: Staying = (Rc::clone(&word), Box::pin(stay(follower, now)));
+        loop {
+            tokio::select! {
+                biased;
+                Ok(()) = address.changed() => break,
+                () = word.first.notified() => before = None,
+                () = &mut staying.1 => {}
+                () = left(&mut before) => before = None,
+            }
         }
-        // Guards against versions of one discovery that are numbered otherwise than those of the next.
-        follower.seq = None;
+        // Of two that were left, the one that is heard: there are never more than two.
+        if word.told.get() || before.is_none() {
+            word.left.set(true);
+            before = Some(staying).filter(|_| word.open.get());
+        }
+    }
+}
+
+/// A call on one address that goes on, and how that stands.
+type Staying = (Rc<Word>, Pin<Box<dyn Future<Output = ()>>>);
+
+/// Hears on the watch of an address that was left, until it ends.
+async fn left(before: &mut Option<Staying>) {
+    match before {
+        Some((_, staying)) => staying.await,
+        None => pending().await,
     }
 }
 
-/// Follows the list at one address, for ever.
-async fn stay(follower: &mut Follower, address: SocketAddr) {
+/// Follows the list at one address, until that was left and its watch has ended.
+async fn stay(mut follower: Follower, address: SocketAddr) {
     let nodes = follower.node.named.settings.gateways;
     let pushed = follower.node.named.settings.discovery == Discovery::Pushed;
     let mut pace = match &follower.terms {
@@ -111,19 +200,22 @@
     let mut told = false;
     loop {
         follower.opened = false;
-        if let Err(error) = watch_list(follower, address, pace.hedged()).await {
+        let ended = watch_list(&mut follower, address, pace.hedged()).await;
+        follower.word.open.set(false);
+        if follower.word.left.get() {
+            return;
+        }
+        if let Err(error) = ended {
             if !std::mem::replace(&mut told, true) {
                 eprintln!("discovery: {error:#}");
             }
         }
-        if follower.opened {
-            pace.answered();
-            told = false;
-        }
         let pause = match follower.come_back.take() {
             Some(after) => pace.told(after, fastrand::f64()),
+            None if follower.opened => pace.ended(fastrand::f64()),
             None => pace.pause(fastrand::f64()),
         };
+        told &= !follower.opened;
         tokio::time::sleep(pause).await;
     }
 }
@@ -138,7 +230,12 @@
 }
 
 /// A call that was answered with a watch, and what drives its connection.
-type Watch = (Driver, Incoming);
+struct Watch {
+    _driver: Driver,
+    body: Incoming,
+    /// Its connection, to be looked at.
+    stream: Looked<TcpStream>,
+}
 
 /// What a call was answered that is no watch.
 enum NoWatch {
@@ -152,18 +249,20 @@
     let opened = async {
         let connect = TcpStream::connect(address);
         let stream = timeout(SILENT_FOR.min(answers), connect).await.context("it does not come up")??;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let stream = Arc::new(stream);
+        let looked = Arc::downgrade(&stream);
+        let (mut sender, connection) = http1::handshake(TokioIo::new(Shared(stream))).await?;
         let driver = Driver(tokio::task::spawn_local(async move {
             // How it ended shows in the watch.
             let _ = connection.await;
         }));
         let request = Request::builder().uri(path).header(HOST, address.to_string());
         let answer = timeout(answers, sender.send_request(request.body(Empty::<Bytes>::new())?)).await;
-        anyhow::Ok((driver, answer.context("the call is not answered")??))
+        anyhow::Ok((driver, looked, answer.context("the call is not answered")??))
     };
-    let (driver, answer) = opened.await.map_err(NoWatch::Failed)?;
+    let (driver, stream, answer) = opened.await.map_err(NoWatch::Failed)?;
     if answer.status() == StatusCode::OK {
-        return Ok((driver, answer.into_body()));
+        return Ok(Watch { _driver: driver, body: answer.into_body(), stream });
     }
     let after = answer.headers().get(RETRY_AFTER).and_then(|after| after.to_str().ok()?.trim().parse().ok());
     let failed = || NoWatch::Failed(anyhow!("the watch was answered {}", answer.status()));
@@ -200,7 +299,7 @@
     let from = follower.seq.filter(|_| settles.is_none());
     let from = from.map_or(String::new(), |seq| format!("&from={seq}"));
     let path = format!("/api/targets?watch=1{from}");
-    let (_driver, mut body) = match hedged {
+    let mut watch = match hedged {
         Some(hedged) => soonest(address, &path, hedged).await,
         None => match call(address, path, follower.answers()).await {
             Ok(watch) => watch,
@@ -212,13 +311,21 @@
         },
     };
     follower.opened = true;
-    let mut line = Vec::new();
+    let word = Rc::clone(&follower.word);
+    word.watch.replace(watch.stream.clone());
+    word.open.set(true);
+    let mut lists = Objects::new(LIST_MOST);
     // A silent machine keeps its connection open: only the missing signs of life tell.
     loop {
         let doubt = follower.terms.as_ref().and_then(|terms| follower.doubt.asks_again(terms.empty_after));
         let settles = doubt.map(|at| at.saturating_sub(follower.born.elapsed()));
         let patience = settles.map_or(SILENT_FOR, |settles| settles.min(SILENT_FOR));
-        let frame = match timeout(patience, body.frame()).await {
+        let next = poll_fn(|context| {
+            let next = Pin::new(&mut watch.body).poll_frame(context);
+            word.taken.set(next.is_pending());
+            next
+        });
+        let frame = match timeout(patience, next).await {
             Ok(frame) => frame,
             Err(_) if settles.is_some_and(|settles| settles <= SILENT_FOR) => {
                 bail!("its empty list is settled")
@@ -227,20 +334,11 @@
         };
         let Some(frame) = frame else { break };
         let Ok(data) = frame?.into_data() else { continue };
+        // White space too: nothing has changed.
+        follower.node.heard_list();
         let mut rest = &data[..];
-        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
-            // An empty line too: nothing has changed.
-            follower.node.heard_list();
-            line.extend_from_slice(&rest[..end]);
-            rest = &rest[end + 1..];
-            if !line.trim_ascii().is_empty() {
-                follower.take(&serde_json::from_slice(&line).context("a line of the watch")?);
-            }
-            line.clear();
-        }
-        line.extend_from_slice(rest);
-        if line.len() > LINE_MOST {
-            bail!("a line of the watch has no end");
+        while let Some(list) = lists.next(&mut rest).context("the watch")? {
+            follower.take(&serde_json::from_slice(&list).context("a list of the watch")?);
         }
     }
     bail!("the watch ended")
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod roster;
 mod seats;
 pub mod serve;
+mod shared;
 mod sockets;
 mod upstream;
 
--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -106,7 +106,10 @@
                 }
             }
             let (ready, why) = (self.machine.ready(), self.machine.reasons());
-            let after = Standing { phase, accepts, ready, why };
+            // Until then all that was taken is answered.
+            let ends = self.machine.until().filter(|_| self.machine.state() == State::Closing);
+            let ends = ends.map(|ends| self.born + ends);
+            let after = Standing { phase, accepts, ready, why, ends };
             if after != before {
                 self.standing.send_replace(after);
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,6 +4,7 @@
 use crate::alarm::Alarm;
 use crate::bodies::Passing;
 use crate::config::{Health, Host, List};
+use crate::discovery::Words;
 use crate::handover::Links;
 use crate::peers::Peers;
 use crate::sockets::{Front, Switched};
@@ -97,6 +98,8 @@
     pub peers: Option<Peers>,
     /// Other processes of this node.
     pub links: Links,
+    /// What discovery has to say.
+    pub words: Words,
     /// Sockets, where the operator has them.
     pub front: Option<Front>,
     /// Connections to app servers that the node may have.
@@ -146,6 +149,7 @@
             upstream,
             peers,
             links,
+            words: Words::default(),
             front,
             each_side,
             number,
--- a/crates/node/src/seats.rs
+++ b/crates/node/src/seats.rs
@@ -1,6 +1,7 @@
 //! What is seen of clients' connections: when bytes come, and whether a request is being answered.
 
 use crate::heads::Heads;
+use crate::shared::Shared;
 use saffronpaddle_crowd::Seat as Seen;
 use std::io;
 use std::pin::Pin;
@@ -10,6 +11,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// One client's connection. Shared within one thread; an upgrade wants what could go to another, though none does.
@@ -25,6 +27,11 @@
     blocked: AtomicBool,
     /// A head had both a length and an encoding.
     hides: AtomicBool,
+    /// The library waits for bytes: it sees the connection's end by itself.
+    reading: AtomicBool,
+    /// It was told to go, and looks a last time whether a request has come.
+    going: AtomicBool,
+    go: Notify,
 }
 
 const fn us(span: Duration) -> u64 {
@@ -36,8 +43,35 @@
     pub fn new(began: Instant) -> Arc<Seat> {
         let came = us(began.elapsed());
         let (last, head) = (AtomicU64::new(came), AtomicU64::new(0));
-        let [busy, asked, blocked, hides] = [(); 4].map(|()| AtomicBool::new(false));
-        Arc::new(Seat { began, came, last, head, busy, asked, blocked, hides })
+        let [busy, asked, blocked, hides, reading, going] = [(); 6].map(|()| AtomicBool::new(false));
+        let go = Notify::new();
+        Arc::new(Seat { began, came, last, head, busy, asked, blocked, hides, reading, going, go })
+    }
+
+    /// Tells the connection to go, unless a request turns out to have come whole.
+    pub fn send_away(&self) {
+        self.going.store(true, Ordering::Relaxed);
+        self.go.notify_one();
+    }
+
+    /// Waits for that word.
+    pub async fn sent_away(&self) {
+        self.go.notified().await;
+    }
+
+    /// A request had come: it stays for now.
+    pub fn stays(&self) {
+        self.going.store(false, Ordering::Relaxed);
+    }
+
+    /// Whether a request is being taken or answered.
+    pub fn is_busy(&self) -> bool {
+        self.busy.load(Ordering::Relaxed)
+    }
+
+    /// Whether a request is answered while nobody reads what comes behind it, so that its client's end is not seen either.
+    pub fn unwatched(&self) -> bool {
+        self.is_busy() && !self.reading.load(Ordering::Relaxed)
     }
 
     /// What is seen of it now.
@@ -48,7 +82,9 @@
             last: Duration::from_micros(self.last.load(Ordering::Relaxed)),
             head: head.checked_sub(1).map(Duration::from_micros),
             // Danger: an answer that is cut off as its client takes the last of it slowly.
-            busy: self.busy.load(Ordering::Relaxed) || self.blocked.load(Ordering::Relaxed),
+            busy: self.is_busy()
+                || self.blocked.load(Ordering::Relaxed)
+                || self.going.load(Ordering::Relaxed),
             asked: self.asked(),
         }
     }
@@ -107,20 +143,20 @@
 
 /// A client's connection whose bytes are seen as they come.
 pub struct Watched {
-    stream: TcpStream,
+    stream: Shared,
     seat: Arc<Seat>,
     heads: Heads,
 }
 
 impl Watched {
     /// Watches a connection.
-    pub fn new(stream: TcpStream, seat: Arc<Seat>) -> Watched {
-        Watched { stream, seat, heads: Heads::new() }
+    pub fn new(stream: Arc<TcpStream>, seat: Arc<Seat>) -> Watched {
+        Watched { stream: Shared(stream), seat, heads: Heads::new() }
     }
 
-    /// The connection, no longer watched.
-    pub fn into_inner(self) -> TcpStream {
-        self.stream
+    /// The connection, no longer watched; none where somebody looks at it in this very moment, which nobody does for longer.
+    pub fn into_inner(self) -> Option<TcpStream> {
+        Arc::try_unwrap(self.stream.0).ok()
     }
 }
 
@@ -129,7 +165,9 @@
         mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.seat.reading.store(read.is_pending(), Ordering::Relaxed);
+        ready!(read)?;
         let Watched { seat, heads, .. } = &mut *self;
         if buffer.filled().len() > before {
             seat.read(&buffer.filled()[before..], heads);
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::bodies::{joined, Gathered, Outgoing, Passing, Pipe, BODY_MOST, LARGEST};
 use crate::node::{Node, Payload};
+use crate::shared::is_quiet;
 use crate::sockets::Switched;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -17,25 +18,27 @@
 use saffronpaddle_decision::interface::{Effect, Outcome, RequestId, ServerId};
 use saffronpaddle_exchange::{Event, LinkId};
 use saffronpaddle_sockets::upgrade::{self, Offer};
-use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
+use std::future::Future;
 use std::io::{self, IoSlice};
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, JoinHandle};
+use tokio::task::{yield_now, AbortHandle, JoinHandle};
 use tokio::time::{timeout_at, Instant};
 
 /// Most bytes buffered of one app server's answer before its body. Guards memory against heads that never end.
 const HEAD_MOST: usize = 32 * 1024;
+/// Rounds of the loop that a first byte waits for news of the list to be taken: the driver's, the connection's, the watch's, and
+/// some to spare. Guards against a watch that is never read.
+const BEHIND_MOST: u32 = 16;
 /// What the machine says when this process, not the server, lacks something: too many descriptors here or on the
 /// whole machine, no address, buffer or memory left.
 const OWN_LACK: [i32; 5] = [24, 23, 99, 105, 12];
@@ -198,7 +201,8 @@
     };
     // Without it a request in two pieces would wait for an acknowledgement; it works all the same.
     let _ = stream.set_nodelay(true);
-    let io = Gated { stream: TokioIo::new(stream), node: node.number(), link, open };
+    let stream = TokioIo::new(stream);
+    let io = Gated { stream, node: node.number(), link, open, waited: 0, round: None };
     let handshake = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(io).await;
     let Ok((sender, connection)) = handshake else {
         node.upstream.wires.borrow_mut().remove(&link);
@@ -361,29 +365,33 @@
     node: u64,
     link: LinkId,
     open: Arc<AtomicBool>,
+    /// Rounds that a first byte has waited, and the one that it waits for.
+    waited: u32,
+    round: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
 }
 
 impl Gated {
-    /// Whether nothing has come since the last answer, not even an end. The machine is asked, as hyper may not have
-    /// looked yet. Guards against the rest of one answer being read as the next.
-    fn quiet(&self) -> bool {
-        let seen = SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]);
-        seen.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-    }
-
-    /// Asks before the first byte.
-    fn ask(&self) -> io::Result<()> {
+    /// Asks before the first byte. Drains that have been told are taken before that: a loop that was late may find both at once.
+    fn ask(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.open.load(Ordering::Relaxed) {
-            return Ok(());
+            return Poll::Ready(Ok(()));
         }
         if let Some(node) = Node::here(self.node) {
-            node.happened(Event::Begin { link: self.link, quiet: self.quiet() }, None);
+            while self.waited < BEHIND_MOST && node.words.are_behind() {
+                let round = self.round.get_or_insert_with(|| Box::pin(yield_now()));
+                ready!(round.as_mut().poll(context));
+                (self.waited, self.round) = (self.waited + 1, None);
+            }
+            self.waited = 0;
+            // Guards against the rest of one answer being read as the next.
+            let quiet = is_quiet(self.stream.inner());
+            node.happened(Event::Begin { link: self.link, quiet }, None);
         }
-        if self.open.load(Ordering::Relaxed) {
+        Poll::Ready(if self.open.load(Ordering::Relaxed) {
             Ok(())
         } else {
             Err(io::ErrorKind::ConnectionAborted.into())
-        }
+        })
     }
 }
 
@@ -399,14 +407,14 @@
     fn poll_write(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.ask()?;
+        ready!(self.ask(context))?;
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.ask()?;
+        ready!(self.ask(context))?;
         Pin::new(&mut self.stream).poll_write_vectored(context, parts)
     }
 
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -5,17 +5,21 @@
 //! - [`follower`]: one etcd prefix, through breaks, compaction, lag, fragments, restored and wiped clusters.
 //! - [`merge`]: several sources at once; the more careful standing wins.
 //! - [`entry`]: what stands under a key.
+//! - [`objects`]: lists out of a stream of bytes.
+//! - [`pace`]: when discovery is called on again.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod entry;
 pub mod follower;
 pub mod merge;
+pub mod objects;
 pub mod pace;
 
 pub use entry::{Entry, Standing};
 pub use follower::{Follower, Header, KeyValue, Next, Rules, WatchEvent};
 pub use merge::{Merge, Source};
+pub use objects::{Objects, Unreadable};
 pub use pace::{Doubt, Hedged, Pace, Terms};
 
 /// A point in time: the span since some fixed moment of a clock that never goes back.
--- a/crates/roster/src/pace.rs
+++ b/crates/roster/src/pace.rs
@@ -84,6 +84,12 @@
 /// Between the end of an agent's watch and the next call.
 const AGENT_PAUSE: Duration = Duration::from_millis(30);
 
+/// Longest pause after a watch that was open. Danger that it guards against: a list service that is well, whose watches have
+/// fallen silent. What such a watch misses counts as told 6 s after its last word; 3 s of these pass before it is taken for
+/// dead, and the answer needs its time too. Only a service that does not answer is spared by long pauses: the call that
+/// follows finds out. An installation that sets what its service bears ([`Terms`]) has that kept here too.
+const ENDED_MOST: Duration = Duration::from_secs(1);
+
 /// Pauses between the calls of one node.
 #[derive(Clone, Debug)]
 pub struct Pace {
@@ -91,6 +97,8 @@
     first: Duration,
     longest: Duration,
     next: Duration,
+    /// Longest pause after a watch that was open.
+    ended: Duration,
 }
 
 impl Pace {
@@ -98,12 +106,14 @@
     pub fn of(nodes: u32) -> Self {
         let share = |a_second: f64| Duration::from_secs_f64(f64::from(nodes) / a_second).min(MOST);
         let (first, longest) = (share(FIRST_A_SECOND).max(LEAST.0), share(LATER_A_SECOND).max(LEAST.1));
-        Pace { hedged: None, first, longest: longest.max(first), next: first }
+        let ended = (first * 2).min(ENDED_MOST);
+        Pace { hedged: None, first, longest: longest.max(first), next: first, ended }
     }
 
     /// Those of a node whose agent answers at once and at no cost: nobody else is kept waiting by its calls.
     pub fn agent() -> Self {
-        Pace { hedged: Some(AGENT), first: AGENT_PAUSE, longest: AGENT_PAUSE, next: AGENT_PAUSE }
+        let first = AGENT_PAUSE;
+        Pace { hedged: Some(AGENT), first, longest: first, next: first, ended: first * 2 }
     }
 
     /// Whether more calls go out while one is open, and how.
@@ -116,7 +126,7 @@
     pub fn within(nodes: u32, terms: &Terms) -> Self {
         let share = Duration::from_secs_f64(f64::from(nodes) / terms.calls_per_s);
         let first = share.max(LEAST.0);
-        Pace { hedged: None, first, longest: (first * 2).max(LEAST.1), next: first }
+        Pace { hedged: None, first, longest: (first * 2).max(LEAST.1), next: first, ended: first * 2 }
     }
 
     /// The service has said when to come back: no sooner, and spread out behind that as after any other end.
@@ -124,9 +134,10 @@
         after.min(TOLD_MOST) + self.pause(draw)
     }
 
-    /// A call was answered: the next that fails is a first one again.
-    pub fn answered(&mut self) {
+    /// A watch was open and has ended, or has fallen silent: how long until the next call. One that fails is a first one again.
+    pub fn ended(&mut self, draw: f64) -> Duration {
         self.next = self.first;
+        self.ended.mul_f64(draw.clamp(0.0, 1.0))
     }
 
     /// How long to wait now; `draw` is from 0 to 1. The first pause is anything up to twice its mean, so that what ended
@@ -274,6 +285,24 @@
         assert!(Pace::of(300).hedged().is_none(), "a service that all share is not called so");
     }
 
+    /// The rule on drains counts from 6 s after a watch fell silent, of which a node needs 3 s to notice.
+    #[test]
+    fn after_a_watch_that_was_open_a_fleet_of_any_size_calls_within_a_second() {
+        for nodes in [3, 30, 300, 1000] {
+            for mut pace in [Pace::of(nodes), Pace::agent()] {
+                // Calls had failed before that watch was opened.
+                (0..5).for_each(|_| _ = pace.pause(1.0));
+                let longest = (0..=10).map(|draw| pace.ended(f64::from(draw) / 10.0)).max();
+                assert!(longest <= Some(Duration::from_secs(1)), "{nodes} nodes: {longest:?}");
+            }
+        }
+        // The fleet is spread over that second all the same, and what fails then waits as long as ever.
+        let mut pace = Pace::of(300);
+        assert!(pace.ended(1.0) == Duration::from_secs(1) && pace.ended(0.1) == Duration::from_millis(100));
+        assert!(pace.pause(0.5) >= Duration::from_secs(12), "{pace:?}");
+        assert_eq!(Pace::within(300, &terms()).ended(0.5), Duration::from_secs(12), "what is set is kept to");
+    }
+
     #[test]
     fn a_small_fleet_is_back_within_a_second() {
         let mut pace = Pace::of(3);
@@ -281,7 +310,7 @@
             let pause = pace.pause(0.5);
             assert!(pause <= Duration::from_secs(1), "{pause:?}");
         }
-        pace.answered();
+        assert!(pace.ended(0.5) <= Duration::from_millis(150));
         assert!(pace.pause(0.5) <= Duration::from_millis(150));
     }
 }
--- a/crates/saffronpaddle/tests/edge.rs
+++ b/crates/saffronpaddle/tests/edge.rs
@@ -390,10 +390,6 @@
     node.reload(|text| text.replace(&from, &to));
     let (asked, mut watch) = new.watch();
     assert!(asked.contains("watch=1") && !asked.contains("from"), "{asked}");
-    // The old watch is left at once.
-    let mut rest = Vec::new();
-    before.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-    std::io::Read::read_to_end(&mut before, &mut rest).expect("the old watch ends");
     assert_eq!(serves(&mut client, "b"), "s-1");
     let two = servers.start("s-2", &[SERVES]);
     write_list(&mut watch, &list(1, true, &[host("s-2", two, 2, "ready")]));
@@ -401,6 +397,10 @@
     while serves(&mut client, &format!("c{number}")) != "s-2" {
         number += 1;
     }
+    // Until then the old one could still tell of a drain; now its watch is left, without another word.
+    let mut rest = Vec::new();
+    before.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    std::io::Read::read_to_end(&mut before, &mut rest).expect("the old watch ends");
     node.terminate();
     // Also on its way out.
     node.reload(|text| text);
