Move the tests that stood inside sources to test files of their own

Need: 28 modules of tests stood inside files of crates/*/src, so that a source could not be read, moved or counted without them.

Change: each stands in a file tests.rs in the folder of its module (tests of what is private), the module names it by "mod tests;".

--- a/crates/decision/src/homes.rs
+++ b/crates/decision/src/homes.rs
@@ -74,32 +74,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn keepers_are_apart_and_each_is_asked_once() {
-        let plan = |rate| Plan {
-            rate,
-            burst: 4.0 * rate,
-            at_once: None,
-            price: 1.0,
-            over_worth: 0.0,
-            over_cost: 0.0,
-            ceiling: None,
-        };
-        for (rate, spread, parts) in [(0.6, 50, 1), (8.0, 3, 1), (16.0, 60, 2), (40.0, 3, 3), (5.0, 1, 1)] {
-            let homes = Homes::of(&plan(rate), spread);
-            assert_eq!(homes.parts, parts, "{rate}");
-            for start in 0..parts {
-                let mut asked: Vec<u32> = homes.in_turn(start).collect();
-                assert_eq!(asked[0], start);
-                asked.sort();
-                assert_eq!(asked, (0..homes.keepers).collect::<Vec<_>>());
-            }
-            let keeper = |number| homes.keeper(CustomerId(77), (GatewayId(90), spread), number, 100);
-            let all: std::collections::BTreeSet<_> = (0..homes.keepers).map(keeper).collect();
-            assert_eq!(all.len(), homes.keepers as usize, "no gateway keeps two parts");
-        }
-    }
-}
+mod tests;
--- a/crates/fleet/src/counts.rs
+++ b/crates/fleet/src/counts.rs
@@ -154,25 +154,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn counts_add_up_over_nodes_and_over_a_restart() {
-        let mut counts = Counts::default();
-        let log = "node 1: listening\n\
-                   counts node=1 at_ms=1000 asked=10 open_requests=5\n\
-                   counts node=1 at_ms=2000 asked=30 open_requests=1\n\
-                   counts node=2 at_ms=2000 asked=4 open_requests=2\n\
-                   counts node=1 at_ms=1000 asked=6 open_requests=0\n\
-                   counts node=1 at_ms=2000 asked=7 open_requests=0\n";
-        let told = log.lines().filter(|line| counts.line(line)).count();
-        assert_eq!(told, 5);
-        let rows = counts.rows();
-        assert_eq!(rows.len(), 1, "a level is no sum: {rows:?}");
-        let (name, row) = &rows[0];
-        assert_eq!((&name[..], row[0]), ("asked", 41.0), "30 before the restart, 7 after it, 4 of the other");
-        assert_eq!(row[4], 37.0 / 4.0, "the busiest node, in 4 s");
-        assert_eq!(counts.csv(), "node,ran_ms,asked\r\n1,4000,37\r\n2,2000,4\r\n");
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/roster/src/pace/tests.rs
@@ -0,0 +1,160 @@
+use super::*;
+
+/// A service that answers so many calls a second in turn, works on each that it has taken, and takes more than it can
+/// answer in the 2 s that a caller waits. Returns after how many s nine tenths of the nodes have had an answer.
+fn comes_back(nodes: u32, a_second: f64, pace: impl Fn(u32) -> Pace) -> Option<f64> {
+    const WAIT: f64 = 2.0;
+    let mut random = fastrand::Rng::with_seed(3);
+    let mut paces: Vec<Pace> = (0..nodes).map(|_| pace(nodes)).collect();
+    let mut due: Vec<(f64, usize)> = Vec::new();
+    for (node, pace) in paces.iter_mut().enumerate() {
+        due.push((pace.pause(random.f64()).as_secs_f64(), node));
+    }
+    let (mut busy_until, mut answered) = (0.0_f64, 0);
+    loop {
+        due.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let (now, node) = due.pop()?;
+        if now > 120.0 {
+            return None;
+        }
+        let begins = busy_until.max(now);
+        let failed = if begins - now > 3.0 * WAIT {
+            Some(now)
+        } else {
+            busy_until = begins + 1.0 / a_second;
+            (busy_until - now > WAIT).then_some(now + WAIT)
+        };
+        match failed {
+            Some(at) => due.push((at + paces[node].pause(random.f64()).as_secs_f64(), node)),
+            None => answered += 1,
+        }
+        if answered * 10 >= nodes * 9 {
+            return Some(busy_until);
+        }
+    }
+}
+
+#[test]
+fn a_fleet_gets_its_lists_back_from_a_service_that_takes_too_many_calls() {
+    // It can answer each node of a large fleet once in 5 s.
+    for nodes in [3, 30, 100, 1000] {
+        let after = comes_back(nodes, (f64::from(nodes) / 5.0).max(10.0), Pace::of);
+        assert!(after.is_some_and(|after| after < 30.0), "{nodes} nodes: {after:?} s");
+    }
+    // What a small fleet keeps to, kept to by a hundred: the line never gets short.
+    assert!(comes_back(100, 20.0, |_| Pace::of(3)).is_none_or(|after| after > 60.0));
+}
+
+fn terms() -> Terms {
+    let s = Duration::from_secs;
+    Terms { calls_per_s: 25.0, first_within: s(60), answer_within: s(10), empty_after: s(30) }
+}
+
+/// The most calls in any second of these.
+fn most(mut at: Vec<f64>) -> usize {
+    at.sort_by(f64::total_cmp);
+    (0..at.len())
+        .map(|place| at[place..].iter().take_while(|later| **later < at[place] + 1.0).count())
+        .max()
+        .unwrap_or(0)
+}
+
+#[test]
+fn first_calls_of_a_fleet_that_starts_at_once_are_even() {
+    let mut random = fastrand::Rng::with_seed(7);
+    for nodes in [3, 30, 300, 1000] {
+        let calls = (0..nodes).map(|number| terms().first_call((number, nodes), random.f64()).as_secs_f64());
+        let calls: Vec<f64> = calls.collect();
+        let last = calls.iter().copied().fold(0.0, f64::max);
+        assert!(last <= f64::from(nodes) / 25.0, "{nodes} nodes: {last} s");
+        let most = most(calls);
+        assert!(most <= 27, "{nodes} nodes: {most} in a second");
+    }
+    // The span is what holds where the two can't both.
+    let soon = Terms { first_within: Duration::from_secs(4), ..terms() };
+    assert!(soon.first_call((999, 1000), 1.0) <= Duration::from_secs(4));
+}
+
+#[test]
+fn calls_that_all_fail_keep_to_what_the_service_bears() {
+    let mut random = fastrand::Rng::with_seed(9);
+    for nodes in [30, 300, 1000] {
+        let mut at = Vec::new();
+        for _ in 0..nodes {
+            let (mut pace, mut now) = (Pace::within(nodes, &terms()), 0.0);
+            while now < 100.0 {
+                now += pace.pause(random.f64()).as_secs_f64();
+                at.push(now);
+            }
+        }
+        // Chance gathers some: four deviations above the mean of 25.
+        let most = most(at);
+        assert!(most <= 50, "{nodes} nodes: {most} in a second");
+    }
+}
+
+#[test]
+fn who_is_told_when_to_come_back_comes_no_sooner() {
+    let mut pace = Pace::within(300, &terms());
+    for draw in [0.0, 0.5, 1.0] {
+        assert!(pace.told(Duration::from_secs(7), draw) >= Duration::from_secs(7));
+    }
+    assert!(
+        pace.told(Duration::from_secs(86_400), 0.0) < Duration::from_secs(200),
+        "a forged one has an end"
+    );
+}
+
+#[test]
+fn an_empty_list_is_believed_once_it_has_lasted() {
+    let (mut doubt, s) = (Doubt::default(), Duration::from_secs);
+    assert!(doubt.believes(s(0), 5, 0, s(30)));
+    assert!(!doubt.believes(s(1), 0, 5, s(30)));
+    assert_eq!(doubt.asks_again(s(30)), Some(s(31)));
+    assert!(!doubt.believes(s(30), 0, 5, s(30)));
+    assert!(doubt.believes(s(31), 0, 5, s(30)));
+    assert!(doubt.believes(s(32), 3, 5, s(30)), "and one with servers at once");
+    assert!(!doubt.believes(s(40), 0, 3, s(30)), "the doubt begins anew");
+    assert!(doubt.believes(s(41), 0, 1, s(30)), "the last server may go");
+}
+
+/// The rule on drains leaves 250 ms from when an agent has a list: a call has to be there within that, whatever the size
+/// of the fleet.
+#[test]
+fn an_agent_that_has_a_list_again_is_called_within_what_a_drain_allows() {
+    let mut pace = Pace::agent();
+    let hedged = pace.hedged().expect("several calls are open");
+    let pause = (0..50).map(|draw| pace.pause(f64::from(draw) / 50.0)).max().expect("some");
+    assert!(pause + hedged.every <= Duration::from_millis(200), "{pause:?} and {hedged:?}");
+    assert!(hedged.answer_within >= hedged.every * 4, "a slow agent gets its time");
+    assert!(Pace::of(300).hedged().is_none(), "a service that all share is not called so");
+}
+
+/// The rule on drains counts from 6 s after a watch fell silent, of which a node needs 3 s to notice.
+#[test]
+fn after_a_watch_that_was_open_a_fleet_of_any_size_calls_within_a_second() {
+    for nodes in [3, 30, 300, 1000] {
+        for mut pace in [Pace::of(nodes), Pace::agent()] {
+            // Calls had failed before that watch was opened.
+            (0..5).for_each(|_| _ = pace.pause(1.0));
+            let longest = (0..=10).map(|draw| pace.ended(f64::from(draw) / 10.0)).max();
+            assert!(longest <= Some(Duration::from_secs(1)), "{nodes} nodes: {longest:?}");
+        }
+    }
+    // The fleet is spread over that second all the same, and what fails then waits as long as ever.
+    let mut pace = Pace::of(300);
+    assert!(pace.ended(1.0) == Duration::from_secs(1) && pace.ended(0.1) == Duration::from_millis(100));
+    assert!(pace.pause(0.5) >= Duration::from_secs(12), "{pace:?}");
+    assert_eq!(Pace::within(300, &terms()).ended(0.5), Duration::from_secs(12), "what is set is kept to");
+}
+
+#[test]
+fn a_small_fleet_is_back_within_a_second() {
+    let mut pace = Pace::of(3);
+    for _ in 0..8 {
+        let pause = pace.pause(0.5);
+        assert!(pause <= Duration::from_secs(1), "{pause:?}");
+    }
+    assert!(pace.ended(0.5) <= Duration::from_millis(150));
+    assert!(pace.pause(0.5) <= Duration::from_millis(150));
+}
--- /dev/null
+++ b/crates/standins/src/ledger/tests.rs
@@ -0,0 +1,138 @@
+use super::*;
+
+const fn ms(span: u64) -> Duration {
+    Duration::from_millis(span)
+}
+
+fn asked(id: &str, repeats: Repeats) -> Asked {
+    let key = (repeats == Repeats::Keyed).then(|| "k".to_owned());
+    let (id, patience) = (id.to_owned(), ms(1000));
+    Asked { id, key, repeats, node: 0, customer: 7, units: 1.0, patience }
+}
+
+fn one(repeats: Repeats) -> Ledger {
+    let mut ledger = Ledger::new(Bounds::default());
+    ledger.asked(ms(0), asked("a", repeats));
+    ledger
+}
+
+fn breaches(ledger: &Ledger) -> Vec<Breach> {
+    ledger.judge().breaches
+}
+
+#[test]
+fn a_run_that_keeps_the_rules_has_no_breach() {
+    let mut ledger = one(Repeats::Keyed);
+    ledger.arrived(ms(10), ms(10), "s", "a", 0.1);
+    assert!(ledger.ran(ms(100), ms(100), 1, "a"));
+    ledger.over("a");
+    ledger.answered(ms(101), "a", Answer::Served);
+    let verdict = ledger.judge();
+    assert!(verdict.breaches.is_empty(), "{verdict:?}");
+    assert_eq!((verdict.tries, verdict.served, verdict.attempts, verdict.effects), (1, 1, 1, 1));
+}
+
+#[test]
+fn each_breach_of_the_first_rule_is_seen() {
+    assert_eq!(breaches(&one(Repeats::Safe)), [Breach::NoAnswer("a at node 0".to_owned())]);
+    let mut ledger = one(Repeats::Safe);
+    ledger.answered(ms(10), "a", Answer::Served);
+    ledger.answered(ms(11), "a", Answer::Failed);
+    assert_eq!(breaches(&ledger), [Breach::AnsweredTwice("a".to_owned())]);
+    let mut ledger = one(Repeats::Safe);
+    ledger.answered(ms(1051), "a", Answer::Failed);
+    assert_eq!(breaches(&ledger), [Breach::LateAnswer("a: 51 ms".to_owned())]);
+    for (why, lost) in [(Unanswered::Killed, 0), (Unanswered::Left, 0), (Unanswered::Lost, 1)] {
+        let mut ledger = one(Repeats::Safe);
+        ledger.unanswered("a", why);
+        assert_eq!(breaches(&ledger).len(), lost, "{why:?}");
+    }
+}
+
+#[test]
+fn each_breach_of_the_second_rule_is_seen() {
+    let mut ledger = one(Repeats::Safe);
+    ledger.arrived(ms(10), ms(10), "s", "a", 0.1);
+    ledger.arrived(ms(20), ms(20), "t", "a", 0.1);
+    ledger.answered(ms(30), "a", Answer::Served);
+    assert_eq!(breaches(&ledger), [Breach::TwoAttempts("a".to_owned())]);
+    // The end of the first is seen a little late, or it comes too late.
+    ledger.closed(ms(71), "a");
+    assert_eq!(breaches(&ledger), [Breach::TwoAttempts("a".to_owned())]);
+    ledger.closed(ms(70), "a");
+    assert!(breaches(&ledger).is_empty());
+    // One after the other, into another group: its key is not known there.
+    let mut ledger = one(Repeats::Keyed);
+    for (group, server) in [(1, "s"), (2, "t")] {
+        ledger.arrived(ms(10), ms(10), server, "a", 0.1);
+        ledger.ran(ms(20), ms(20), group, "a");
+        ledger.over("a");
+    }
+    ledger.answered(ms(30), "a", Answer::Served);
+    assert_eq!(breaches(&ledger), [Breach::TwiceEffect("a".to_owned())]);
+    // In the same group it is dropped while the group remembers.
+    for (at, twice) in [(2019, false), (2021, true)] {
+        let mut ledger = one(Repeats::Keyed);
+        assert!(ledger.ran(ms(20), ms(20), 1, "a"));
+        assert_eq!(ledger.ran(ms(at + 500), ms(at), 1, "a"), twice, "by when it came");
+    }
+    let mut ledger = one(Repeats::Unsafe);
+    ledger.ran(ms(20), ms(20), 1, "a");
+    ledger.answered(ms(30), "a", Answer::Refused);
+    assert_eq!(breaches(&ledger), [Breach::RefusedAfterEffect("a".to_owned())]);
+}
+
+#[test]
+fn sends_after_a_drain_count_from_when_this_node_was_told() {
+    for (first, breach) in [(1299, false), (1301, true)] {
+        let mut ledger = one(Repeats::Safe);
+        ledger.told(ms(1000), 0, "s", false);
+        ledger.told(ms(1200), 0, "s", false);
+        ledger.told(ms(0), 1, "s", false);
+        ledger.arrived(ms(first + 50), ms(first), "s", "a", 0.1);
+        ledger.answered(ms(999), "a", Answer::Served);
+        let verdict = ledger.judge();
+        assert_eq!(!verdict.breaches.is_empty(), breach, "{verdict:?}");
+        assert_eq!(verdict.after_drain, 1);
+    }
+    let mut ledger = one(Repeats::Safe);
+    ledger.told(ms(0), 0, "s", false);
+    ledger.told(ms(500), 0, "s", true);
+    ledger.arrived(ms(700), ms(700), "s", "a", 0.1);
+    assert_eq!(ledger.judge().after_drain, 0, "it is ready again");
+}
+
+#[test]
+fn a_cold_server_falls_by_what_all_nodes_send_it_together() {
+    let fill = |count: u64| {
+        let mut ledger = Ledger::new(Bounds::default());
+        ledger.cold(ms(0), "s", 2.0);
+        for number in 0..count {
+            let mut asked = asked(&number.to_string(), Repeats::Safe);
+            asked.node = number as usize % 3;
+            ledger.asked(ms(0), asked);
+            ledger.arrived(ms(10 + number), ms(10), "s", &number.to_string(), 0.1);
+        }
+        (ledger.fell("s"), ledger.judge().cold_worst)
+    };
+    // 2 s of work a second, of which 0.21 are there, times 3: 1.26 s of work in the first second.
+    assert!(!fill(12).0 && fill(13).0, "{:?} {:?}", fill(12), fill(13));
+    assert!((fill(12).1 - 1.2 / 1.26).abs() < 0.01);
+}
+
+#[test]
+fn a_ceiling_is_judged_over_all_nodes_with_its_slack_and_a_quota_only_counted() {
+    let mut ledger = Ledger::new(Bounds::default());
+    ledger.limit(7, (1.0, 2.0), Some((2.0, 4.0)));
+    for number in 0..6_u64 {
+        let id = number.to_string();
+        ledger.asked(ms(0), Asked { node: number as usize, ..asked(&id, Repeats::Safe) });
+        ledger.arrived(ms(0), ms(0), "s", &id, 0.1);
+        ledger.answered(ms(1), &id, Answer::Served);
+        // 4 units at once, one for the slack and 0.3 for lateness.
+        assert_eq!(ledger.judge().breaches.len(), usize::from(number >= 5), "{number}");
+    }
+    let verdict = ledger.judge();
+    assert!((verdict.beyond_quota - 4.0 / 6.0).abs() < 1e-9, "{verdict:?}");
+    assert!((verdict.ceiling_over_most - 2.0).abs() < 1e-9, "{verdict:?}");
+}
