Call a list service that all share again within 4.5 s, beside calls that wait

Need: a change counts as told 6 s after discovery had it and could be reached, whatever befell the calls before.

Cause: `Pace::of` waited too long where a fleet asks for its lists. First pause 0 to 2 n/25 s, then 0.5 to 1.5 times up to 12 s, and a call given up after 3 s (6 s with a connection that came up late) came on top; `Retry-After` held for up to 120 s. Longest from the service's return to the next call, by those lines: 3 nodes 1.5 s (4.5 s where calls are left unanswered), 30 nodes 5.6 (8.6), 300 and 2,700 nodes 24 (27), each up to 120 s more where told to come back. Ruled out: an agent (a call each 120 ms); the end of a watch (1 s) and a silent one (3 s + 1 s) keep to it; SIGHUP calls at once.

Change: calls begin at most 4.5 s apart in any fleet, also after `Retry-After`; the next call goes out beside one that waits, so that the whole span can be drawn; a call waits for three of the longest mean pauses (3 to 12 s), connection and answer together, as calls that were given up at 3 s kept an overloaded service's line full. `[list]` is kept to as before, and may take longer than 6 s. Calls while all fail: n/4 a second beyond 32 nodes, 8 below that (before: n/12 beyond 100).

Weighed: the next call after the end of the last, with a shorter pause: of 300 nodes, 190 calls in the worst second, as little is left to be drawn (98 beside one another). A shorter pause after refused connects only: a steeper burst at the return.

Not helped: a service that itself answers 503 after 2 s and works on all the same needs n/4 a second.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use saffronpaddle_decision::interface::Discovery;
-use saffronpaddle_roster::{Doubt, Hedged, Objects, Pace, Terms};
+use saffronpaddle_roster::{Doubt, Objects, Pace, Terms};
 use std::cell::{Cell, RefCell};
 use std::future::{pending, poll_fn, Future};
 use std::net::SocketAddr;
@@ -24,7 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
 /// has to tell counts as told 6 s later, also on a watch that nobody serves any more.
@@ -200,7 +200,7 @@
     let mut told = false;
     loop {
         follower.opened = false;
-        let ended = watch_list(&mut follower, address, pace.hedged()).await;
+        let ended = watch_list(&mut follower, address, &mut pace).await;
         follower.word.open.set(false);
         if follower.word.left.get() {
             return;
@@ -244,9 +244,10 @@
     Failed(anyhow::Error),
 }
 
-/// One call, until it is answered. `answers`: how long that may take.
+/// One call, until it is answered. `answers`: how long that may take, with the connection.
 async fn call(address: SocketAddr, path: String, answers: Duration) -> Result<Watch, NoWatch> {
     let opened = async {
+        let by = Instant::now() + answers;
         let connect = TcpStream::connect(address);
         let stream = timeout(SILENT_FOR.min(answers), connect).await.context("it does not come up")??;
         let stream = Arc::new(stream);
@@ -257,7 +258,7 @@
             let _ = connection.await;
         }));
         let request = Request::builder().uri(path).header(HOST, address.to_string());
-        let answer = timeout(answers, sender.send_request(request.body(Empty::<Bytes>::new())?)).await;
+        let answer = timeout_at(by, sender.send_request(request.body(Empty::<Bytes>::new())?)).await;
         anyhow::Ok((driver, looked, answer.context("the call is not answered")??))
     };
     let (driver, stream, answer) = opened.await.map_err(NoWatch::Failed)?;
@@ -269,39 +270,52 @@
     Err(after.map_or_else(failed, |after| NoWatch::ComeBack(answer.status(), Duration::from_secs(after))))
 }
 
-/// Calls again and again while earlier calls are still open, until one is answered with a watch. The others end with it.
-async fn soonest(address: SocketAddr, path: &str, hedged: Hedged) -> Watch {
+/// Calls again and again, also while earlier calls are still open, until one is answered with a watch. The others end with it.
+async fn soonest(
+    address: SocketAddr, path: &str, answers: Duration, pace: &mut Pace, mut beside: Duration,
+) -> Watch {
     let mut calls = JoinSet::new();
     let mut told = false;
     loop {
-        calls.spawn_local(call(address, path.to_owned(), hedged.answer_within));
-        let next = sleep(hedged.every);
+        let begun = Instant::now();
+        calls.spawn_local(call(address, path.to_owned(), answers));
+        let next = sleep(beside);
         tokio::pin!(next);
         loop {
-            tokio::select! {
+            let error = tokio::select! {
                 () = &mut next => break,
                 Some(ended) = calls.join_next() => match ended {
                     Ok(Ok(watch)) => return watch,
-                    Ok(Err(NoWatch::Failed(error))) if !std::mem::replace(&mut told, true) => {
-                        eprintln!("discovery: {error:#}");
+                    Ok(Err(NoWatch::Failed(error))) => error,
+                    Ok(Err(NoWatch::ComeBack(status, after))) => {
+                        let pause = pace.told_beside(after, begun.elapsed(), fastrand::f64());
+                        if let Some(pause) = pause {
+                            next.as_mut().reset(Instant::now() + pause);
+                        }
+                        anyhow!("the watch was answered {status}")
                     }
-                    Ok(Err(_)) | Err(_) => {}
+                    Err(_) => continue,
                 },
+            };
+            if !std::mem::replace(&mut told, true) {
+                eprintln!("discovery: {error:#}");
             }
         }
+        beside = pace.beside(fastrand::f64()).unwrap_or(beside);
     }
 }
 
 /// One watch, until it ends.
-async fn watch_list(follower: &mut Follower, address: SocketAddr, hedged: Option<Hedged>) -> Result<()> {
+async fn watch_list(follower: &mut Follower, address: SocketAddr, pace: &mut Pace) -> Result<()> {
     // A list that is in doubt is asked for whole.
     let settles = follower.terms.as_ref().and_then(|terms| follower.doubt.asks_again(terms.empty_after));
     let from = follower.seq.filter(|_| settles.is_none());
     let from = from.map_or(String::new(), |seq| format!("&from={seq}"));
     let path = format!("/api/targets?watch=1{from}");
-    let mut watch = match hedged {
-        Some(hedged) => soonest(address, &path, hedged).await,
-        None => match call(address, path, follower.answers()).await {
+    let answers = pace.answer_within().unwrap_or_else(|| follower.answers());
+    let mut watch = match pace.beside(fastrand::f64()) {
+        Some(beside) => soonest(address, &path, answers, pace, beside).await,
+        None => match call(address, path, answers).await {
             Ok(watch) => watch,
             Err(NoWatch::Failed(error)) => return Err(error),
             Err(NoWatch::ComeBack(status, after)) => {
--- a/crates/roster/src/pace.rs
+++ b/crates/roster/src/pace.rs
@@ -2,8 +2,15 @@
 //!
 //! Danger that it guards against: a service that takes more calls than it can answer in their time, and works on them all
 //! the same. Each node that calls once a second is harmless; a hundred of them keep the line of callers so long that
-//! nearly every answer comes too late, for ever. What all nodes together call must stay under what such a service bears,
-//! whatever the number of nodes: so the first pause and the longest grow with the fleet, and each is drawn anew.
+//! nearly every answer comes too late, for ever. So the first pause and the longest grow with the fleet, and each is drawn
+//! anew.
+//!
+//! The other danger: a drain that a node does not hear of as it stays away from a service that is back. A change counts as
+//! told 6 s after the service had it and could be reached, whatever befell the calls before. So no two calls of a node begin
+//! further apart than 4.5 s, whatever the fleet's size, and the rest is for the answer. The price: a service that fails
+//! gets up to a quarter as many calls a second as there are nodes (75 of 300, 675 of 2,700). So that one that bears less
+//! gets through its line, a call waits up to 12 s while others go out beside it. One that gives up its callers itself
+//! within that, and works on them all the same, can stay overloaded: an installation that has such a service sets [`Terms`].
 
 use std::time::Duration;
 
@@ -13,8 +20,14 @@
 const LATER_A_SECOND: f64 = 8.0;
 /// Least first pause, and least longest: what a small fleet keeps to.
 const LEAST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
-/// Longest pause of any fleet. Guards drains, which a node without its list does not hear of.
-const MOST: Duration = Duration::from_secs(12);
+/// Longest from the beginning of a call to that of the next, in a fleet of any size. Of the 6 s after which a change counts as
+/// told it leaves 1.5 s for the answer.
+const MOST: Duration = Duration::from_millis(4500);
+/// Longest mean pause: what keeps a fleet that fails again and again to this share of its nodes a second.
+const MOST_MEAN: Duration = Duration::from_secs(4);
+
+/// Least that a call on a service that all share may take to be answered.
+const ANSWER_LEAST: Duration = Duration::from_secs(3);
 
 /// What an installation sets for calls on its list service.
 #[derive(Clone, Debug, PartialEq)]
@@ -99,21 +112,25 @@
     next: Duration,
     /// Longest pause after a watch that was open.
     ended: Duration,
+    /// Longest from the beginning of a call to that of the next.
+    most: Option<Duration>,
 }
 
 impl Pace {
-    /// The pauses of a node in a fleet of so many.
+    /// The pauses of a node in a fleet of so many: calls begin 4.5 s apart at the most, as long as one fails within that.
     pub fn of(nodes: u32) -> Self {
-        let share = |a_second: f64| Duration::from_secs_f64(f64::from(nodes) / a_second).min(MOST);
-        let (first, longest) = (share(FIRST_A_SECOND).max(LEAST.0), share(LATER_A_SECOND).max(LEAST.1));
+        let share = |a_second: f64, most| Duration::from_secs_f64(f64::from(nodes) / a_second).min(most);
+        let first = share(FIRST_A_SECOND, MOST / 2).max(LEAST.0);
+        let longest = share(LATER_A_SECOND, MOST_MEAN).max(LEAST.1).max(first);
         let ended = (first * 2).min(ENDED_MOST);
-        Pace { hedged: None, first, longest: longest.max(first), next: first, ended }
+        Pace { hedged: None, first, longest, next: first, ended, most: Some(MOST) }
     }
 
     /// Those of a node whose agent answers at once and at no cost: nobody else is kept waiting by its calls.
     pub fn agent() -> Self {
         let first = AGENT_PAUSE;
-        Pace { hedged: Some(AGENT), first, longest: first, next: first, ended: first * 2 }
+        let ended = first * 2;
+        Pace { hedged: Some(AGENT), first, longest: first, next: first, ended, most: None }
     }
 
     /// Whether more calls go out while one is open, and how.
@@ -126,7 +143,29 @@
     pub fn within(nodes: u32, terms: &Terms) -> Self {
         let share = Duration::from_secs_f64(f64::from(nodes) / terms.calls_per_s);
         let first = share.max(LEAST.0);
-        Pace { hedged: None, first, longest: (first * 2).max(LEAST.1), next: first, ended: first * 2 }
+        let longest = (first * 2).max(LEAST.1);
+        Pace { hedged: None, first, longest, next: first, ended: first * 2, most: None }
+    }
+
+    /// A call goes out: after how long another one goes out beside it, if it is neither answered nor given up, or has failed.
+    /// `None` where an installation says what its service bears: there the next call waits for the end of this one.
+    ///
+    /// Danger that it guards against: a fleet whose calls went out in one moment and are left unanswered. If the next call waited
+    /// for the end of the last, little of the time for it would be left to be drawn, and the fleet would go on in step.
+    pub fn beside(&mut self, draw: f64) -> Option<Duration> {
+        match (self.hedged, self.most) {
+            (Some(hedged), _) => Some(hedged.every),
+            (None, Some(_)) => Some(self.pause(draw)),
+            (None, None) => None,
+        }
+    }
+
+    /// How long a call may take to be answered where others go out beside it. Danger: calls that are given up just before
+    /// they are answered, by a service that has worked on them: then its line of callers never gets short. Half a dozen are open
+    /// at the most.
+    pub fn answer_within(&self) -> Option<Duration> {
+        let shared = self.most.map(|_| (self.longest * 3).max(ANSWER_LEAST));
+        self.hedged.map(|hedged| hedged.answer_within).or(shared)
     }
 
     /// The service has said when to come back: no sooner, and spread out behind that as after any other end.
@@ -134,6 +173,16 @@
         after.min(TOLD_MOST) + self.pause(draw)
     }
 
+    /// The same where calls go out beside one another: how long from now on, as the call was made so long ago. Danger: a
+    /// service that says a minute and has a drain to tell a second later. A node comes back in time all the same, and no
+    /// sooner than told where that leaves half of the time to be drawn: those that were all told the same do not come at
+    /// once.
+    pub fn told_beside(&self, after: Duration, ago: Duration, draw: f64) -> Option<Duration> {
+        let room = self.most?.saturating_sub(ago);
+        let from = after.min(room / 2);
+        Some(from + (room - from).mul_f64(draw.clamp(0.0, 1.0)))
+    }
+
     /// A watch was open and has ended, or has fallen silent: how long until the next call. One that fails is a first one again.
     pub fn ended(&mut self, draw: f64) -> Duration {
         self.next = self.first;
@@ -141,12 +190,13 @@
     }
 
     /// How long to wait now; `draw` is from 0 to 1. The first pause is anything up to twice its mean, so that what ended
-    /// at once does not come back at once; each further one is twice as long.
+    /// at once does not come back at once; each further one is twice as long, and drawn around that.
     pub fn pause(&mut self, draw: f64) -> Duration {
-        let spread = if self.next == self.first { 2.0 * draw } else { 0.5 + draw };
-        let pause = self.next.mul_f64(spread);
+        let mean = self.next;
+        let half = if mean == self.first { mean } else { mean / 2 };
+        let half = self.most.map_or(half, |most| half.min(most.saturating_sub(mean)));
         self.next = (self.next * 2).min(self.longest);
-        pause
+        mean - half + (half * 2).mul_f64(draw.clamp(0.0, 1.0))
     }
 }
 
