Count the standing terms over whole fleets in the ledger, with tests by several processes

Need: the sum that a cold server gets from all nodes, attempts after clients have gone, nodes that turn all away, processes that serve nobody, and how soon restarted processes are ready had no figure and no test. Change: the ledger counts them (SentAfterLeave is a break from the third on), the report shows them, and scenarios have the steps burst, join, crowd and kill-early and clients that leave. Virtual time refuses these.

--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -12,6 +12,8 @@
 /// What one instance did.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Row {
+    /// Processes that were started.
+    pub processes: u64,
     /// Milliseconds from exec to ready, for each of its processes.
     pub ready_ms: Vec<f64>,
     /// Memory when it was first ready, and the most that was seen, in MB.
@@ -71,6 +73,15 @@
         self.verdict.breaches.is_empty() && self.faults.is_empty() && self.too_long == 0
     }
 
+    /// Processes that were started in place of another and were ready within [`AGAIN_WITHIN_MS`], and all of these.
+    pub fn restarted(&self) -> (usize, usize) {
+        let again = |row: &Row| row.processes.saturating_sub(1) as usize;
+        let quick = |row: &Row| {
+            row.ready_ms.iter().rev().take(again(row)).filter(|ms| **ms <= AGAIN_WITHIN_MS).count()
+        };
+        (self.rows.iter().map(quick).sum(), self.rows.iter().map(again).sum())
+    }
+
     /// Breaches by their kind.
     pub fn kinds(&self) -> BTreeMap<String, usize> {
         let mut kinds = BTreeMap::new();
@@ -146,6 +157,9 @@
             "after_drain_most_ms": verdict.after_drain_most_ms, "drains": verdict.drains,
             "drain_median_ms": verdict.drain_median_ms, "effects": verdict.effects,
             "keys_repeated": verdict.keys_repeated, "cold_worst": verdict.cold_worst,
+            "cold_crowded": verdict.cold_crowded, "left": verdict.left, "left_unsent": verdict.left_unsent,
+            "after_leave": verdict.after_leave, "shut": verdict.shut, "unserving": verdict.unserving,
+            "unanswered": verdict.unanswered(), "restarted": self.restarted(),
             "beyond_quota": verdict.beyond_quota, "ceiling_over_most": verdict.ceiling_over_most,
             "unasked": verdict.unasked, "breaches": breaches, "faults": self.faults,
             "refused_connections": self.counts.refused_connections, "resent": self.counts.resent,
@@ -176,6 +190,9 @@
     }
 }
 
+/// A process that was started again is to be ready by then.
+pub const AGAIN_WITHIN_MS: f64 = 10_000.0;
+
 /// Most moments within any one second.
 fn most_in_a_second(at: &[Duration]) -> usize {
     let mut at = at.to_vec();
@@ -230,6 +247,17 @@
             "cold servers at most {:.2} of what makes them fall; beyond quotas {:.3} of the units; ceilings by {:.1} units",
             verdict.cold_worst, verdict.beyond_quota, verdict.ceiling_over_most
         )?;
+        writeln!(
+            f,
+            "cold servers got at most {:.2} of N + 2 sqrt(N) + 2; clients that left {}, before a first attempt {}, sent on after that {}",
+            verdict.cold_crowded, verdict.left, verdict.left_unsent, verdict.after_leave
+        )?;
+        let (quick, again) = self.restarted();
+        writeln!(
+            f,
+            "unanswered {}; processes that served nobody {}; nodes that turned all away for 4 s {}; started again {again}, ready within 10 s {quick}",
+            verdict.unanswered(), verdict.unserving, verdict.shut
+        )?;
         writeln!(
             f,
             "front: {} connections refused, {} tries with nobody, {} resent, {} retries; served in {:.0} ms, p99 {:.0} ms",
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -13,7 +13,7 @@
 use saffronpaddle_standins::discovery::{Discovery, Entry};
 use saffronpaddle_standins::etcd::Etcd;
 use saffronpaddle_standins::links::{End, Links, Relay};
-use saffronpaddle_standins::load::Front;
+use saffronpaddle_standins::load::{Customer, Front};
 use saffronpaddle_standins::peers::Network;
 use saffronpaddle_standins::ports::unclaimed;
 use saffronpaddle_standins::servers::{AppServer, Spec};
@@ -62,6 +62,7 @@
     front: Arc<Front>,
     instances: Vec<Arc<Instance>>,
     roster: Lists,
+    customers: Vec<Customer>,
     scenario: Scenario,
 }
 
@@ -122,7 +123,7 @@
     rig.start().await?;
     let (before, begun) = (rig.datagrams(), rig.world.now());
     let duration = rig.scenario.duration;
-    let offered = rig.offer(options.seed);
+    let offered = rig.offer();
     let befallen = rig.befall(options.say);
     let (offered, ()) = tokio::join!(timeout(duration + CLIENTS_END, offered), befallen);
     let mut faults = Vec::new();
@@ -142,6 +143,7 @@
         let cost = instance.cost().clone();
         let (was, is) = (before[instance.number], after[instance.number]);
         Row {
+            processes: cost.processes,
             ready_ms: cost.ready.iter().map(|span| span.as_secs_f64() * 1e3).collect(),
             memory_idle_mb: cost.memory_idle as f64 / 1e6,
             memory_most_mb: cost.memory_most as f64 / 1e6,
@@ -268,14 +270,15 @@
             std::fs::write(instance.configuration(), text)?;
             instances.push(Arc::new(instance));
         }
-        let front = Front::new(Arc::clone(&world), fleet, &doors, options.seed);
+        let customers = customers(&scenario, &fleet, options.seed);
+        let front = Front::new(Arc::clone(&world), fleet, &doors, options.seed, scenario.leaves);
         let roster = Lists {
             world: Arc::clone(&world),
             discovery: Arc::clone(&discovery),
             etcd,
             instances: scenario.instances,
         };
-        Ok(Rig { world, discovery, servers, links, network, front, instances, roster, scenario })
+        Ok(Rig { world, discovery, servers, links, network, front, instances, roster, customers, scenario })
     }
 
     /// Starts all instances and waits until the front takes all of them for ready.
@@ -328,12 +331,12 @@
     }
 
     /// Offers all customers' tries, and comes back when the last has ended.
-    async fn offer(&self, seed: u64) {
+    async fn offer(&self) {
         let fleet = Fleet::usual(self.scenario.instances);
         let mut clients = tokio::task::JoinSet::new();
-        for customer in customers(&self.scenario, &fleet, seed) {
-            fleet.limit(&mut self.world.ledger(), &customer);
-            clients.spawn(Arc::clone(&self.front).offer(customer, self.scenario.duration));
+        for customer in &self.customers {
+            fleet.limit(&mut self.world.ledger(), customer);
+            clients.spawn(Arc::clone(&self.front).offer(customer.clone(), self.scenario.duration));
         }
         while clients.join_next().await.is_some() {}
     }
@@ -357,11 +360,13 @@
         let (world, discovery) = (Arc::clone(&self.world), Arc::clone(&self.discovery));
         let (links, front, roster) = (Arc::clone(&self.links), Arc::clone(&self.front), self.roster.clone());
         let (instances, servers) = (self.instances.clone(), self.servers.clone());
+        let customers = self.customers.clone();
         let (within, lateness) = (self.scenario.ready_within, self.scenario.lateness);
         let deed = step.deed.clone();
         async move {
             let whose = match deed {
-                Deed::Start(who) | Deed::Restart(who) | Deed::Kill(who, _) | Deed::Pause(who, _) => Some(who),
+                Deed::Start(who) | Deed::Restart(who) => Some(who),
+                Deed::Kill(who, _) | Deed::Killearly(who, _) | Deed::Pause(who, _) => Some(who),
                 _ => None,
             };
             // Danger: an instance that is killed while it is restarted, and runs twice.
@@ -393,6 +398,25 @@
                     }
                 }
                 Deed::Kill(..) => {}
+                Deed::Killearly(who, lasts) if instances[who].runs() => {
+                    for early in [true, false] {
+                        front.killed_or_back(who);
+                        instances[who].signal(Signal::SIGKILL);
+                        while instances[who].runs() {
+                            sleep(Duration::from_millis(5)).await;
+                        }
+                        world.ledger().restarted(who);
+                        front.killed_or_back(who);
+                        if early {
+                            // Whether or not it is ready by then.
+                            let _ =
+                                tokio::join!(sleep(lasts), timeout(lasts, start(&instances[who], within)));
+                        } else {
+                            start(&instances[who], within).await;
+                        }
+                    }
+                }
+                Deed::Killearly(..) => {}
                 Deed::Pause(who, lasts) => {
                     let stopped = world.now();
                     front.paused(who);
@@ -422,6 +446,16 @@
                     discovery.bear(|bears| bears.down = false);
                 }
                 Deed::ListBack(back) => discovery.back(back),
+                Deed::Join(who) => begin(&world, &roster, &servers[who]),
+                Deed::Burst(times, lasts) => {
+                    let mut clients = tokio::task::JoinSet::new();
+                    for customer in customers {
+                        let rate = customer.rate * (times - 1.0).max(0.0);
+                        clients.spawn(Arc::clone(&front).offer(Customer { rate, ..customer }, lasts));
+                    }
+                    while clients.join_next().await.is_some() {}
+                }
+                Deed::Crowd(who, lasts) => front.crowd(who, lasts).await,
                 Deed::Drain(who, lasts) => {
                     list(&roster, &servers[who], "draining", None);
                     sleep(lateness + DRAINS_FOR).await;
@@ -497,6 +531,11 @@
     server.kill();
     list(roster, server, "gone", None);
     sleep(lasts).await;
+    begin(world, roster, server);
+}
+
+/// Its process starts, cold, and is listed.
+fn begin(world: &World, roster: &Lists, server: &AppServer) {
     match server.start_cold() {
         Ok(()) => list(roster, server, "ready", Some(world.unix_ms())),
         Err(error) => eprintln!("{} does not start: {error}", server.name()),
@@ -520,7 +559,10 @@
         let block = spec.block;
         let server = AppServer::start(Arc::clone(world), spec).context("an app server")?;
         let born_ms = if scenario.cold { world.unix_ms() } else { 0 };
-        if scenario.cold {
+        let absent = scenario.absent_servers.contains(&number);
+        if absent {
+            server.kill();
+        } else if scenario.cold {
             world.ledger().cold(world.now(), server.name(), server.capacity());
         }
         entries.push(Entry {
@@ -528,7 +570,7 @@
             dial: server.address(),
             site: fleet.sites[number % fleet.sites.len()].to_owned(),
             block,
-            health: "ready",
+            health: if absent { "gone" } else { "ready" },
             born_ms,
         });
         servers.push(server);
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -5,6 +5,7 @@
 use saffronpaddle_operator::{Fault, Faults, Section};
 use saffronpaddle_standins::discovery::Back;
 use saffronpaddle_standins::links::{self, End, Which};
+use saffronpaddle_standins::load::Leaves;
 use saffronpaddle_standins::settings::Fleet;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -21,6 +22,8 @@
     Restart(usize),
     /// SIGKILL, and a new process after a while.
     Kill(usize, Duration),
+    /// SIGKILL, a new process after a while, which is killed so long after its own start, and another.
+    Killearly(usize, Duration),
     /// SIGSTOP, and SIGCONT after a while.
     Pause(usize, Duration),
     /// A fault on links, for a while or to the end; then they heal, at once or node by node with this pause.
@@ -29,6 +32,12 @@
     ListDown(Duration),
     /// It is back without something.
     ListBack(Back),
+    /// An app server that was absent starts, cold, and is listed.
+    Join(usize),
+    /// Customers ask for so many times as much for a while.
+    Burst(f64, Duration),
+    /// Clients that say nothing fill an instance's descriptors for a while.
+    Crowd(usize, Duration),
     /// An app server drains, then its process ends, and it starts anew and cold after a while.
     Drain(usize, Duration),
     /// An app server is listed as draining for a while, and then as ready again.
@@ -49,6 +58,17 @@
     Etcdcompact,
 }
 
+impl Deed {
+    /// Whether it is for processes alone: there is none of it in virtual time.
+    pub fn of_processes(&self) -> bool {
+        use Deed::*;
+        matches!(
+            self,
+            Etcdcut(_) | Etcdfreeze(..) | Etcdcompact | Killearly(..) | Join(_) | Burst(..) | Crowd(..)
+        )
+    }
+}
+
 /// A deed and its time, counted from when the fleet is up.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Step {
@@ -141,6 +161,10 @@
     pub sides: Vec<Side>,
     /// Instances that are not started with the others.
     pub absent: BTreeSet<usize>,
+    /// App servers that are neither started nor listed with the others.
+    pub absent_servers: BTreeSet<usize>,
+    /// Clients that leave while they wait.
+    pub leaves: Leaves,
     /// Calls and bytes of lists that the list service can answer a second; 0 for any number.
     pub list_bears: (f64, f64),
     /// Whether the list service turns callers away once its line is long.
@@ -194,11 +218,15 @@
 type Kind = (&'static str, Whom, fn(&Said) -> Deed);
 
 /// All that a step may be.
-const DEEDS: [Kind; 22] = [
+const DEEDS: [Kind; 26] = [
     ("start", Whom::Instance, |said| Deed::Start(said.who)),
     ("reload", Whom::Instance, |said| Deed::Reload(said.who)),
     ("restart", Whom::Instance, |said| Deed::Restart(said.who)),
     ("kill", Whom::Instance, |said| Deed::Kill(said.who, said.lasts)),
+    ("kill-early", Whom::Instance, |said| Deed::Killearly(said.who, said.lasts)),
+    ("crowd", Whom::Instance, |said| Deed::Crowd(said.who, said.lasts)),
+    ("join", Whom::Server, |said| Deed::Join(said.who)),
+    ("burst", Whom::All, |said| Deed::Burst(said.times, said.lasts)),
     ("pause", Whom::Instance, |said| Deed::Pause(said.who, said.lasts)),
     ("peers", Whom::All, |said| said.link(said.which.clone(), said.fault, None)),
     ("cut", Whom::Instance, |said| said.link(said.cut(), LOST, Some(said.lasts))),
@@ -302,6 +330,14 @@
             ready_within: file.span_ms("ready_within_ms", 30_000, 1000..=600_000),
             sides: Vec::new(),
             absent: BTreeSet::new(),
+            absent_servers: BTreeSet::new(),
+            leaves: Leaves {
+                share: file.figure("leave_share", 0.0, 0.0..=1.0),
+                after: (
+                    file.span_ms("leave_least_ms", 20, 0..=60_000),
+                    file.span_ms("leave_most_ms", 1_000, 0..=60_000),
+                ),
+            },
             list_bears: (
                 file.figure("list_calls_per_s", 0.0, 0.0..=100_000.0),
                 file.figure("list_bytes_per_s", 0.0, 0.0..=1e9),
@@ -318,7 +354,8 @@
         let counts = (scenario.instances, scenario.servers);
         scenario.sides = sides(parted, counts, &mut file);
         let among = |text: &str| ends(text, counts, &scenario.sides);
-        let absent = file.parsed("absent", "instances", among).unwrap_or_default();
+        let absent = file.parsed("absent", "instances and servers", among).unwrap_or_default();
+        scenario.absent_servers = absent.iter().filter_map(server).collect();
         scenario.absent = absent.into_iter().filter_map(node).collect();
         let mut faults = Vec::new();
         let written = match written {
@@ -459,6 +496,14 @@
     }
 }
 
+/// An end's number, if it is an app server.
+fn server(end: &End) -> Option<usize> {
+    match end {
+        End::Server(number) => Some(*number),
+        _ => None,
+    }
+}
+
 /// Requests that an app server holds at once for each core, beyond which it turns away unseen.
 pub const SLOTS: usize = 16;
 /// App servers in a group that drops repeats.
--- a/crates/fleet/src/virtually/mod.rs
+++ b/crates/fleet/src/virtually/mod.rs
@@ -153,10 +153,13 @@
 /// # Errors
 /// The scenario asks for what there is not in virtual time, or the operator file is wrong.
 pub fn play(scenario: Scenario, seed: u64, operator: &str) -> Result<Report> {
-    let foreign = |deed: &Deed| matches!(deed, Deed::Etcdcut(_) | Deed::Etcdfreeze(..) | Deed::Etcdcompact);
     ensure!(
-        scenario.roster == Roster::Discovery && !scenario.steps.iter().any(|step| foreign(&step.deed)),
-        "there is no etcd in virtual time"
+        scenario.roster == Roster::Discovery && !scenario.steps.iter().any(|step| step.deed.of_processes()),
+        "there is no etcd in virtual time, and no step that needs processes"
+    );
+    ensure!(
+        scenario.leaves.share == 0.0 && scenario.absent_servers.is_empty(),
+        "clients don't leave and servers don't join in virtual time"
     );
     let says = Operator::parse(operator)?;
     let mut run = Virtual::new(scenario, seed, (says.list, says.quotas))?;
@@ -645,7 +648,9 @@
                 self.service.silent = true;
                 self.later(us(lasts), Comes::Discovered);
             }
+            // Refused when the run began.
             Deed::Etcdcut(_) | Deed::Etcdfreeze(..) | Deed::Etcdcompact => {}
+            Deed::Killearly(..) | Deed::Join(_) | Deed::Burst(..) | Deed::Crowd(..) => {}
         }
     }
 
@@ -661,6 +666,7 @@
             self.servers.iter().map(|server| (server.name.clone(), server.capacity())).collect();
         let row = |node: &Node| Row {
             ready_ms: Vec::new(),
+            processes: 0,
             memory_idle_mb: 0.0,
             memory_most_mb: 0.0,
             cpu_s: 0.0,
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -22,6 +22,10 @@
     pub fall_multiple: f64,
     /// ... within this span makes it fall.
     pub fall_window: Duration,
+    /// Seconds of work of a mean request.
+    pub mean_work: f64,
+    /// After a client has closed its connection an attempt of its request may begin for so long.
+    pub leave_grace: Duration,
     /// Slack of a ceiling: a share of its depth, or so many units, whichever is more.
     pub ceiling_slack: (f64, f64),
     /// The slack is wider by what the ceiling's rate gives in this span.
@@ -39,6 +43,8 @@
             cold_for: Duration::from_secs(17),
             fall_multiple: 3.0,
             fall_window: Duration::from_secs(1),
+            mean_work: 0.1,
+            leave_grace: Duration::from_millis(100),
             ceiling_slack: (0.1, 1.0),
             ceiling_late: Duration::from_millis(150),
         }
@@ -118,6 +124,8 @@
     RefusedAfterEffect(String),
     /// New work reached a server too long after the drain was told.
     SentAfterDrain(String),
+    /// An attempt of a request whose client had gone, from the third on.
+    SentAfterLeave(String),
     /// A cold server fell over.
     Fell(String),
     /// A ceiling was passed.
@@ -132,6 +140,8 @@
     at: Duration,
     answer: Option<(Answer, Duration)>,
     unanswered: Option<Unanswered>,
+    /// When its client closed the connection while it waited, and how many attempts there had been.
+    left: Option<(Duration, u32)>,
     attempts: u32,
     out: u32,
     /// When an attempt came while another was out.
@@ -217,9 +227,39 @@
     capacity: f64,
     work: VecDeque<(Duration, f64)>,
     worst: f64,
+    /// Most requests of mean work in the window, as a share of what a Poisson stream of the bound's mean stays within.
+    crowded: f64,
     fell: bool,
 }
 
+/// What one node did with what it got.
+#[derive(Debug, Default)]
+struct Stint {
+    /// Turned away unsent since its last attempt, and when the first of these was.
+    turned: u64,
+    since: Option<Duration>,
+    /// Whether it ever turned away all for too long.
+    shut: bool,
+    /// Requests of its present process that had an end, and those of them that were served.
+    got: u64,
+    served: u64,
+    /// Processes of it that have ended and served nobody.
+    unserving: u64,
+}
+
+impl Stint {
+    fn unserving(&self) -> u64 {
+        self.unserving + u64::from(self.got >= SERVES && self.served == 0)
+    }
+}
+
+/// A node that turns away so many, and all that it gets, for so long, is shut.
+const SHUT: (u64, Duration) = (15, Duration::from_secs(4));
+/// A process that has got so many requests and served none serves nobody.
+const SERVES: u64 = 5;
+/// Attempts after their clients had gone that break no rule.
+const AFTER_LEAVE: usize = 2;
+
 /// The keys that a group has run, and when first.
 type Keys = HashMap<(u64, String), Duration>;
 
@@ -238,6 +278,10 @@
     ceilings: BTreeMap<u64, Limit>,
     quotas: BTreeMap<u64, Limit>,
     cold: BTreeMap<String, Cold>,
+    /// The highest share of servers' earlier lives.
+    crowded: f64,
+    stints: BTreeMap<usize, Stint>,
+    after_leave: Vec<Breach>,
     late_sends: Vec<Duration>,
     after_drain: u64,
     unasked: u64,
@@ -283,6 +327,17 @@
     pub keys_repeated: u64,
     /// Worst load of a cold server: work sent within the window, as a share of what makes it fall.
     pub cold_worst: f64,
+    /// Most requests of mean work that a cold server got from all nodes within the window, as a share of N + 2 sqrt(N) + 2,
+    /// N being how many make it fall on the mean.
+    pub cold_crowded: f64,
+    /// Requests whose clients left while they waited for their first attempt.
+    pub left_unsent: u64,
+    /// Attempts that began too long after their clients had left.
+    pub after_leave: u64,
+    /// Nodes that turned away all that they got for 4 s on end, 15 requests or more, with no attempt in between.
+    pub shut: u64,
+    /// Processes that got five requests or more and served none.
+    pub unserving: u64,
     /// Units sent beyond quotas, as a share of all units sent.
     pub beyond_quota: f64,
     /// Farthest that a ceiling was passed, in units over its slack-free bound.
@@ -293,6 +348,13 @@
     pub breaches: Vec<Breach>,
 }
 
+impl Verdict {
+    /// Requests that got no answer though their clients waited, whatever befell their nodes.
+    pub fn unanswered(&self) -> u64 {
+        self.killed + self.paused + self.not_taken + self.lost
+    }
+}
+
 impl Ledger {
     /// An empty one.
     pub fn new(bounds: Bounds) -> Ledger {
@@ -306,6 +368,9 @@
             ceilings: BTreeMap::new(),
             quotas: BTreeMap::new(),
             cold: BTreeMap::new(),
+            crowded: 0.0,
+            stints: BTreeMap::new(),
+            after_leave: Vec::new(),
             late_sends: Vec::new(),
             after_drain: 0,
             unasked: 0,
@@ -329,6 +394,7 @@
             at: now,
             answer: None,
             unanswered: None,
+            left: None,
             attempts: 0,
             out: 0,
             beside: None,
@@ -356,6 +422,15 @@
             limits.get_mut(&customer).is_none_or(|limit| limit.has_room(now, units))
         };
         entry.with_room = answer == Answer::Refused && room(&mut self.quotas) && room(&mut self.ceilings);
+        let stint = self.stints.entry(entry.asked.node).or_default();
+        stint.got += 1;
+        if answer == Answer::Served {
+            stint.served += 1;
+        } else if entry.attempts == 0 {
+            stint.turned += 1;
+            let since = *stint.since.get_or_insert(now);
+            stint.shut |= stint.turned >= SHUT.0 && now.saturating_sub(since) >= SHUT.1;
+        }
         if now > entry.at + entry.asked.patience + bounds.slack {
             let late = (now - entry.at - entry.asked.patience).as_millis();
             self.double.push(Breach::LateAnswer(format!("{id}: {late} ms")));
@@ -376,6 +451,16 @@
     pub fn unanswered(&mut self, id: &str, why: Unanswered) {
         if let Some(entry) = self.tries.get_mut(id) {
             entry.unanswered.get_or_insert(why);
+            let got = why == Unanswered::Lost;
+            self.stints.entry(entry.asked.node).or_default().got += u64::from(got);
+        }
+    }
+
+    /// A client has closed its connection while its request waited.
+    pub fn left(&mut self, now: Duration, id: &str) {
+        self.unanswered(id, Unanswered::Left);
+        if let Some(entry) = self.tries.get_mut(id) {
+            entry.left.get_or_insert((now, entry.attempts));
         }
     }
 
@@ -392,12 +477,15 @@
     /// A node's process has started anew: it knows nothing of what its predecessor was told.
     pub fn restarted(&mut self, node: usize) {
         self.told.retain(|(other, _), _| *other != node);
+        let stint = self.stints.entry(node).or_default();
+        (stint.unserving, stint.got, stint.served) = (stint.unserving(), 0, 0);
     }
 
     /// A server has started cold; `capacity` in seconds of work a second once it is warm.
     pub fn cold(&mut self, now: Duration, server: &str, capacity: f64) {
-        let cold = Cold { born: now, capacity, work: VecDeque::new(), worst: 0.0, fell: false };
-        self.cold.insert(server.to_owned(), cold);
+        let cold = Cold { born: now, capacity, work: VecDeque::new(), worst: 0.0, crowded: 0.0, fell: false };
+        let before = self.cold.insert(server.to_owned(), cold);
+        self.crowded = before.map_or(self.crowded, |before| before.crowded.max(self.crowded));
     }
 
     /// Share of its capacity that a server has.
@@ -427,6 +515,15 @@
             // The end of the earlier one may be on its way; it clears this if it comes at once.
             entry.beside = Some(now);
         }
+        let stint = self.stints.entry(entry.asked.node).or_default();
+        (stint.turned, stint.since) = (0, None);
+        if let Some((left, _)) = entry.left {
+            if first > left + bounds.leave_grace + bounds.slack {
+                let late = (first - left).as_millis();
+                let line = format!("{id} from node {} to {server} after {late} ms", entry.asked.node);
+                self.after_leave.push(Breach::SentAfterLeave(line));
+            }
+        }
         if let Some((told, latest)) = self.told.get_mut(&(entry.asked.node, server.to_owned())) {
             if let Some(late) = first.checked_sub(*told) {
                 *latest = late.max(*latest);
@@ -466,6 +563,9 @@
                 // One heavy request alone is chance, not a push.
                 let load = if cold.work.len() > 1 { sent / (can * bounds.fall_multiple) } else { 0.0 };
                 cold.worst = cold.worst.max(load);
+                let allowed = can * bounds.fall_multiple / bounds.mean_work;
+                let crowd = sent / bounds.mean_work / (allowed + 2.0 * allowed.sqrt() + 2.0);
+                cold.crowded = cold.crowded.max(crowd);
                 if load > 1.0 && !std::mem::replace(&mut cold.fell, true) {
                     let line = format!("{server}, {} ms old, at {load:.2} of its bound", age.as_millis());
                     self.double.push(Breach::Fell(line));
@@ -524,6 +624,12 @@
     pub fn resumed(&mut self, now: Duration, node: usize, stopped: Duration) {
         let of = self.told.iter_mut().filter(|((other, _), (at, _))| *other == node && *at >= stopped);
         of.for_each(|(_, (at, _))| *at = now);
+        // So does a client's close.
+        let tries = self.tries.values_mut().filter(|entry| entry.asked.node == node);
+        tries
+            .filter_map(|entry| entry.left.as_mut())
+            .filter(|(at, _)| *at >= stopped)
+            .for_each(|(at, _)| *at = now);
     }
 
     /// All tries, in no order.
@@ -580,6 +686,9 @@
                 }
             }
         }
+        if self.after_leave.len() > AFTER_LEAVE {
+            breaches.extend_from_slice(&self.after_leave);
+        }
         breaches.sort();
         let mut drains: Vec<Duration> = self.told.values().map(|(_, latest)| *latest).collect();
         drains.extend(&self.drains);
@@ -605,6 +714,12 @@
             effects: self.effects.values().map(|count| u64::from(*count)).sum(),
             keys_repeated: self.effects.values().filter(|count| **count > 1).count() as u64,
             cold_worst: self.cold.values().map(|cold| cold.worst).fold(0.0, f64::max),
+            cold_crowded: self.cold.values().map(|cold| cold.crowded).fold(self.crowded, f64::max),
+            left_unsent: self.tries.values().filter(|entry| matches!(entry.left, Some((_, 0)))).count()
+                as u64,
+            after_leave: self.after_leave.len() as u64,
+            shut: self.stints.values().filter(|stint| stint.shut).count() as u64,
+            unserving: self.stints.values().map(Stint::unserving).sum(),
             beyond_quota: if sent > 0.0 { beyond / sent } else { 0.0 },
             ceiling_over_most: self.ceilings.values().map(|ceiling| ceiling.worst).fold(0.0, f64::max),
             unasked: self.unasked,
--- a/crates/standins/src/ledger/tests.rs
+++ b/crates/standins/src/ledger/tests.rs
@@ -136,3 +136,88 @@
     assert!((verdict.beyond_quota - 4.0 / 6.0).abs() < 1e-9, "{verdict:?}");
     assert!((verdict.ceiling_over_most - 2.0).abs() < 1e-9, "{verdict:?}");
 }
+
+#[test]
+fn attempts_after_their_clients_have_gone_are_found_and_the_third_is_a_break() {
+    for (first, count) in [(1150, 0), (1151, 1)] {
+        let mut ledger = Ledger::new(Bounds::default());
+        for (place, id) in ["a", "b", "c"].into_iter().enumerate() {
+            ledger.asked(ms(900), asked(id, Repeats::Safe));
+            ledger.left(ms(1000), id);
+            ledger.arrived(ms(first + 20), ms(first), "s", id, 0.1);
+            let verdict = ledger.judge();
+            assert_eq!(verdict.after_leave, count * (place as u64 + 1), "{verdict:?}");
+            assert_eq!(verdict.breaches.is_empty(), place < 2 || count == 0, "{verdict:?}");
+        }
+        let verdict = ledger.judge();
+        assert_eq!((verdict.left, verdict.left_unsent, verdict.lost), (3, 3, 0));
+        assert_eq!(verdict.breaches.len() as u64, 3 * count);
+    }
+    // A further attempt counts as a first one does, and only what has had none was unsent.
+    let mut ledger = one(Repeats::Safe);
+    ledger.arrived(ms(10), ms(10), "s", "a", 0.1);
+    ledger.left(ms(20), "a");
+    ledger.over("a");
+    ledger.arrived(ms(300), ms(300), "t", "a", 0.1);
+    assert_eq!((ledger.judge().left_unsent, ledger.judge().after_leave), (0, 1));
+    // A node that stood still learns of the close when it goes on.
+    let mut ledger = one(Repeats::Safe);
+    ledger.left(ms(100), "a");
+    ledger.resumed(ms(900), 0, ms(50));
+    ledger.arrived(ms(1000), ms(1000), "s", "a", 0.1);
+    assert_eq!(ledger.judge().after_leave, 0);
+}
+
+#[test]
+fn a_cold_server_is_crowded_by_the_mean_requests_of_all_nodes_in_all_its_lives() {
+    let bounds = Bounds { mean_work: 0.05, ..Bounds::default() };
+    let mut ledger = Ledger::new(bounds);
+    // 2 s of work a second, of which 0.21 are there, times 3: 25.2 of mean work, and 37.2 with chance.
+    for life in [0_u64, 5000] {
+        ledger.cold(ms(life), "s", 2.0);
+        for number in 0..(if life == 0 { 8 } else { 4 }) {
+            let id = format!("{life}-{number}");
+            ledger.asked(ms(life), Asked { node: number, ..asked(&id, Repeats::Safe) });
+            ledger.arrived(ms(life), ms(life), "s", &id, 0.1);
+        }
+    }
+    let allowed: f64 = 1.26 / 0.05;
+    let share = 16.0 / (allowed + 2.0 * allowed.sqrt() + 2.0);
+    assert!((ledger.judge().cold_crowded - share).abs() < 1e-9, "{:?}", ledger.judge());
+}
+
+#[test]
+fn a_node_that_turns_all_away_for_four_seconds_is_told_from_one_that_sends_once() {
+    for (apart, attempt, shut) in [(290, None, 1), (285, None, 0), (290, Some(7), 0), (400, Some(7), 0)] {
+        let mut ledger = Ledger::new(Bounds::default());
+        for number in 0..15_u64 {
+            let (id, at) = (number.to_string(), ms(number * apart));
+            ledger.asked(at, asked(&id, Repeats::Safe));
+            if attempt == Some(number) {
+                ledger.arrived(at, at, "s", &id, 0.1);
+            }
+            ledger.answered(at, &id, Answer::Refused);
+        }
+        let verdict = ledger.judge();
+        assert_eq!((verdict.shut, verdict.unserving), (shut, 1), "{apart} ms apart: {verdict:?}");
+    }
+}
+
+#[test]
+fn a_process_serves_nobody_whatever_its_successor_serves() {
+    let mut ledger = Ledger::new(Bounds::default());
+    let ask = |ledger: &mut Ledger, answer| {
+        let id = ledger.tries.len().to_string();
+        ledger.asked(ms(0), asked(&id, Repeats::Safe));
+        ledger.answered(ms(1), &id, answer);
+    };
+    (0..5).for_each(|_| ask(&mut ledger, Answer::Refused));
+    ledger.restarted(0);
+    assert_eq!(ledger.judge().unserving, 1);
+    (0..4).for_each(|_| ask(&mut ledger, Answer::Failed));
+    assert_eq!(ledger.judge().unserving, 1, "too few to tell");
+    ask(&mut ledger, Answer::Failed);
+    assert_eq!(ledger.judge().unserving, 2);
+    ask(&mut ledger, Answer::Served);
+    assert_eq!(ledger.judge().unserving, 1);
+}
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -8,6 +8,7 @@
 use crate::settings::{Class, Fleet};
 use crate::wire::Wire;
 use crate::{lock, World};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -29,6 +30,10 @@
 const COMPLY: (f64, Duration) = (0.5, Duration::from_secs(2));
 /// Times that a client comes again.
 const RETRIES: u32 = 2;
+/// Most connections without a request that idle clients hold open to one node: more than it may hold itself.
+const CROWD: usize = 1100;
+/// Between idle clients' looks at their connections.
+const CROWD_LOOK: Duration = Duration::from_millis(100);
 /// Idle connections kept to one node.
 const IDLE_MOST: usize = 64;
 
@@ -111,6 +116,22 @@
     pauses: AtomicU64,
 }
 
+/// Clients that close their connection while they wait.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Leaves {
+    /// Share of all tries.
+    pub share: f64,
+    /// Shortest and longest time that they wait.
+    pub after: (Duration, Duration),
+}
+
+impl Leaves {
+    fn draw(&self) -> Option<Duration> {
+        let (least, most) = self.after;
+        (fastrand::f64() < self.share).then(|| least + most.saturating_sub(least).mul_f64(fastrand::f64()))
+    }
+}
+
 /// The front, with all its clients.
 #[derive(Debug)]
 pub struct Front {
@@ -119,6 +140,7 @@
     doors: Vec<Door>,
     next: AtomicU64,
     seed: u64,
+    leaves: Leaves,
     figures: Figures,
 }
 
@@ -164,7 +186,9 @@
 
 impl Front {
     /// A front before nodes at these addresses, none of which it has seen ready yet.
-    pub fn new(world: Arc<World>, fleet: Fleet, nodes: &[SocketAddr], seed: u64) -> Arc<Front> {
+    pub fn new(
+        world: Arc<World>, fleet: Fleet, nodes: &[SocketAddr], seed: u64, leaves: Leaves,
+    ) -> Arc<Front> {
         let door = |address: &SocketAddr| Door {
             address: *address,
             open: AtomicBool::new(false),
@@ -174,7 +198,7 @@
         };
         let doors = nodes.iter().map(door).collect();
         let (next, figures) = (AtomicU64::new(1), Figures::default());
-        Arc::new(Front { world, fleet, doors, next, seed, figures })
+        Arc::new(Front { world, fleet, doors, next, seed, leaves, figures })
     }
 
     /// Notes that a node is killed in this moment, or that its process runs again: what it held or what waits for it
@@ -245,7 +269,7 @@
             let id = format!("{:08x}{number:08x}", self.seed as u32);
             let request = Request { id, key: key.clone(), class, customer: customer.clone() };
             let after = match self.send(&request).await {
-                Some(End::Answered(Answer::Served, _)) => return,
+                Some(End::Answered(Answer::Served, _) | End::Unanswered(Unanswered::Left)) => return,
                 Some(End::Answered(_, after)) => after,
                 Some(End::Unanswered(_)) | None => None,
             };
@@ -285,12 +309,30 @@
                     lock(&self.doors[node].idle).clear();
                     continue;
                 }
+                End::Unanswered(Unanswered::Left) => world.ledger().left(world.now(), id),
                 End::Unanswered(why) => world.ledger().unanswered(id, *why),
             }
             return Some(end);
         }
     }
 
+    /// Fills a node's descriptors with connections that never send a word, and opens new ones where it closes some.
+    pub async fn crowd(&self, node: usize, lasts: Duration) {
+        let end = self.world.now() + lasts;
+        let mut held: Vec<TcpStream> = Vec::new();
+        while self.world.now() < end {
+            let waits = |stream: &TcpStream| matches!(stream.try_read(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock);
+            held.retain(waits);
+            while held.len() < CROWD && self.world.now() < end {
+                match tokio::time::timeout(CROWD_LOOK, TcpStream::connect(self.doors[node].address)).await {
+                    Ok(Ok(stream)) => held.push(stream),
+                    _ => break,
+                }
+            }
+            tokio::time::sleep(CROWD_LOOK).await;
+        }
+    }
+
     async fn connect(&self, node: usize) -> Option<Wire> {
         let connect = TcpStream::connect(self.doors[node].address);
         match tokio::time::timeout(CONNECT, connect).await {
@@ -326,11 +368,13 @@
         // Noted before the last byte is written, or the node may be quicker than the ledger.
         world.ledger().asked(world.now(), asked);
         let sent = world.now();
+        let patience = class.deadline + self.fleet.bounds.slack * 2;
+        let leaves = self.leaves.draw().filter(|after| *after < patience);
         let begun = match wire.write(self.head(request, class).as_bytes()).await {
             // It may have answered and closed before it had read all.
-            Ok(()) | Err(_) => tokio::time::timeout(class.deadline + self.fleet.bounds.slack * 2, async {
-                wire.message(world).await
-            }),
+            Ok(()) | Err(_) => {
+                tokio::time::timeout(leaves.unwrap_or(patience), async { wire.message(world).await })
+            }
         };
         let excuse = || match (door.kills.load(Ordering::SeqCst), door.pauses.load(Ordering::SeqCst)) {
             // An odd count: it is dead, or stands still.
@@ -370,6 +414,8 @@
                     message.header("retry-after").parse().ok().filter(|after| (0.0..1e6).contains(after));
                 End::Answered(answer, after.map(Duration::from_secs_f64))
             }
+            // The connection closes here.
+            Err(_) if leaves.is_some() => End::Unanswered(Unanswered::Left),
             ended => {
                 let closed = matches!(ended, Ok(Ok(None) | Err(_)));
                 let unread = world.ledger().attempts(&request.id) == 0;
--- a/crates/standins/src/settings.rs
+++ b/crates/standins/src/settings.rs
@@ -58,26 +58,28 @@
         let class =
             |name, keyed, share, work, aim, deadline| Class { name, keyed, share, work, aim, deadline };
         let plan = |name, rate, burst, ceiling| Plan { name, rate, burst, ceiling };
+        let classes = vec![
+            class("read", false, 0.62, ms(100), ms(800), ms(3000)),
+            class("submit", true, 0.38, ms(60), ms(600), ms(2000)),
+        ];
+        let mean_work = mean_work(&classes);
         Fleet {
             nodes,
-            classes: vec![
-                class("read", false, 0.62, ms(100), ms(800), ms(3000)),
-                class("submit", true, 0.38, ms(60), ms(600), ms(2000)),
-            ],
+            classes,
             plans: vec![
                 plan("small", 0.8, 4.0, None),
                 plan("medium", 1.6, 7.0, None),
                 plan("capped", 5.0, 10.0, Some((10.0, 20.0))),
                 plan("large", 12.0, 24.0, None),
             ],
-            bounds: Bounds::default(),
+            bounds: Bounds { mean_work, ..Bounds::default() },
             sites: vec!["north", "south"],
         }
     }
 
     /// Mean seconds of work of a request.
     pub fn mean_work(&self) -> f64 {
-        self.classes.iter().map(|class| class.share * class.work.as_secs_f64()).sum()
+        mean_work(&self.classes)
     }
 
     /// Notes what binds a customer.
@@ -123,6 +125,10 @@
     }
 }
 
+fn mean_work(classes: &[Class]) -> f64 {
+    classes.iter().map(|class| class.share * class.work.as_secs_f64()).sum()
+}
+
 /// Where one node finds what it talks to.
 #[derive(Clone, Debug)]
 pub struct Places {
