Make room for a crowd in batches, count what waited, and begin nothing for who has left

Seen: with a crowd of idle clients that fills the descriptors, further attempts told servers more time than was left. Cause (clients.rs): `serve` accepted one, then `make_room` waited for one to end, up to 20 ms, with three timers of a tick each in `converse`; and a request's time began in `Asked::arrived`, whatever it had waited in the backlog or in a late loop.

Room: `saffronpaddle_crowd::Press` says how many make way (those needed, and as many as came in the last 100 ms, a quarter of the places at most), `Limits::make_way` who; ahead of need nobody who was heard within 500 ms. Nobody is waited for, the loop goes on meanwhile, and a lack of descriptors makes way as well. Time: `Rounds` keeps since when the loop has read all there was (a sleep that was no longer than asked for, or a whole round); what is read now came after that. On a new connection it came after the backlog was last found empty. That is an upper bound: what is lost is up to 100 ms on a loop that was stopped in its sleep, and, in a node whose places are all held by requests, more than a newcomer has waited, down to a refusal at once, which empties the backlog. Up to 5 ms count as none. A stop of less than about 110 ms within a sleep is not seen. The machine's own stamp (TCP_INFO) is given by no declared crate without `unsafe`. Gone: connections whose reader is blocked are looked at each 25 ms while there are any, and before each first byte the request's client is looked at; a new connection is read before the machine has told of its end, so such a first byte waits for one round.

--- a/crates/crowd/src/lib.rs
+++ b/crates/crowd/src/lib.rs
@@ -4,6 +4,7 @@
 //! Good clients come with a request and write it, slowly perhaps. A crowd that means no good comes and says nothing, stops in
 //! mid-head, or dribbles. From outside a slow client and a bad one differ in one thing only: the slow one goes on. So who has
 //! been silent longest makes way, and nobody who has a request being answered ever does.
+//! How many make way at once is [`Press`]'s matter; how long a request may have waited for its loop, [`Rounds`]'.
 //!
 //! ```
 //! use saffronpaddle_crowd::{Limits, Seat};
@@ -17,6 +18,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod press;
+mod rounds;
+
+pub use press::{Press, Way};
+pub use rounds::{rested, Rounds};
+
 use std::time::Duration;
 
 /// Since some fixed moment of a clock that never goes back.
@@ -46,6 +53,8 @@
     pub idle_for: Duration,
     /// One that has never asked counts as silent for so much longer: good clients ask as soon as they come.
     pub never_asked: Duration,
+    /// Who has been silent for less may be a slow client that goes on: it makes way for who waits, and not ahead of need.
+    pub goes_on: Duration,
 }
 
 impl Limits {
@@ -54,6 +63,7 @@
         head_within: Duration::from_millis(3000),
         idle_for: Duration::from_millis(2200),
         never_asked: Duration::from_secs(1),
+        goes_on: Duration::from_millis(500),
     };
 
     /// Whether its time is up.
@@ -65,18 +75,31 @@
         !seat.busy && now.saturating_sub(since) >= within
     }
 
+    /// How long one counts as silent.
+    fn silent(&self, now: Time, seat: &Seat) -> Duration {
+        let silent = now.saturating_sub(seat.last);
+        if seat.asked || seat.head.is_some() {
+            silent
+        } else {
+            silent + self.never_asked
+        }
+    }
+
     /// Who makes way for one more, by place: who has been silent longest. Nobody who has a request being answered.
     pub fn weakest<'a>(&self, now: Time, seats: impl IntoIterator<Item = &'a Seat>) -> Option<usize> {
-        let silent = |seat: &Seat| {
-            let silent = now.saturating_sub(seat.last);
-            if seat.asked || seat.head.is_some() {
-                silent
-            } else {
-                silent + self.never_asked
-            }
-        };
+        self.make_way(now, seats, Way { must: 1, may: 0 }).first().copied()
+    }
+
+    /// Who makes way for several, by place: who has been silent longest first. Nobody who has a request being answered; and ahead
+    /// of need nobody who may be a slow client that goes on.
+    pub fn make_way<'a>(&self, now: Time, seats: impl IntoIterator<Item = &'a Seat>, way: Way) -> Vec<usize> {
         let free = seats.into_iter().enumerate().filter(|(_, seat)| !seat.busy);
-        free.max_by_key(|(place, seat)| (silent(seat), std::cmp::Reverse(*place))).map(|(place, _)| place)
+        let mut free: Vec<_> = free.map(|(place, seat)| (self.silent(now, seat), place)).collect();
+        free.sort_unstable_by_key(|(silent, place)| (std::cmp::Reverse(*silent), *place));
+        let spared =
+            |(at, (silent, _)): &(usize, (Duration, usize))| *at < way.must || *silent >= self.goes_on;
+        let going = free.into_iter().take(way.must.saturating_add(way.may)).enumerate().take_while(spared);
+        going.map(|(_, (_, place))| place).collect()
     }
 }
 
--- a/crates/crowd/src/tests.rs
+++ b/crates/crowd/src/tests.rs
@@ -53,6 +53,62 @@
 }
 
 proptest! {
+    /// As many go as are needed, if so many are free; ahead of need at most a share, and nobody who may go on. No more descriptors
+    /// are ever in use than there are places, once those who were told have gone.
+    #[test]
+    fn as_many_make_way_as_are_needed_and_who_goes_on_is_spared_ahead_of_need(
+        seats in prop::collection::vec((0u32..5000, any::<bool>(), any::<bool>(), any::<bool>()), 0..60),
+        most in 1usize..60, came in 0usize..200, going in 0usize..60,
+    ) {
+        let now = 5000 * MS;
+        let seats: Vec<Seat> = seats.into_iter().map(|(last, head, busy, asked)| {
+            let last = last * MS;
+            Seat { came: Duration::ZERO, last, head: head.then_some(last), busy, asked }
+        }).collect();
+        let mut press = Press::default();
+        (0..came).for_each(|_| press.came(now));
+        let going = going.min(seats.iter().filter(|seat| seat.busy).count());
+        let way = press.make_way(now, most, seats.len(), going);
+        let needed = (seats.len() + 1).saturating_sub(most);
+        prop_assert_eq!(way.must, needed.saturating_sub(going));
+        prop_assert!(needed > 0 || way.may == 0);
+        prop_assert!(way.may == 0 || way.must + way.may + going <= needed.max(most / 4));
+        let places = Limits::USUAL.make_way(now, &seats, way);
+        let free = seats.iter().filter(|seat| !seat.busy).count();
+        prop_assert!(places.len() >= way.must.min(free) && places.len() <= way.must + way.may);
+        let mut once = places.clone();
+        once.sort_unstable();
+        once.dedup();
+        prop_assert_eq!(once.len(), places.len());
+        prop_assert!(places.iter().all(|place| !seats[*place].busy));
+        for place in places.iter().skip(way.must) {
+            prop_assert!(Limits::USUAL.silent(now, &seats[*place]) >= Limits::USUAL.goes_on);
+        }
+        // Nobody stays who has been silent for longer than one who goes.
+        let silent = |place: usize| Limits::USUAL.silent(now, &seats[place]);
+        let stays = (0..seats.len()).filter(|place| !seats[*place].busy && !places.contains(place));
+        let longest = stays.map(silent).max().unwrap_or_default();
+        prop_assert!(places.iter().all(|place| silent(*place) >= longest));
+    }
+
+    /// Whatever a loop does, what it takes for the earliest moment never goes back, and is never later than now.
+    #[test]
+    fn what_is_known_of_a_loops_rounds_only_grows(
+        steps in prop::collection::vec((0u32..300, 0u8..3), 0..60),
+    ) {
+        let (mut rounds, mut now, mut before) = (Rounds::NEW, Duration::ZERO, Duration::ZERO);
+        for (span, what) in steps {
+            now += span * MS;
+            match what {
+                0 => rounds.sleeps(now),
+                1 => rounds.wakes(now, 110 * MS),
+                _ => rounds.passed(now.saturating_sub(MS)),
+            }
+            prop_assert!(rounds.since() >= before && rounds.since() <= now);
+            before = rounds.since();
+        }
+    }
+
     #[test]
     fn the_busy_stay_and_somebody_goes_if_anybody_can(
         seats in prop::collection::vec((0u32..5000, any::<bool>(), any::<bool>(), any::<bool>()), 0..30),
@@ -66,3 +122,87 @@
         prop_assert!(weakest.is_none_or(|place| !seats[place].busy));
     }
 }
+
+/// The same crowd, let in as fast as it comes, with many sent away at once.
+#[test]
+fn a_crowd_that_makes_way_in_batches_costs_no_slow_client_its_place() {
+    let (limits, most) = (Limits::USUAL, 80);
+    let (mut seats, mut press): (Vec<(bool, Seat)>, _) = (Vec::new(), Press::default());
+    let (mut done, mut lost, mut batches) = (0, 0, 0);
+    for step in 0..2000u64 {
+        let now = 5 * MS * step as u32;
+        for (good, seat) in &mut seats {
+            if *good && (now - seat.came).as_millis().is_multiple_of(200) {
+                (seat.last, seat.head) = (now, Some(seat.head.unwrap_or(now)));
+            }
+        }
+        let before = seats.len();
+        seats.retain(|(good, seat)| !(*good && now - seat.came >= 2000 * MS));
+        done += before - seats.len();
+        // 200 a second that stop, half of them after some bytes; 10 that go on; and now and then 300 at once that say nothing.
+        let burst = if step % 200 == 100 { 300 } else { 0 };
+        let head = (step % 2 == 0).then_some(now);
+        let fresh = Seat { came: now, last: now, head, busy: false, asked: false };
+        let silent = Seat { head: None, ..fresh };
+        let good = (step % 20 == 0, fresh);
+        for (good, seat) in (0..burst).map(|_| (false, silent)).chain([good]) {
+            press.came(now);
+            let way = press.make_way(now, most, seats.len(), 0);
+            let places = limits.make_way(now, seats.iter().map(|(_, seat)| seat), way);
+            batches += usize::from(places.len() > 1);
+            let mut at = 0;
+            seats.retain(|(good, _)| {
+                at += 1;
+                let goes = places.contains(&(at - 1));
+                lost += usize::from(*good && goes);
+                !goes
+            });
+            assert!(seats.len() < most);
+            seats.push((good, seat));
+        }
+    }
+    assert!(lost == 0 && done > 80 && batches > 50, "{lost} lost, {done} done, {batches} batches");
+}
+
+#[test]
+fn one_newcomer_takes_one_place_and_a_crowd_as_many_as_came_lately() {
+    let mut press = Press::default();
+    press.came(1000 * MS);
+    assert_eq!(press.make_way(1000 * MS, 80, 79, 0), Way::default());
+    assert_eq!(press.make_way(1000 * MS, 80, 80, 0), Way { must: 1, may: 0 });
+    assert_eq!(press.make_way(1000 * MS, 80, 80, 1), Way::default());
+    // Half of the places went to another process: as many have to go.
+    assert_eq!(press.make_way(1000 * MS, 40, 80, 0), Way { must: 41, may: 0 });
+    (0..9).for_each(|_| press.came(1050 * MS));
+    assert_eq!(press.make_way(1050 * MS, 80, 80, 0), Way { must: 1, may: 9 });
+    (0..1000).for_each(|_| press.came(1090 * MS));
+    assert_eq!(press.make_way(1090 * MS, 80, 80, 5), Way { must: 0, may: 15 });
+    // It is over.
+    assert_eq!(press.make_way(2000 * MS, 80, 80, 0), Way { must: 1, may: 0 });
+}
+
+#[test]
+fn what_is_read_came_after_the_loops_last_sleep_or_round() {
+    let longest = 110 * MS;
+    let mut rounds = Rounds::NEW;
+    rounds.sleeps(10 * MS);
+    rounds.wakes(60 * MS, longest);
+    assert_eq!((rounds.since(), rested(rounds.since(), 64 * MS)), (60 * MS, Duration::ZERO));
+    // A long turn of work.
+    assert_eq!(rested(rounds.since(), 90 * MS), 30 * MS);
+    // Something lay there already: it may have come at any time of that turn.
+    rounds.sleeps(90 * MS);
+    rounds.wakes(90 * MS, longest);
+    assert_eq!(rounds.since(), 60 * MS);
+    // A round that began later has gone by.
+    rounds.passed(91 * MS);
+    assert_eq!(rounds.since(), 91 * MS);
+    // It slept for longer than it asked to: it was stopped, and something may have come at once.
+    rounds.sleeps(95 * MS);
+    rounds.wakes(2000 * MS, longest);
+    assert_eq!(rested(rounds.since(), 2000 * MS), 1909 * MS);
+    // The machine told of nothing as it woke.
+    rounds.sleeps(2000 * MS);
+    rounds.wakes(2000 * MS, longest);
+    assert_eq!(rounds.since(), 91 * MS);
+}
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,9 +1,10 @@
 //! Clients: their connections, what they ask and the answers that they get.
 
+pub mod late;
+
 use crate::bodies::{self, joined, Gathered, Pipe, BODY_MOST, LARGEST};
 use crate::node::{Answer, Node, Payload};
 use crate::seats::{Busy, Seat, Watched};
-use crate::shared::has_ended;
 use crate::sockets;
 use crate::upstream::{Forward, Going};
 use bytes::Bytes;
@@ -18,7 +19,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use saffronpaddle_admin::End;
-use saffronpaddle_crowd::Limits;
+use saffronpaddle_crowd::{Limits, Press};
 use saffronpaddle_decision::interface::{
     ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId, Settings,
 };
@@ -28,12 +29,15 @@
 use saffronpaddle_sockets::upgrade::{self, Offer};
 use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
+use std::io;
 use std::rc::Rc;
-use std::sync::{Arc, Weak};
+use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::sync::{watch, Notify};
+use tokio::task::{coop, AbortHandle, JoinSet};
 use tokio::time::{Instant, MissedTickBehavior};
 
 /// Time kept back for an answer's way to the client.
@@ -48,6 +52,8 @@
 const COMING_WITHIN: Duration = Duration::from_secs(1200);
 /// How often connections are looked at for those whose time is up.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// How soon, and how often from then on, a connection is looked at whose client would not be seen to leave.
+const UNWATCHED_EVERY: Duration = Duration::from_millis(25);
 /// Most bytes buffered for one client, so that all together stay far from the memory limit.
 const BUFFER_MOST: usize = 32 * 1024;
 /// Ended connections that may wait to be forgotten together.
@@ -59,8 +65,10 @@
 const LAST_LOOKS: usize = 3;
 /// A node that ends answers all that it has so much before its bound. Guards answers that are made and not yet written.
 const LAST_WORDS: Duration = Duration::from_millis(30);
-/// Pause after a connection that could not be accepted, for lack of descriptors mostly.
+/// Pause after a connection that could not be accepted, for lack of descriptors mostly; shorter where one is closed.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// How often who may make way is looked for while one waits for a place and nobody has ended.
+const ROOM_AGAIN: Duration = Duration::from_millis(5);
 
 /// How far the edge node is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -106,22 +114,34 @@
     began: Instant,
     tasks: JoinSet<()>,
     seats: Vec<Taken>,
+    press: Press,
+    /// A connection is unwatched from now on.
+    unwatched: Rc<Notify>,
 }
 
 /// One of them. Its socket is its task's; here it is only looked at.
 struct Taken {
     seat: Arc<Seat>,
-    stream: Weak<TcpStream>,
     task: AbortHandle,
 }
 
 impl Crowd {
-    fn seat(&mut self, stream: TcpStream, node: &Rc<Node>, phase: &watch::Receiver<Standing>) {
-        let (seat, stream) = (Seat::new(self.began), Arc::new(stream));
-        let looked_at = Arc::downgrade(&stream);
-        let talk = converse(stream, Rc::clone(node), phase.clone(), Arc::clone(&seat));
+    fn new() -> Crowd {
+        let (tasks, seats, press) = (JoinSet::new(), Vec::new(), Press::default());
+        Crowd { began: Instant::now(), tasks, seats, press, unwatched: Rc::default() }
+    }
+
+    fn seat(&mut self, (stream, connected): Came, node: &Rc<Node>, phase: &watch::Receiver<Standing>) {
+        let stream = Arc::new(stream);
+        let seat = Seat::new(self.began, connected, &stream);
+        let unwatched = Rc::clone(&self.unwatched);
+        let talk = converse(stream, Rc::clone(node), phase.clone(), Arc::clone(&seat), unwatched);
         let task = self.tasks.spawn_local(talk);
-        self.seats.push(Taken { seat, stream: looked_at, task });
+        self.seats.push(Taken { seat, task });
+        // Guards memory: a handle keeps what its task has left behind.
+        if self.seats.len() > self.tasks.len() + ENDED_KEPT {
+            self.tidy();
+        }
     }
 
     /// Forgets connections that have ended.
@@ -129,81 +149,191 @@
         self.seats.retain(|taken| !taken.task.is_finished());
     }
 
-    /// Has connections go whose time is up, and closes those whose client has gone. Danger: the library stops reading where a
-    /// client has sent more than its request, and does not see that it leaves: what waits would be sent on for nobody.
+    /// Has connections go whose time is up, and closes those whose client has gone.
     fn look(&mut self) {
         self.tidy();
+        self.look_at_unwatched();
         let now = self.began.elapsed();
-        for Taken { seat, stream, task } in &self.seats {
-            if seat.unwatched() && stream.upgrade().is_some_and(|stream| has_ended(&stream)) {
-                task.abort();
-            } else if Limits::USUAL.over(now, &seat.seen()) {
+        for Taken { seat, .. } in &self.seats {
+            if Limits::USUAL.over(now, &seat.seen()) {
                 seat.send_away();
             }
         }
     }
 
-    /// Makes room for one more. Guards against crowds that shut out others: where all seats are taken, who has been silent
-    /// longest goes.
-    async fn make_room(&mut self, most: usize) {
-        while self.tasks.len() >= most {
-            self.tidy();
-            let seen: Vec<_> = self.seats.iter().map(|taken| taken.seat.seen()).collect();
-            if let Some(place) = Limits::USUAL.weakest(self.began.elapsed(), &seen) {
-                self.seats[place].seat.send_away();
+    /// Closes connections whose client has gone unseen, and says whether others are still unwatched. Danger: the library stops
+    /// reading where a client has sent more than its request, and does not see that it leaves: what waits would be sent on for
+    /// nobody.
+    fn look_at_unwatched(&self) -> bool {
+        let mut more = false;
+        for Taken { seat, task } in &self.seats {
+            if seat.unwatched() {
+                if seat.has_left() {
+                    task.abort();
+                } else {
+                    more = true;
+                }
             }
-            // One that ends, by itself or not, has closed its socket; meanwhile another may have become idle.
-            let _ = tokio::time::timeout(ACCEPT_AGAIN, self.tasks.join_next()).await;
         }
-        // Guards memory: a handle keeps what its task has left behind.
-        if self.seats.len() > self.tasks.len() + ENDED_KEPT {
-            self.tidy();
+        more
+    }
+
+    /// Has as many make way as are needed for one more, and some for those who come behind it. Guards against crowds that shut
+    /// out others: where all places are taken, who has been silent longest goes. None of them is waited for.
+    fn make_way(&mut self, most: usize) {
+        self.tidy();
+        let now = self.began.elapsed();
+        let going = self.seats.iter().filter(|taken| taken.seat.is_going()).count();
+        let way = self.press.make_way(now, most, self.tasks.len(), going);
+        if way.must + way.may == 0 {
+            return;
+        }
+        let seen: Vec<_> = self.seats.iter().map(|taken| taken.seat.seen()).collect();
+        for place in Limits::USUAL.make_way(now, &seen, way) {
+            self.seats[place].seat.send_away();
         }
     }
 }
 
+/// A connection that was accepted, and a moment after which it came to the machine.
+type Came = (TcpStream, Instant);
+
+/// The connections that the machine holds until they are accepted.
+struct Backlog {
+    listener: TcpListener,
+    /// What waits in it came after this.
+    clear: Instant,
+    /// What is accepted now may have been there before the last look.
+    behind: bool,
+}
+
+impl Backlog {
+    fn new(listener: TcpListener) -> Backlog {
+        Backlog { listener, clear: Instant::now(), behind: true }
+    }
+
+    /// Accepts the next. The machine does not say when a connection came: no later than it is accepted, and after the backlog was
+    /// last found empty. That is an upper bound of its wait. It is small where all is let in at once that comes; in a node whose
+    /// places are all taken by requests that are answered it may take more off a newcomer's time than it has waited, down to a
+    /// refusal at once: that makes room, so that the backlog is found empty soon.
+    async fn accept(&mut self) -> io::Result<Came> {
+        poll_fn(|context| {
+            let accepted = self.listener.poll_accept(context);
+            let since = || late::since().unwrap_or_else(Instant::now);
+            match &accepted {
+                // A task that has had its share of the loop is told of nothing, whatever there is.
+                Poll::Pending if !coop::has_budget_remaining() => {}
+                Poll::Pending => (self.clear, self.behind) = (self.clear.max(since()), false),
+                Poll::Ready(_) if self.behind => {}
+                Poll::Ready(_) => (self.clear, self.behind) = (self.clear.max(since()), true),
+            }
+            accepted.map_ok(|(stream, _)| (stream, self.clear))
+        })
+        .await
+    }
+
+    /// Nobody waits for what comes.
+    fn left_alone(&mut self) {
+        self.behind = true;
+    }
+}
+
+/// Whether a connection that could not be accepted is alone in that.
+fn is_its_own(error: &io::Error) -> bool {
+    use io::ErrorKind::{ConnectionAborted, ConnectionReset, Interrupted};
+    matches!(error.kind(), ConnectionAborted | ConnectionReset | Interrupted)
+}
+
 /// Accepts clients until the edge node closes, then serves out those that it has. At most `most` at a time. A listener
 /// that is `shared` goes on in other hands: what waits in its backlog is theirs.
 pub async fn serve(
     listener: TcpListener, shared: bool, node: Rc<Node>, most: usize, phase: watch::Receiver<Standing>,
 ) {
-    let mut crowd = Crowd { began: Instant::now(), tasks: JoinSet::new(), seats: Vec::new() };
+    let (mut crowd, mut backlog) = (Crowd::new(), Backlog::new(listener));
     let mut look = tokio::time::interval(LOOK_EVERY);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let unwatched = Rc::clone(&crowd.unwatched);
+    let soon = tokio::time::sleep(Duration::ZERO);
+    tokio::pin!(soon);
+    let mut looks_soon = false;
     let mut standing = phase.clone();
     let closed = reached(phase.clone(), Phase::Closing);
     tokio::pin!(closed);
+    // Accepted, and without a place as yet.
+    let mut waits: Option<Came> = None;
+    // The machine has no descriptor left for another.
+    let mut lacks = false;
     loop {
-        let accepts = standing.borrow_and_update().accepts;
+        // Ended connections are let go of.
+        while crowd.tasks.try_join_next().is_some() {}
+        let most = node.links.part(most);
+        if waits.is_some() {
+            if crowd.tasks.len() >= most {
+                crowd.make_way(most);
+            } else if let Some(came) = waits.take() {
+                crowd.seat(came, &node, &phase);
+            }
+        }
+        let full = waits.is_some() || lacks;
+        let accepts = standing.borrow_and_update().accepts && !full;
+        if !accepts {
+            backlog.left_alone();
+        }
         tokio::select! {
-            accepted = listener.accept(), if accepts => match accepted {
-                Ok((stream, _)) => {
-                    crowd.make_room(node.links.part(most)).await;
-                    crowd.seat(stream, &node, &phase);
+            accepted = backlog.accept(), if accepts => match accepted {
+                Ok(came) => {
+                    crowd.press.came(crowd.began.elapsed());
+                    waits = Some(came);
                 }
+                Err(error) if is_its_own(&error) => {}
                 // Guards against running out of descriptors: the connection waits until there is one.
-                Err(_) => tokio::time::sleep(ACCEPT_AGAIN).await,
+                Err(_) => {
+                    crowd.make_way(crowd.tasks.len());
+                    lacks = true;
+                }
             },
             () = &mut closed => break,
             Ok(()) = standing.changed() => {}
             _ = look.tick() => crowd.look(),
+            () = unwatched.notified(), if !looks_soon => {
+                soon.as_mut().reset(Instant::now() + UNWATCHED_EVERY);
+                looks_soon = true;
+            }
+            () = &mut soon, if looks_soon => {
+                looks_soon = crowd.look_at_unwatched();
+                soon.as_mut().reset(Instant::now() + UNWATCHED_EVERY);
+            }
+            // One that ends, by itself or not, has closed its socket.
+            Some(_) = crowd.tasks.join_next(), if full => {
+                lacks = false;
+            }
+            () = tokio::time::sleep(if lacks { ACCEPT_AGAIN } else { ROOM_AGAIN }), if full => {
+                lacks = false;
+            }
         }
-        // Ended connections are let go of.
-        while crowd.tasks.try_join_next().is_some() {}
     }
     node.leave();
+    waits.into_iter().for_each(|came| crowd.seat(came, &node, &phase));
     // What the machine has accepted counts as taken. Guards against resetting it with the listener.
-    let left = async || tokio::time::timeout(Duration::ZERO, listener.accept()).await;
+    let left = async || tokio::time::timeout(Duration::ZERO, backlog.listener.accept()).await;
     while let Some(Ok(Ok((stream, _)))) = if shared { None } else { Some(left().await) } {
-        crowd.seat(stream, &node, &phase);
+        crowd.seat((stream, backlog.clear), &node, &phase);
     }
-    drop(listener);
+    drop(backlog);
     loop {
         tokio::select! {
             ended = crowd.tasks.join_next() => if ended.is_none() {
                 break;
             },
             _ = look.tick() => crowd.look(),
+            () = unwatched.notified(), if !looks_soon => {
+                soon.as_mut().reset(Instant::now() + UNWATCHED_EVERY);
+                looks_soon = true;
+            }
+            () = &mut soon, if looks_soon => {
+                looks_soon = crowd.look_at_unwatched();
+                soon.as_mut().reset(Instant::now() + UNWATCHED_EVERY);
+            }
         }
     }
     if let Some(front) = &node.front {
@@ -212,20 +342,31 @@
 }
 
 /// One client's connection, until it ends or is sent away.
-async fn converse(stream: Arc<TcpStream>, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Arc<Seat>) {
+async fn converse(
+    stream: Arc<TcpStream>, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Arc<Seat>,
+    unwatched: Rc<Notify>,
+) {
     let talk = talk(stream, node, phase, Arc::clone(&seat));
     tokio::pin!(talk);
     loop {
+        let watched = poll_fn(|context| {
+            let polled = talk.as_mut().poll(context);
+            if polled.is_pending() && seat.is_newly_unwatched() {
+                unwatched.notify_one();
+            }
+            polled
+        });
         tokio::select! {
             biased;
-            () = &mut talk => return,
+            () = watched => return,
             () = seat.sent_away() => {}
         }
         // Danger: a request whose last byte comes in the instant in which its connection is closed. What the machine holds
         // is read first; who turns out to have asked stays.
         for _ in 0..LAST_LOOKS {
             tokio::task::yield_now().await;
-            if tokio::time::timeout(Duration::ZERO, &mut talk).await.is_ok() {
+            // No timer: each would take a tick of its own, and a crowd would be let in by the tick.
+            if poll_fn(|context| Poll::Ready(talk.as_mut().poll(context).is_ready())).await {
                 return;
             }
         }
@@ -281,7 +422,7 @@
 }
 
 async fn respond(
-    node: &Rc<Node>, request: Request<Incoming>, phase: &watch::Receiver<Standing>, seat: &Seat,
+    node: &Rc<Node>, request: Request<Incoming>, phase: &watch::Receiver<Standing>, seat: &Arc<Seat>,
 ) -> Reply {
     // Guards against a request that hides another in its body: of a length and an encoding, hyper drops one unseen.
     let coding = request.headers().get(TRANSFER_ENCODING);
@@ -315,7 +456,7 @@
         turned_away(status, what)
     };
     if let (Some(offer), Some(upgrades)) = (offer, upgrades) {
-        return socket(node, asked, head, offer, upgrades).await;
+        return socket(node, asked, head, offer, upgrades, seat).await;
     }
     if body.size_hint().lower() > LARGEST {
         return turned_away(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
@@ -329,13 +470,17 @@
     if asked.effect == Effect::Safe && (pipe.is_some() || !body.is_empty()) {
         return turned_away(StatusCode::BAD_REQUEST, "this class takes no body\n");
     }
+    // The time of one whose body goes by has not begun.
+    if pipe.is_none() && !asked.has_waited(seat.rested()) {
+        return too_late(node, class);
+    }
     if let Some(ends) = phase.borrow().ends {
         // Danger: a request that is taken on the way out, whose client would wait for longer than this process is there.
         let left = ends.saturating_duration_since(Instant::now()).saturating_sub(LAST_WORDS);
         asked.patience = asked.patience.min(left + DELIVERY);
     }
     let patience = asked.patience.saturating_sub(DELIVERY);
-    let (mut event, mut forward) = asked.arrived(head, body);
+    let (mut event, mut forward) = asked.arrived(head, body, seat);
     let pipe = pipe.map(|(first, rest)| {
         Rc::new(Pipe::new(node.number(), forward.id.clone(), patience, size, first, rest))
     });
@@ -387,11 +532,15 @@
 
 /// Has a socket opened: a request like any other, whose answer is the socket.
 async fn socket(
-    node: &Rc<Node>, asked: Asked, head: hyper::http::request::Parts, offer: Offer, upgrades: OnUpgrade,
+    node: &Rc<Node>, mut asked: Asked, head: hyper::http::request::Parts, offer: Offer, upgrades: OnUpgrade,
+    seat: &Arc<Seat>,
 ) -> Reply {
     let Some(front) = node.front.as_ref().filter(|front| front.class == asked.class) else {
         return not_upgraded(StatusCode::BAD_REQUEST, "this class is not that of sockets\n");
     };
+    if !asked.has_waited(seat.rested()) {
+        return too_late(node, asked.class);
+    }
     let place = match front.admit(node, asked.customer, asked.terms.spread) {
         Ok(place) => place,
         Err(shut) => {
@@ -400,7 +549,7 @@
             return reply;
         }
     };
-    let (event, mut forward) = asked.arrived(head, Bytes::new());
+    let (event, mut forward) = asked.arrived(head, Bytes::new(), seat);
     forward.offer = Some(offer);
     let Some(answer) = ask(node, event, forward).await else { return in_use() };
     let Answer::Served(Payload::Switched(switched)) = answer else { return reply(answer) };
@@ -482,6 +631,12 @@
     }
 }
 
+/// Its time was up before it was read: it is refused at once, and nothing of it is sent on.
+fn too_late(node: &Node, class: ClassId) -> Reply {
+    node.turned_away(class, End::Throttled);
+    refused(None)
+}
+
 /// Trying again is harmless, and may help after so long.
 fn refused(retry_in: Option<Duration>) -> Reply {
     let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "");
@@ -556,8 +711,15 @@
 }
 
 impl Asked {
+    /// Its client's time began so long ago; `false` where nothing is left of it. Danger: a request that has waited in the machine
+    /// while this node was late to take it. Its server would be told time that its client no longer has.
+    fn has_waited(&mut self, rested: Duration) -> bool {
+        self.patience = self.patience.saturating_sub(rested);
+        rested.is_zero() || self.patience > DELIVERY
+    }
+
     /// The request is whole; its client's time runs.
-    fn arrived(self, head: hyper::http::request::Parts, body: Bytes) -> (Event, Forward) {
+    fn arrived(self, head: hyper::http::request::Parts, body: Bytes, seat: &Arc<Seat>) -> (Event, Forward) {
         let patience = self.patience.saturating_sub(DELIVERY);
         let deadline = Instant::now() + patience;
         let event = Event::Request {
@@ -584,6 +746,7 @@
                 body: Going::Whole(body),
                 offer: None,
                 deadline,
+                client: Arc::clone(seat),
             },
         )
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -377,6 +377,15 @@
         }
     }
 
+    /// A request's client has gone, and its connection has not said so yet.
+    pub fn left(self: &Rc<Self>, forward: &Rc<Forward>) {
+        let pending =
+            self.requests.borrow().get(&forward.id).map(|row| (row.ticket, Rc::clone(&row.forward)));
+        if let Some((ticket, _)) = pending.filter(|(_, open)| Rc::ptr_eq(open, forward)) {
+            self.abandon(&forward.id, ticket);
+        }
+    }
+
     /// What the module keeps in mind, for its next process.
     pub fn keep(&self) -> Kept {
         self.exchange.borrow().module().keep()
--- a/crates/node/src/seats.rs
+++ b/crates/node/src/seats.rs
@@ -1,12 +1,13 @@
 //! What is seen of clients' connections: when bytes come, and whether a request is being answered.
 
+use crate::clients::late;
 use crate::heads::Heads;
-use crate::shared::Shared;
-use saffronpaddle_crowd::Seat as Seen;
+use crate::shared::{has_ended, Shared};
+use saffronpaddle_crowd::{rested, Seat as Seen};
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -17,8 +18,12 @@
 /// One client's connection. Shared within one thread; an upgrade wants what could go to another, though none does.
 pub struct Seat {
     began: Instant,
+    /// Its socket is its task's; here it is only looked at.
+    stream: Weak<TcpStream>,
     came: u64,
     last: AtomicU64,
+    /// What was read last came after this.
+    sent: AtomicU64,
     /// µs since `began`, one more than that; 0 for no head.
     head: AtomicU64,
     busy: AtomicBool,
@@ -29,6 +34,8 @@
     hides: AtomicBool,
     /// The library waits for bytes: it sees the connection's end by itself.
     reading: AtomicBool,
+    /// It was unwatched when that was last asked.
+    noted: AtomicBool,
     /// It was told to go, and looks a last time whether a request has come.
     going: AtomicBool,
     go: Notify,
@@ -39,13 +46,30 @@
 }
 
 impl Seat {
-    /// One that has just come.
-    pub fn new(began: Instant) -> Arc<Seat> {
+    /// One that has just been accepted, and that came to the machine after `connected`.
+    pub fn new(began: Instant, connected: Instant, stream: &Arc<TcpStream>) -> Arc<Seat> {
+        let stream = Arc::downgrade(stream);
         let came = us(began.elapsed());
         let (last, head) = (AtomicU64::new(came), AtomicU64::new(0));
-        let [busy, asked, blocked, hides, reading, going] = [(); 6].map(|()| AtomicBool::new(false));
+        let sent = AtomicU64::new(us(connected.saturating_duration_since(began)).min(came));
+        let [busy, asked, blocked, hides, reading, noted, going] = [(); 7].map(|()| AtomicBool::new(false));
         let go = Notify::new();
-        Arc::new(Seat { began, came, last, head, busy, asked, blocked, hides, reading, going, go })
+        Arc::new(Seat {
+            began,
+            stream,
+            came,
+            last,
+            sent,
+            head,
+            busy,
+            asked,
+            blocked,
+            hides,
+            reading,
+            noted,
+            going,
+            go,
+        })
     }
 
     /// Tells the connection to go, unless a request turns out to have come whole.
@@ -74,6 +98,23 @@
         self.is_busy() && !self.reading.load(Ordering::Relaxed)
     }
 
+    /// Whether its client has gone, as far as the machine has told this loop: also behind bytes that nobody has read.
+    pub fn has_left(&self) -> bool {
+        self.stream.upgrade().is_none_or(|stream| has_ended(&stream))
+    }
+
+    /// Whether it has begun to be unwatched since this was last asked.
+    pub fn is_newly_unwatched(&self) -> bool {
+        let unwatched = self.unwatched();
+        // Written seldom: this is asked in each round of the connection.
+        unwatched != self.noted.load(Ordering::Relaxed) && !self.noted.swap(unwatched, Ordering::Relaxed)
+    }
+
+    /// Whether it was told to go, and has not gone yet.
+    pub fn is_going(&self) -> bool {
+        self.going.load(Ordering::Relaxed)
+    }
+
     /// What is seen of it now.
     pub fn seen(&self) -> Seen {
         let head = self.head.load(Ordering::Relaxed);
@@ -82,9 +123,7 @@
             last: Duration::from_micros(self.last.load(Ordering::Relaxed)),
             head: head.checked_sub(1).map(Duration::from_micros),
             // Danger: an answer that is cut off as its client takes the last of it slowly.
-            busy: self.is_busy()
-                || self.blocked.load(Ordering::Relaxed)
-                || self.going.load(Ordering::Relaxed),
+            busy: self.is_busy() || self.blocked.load(Ordering::Relaxed) || self.is_going(),
             asked: self.asked(),
         }
     }
@@ -99,6 +138,12 @@
         self.hides.load(Ordering::Relaxed)
     }
 
+    /// How long what was read last may have rested in the machine, or waited here for an earlier answer; nothing where that is too
+    /// little to count. Danger: a server is told more time than its client has.
+    pub fn rested(&self) -> Duration {
+        rested(Duration::from_micros(self.sent.load(Ordering::Relaxed)), self.began.elapsed())
+    }
+
     /// Bytes for the client were taken by the machine, or have to wait.
     fn wrote(&self, taken: bool) {
         if taken {
@@ -107,9 +152,17 @@
         self.blocked.store(!taken, Ordering::Relaxed);
     }
 
-    fn read(&self, bytes: &[u8], heads: &mut Heads) {
+    /// Bytes were read, which the library had waited for or not.
+    fn read(&self, bytes: &[u8], heads: &mut Heads, waited: bool) {
         let now = us(self.began.elapsed());
         self.last.store(now, Ordering::Relaxed);
+        match late::since().map(|since| us(since.saturating_duration_since(self.began))) {
+            // Who was waited for since before the loop's last whole round had sent nothing by then. Else they came after what was
+            // read before them, or, on a new connection, after that came to the machine.
+            Some(since) if waited && since > self.came => self.sent.store(since.min(now), Ordering::Relaxed),
+            Some(_) => {}
+            None => self.sent.store(now, Ordering::Relaxed),
+        }
         if self.busy.load(Ordering::Relaxed) {
             // A body, or the head of a request that is sent ahead.
         } else if self.head.load(Ordering::Relaxed) == 0 {
@@ -166,11 +219,11 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.seat.reading.store(read.is_pending(), Ordering::Relaxed);
+        let waited = self.seat.reading.swap(read.is_pending(), Ordering::Relaxed);
         ready!(read)?;
         let Watched { seat, heads, .. } = &mut *self;
         if buffer.filled().len() > before {
-            seat.read(&buffer.filled()[before..], heads);
+            seat.read(&buffer.filled()[before..], heads, waited);
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -96,7 +96,8 @@
         meeting = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from);
     }
     let options = Options { config, operator, handed, meeting, manager };
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = clients::late::watch(&mut runtime).enable_all().build()?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let words = signals()?;
         let edge = Edge::bind(options).await?;
@@ -263,6 +264,7 @@
             tokio::task::spawn_local(admin::serve(self.admin, Rc::clone(&node), ask)),
             tokio::task::spawn_local(ring_sockets(Rc::clone(&node))),
             tokio::task::spawn_local(Rc::clone(&node).tell_counts(counts_every)),
+            tokio::task::spawn_local(clients::late::prove()),
             tokio::task::spawn_local(life::feed(Rc::clone(&node), Rc::clone(&manager))),
         ];
         let clients = clients::serve(self.listener, self.shared, node, self.seats, seen);
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::bodies::{joined, Gathered, Outgoing, Passing, Pipe, BODY_MOST, LARGEST};
 use crate::node::{Node, Payload};
+use crate::seats::Seat;
 use crate::shared::is_quiet;
 use crate::sockets::Switched;
 use bytes::Bytes;
@@ -57,6 +58,8 @@
     pub offer: Option<Offer>,
     /// When the edge node stops waiting.
     pub deadline: Instant,
+    /// Who waits for the answer.
+    pub client: Arc<Seat>,
 }
 
 /// The body of a request that goes on.
@@ -88,6 +91,8 @@
     exchange: Option<AbortHandle>,
     /// The body that goes by on it.
     pipe: Option<Rc<Pipe>>,
+    /// The request that was last made ready on it.
+    forward: Option<Rc<Forward>>,
     /// Whether bytes may be written. Shut when a request is made ready: before its first byte the exchange is asked.
     open: Arc<AtomicBool>,
 }
@@ -114,7 +119,7 @@
     /// An answer that went by has come to its end.
     pub fn free_again(&self, link: LinkId, sender: SendRequest<Outgoing>) {
         if let Some(wire) = self.wires.borrow_mut().get_mut(&link) {
-            (wire.sender, wire.exchange) = (Some(sender), None);
+            (wire.sender, wire.exchange, wire.forward) = (Some(sender), None, None);
         }
     }
 
@@ -128,7 +133,7 @@
     pub fn connect(&self, node: &Rc<Node>, link: LinkId, dial: SocketAddr) {
         let open = Arc::new(AtomicBool::new(false));
         let driver = tokio::task::spawn_local(drive(Rc::clone(node), link, dial, Arc::clone(&open)));
-        let wire = Wire { dial, driver, sender: None, exchange: None, pipe: None, open };
+        let wire = Wire { dial, driver, sender: None, exchange: None, pipe: None, forward: None, open };
         self.wires.borrow_mut().insert(link, wire);
     }
 
@@ -139,6 +144,7 @@
         let Some(sender) = wire.sender.take() else { return };
         wire.open.store(false, Ordering::Relaxed);
         wire.pipe = forward.coming().cloned();
+        wire.forward = Some(Rc::clone(&forward));
         let (node, dial) = (Rc::clone(node), wire.dial);
         let task = tokio::task::spawn_local(async move {
             let mut sender = sender;
@@ -167,6 +173,11 @@
         wire.exchange = Some(task.abort_handle());
     }
 
+    /// The request that is made ready on a connection.
+    fn ready(&self, link: LinkId) -> Option<Rc<Forward>> {
+        self.wires.borrow().get(&link).and_then(|wire| wire.forward.clone())
+    }
+
     /// Lets bytes be written.
     pub fn open(&self, link: LinkId) {
         if let Some(wire) = self.wires.borrow().get(&link) {
@@ -377,12 +388,20 @@
             return Poll::Ready(Ok(()));
         }
         if let Some(node) = Node::here(self.node) {
-            while self.waited < BEHIND_MOST && node.words.are_behind() {
+            let forward = node.upstream.ready(self.link);
+            // Danger: a new connection is read before the machine has told of it, so also not that its client has left again.
+            let untold = forward.as_ref().is_some_and(|forward| forward.client.unwatched());
+            while (untold && self.waited == 0) || (self.waited < BEHIND_MOST && node.words.are_behind()) {
                 let round = self.round.get_or_insert_with(|| Box::pin(yield_now()));
                 ready!(round.as_mut().poll(context));
                 (self.waited, self.round) = (self.waited + 1, None);
             }
             self.waited = 0;
+            // Danger: a client that has gone while this loop was late, or behind bytes that nobody reads. Who waits for the first byte
+            // is asked in the same instant.
+            if let Some(forward) = forward.filter(|forward| forward.client.has_left()) {
+                node.left(&forward);
+            }
             // Guards against the rest of one answer being read as the next.
             let quiet = is_quiet(self.stream.inner());
             node.happened(Event::Begin { link: self.link, quiet }, None);
