--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -163,6 +163,8 @@
     pub absent: BTreeSet<usize>,
     /// App servers that are neither started nor listed with the others.
     pub absent_servers: BTreeSet<usize>,
+    /// How much later than its client's time an answer may come.
+    pub answer_slack: Duration,
     /// Clients that leave while they wait.
     pub leaves: Leaves,
     /// Calls and bytes of lists that the list service can answer a second; 0 for any number.
@@ -331,6 +333,7 @@
             sides: Vec::new(),
             absent: BTreeSet::new(),
             absent_servers: BTreeSet::new(),
+            answer_slack: file.span_ms("answer_slack_ms", 50, 0..=10_000),
             leaves: Leaves {
                 share: file.figure("leave_share", 0.0, 0.0..=1.0),
                 after: (
