Take words of signals before any file is read; reload in the rig who has spoken

`run` (serve.rs) set its handlers only after the configuration and the operator file were read; between exec and main the system's default holds in any case, of which no program knows.

Change: the handlers are set first; the rig sends a reload once the process has said its first word, which comes after that.

--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -63,6 +63,8 @@
     child: tokio::sync::Mutex<Child>,
     /// Whether it was told to end.
     told: Mutex<bool>,
+    /// How long the instance's log was when it began.
+    log_from: u64,
 }
 
 impl Process {
@@ -97,6 +99,16 @@
         self.process().is_some()
     }
 
+    /// Waits until the process that runs has said a first word, if one does. Danger: a reload between its exec and its first
+    /// instruction, of which no program knows.
+    pub async fn speaks(&self) {
+        let silent =
+            |process: &Process| std::fs::metadata(self.log()).is_ok_and(|log| log.len() <= process.log_from);
+        while self.process().is_some_and(|process| silent(&process)) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     /// Where its configuration stands.
     pub fn configuration(&self) -> PathBuf {
         self.folder.join(format!("node-{}.json", self.number))
@@ -124,6 +136,7 @@
     /// It could not be started at all.
     pub async fn start(self: &Arc<Self>, ready_within: Duration) -> Result<()> {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(self.log())?;
+        let log_from = log.metadata()?.len();
         let mut command = Command::new(&self.program);
         command.arg("run").arg("--operator").arg(self.folder.join("operator.toml"));
         for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LISTEN_FDS", "LISTEN_PID", "LISTEN_FDNAMES"] {
@@ -145,7 +158,7 @@
         let child = command.spawn().context("an instance is started")?;
         let pid = child.id().and_then(|pid| i32::try_from(pid).ok()).context("it has ended already")?;
         let child = tokio::sync::Mutex::new(child);
-        let process = Arc::new(Process { pid: Pid::from_raw(pid), child, told: Mutex::new(false) });
+        let process = Arc::new(Process { pid: Pid::from_raw(pid), child, told: Mutex::new(false), log_from });
         *self.process.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(&process));
         {
             let mut cost = self.cost();
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -379,6 +379,7 @@
                 Deed::Start(who) if !instances[who].runs() => start(&instances[who], within).await,
                 Deed::Start(_) => {}
                 Deed::Reload(who) => {
+                    instances[who].speaks().await;
                     instances[who].signal(Signal::SIGHUP);
                 }
                 Deed::Restart(who) if instances[who].runs() => {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -73,6 +73,19 @@
 /// # Errors
 /// What could not be bound or read.
 pub fn run(operator: Option<PathBuf>) -> Result<()> {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = clients::late::watch(&mut runtime).enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        // Danger: a reload that is told while the files are still read for the first time, which would end the process.
+        let words = signals()?;
+        let edge = Edge::bind(options(operator)?).await?;
+        edge.run(words).await;
+        Ok(())
+    })
+}
+
+/// What the environment, the configuration and the operator file make of a node.
+fn options(operator: Option<PathBuf>) -> Result<Options> {
     let config = Config::from_environment(|key| std::env::var(key).ok())?;
     let operator = operator.as_deref().map(OperatorFile::read).transpose()?;
     let (mut handed, mut manager) = (None, Manager::none());
@@ -95,15 +108,7 @@
         handed = Some(inherited);
         meeting = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from);
     }
-    let options = Options { config, operator, handed, meeting, manager };
-    let mut runtime = tokio::runtime::Builder::new_current_thread();
-    let runtime = clients::late::watch(&mut runtime).enable_all().build()?;
-    tokio::task::LocalSet::new().block_on(&runtime, async {
-        let words = signals()?;
-        let edge = Edge::bind(options).await?;
-        edge.run(words).await;
-        Ok(())
-    })
+    Ok(Options { config, operator, handed, meeting, manager })
 }
 
 /// The words that signals stand for, from now on.
