Let a first list go key by key as it is read, and build its maps at one stroke

Memory of a first list: all keys and values of the range were held until all entries were made, and maps that grow one by one keep room for half as many again. Follower::range_of takes keys and drops each as it is read; range, which borrows, stays.

--- a/crates/decision/src/servers.rs
+++ b/crates/decision/src/servers.rs
@@ -222,6 +222,12 @@
                 self.sums.change(server, |server| server.entry.standing = Standing::Gone);
             }
         }
+        if self.all.is_empty() {
+            // All at one stroke: a map that grows one by one has room for half as many again.
+            let new = entries.iter().map(|entry| (entry.server, Server::unknown(*entry, now)));
+            self.all = new.collect();
+            self.all.values().for_each(|server| self.sums.enter(server));
+        }
         let mut came = false;
         for entry in entries {
             let id = entry.server;
--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -195,7 +195,7 @@
             if reread || self.follower.resume().is_none() {
                 let (header, kvs) = self.range(&mut grpc, token.as_ref()).await?;
                 let read = stamp.take();
-                let change = self.follower.range(header, &kvs, self.at(read), unix_ms());
+                let change = self.follower.range_of(header, kvs, self.at(read), unix_ms());
                 let believed = self.follower.believe(self.at(Instant::now()));
                 if self.told(change, read).await.is_err() {
                     return Ok(Unwanted);
--- a/crates/roster/src/follower.rs
+++ b/crates/roster/src/follower.rs
@@ -202,6 +202,11 @@
     /// Takes in a whole, linearizable range over the prefix, of one revision. Who is held and not in it is gone, and
     /// counts as told now. `now` is Unix time in milliseconds, for servers that came anew without a start of their own.
     pub fn range(&mut self, header: Header, kvs: &[KeyValue], told: Time, now: u64) -> Change {
+        self.range_of(header, kvs.to_vec(), told, now)
+    }
+
+    /// The same, of keys that are let go one by one as they are read. Danger: a first list of 40,000 that is held twice.
+    pub fn range_of(&mut self, header: Header, kvs: Vec<KeyValue>, told: Time, now: u64) -> Change {
         self.seen.ranges += 1;
         let first = self.revision.is_none();
         if let Some(known) = self.header {
@@ -220,8 +225,23 @@
         self.reconnected();
         (self.header, self.revision) = (Some(header), Some(header.revision));
         let mut change = Change { entries: Vec::new(), told, whole: first };
-        let listed: BTreeMap<&str, &KeyValue> =
-            kvs.iter().filter_map(|kv| Some((entry::host(&self.prefix, &kv.key)?, kv))).collect();
+        let mut listed: Vec<(String, KeyValue)> = Vec::with_capacity(kvs.len());
+        for mut kv in kvs {
+            if let Some(host) = entry::host(&self.prefix, &kv.key) {
+                let host = host.to_owned();
+                kv.key = Vec::new();
+                listed.push((host, kv));
+            }
+        }
+        // As etcd has them, but for what is no UTF-8.
+        listed.sort_by(|(one, _), (other, _)| one.cmp(other));
+        listed.dedup_by(|later, first| {
+            let same = later.0 == first.0;
+            if same {
+                std::mem::swap(first, later);
+            }
+            same
+        });
         if listed.is_empty() && (first || self.hosts.len() > 1) {
             // A first list too: what the node was told at its start stands against a prefix that is empty, or misspelt.
             self.unlisted |= first;
@@ -230,14 +250,19 @@
             self.doubt(told, all);
             return change;
         }
-        let absent = |host: &&str| !listed.contains_key(host) && !self.wiped.contains(*host);
+        let is_listed = |host: &str| listed.binary_search_by(|(other, _)| other.as_str().cmp(host)).is_ok();
+        let absent = |host: &&str| !is_listed(host) && !self.wiped.contains(*host);
         let gone = self.hosts.keys().map(|host| &**host).filter(absent);
         let gone: Vec<String> = gone.map(str::to_owned).collect();
         gone.iter().for_each(|host| self.remove(host, &mut change));
-        self.unreadable.retain(|host, _| listed.contains_key(host.as_str()));
+        self.unreadable.retain(|host, _| is_listed(host));
         for (host, kv) in listed {
             // What came first is as old as its value says; what came anew is not.
-            self.put(host, kv, if first { 0 } else { now }, &mut change);
+            self.put(&host, &kv, if first { 0 } else { now }, &mut change);
+        }
+        if first {
+            // A map that grew in order is half empty.
+            self.hosts = std::mem::take(&mut self.hosts).into_iter().collect();
         }
         self.resolve(&mut change);
         change
