Add saffronpaddle-bench scale: hollow nodes beside real ones, one figure swept at a time

Need: which limit of the size to design for binds first is to be measured, not reckoned. A hollow node is the program's own exchange, decision module, peer sockets and list reader without HTTP; many share a process. In crates/node, peers is public and Peers::receive too.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod process;
 mod relay;
 mod roster;
+mod scale;
 mod size;
 mod sockets;
 
@@ -25,6 +26,9 @@
         peer traffic and CPU of fleets of 3, 10 and 30 instances
   roster [--hosts N] [--changes N] [--seconds N]
         a roster in etcd: time to the whole list, memory and CPU at so many changes a second
+  scale [--quick] [--sweep NAME --points X,Y,...] [--seconds N] [--csv FILE] [--plot FILE.svg] [--nodes N] [--servers N]
+        [--tenants N] [--tries R] [--changes R] [--restart SHARE] [--real N] [--spread N] [--skew S] [--list agent|service]
+        real processes beside hollow nodes, one figure of the fleet swept at a time (docs/scale.md)
   sockets [--count N] [--echoes N] [--talkers N] [--requests N]
         WebSocket: echoes beside bare relays, memory and CPU of idle sockets, the drain of the server that has them all
   byte-relay | frame-relay LISTEN SERVER
@@ -43,6 +47,8 @@
         "cost" => cost::measure(arguments),
         "idle" => idle::measure(arguments),
         "roster" => roster::measure(arguments),
+        "scale" => scale::measure(arguments),
+        "hollow" => saffronpaddle_hollow::serve(),
         "size" => size::measure(arguments),
         "sockets" => sockets::measure(arguments),
         "byte-relay" => sockets::relay(arguments, false),
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -107,6 +107,17 @@
     Ok(Measured { child, address, config: Some(path) })
 }
 
+/// Starts one of several nodes, with this configuration.
+pub fn member(program: &Path, address: SocketAddr, text: &str) -> Result<Measured> {
+    let name = format!("saffronpaddle-bench-{}-{address}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text)?;
+    let mut command = Command::new(program);
+    command.env("LB_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+    let child = command.spawn().context("the node")?;
+    Ok(Measured { child, address, config: Some(path) })
+}
+
 /// Starts a bare relay before these servers, as a job of this program.
 pub fn relay(job: &str, servers: &[SocketAddr]) -> Result<Measured> {
     let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,7 +14,7 @@
 mod life;
 mod manager;
 mod node;
-mod peers;
+pub mod peers;
 mod roster;
 mod seats;
 pub mod serve;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -61,7 +61,8 @@
         }
     }
 
-    async fn receive(&self) -> Option<(GatewayId, Vec<u8>)> {
+    /// The next datagram of a peer; `None` where it came from elsewhere, was too long, or the socket failed.
+    pub async fn receive(&self) -> Option<(GatewayId, Vec<u8>)> {
         let mut buffer = [0; MOST + 1];
         let (length, from) = self.socket.recv_from(&mut buffer).await.ok()?;
         let sender = self.each.iter().position(|address| *address == from)?;
