--- a/crates/bench/src/scale/real.rs
+++ b/crates/bench/src/scale/real.rs
@@ -5,7 +5,7 @@
 use saffronpaddle_hollow::figures::Spans;
 use saffronpaddle_hollow::tenants::Tenants;
 use saffronpaddle_standins::settings::{configuration, Fleet, Places};
-use saffronpaddle_standins::wire::Wire;
+use saffronpaddle_standins::wire::{Message, Wire};
 use saffronpaddle_standins::World;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -65,6 +65,8 @@
     pub served: u64,
     pub refused: u64,
     pub failed: u64,
+    /// Statuses of those; 0 for none.
+    pub statuses: Vec<u16>,
     /// From when a try was due to its served answer, µs.
     pub took: Spans,
 }
@@ -151,23 +153,35 @@
                 seen.took.add(took);
             }
             429 | 503 => seen.refused += 1,
-            _ => seen.failed += 1,
+            other => {
+                seen.failed += 1;
+                seen.statuses.push(other);
+            }
         }
     }
 
+    /// On a kept connection, if there is one; where that has closed unread, on a new one, as clients do.
     async fn exchange(&self, head: &str) -> Result<u16> {
         let kept = lock(&self.idle).pop();
-        let mut wire = match kept {
-            Some(wire) => wire,
-            None => Wire::new(TcpStream::connect(self.address).await?),
-        };
+        if let Some(mut wire) = kept {
+            let unread = wire.write(head.as_bytes()).await.is_err();
+            let answer = if unread { Ok(None) } else { wire.message(&self.world).await };
+            if let Ok(Some(answer)) = answer {
+                return Ok(self.keep(wire, &answer));
+            }
+        }
+        let mut wire = Wire::new(TcpStream::connect(self.address).await?);
         wire.write(head.as_bytes()).await?;
         let answer = wire.message(&self.world).await?.context("an answer")?;
+        Ok(self.keep(wire, &answer))
+    }
+
+    fn keep(&self, wire: Wire, answer: &Message) -> u16 {
         let mut idle = lock(&self.idle);
         if answer.header("connection") != "close" && idle.len() < IDLE {
             idle.push(wire);
         }
-        Ok(answer.status())
+        answer.status()
     }
 
     /// What was seen since the last look.
--- a/crates/bench/src/scale/service.rs
+++ b/crates/bench/src/scale/service.rs
@@ -15,6 +15,9 @@
 /// While nothing changes, an empty line comes this often.
 const SIGN_OF_LIFE: Duration = Duration::from_secs(2);
 
+/// Most bytes of one list that a node takes (`saffronpaddle-node`); a longer one is written without the fields that may be left out.
+const LIST_MOST: usize = 4 << 20;
+
 /// A server on the list.
 #[derive(Clone, Debug)]
 struct Server {
@@ -28,6 +31,8 @@
 struct List {
     seq: u64,
     servers: Vec<Server>,
+    /// Whether fields that may be left out are.
+    short: bool,
     /// Which servers changed with each version from 2 on.
     changed: Vec<Vec<usize>>,
     /// The whole list's text, and of which version it is.
@@ -35,10 +40,12 @@
 }
 
 impl List {
-    /// Only the fields that are needed: with all of the platform's a list of 40,000 would be longer than a node takes.
     fn host(&self, at: usize) -> String {
         let Server { dial, site, block, health } = &self.servers[at];
-        format!(r#"{{"host":"s-{at}","dial":"{dial}","site":"{site}","block":{block},"health":"{health}"}}"#)
+        let more = if self.short { "" } else { r#","class":"k","share":1.0,"born_ms":0"# };
+        format!(
+            r#"{{"host":"s-{at}","dial":"{dial}","site":"{site}","block":{block},"health":"{health}"{more}}}"#
+        )
     }
 
     fn text(&self, whole: bool, hosts: impl Iterator<Item = usize>) -> String {
@@ -63,6 +70,8 @@
     world: Arc<World>,
     list: Mutex<List>,
     seq: watch::Sender<u64>,
+    /// Bytes of the whole list with all of the platform's fields, and as it is written.
+    pub texts: (usize, usize),
 }
 
 impl Service {
@@ -77,8 +86,13 @@
             health: "ready",
         };
         let servers = (0..many).map(server).collect();
-        let list = Mutex::new(List { seq: 1, servers, ..List::default() });
-        let service = Arc::new(Service { world, list, seq: watch::channel(1).0 });
+        let mut list = List { seq: 1, servers, ..List::default() };
+        let full = list.since(None).1.len();
+        list.short = full > LIST_MOST;
+        list.whole = None;
+        let texts = (full, list.since(None).1.len());
+        let list = Mutex::new(list);
+        let service = Arc::new(Service { world, list, seq: watch::channel(1).0, texts });
         let listener = TcpListener::bind(saffronpaddle_standins::ports::unclaimed()?).await?;
         let address = listener.local_addr()?;
         let serving = Arc::clone(&service);
--- /dev/null
+++ b/crates/bench/tests/scale.rs
@@ -0,0 +1,72 @@
+//! The scale run as its users start it.
+
+use std::collections::BTreeMap;
+use std::process::{Command, Output};
+
+fn scale(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_saffronpaddle-bench"));
+    command.env("RUST_BACKTRACE", "1").arg("scale").args(arguments).output().expect("the program starts")
+}
+
+/// It is refused with one line, and nothing was started or written.
+fn refused(arguments: &[&str], because: &str) {
+    let output = scale(arguments);
+    let (out, err) = (String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr));
+    assert_eq!(output.status.code(), Some(2), "{arguments:?}: {err}");
+    assert_eq!(err.lines().count(), 1, "{arguments:?}: {err}");
+    assert!(err.contains(because), "{arguments:?}: {err}");
+    assert_eq!(out, "", "{arguments:?}");
+}
+
+#[test]
+fn what_is_wrong_is_refused_with_one_line_before_anything_starts() {
+    refused(&["--no-such"], "--no-such");
+    refused(&["--sweep", "moons"], "one of nodes, servers");
+    refused(&["--points", "3"], "--points needs --sweep");
+    refused(&["--sweep", "nodes", "--points", "3,many"], "--points 3,many");
+    refused(&["--sweep", "nodes", "--points", "2.5"], "whole number");
+    refused(&["--sweep", "nodes", "--points", "30,0"], "nodes 0 is not from 1 to 2700");
+    refused(&["--sweep", "nodes", "--points", "2701"], "nodes 2701 is not from 1 to 2700");
+    refused(&["--sweep", "nodes", "--points", "3", "--servers", "0"], "servers 0 is not from 1 to 100000");
+    refused(&["--sweep", "nodes", "--points", "3", "--tries", "NaN"], "tries NaN is not from 0 to 1000");
+    refused(&["--sweep", "nodes", "--points", "3", "--real", "4"], "real 4 is more than nodes 3");
+    refused(&["--sweep", "nodes", "--points", "3", "--spread", "4"], "spread 4 is not from 0 to 3");
+    refused(&["--sweep", "restart", "--points", "1.5"], "restart 1.5 is not from 0 to 1");
+    refused(&["--sweep", "nodes", "--points", "3", "--seconds", "3600"], "seconds 3600 is not from 1 to 60");
+    refused(&["--sweep", "nodes", "--points", "3", "--list", "wishes"], "agent or service");
+}
+
+#[test]
+fn a_fleet_that_the_machine_does_not_bear_is_refused_with_what_it_needs() {
+    refused(&["--sweep", "nodes", "--points", "2700", "--servers", "100000"], "GB may be used here");
+}
+
+#[test]
+fn hollow_nodes_get_lists_answer_tries_ask_one_another_and_act_on_changes() {
+    let file = std::env::temp_dir().join(format!("saffronpaddle-scale-{}.csv", std::process::id()));
+    let plot = file.with_extension("svg");
+    let (csv, svg) = (file.to_str().expect("a path"), plot.to_str().expect("a path"));
+    let arguments = ["--sweep", "nodes", "--points", "24", "--real", "0", "--servers", "30", "--seconds", "2"];
+    let more = ["--tries", "20", "--changes", "5", "--restart", "0.5", "--csv", csv, "--plot", svg];
+    let output = scale(&[&arguments[..], &more[..]].concat());
+    let (out, err) = (String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr));
+    assert!(output.status.success(), "{out}{err}");
+    assert!(out.contains("services: not carried by the program"), "{out}");
+    let mut reader = csv::Reader::from_path(&file).expect("rows were written");
+    let rows: Vec<BTreeMap<String, String>> = reader.deserialize().map(|row| row.expect("a row")).collect();
+    let figure = |measure: &str| -> f64 {
+        let row = rows.iter().find(|row| row["measure"] == measure).unwrap_or_else(|| panic!("{measure}: {out}"));
+        row["value"].parse().expect("a figure")
+    };
+    // No bound here hangs on how quick the machine is.
+    assert!(rows.iter().all(|row| ["real", "hollow", "reckoned"].contains(&row["kind"].as_str())));
+    assert!(rows.iter().all(|row| row["kind"] != "real"), "no process of the program ran");
+    assert!(figure("offered") > 0.0 && figure("done") > 0.0 && figure("served_share") > 0.0);
+    assert!(figure("words_sent") > 0.0 && figure("words_taken") > 0.0);
+    assert!(figure("first_list_max") > 0.0 && figure("change_node_p50") > 0.0);
+    assert!(figure("connections") > 0.0 && figure("list_bytes") > 0.0);
+    assert_eq!(figure("restarted"), 12.0);
+    assert!(figure("restart_listed_max") > 0.0);
+    assert!(std::fs::read_to_string(&plot).is_ok_and(|text| text.contains("<svg")));
+    let _ = (std::fs::remove_file(&file), std::fs::remove_file(&plot));
+}
