Choose from a working set of servers only where the operator file says so

Need: what is new is off by default and set in the operator file; a list of over 512 ready servers got a working set by its length alone.

Change: `[servers] working_set` in the operator file (crates/operator), `working_set` in the module's settings, asked in servers.rs. Tests of the working set and the scale run set it; the roster's measurement too.

--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -112,7 +112,13 @@
     let name = format!("saffronpaddle-bench-{}-{address}.json", std::process::id());
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, text)?;
+    let operator = path.with_extension("toml");
+    std::fs::write(
+        &operator,
+        "[ready]\nlist_within_ms = 0\npeers_within_ms = 0\n[servers]\nworking_set = true\n",
+    )?;
     let mut command = Command::new(program);
+    command.arg("run").arg("--operator").arg(&operator);
     command.env("LB_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
     let child = command.spawn().context("the node")?;
     Ok(Measured { child, address, config: Some(path) })
--- a/crates/bench/src/roster.rs
+++ b/crates/bench/src/roster.rs
@@ -41,7 +41,7 @@
         std::fs::write(
             &file,
             format!(
-                "[ready]\nlist_within_ms = 600000\npeers_within_ms = 0\n[etcd]\ninstead = true\nendpoints = [{}]\n",
+                "[ready]\nlist_within_ms = 600000\npeers_within_ms = 0\n[servers]\nworking_set = true\n[etcd]\ninstead = true\nendpoints = [{}]\n",
                 endpoints.join(", ")
             ),
         )?;
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -180,6 +180,8 @@
     pub fenced: bool,
     /// Whether asks are put again only within a budget of words.
     pub spare_words: bool,
+    /// Whether of a long list of servers each is sent to by some gateways alone. The same at all gateways.
+    pub working_set: bool,
 }
 
 /// Settings that make no sense.
--- a/crates/decision/src/servers.rs
+++ b/crates/decision/src/servers.rs
@@ -25,6 +25,8 @@
 pub(crate) struct Servers {
     all: BTreeMap<ServerId, Server>,
     set: Set,
+    /// Whether a long list is not sent to as a whole.
+    works: bool,
     /// Whether the list is longer than is sent to as a whole; then in order all that are sent to from here, and how many
     /// listed servers have each short name.
     long: bool,
@@ -170,8 +172,8 @@
 }
 
 impl Servers {
-    /// None, at a gateway of so many that has so many classes.
-    pub fn new(me: GatewayId, gateways: u32, classes: usize) -> Servers {
+    /// None, at a gateway of so many that has so many classes; whether a long list is not to be sent to as a whole.
+    pub fn new((me, gateways): (GatewayId, u32), classes: usize, works: bool) -> Servers {
         let sums = Sums {
             classes,
             listed: 0,
@@ -190,6 +192,7 @@
         Servers {
             all: BTreeMap::new(),
             set: Set::new(me.0, gateways),
+            works,
             long: false,
             held: Vec::new(),
             named: Vec::new(),
@@ -253,17 +256,19 @@
         if came {
             self.held.sort_unstable();
         }
-        let moved = self.set.resize(self.sums.ready);
+        let moved = self.works && self.set.resize(self.sums.ready);
         let many = if self.sums.many { self.held.len() >= MANY_STILL } else { self.held.len() > WHOLE };
-        if moved || self.long != (self.sums.ready > WHOLE) || many != self.sums.many {
+        if moved || self.long != (self.works && self.sums.ready > WHOLE) || many != self.sums.many {
             self.hold(now, lately);
         }
     }
 
     /// Looks anew which servers are held here: a walk over all, where the length of the list has changed much.
     fn hold(&mut self, now: Micros, lately: Micros) {
-        self.set.resize(self.sums.ready);
-        self.long = self.sums.ready > WHOLE;
+        if self.works {
+            self.set.resize(self.sums.ready);
+        }
+        self.long = self.works && self.sums.ready > WHOLE;
         let many = std::mem::take(&mut self.sums.many);
         self.named = if self.long { vec![0; NAMES] } else { Vec::new() };
         (self.held, self.names) = (Vec::new(), BTreeMap::new());
--- a/crates/decision/src/setup.rs
+++ b/crates/decision/src/setup.rs
@@ -186,6 +186,7 @@
         // The installation's to set, not the platform's.
         fenced: false,
         spare_words: false,
+        working_set: false,
     };
     Ok(Named {
         settings,
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -516,7 +516,7 @@
             abroad: Abroad::new(),
             shared: false,
             hushed: false,
-            servers: Servers::new(settings.me, settings.gateways, classes),
+            servers: Servers::new((settings.me, settings.gateways), classes, settings.working_set),
             stores: BTreeMap::new(),
             wide: false,
             homes: BTreeMap::new(),
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -52,6 +52,7 @@
         conn_idle: 15_000_000,
         fenced: false,
         spare_words: false,
+        working_set: true,
     }
 }
 
--- a/crates/explore/src/setups.rs
+++ b/crates/explore/src/setups.rs
@@ -292,6 +292,7 @@
         conn_idle: 15_000_000,
         fenced: false,
         spare_words: false,
+        working_set: false,
     };
     Ok(Real(Gateway::new(1, settings, 1_000_000)?))
 }
--- a/crates/handover/tests/overlap.rs
+++ b/crates/handover/tests/overlap.rs
@@ -31,6 +31,7 @@
         conn_idle: 15_000_000,
         fenced: false,
         spare_words: false,
+        working_set: false,
     }
 }
 
--- a/crates/hollow/src/shard.rs
+++ b/crates/hollow/src/shard.rs
@@ -221,7 +221,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
         fastrand::seed(spec.seed);
         Ok(Shard {
-            settings: named.settings,
+            settings: Settings { working_set: true, ..named.settings },
             started: (Instant::now(), unix),
             nodes: RefCell::default(),
             tenants,
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -163,6 +163,7 @@
         if let Some(file) = &operator {
             let settings = &mut config.named.settings;
             (settings.fenced, settings.spare_words) = (file.says.quotas.fenced, file.says.quotas.spare_words);
+            settings.working_set = file.says.servers.working_set;
         }
         let shared = handed.is_some();
         let overlaps = meeting.is_some();
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -47,6 +47,8 @@
     pub list: Option<Terms>,
     /// `[quotas]`
     pub quotas: Quotas,
+    /// `[servers]`.
+    pub servers: Servers,
     /// `[etcd]`; `None` while it names no endpoints.
     pub etcd: Option<Etcd>,
     /// `[sockets]`; `None` while it names no class.
@@ -63,6 +65,13 @@
     pub spare_words: bool,
 }
 
+/// App servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Servers {
+    /// Whether of a list of more than 512 servers each is sent to by some nodes alone.
+    pub working_set: bool,
+}
+
 /// WebSocket.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sockets {
@@ -187,6 +196,8 @@
                 fenced: section.flag("fenced", false),
                 spare_words: section.flag("spare_words", false),
             }),
+            servers: file
+                .section("servers", |section| Servers { working_set: section.flag("working_set", false) }),
             etcd: file.section("etcd", etcd),
             sockets: file.section("sockets", sockets),
         }
