--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -54,6 +54,8 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         self.config.iter().for_each(|path| _ = std::fs::remove_file(path));
+        // Only some have one.
+        self.config.iter().for_each(|path| _ = std::fs::remove_file(path.with_extension("toml")));
     }
 }
 
--- a/crates/decision/src/servers.rs
+++ b/crates/decision/src/servers.rs
@@ -9,9 +9,9 @@
 use crate::message;
 use crate::state::Server;
 use saffronpaddle_workset::{Median, Set, SOUGHT, WHOLE};
-use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Deref, DerefMut};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// A share as a whole number, so that sums of many do not drift.
 const SHARE_STEPS: f64 = (1_u64 << 44) as f64;
@@ -37,6 +37,26 @@
     sums: Sums,
 }
 
+/// A count of looks at servers. Gateways are looked at from several threads by who explores their states, so it is no `Cell`.
+#[derive(Debug, Default)]
+struct Looks(AtomicU64);
+
+impl Looks {
+    fn add(&self, looks: u64) {
+        self.0.store(self.get() + looks, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Clone for Looks {
+    fn clone(&self) -> Looks {
+        Looks(AtomicU64::new(self.get()))
+    }
+}
+
 /// Sums over servers.
 #[derive(Clone, Debug)]
 struct Sums {
@@ -57,12 +77,12 @@
     lately: BTreeSet<ServerId>,
     leaving: BTreeSet<ServerId>,
     /// How many servers have been looked at, so that a test can tell a walk.
-    looked_at: Cell<u64>,
+    looked_at: Looks,
 }
 
 impl Sums {
     fn looked(&self, at: usize) {
-        self.looked_at.set(self.looked_at.get() + at as u64);
+        self.looked_at.add(at as u64);
     }
 
     fn enter(&mut self, server: &Server) {
@@ -187,7 +207,7 @@
             young: BTreeSet::new(),
             lately: BTreeSet::new(),
             leaving: BTreeSet::new(),
-            looked_at: Cell::new(0),
+            looked_at: Looks::default(),
         };
         Servers {
             all: BTreeMap::new(),
--- a/crates/decision/src/servers/tests.rs
+++ b/crates/decision/src/servers/tests.rs
@@ -90,7 +90,7 @@
 /// Drives servers through random news of the list, outcomes and ticks, and compares with a walk after each.
 fn drive(seed: u64, gateways: u32, most: u64, steps: u64) -> Servers {
     let mut random = fastrand::Rng::with_seed(seed);
-    let mut servers = Servers::new(GatewayId(random.u32(..gateways)), gateways, CLASSES);
+    let mut servers = Servers::new((GatewayId(random.u32(..gateways)), gateways), CLASSES, true);
     let mut now = 1_000_000_000;
     for step in 0..steps {
         now += random.u64(..3_000_000);
@@ -160,7 +160,7 @@
 
 #[test]
 fn a_server_that_is_gone_is_forgotten_once_nothing_is_out_at_it() {
-    let mut servers = Servers::new(GatewayId(0), 3, CLASSES);
+    let mut servers = Servers::new((GatewayId(0), 3), CLASSES, true);
     let ready = (0..20).map(|id| entry(id, Standing::Ready, None)).collect();
     servers.list(1, ListKind::Complete, ready, &RULES, YOUNG_FOR);
     servers.edit(&ServerId(3)).expect("listed").open = 1;
@@ -176,7 +176,7 @@
 
 #[test]
 fn what_is_not_sent_to_from_here_keeps_nothing_that_was_known_of_it() {
-    let mut servers = Servers::new(GatewayId(0), 2_700, CLASSES);
+    let mut servers = Servers::new((GatewayId(0), 2_700), CLASSES, true);
     let ready = |count| (0..count).map(|id| entry(id, Standing::Ready, None)).collect();
     servers.list(1, ListKind::Complete, ready(500), &RULES, YOUNG_FOR);
     (0..500).for_each(|id| servers.edit(&ServerId(id)).expect("listed").wait = 5.0);
