Wait in a test until a killed process has ended before its successor binds

Cause: crossings a_process_that_is_back_with_an_old_list_follows_its_agent failed in 2 of 5 runs of its program: "peer_listen ...: Address already in use". The word to kill returns before the process has ended, and its successor started at once.

Change: the test waits until the process is a zombie or gone. Nothing else of it is changed.

--- a/crates/saffronpaddle/tests/crossings.rs
+++ b/crates/saffronpaddle/tests/crossings.rs
@@ -130,6 +130,11 @@
     write_list(&mut watch, &moved(2, true, dials));
     until_only(&mut node.client(), &servers, "s-2");
     node.signal("-KILL");
+    // Its addresses are free once it has ended, which is a moment after the word.
+    let stat = format!("/proc/{}/stat", node.id());
+    while std::fs::read_to_string(&stat).is_ok_and(|stat| !stat.contains(") Z ")) {
+        std::thread::sleep(std::time::Duration::from_millis(1));
+    }
     // Its configuration still has the list of before.
     let back = node.successor(|_| {});
     let (_, mut watch) = discovery.watch();
