Call a lent part of a quota a lease, as the field does, and a grant's life by its name

Loan -> Lease, LOAN -> LEASE, the 240 ms of a grant LEASE -> GRANT_LIFE, asking.lease -> granted_until. No change of behaviour: what is handed over in an upgrade keeps its name (serde rename), and the figures in INFO keep theirs.

--- a/crates/decision/src/asking.rs
+++ b/crates/decision/src/asking.rs
@@ -7,7 +7,7 @@
 use crate::interface::*;
 use crate::message::{self, Ask, Message};
 use crate::state::{Gateway, Home, Out};
-use saffronpaddle_quota::{Keeper, Loan, Said, Start, Verdict, LEASE, LOAN};
+use saffronpaddle_quota::{Keeper, Lease, Said, Start, Verdict, GRANT_LIFE, LEASE};
 
 const HOMES: u32 = 2; // the most homes that one try hears "short" from, and that one waits for in vain
 const PUT_MOST: u32 = 4; // times that an ask is put to a home: a lost datagram must not look like a dead one
@@ -83,7 +83,7 @@
     /// As a home: whether a try fits this part of its customer's store, ceiling and places, and what is lent beside.
     pub(crate) fn grant(
         &mut self, now: Micros, from: GatewayId, ask: &Ask, out: &mut Out,
-    ) -> Option<(Said, Option<Loan>)> {
+    ) -> Option<(Said, Option<Lease>)> {
         let plan = self.settings.plans.get(ask.plan.0)?;
         let spread = ask.spread.clamp(1, self.settings.gateways);
         let homes = Homes::of(plan, spread);
@@ -117,8 +117,8 @@
             (home.keeper.look(now, &terms), self.settings.most_units, true)
         };
         let wish = ask.wish.filter(|_| lends);
-        let loan = wish.and_then(|wish| home.keeper.lend(now, asks, &wish, &terms, try_units));
-        if loan.is_some() {
+        let lease = wish.and_then(|wish| home.keeper.lend(now, asks, &wish, &terms, try_units));
+        if lease.is_some() {
             self.counts.add(Of::Lends);
         }
         match said.verdict {
@@ -130,15 +130,15 @@
         if self.settings.fenced && number < homes.parts && said.level < 0.5 {
             self.borrow_beside(now, ask, homes, out);
         }
-        Some((said, loan))
+        Some((said, lease))
     }
 
     pub(crate) fn answered(
-        &mut self, now: Micros, serial: u16, (said, loan): (Said, Option<Loan>), out: &mut Out,
+        &mut self, now: Micros, serial: u16, (said, lease): (Said, Option<Lease>), out: &mut Out,
     ) {
         if let Some((customer, asked)) = self.borrows.remove(&serial) {
-            let home = self.homes.get_mut(&customer).zip(loan);
-            return home.into_iter().for_each(|(home, loan)| home.keeper.borrowed(now, asked, loan));
+            let home = self.homes.get_mut(&customer).zip(lease);
+            return home.into_iter().for_each(|(home, lease)| home.keeper.borrowed(now, asked, lease));
         }
         let Some(id) = self.asks.remove(&serial) else { return self.counts.add(Of::AnsweredLate) };
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -151,14 +151,15 @@
             _ => self.rto.back_off(),
         }
         let Some(store) = self.stores.get_mut(&request.customer) else { return };
-        if let Some(loan) = loan {
-            store.memory.borrowed(now, request.asking.since, request.asking.home.0, loan);
+        if let Some(lease) = lease {
+            store.memory.borrowed(now, request.asking.since, request.asking.home.0, lease);
         }
         if said.verdict == Verdict::Granted {
             store.memory.said(now, &said, true);
             store.memory.granted(now, request.units);
             self.counts.add(Of::Granted);
-            (request.asking.lease, request.due) = (request.asking.since.saturating_add(LEASE), now);
+            (request.asking.granted_until, request.due) =
+                (request.asking.since.saturating_add(GRANT_LIFE), now);
             request.asking.granted = Some((request.asking.home.1, serial));
             return self.waiting.push(id);
         }
@@ -183,7 +184,7 @@
         let (plan, customer) = (&self.settings.plans[request.plan.0], request.customer);
         if let Some(granted) = request.asking.granted {
             // Danger: a ceiling passed by grants that are used late. It must be granted anew.
-            if plan.ceiling.is_none() || now <= request.asking.lease {
+            if plan.ceiling.is_none() || now <= request.asking.granted_until {
                 return;
             }
             request.asking.granted = None;
@@ -195,7 +196,7 @@
                 return;
             }
             let puts = if request.asking.missed == 0 { PUT_MOST } else { 1 };
-            let again = request.asking.put < puts && now <= request.asking.since.saturating_add(LEASE);
+            let again = request.asking.put < puts && now <= request.asking.since.saturating_add(GRANT_LIFE);
             if again && self.settings.spare_words && !self.words.may(now, words_a_second) {
                 // It waits for its answer, or for words.
                 return;
@@ -224,7 +225,7 @@
         self.ask(now, id, out);
     }
 
-    /// No home is heard: what is lent here goes first, and then what homes granted here lately decides. A ceiling is kept by loans
+    /// No home is heard: what is lent here goes first, and then what homes granted here lately decides. A ceiling is kept by leases
     /// alone.
     fn alone(&mut self, now: Micros, id: RequestId, out: &mut Out) {
         let Some(request) = self.requests.get(&id) else { return };
@@ -245,7 +246,7 @@
         self.serial = self.serial.wrapping_add(1);
         let Some(request) = self.requests.get_mut(&id) else { return };
         (request.asking.granted, request.due) = (Some((self.settings.me, self.serial)), now);
-        request.asking.lease = now.saturating_add(LEASE);
+        request.asking.granted_until = now.saturating_add(GRANT_LIFE);
         self.waiting.push(id);
     }
 
@@ -260,7 +261,7 @@
         let to = homes.keeper(ask.customer, (ask.first, ask.spread), number, self.settings.gateways);
         self.serial = self.serial.wrapping_add(1);
         // What was asked before and never answered is forgotten; it lends nothing here any more.
-        self.borrows.retain(|_, (_, at)| *at + LOAN > now);
+        self.borrows.retain(|_, (_, at)| *at + LEASE > now);
         if to == self.settings.me || self.borrows.len() >= BORROWS_MOST {
             return;
         }
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -457,18 +457,18 @@
             Message::Counts(birth, counts) => (birth, counts),
             Message::Ask(ask, news) => {
                 news.into_iter().for_each(|news| self.told(now, from, news));
-                let Some((said, loan)) = self.grant(now, from, &ask, out) else { return };
+                let Some((said, lease)) = self.grant(now, from, &ask, out) else { return };
                 let answer = match ask.beside {
                     Some(_) => {
-                        Message::Answer(ask.serial, said, ask.wish.map(|_| loan), self.news_if_due(now))
+                        Message::Answer(ask.serial, said, ask.wish.map(|_| lease), self.news_if_due(now))
                     }
                     None => Message::OldAnswer(ask.serial, said, self.news(now)),
                 };
                 return out.push(Action::Tell { to: from, bytes: message::write(&answer) });
             }
-            Message::Answer(serial, said, loan, news) => {
+            Message::Answer(serial, said, lease, news) => {
                 news.into_iter().for_each(|news| self.told(now, from, news));
-                return self.answered(now, serial, (said, loan.flatten()), out);
+                return self.answered(now, serial, (said, lease.flatten()), out);
             }
             Message::OldAnswer(serial, said, news) => {
                 self.told(now, from, news);
--- a/crates/decision/src/homes.rs
+++ b/crates/decision/src/homes.rs
@@ -6,7 +6,7 @@
 
 use crate::fuzzy::mix;
 use crate::interface::{Ceiling, CustomerId, GatewayId, Plan};
-use saffronpaddle_quota::{Terms, LEASE};
+use saffronpaddle_quota::{Terms, GRANT_LIFE};
 
 /// Units a second that one home of a customer looks after: its intake bounds it.
 const RATE: f64 = 8.0;
@@ -45,7 +45,7 @@
         let part = if number < self.parts { own } else { (1.0 - own) / beside } / parts;
         let places = |most: u32| (most + self.parts - 1 - number % self.parts) / self.parts;
         let ceiling = |ceiling: Ceiling| {
-            let late = ceiling.rate * LEASE as f64 / 1e6;
+            let late = ceiling.rate * GRANT_LIFE as f64 / 1e6;
             (ceiling.rate * part, (ceiling.depth - late) * part)
         };
         let of_store = if fenced { part } else { 1.0 / parts };
--- a/crates/decision/src/message.rs
+++ b/crates/decision/src/message.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::{ClassId, CustomerId, GatewayId, Micros, PlanId, ServerId};
 use crate::pooled::Pooled;
-use saffronpaddle_quota::{Loan, Said, Verdict, Wish};
+use saffronpaddle_quota::{Lease, Said, Verdict, Wish};
 use saffronpaddle_warmup::Gift;
 
 const VERSION: u8 = 2;
@@ -15,9 +15,9 @@
 const PART: f64 = 16.0;
 const WAIT_STEP: f64 = 8_000.0;
 const AGE_STEP: u64 = 32_000;
-/// Parts of a unit a second in which the rate of a loan travels: coarser ones would leave some of each idle.
+/// Parts of a unit a second in which the rate of a lease travels: coarser ones would leave some of each idle.
 const LOAN_PART: f64 = 512.0;
-/// Parts of a unit in which the room of a loan travels.
+/// Parts of a unit in which the room of a lease travels.
 const ROOM_PART: f64 = 8.0;
 /// The same of how long ago a home said how full it was, and how long to stay away.
 const AGO_STEP: u64 = 64_000;
@@ -78,8 +78,8 @@
     // Kinds 6 and 7 are those of yesterday, without what is wished and lent, and both are still spoken; 4 and 5, without what goes
     // beside an ask and how long to stay away, are those of the build before, and are only answered.
     Ask(Ask, Option<News>),
-    /// The inner loan is what is lent, the outer one is none where the word is of the build before.
-    Answer(u16, Said, Option<Option<Loan>>, Option<News>),
+    /// The inner lease is what is lent, the outer one is none where the word is of the build before.
+    Answer(u16, Said, Option<Option<Lease>>, Option<News>),
     OldAnswer(u16, Said, News),
     Done(u16, CustomerId),
     /// A right to send to a cold server, by its short name; a build of yesterday passes it over.
@@ -97,7 +97,7 @@
     (span / step).min(254) as u8
 }
 
-/// The rate of a loan, rounded so.
+/// The rate of a lease, rounded so.
 fn two_bytes(rate: f64, round: impl Fn(f64) -> f64) -> [u8; 2] {
     (round(rate * LOAN_PART).clamp(0.0, 65_535.0) as u16).to_le_bytes()
 }
@@ -148,18 +148,18 @@
             }
             news.iter().for_each(|news| write_news(news, &mut bytes));
         }
-        Message::Answer(serial, said, loan, news) => {
-            bytes.push(if loan.is_some() { 10 } else { 7 });
+        Message::Answer(serial, said, lease, news) => {
+            bytes.push(if lease.is_some() { 10 } else { 7 });
             bytes.extend_from_slice(&serial.to_le_bytes());
             let verdict = VERDICTS.iter().position(|verdict| *verdict == said.verdict).unwrap_or(1) as u8;
             bytes.extend_from_slice(&[verdict, small(said.chance * 255.0)]);
             bytes.extend_from_slice(&[steps(said.wait, WAIT_FOR_STEP), small(said.level * 255.0)]);
-            if let Some(loan) = loan {
+            if let Some(lease) = lease {
                 // Rounded down: a borrower must not have more than its keeper reckons with.
                 let down = |value: f64, part: f64| (value * part).floor().clamp(0.0, 255.0) as u8;
-                let loan = loan.unwrap_or_default();
-                bytes.extend(two_bytes(loan.rate, f64::floor));
-                bytes.extend([down(loan.room, ROOM_PART), down(loan.units, ROOM_PART)]);
+                let lease = lease.unwrap_or_default();
+                bytes.extend(two_bytes(lease.rate, f64::floor));
+                bytes.extend([down(lease.room, ROOM_PART), down(lease.units, ROOM_PART)]);
             }
             news.iter().for_each(|news| write_news(news, &mut bytes));
         }
@@ -303,13 +303,13 @@
             let verdict = *VERDICTS.get(taken.number(1)? as usize)?;
             let chance = taken.number(1)? as f64 / 255.0;
             let (wait, level) = (taken.number(1)? * WAIT_FOR_STEP, taken.number(1)? as f64 / 255.0);
-            let mut loan = None;
+            let mut lease = None;
             if kind == 10 {
                 let (rate, room) = (taken.number(2)? as f64 / LOAN_PART, taken.number(1)? as f64 / ROOM_PART);
                 let units = taken.number(1)? as f64 / ROOM_PART;
-                loan = Some((rate > 0.0).then_some(Loan { rate, room, units }));
+                lease = Some((rate > 0.0).then_some(Lease { rate, room, units }));
             }
-            Message::Answer(serial, Said { verdict, chance, wait, level }, loan, taken.news_if_any()?)
+            Message::Answer(serial, Said { verdict, chance, wait, level }, lease, taken.news_if_any()?)
         }
         8 => {
             let server = taken.number(2)? as u16;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -97,7 +97,7 @@
     pub missed: u32,
     /// Who let it go, under which ask, and until when that holds under a ceiling.
     pub granted: Option<(GatewayId, u16)>,
-    pub lease: Micros,
+    pub granted_until: Micros,
 }
 
 impl Asking {
--- a/crates/quota/src/keeper.rs
+++ b/crates/quota/src/keeper.rs
@@ -7,12 +7,12 @@
 //! late or doubled. Beyond that goes only what a home grants that has lost its state (see [`Start`]) and what who stands by grants
 //! while a home that is alive is not heard.
 
-use crate::lease::{Held, Lender, Loan, Wish, CALM_FOR, LOAN, OF_CEILING, OF_STORE};
+use crate::lease::{Held, Lease, Lender, Wish, CALM_FOR, LEASE, OF_CEILING, OF_STORE};
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 
 /// µs in which an ask may be put again, and in which its grant holds under a ceiling.
-pub const LEASE: Micros = 240_000;
+pub const GRANT_LIFE: Micros = 240_000;
 /// Asks that a home wants, as a multiple of what it can grant.
 const WANTED: f64 = 2.0;
 /// Factor by which each ask too many thins them out, and the share of tries that may ask again, a second.
@@ -134,7 +134,7 @@
         let Some(ceiling) = terms.ceiling else { return keeper };
         // Danger: a ceiling passed by what the last life of this gateway lent, and this one fills as well.
         let born = now.saturating_sub(up);
-        keeper.before.unknown(ceiling, born.saturating_add(LOAN));
+        keeper.before.unknown(ceiling, born.saturating_add(LEASE));
         keeper.fill_ceiling(born, now, terms);
         keeper
     }
@@ -163,7 +163,7 @@
 
     /// Lends to who has just asked, and notes what it still holds. `units`: those of a try. Where attempts at once are limited only of
     /// the ceiling is lent: places are this home's to give, and what is lent is for who does not hear it.
-    pub fn lend(&mut self, now: Micros, ask: Ask, wish: &Wish, terms: &Terms, units: f64) -> Option<Loan> {
+    pub fn lend(&mut self, now: Micros, ask: Ask, wish: &Wish, terms: &Terms, units: f64) -> Option<Lease> {
         // Who asks for no units is the home of the part, which has the places.
         let home = ask.units <= 0.0;
         let of_store = terms.at_once.is_none() || home;
@@ -177,13 +177,13 @@
             (Some(a), Some(b)) => (a.0.min(b.0), a.1.min(b.1), a.2.min(b.2)),
             (one, other) => one.or(other)?,
         };
-        let (loan, fresh) =
+        let (lease, fresh) =
             self.lender.lend(now, (ask.from, ask.serial), wish, part, (units, of_store, home))?;
         if fresh {
-            self.level -= loan.units;
-            self.ceiling -= loan.units;
+            self.level -= lease.units;
+            self.ceiling -= lease.units;
         }
-        Some(loan)
+        Some(lease)
     }
 
     /// Whether it has refused nobody for want of units for a while: then what it lends is no rate that somebody else waits for.
@@ -212,8 +212,8 @@
     }
 
     /// Who stands by has lent this, asked at that time.
-    pub fn borrowed(&mut self, now: Micros, asked: Micros, loan: Loan) {
-        self.borrowed = Some(Held::after(self.borrowed, now, asked, 0, loan));
+    pub fn borrowed(&mut self, now: Micros, asked: Micros, lease: Lease) {
+        self.borrowed = Some(Held::after(self.borrowed, now, asked, 0, lease));
     }
 
     /// Whether a try may go. `lasts`: how long an attempt is out, as a rule; its place falls free by itself after a multiple of
@@ -262,7 +262,7 @@
         }
         self.level -= ask.units;
         self.ceiling -= ask.units;
-        self.granted.push((ask.from, ask.serial, now.saturating_add(LEASE)));
+        self.granted.push((ask.from, ask.serial, now.saturating_add(GRANT_LIFE)));
         if terms.at_once.is_some() {
             self.places.push((ask.from, ask.serial, now.saturating_add(lasts.saturating_mul(PLACE_LASTS))));
         }
--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -1,48 +1,48 @@
 //! Parts of a quota that are lent: a keeper gives who asks a rate, room and units of its own for a while, to be used without
 //! a word, so that a gateway that hears nobody goes on with its part and no more.
 //!
-//! **What holds.** A part's units are in one place each: the keeper's level, or one borrower's. While a loan stands the keeper
+//! **What holds.** A part's units are in one place each: the keeper's level, or one borrower's. While a lease stands the keeper
 //! fills at its rate less what it has lent, up to its depth less the room that it has lent; the borrower fills at what was lent up to that room.
 //! So the sum of all levels never passes what one store of the whole would hold, whoever hears whom.
 //!
-//! **The old holder's part ends before the new one's begins.** A borrower counts the life of a loan from when it *asked*, less
+//! **The old holder's part ends before the new one's begins.** A borrower counts the life of a lease from when it *asked*, less
 //! [`DRIFT`]; the keeper from when it *answered*, whole. The ask left before it came, so the borrower's end is the earlier
 //! one, with clocks that need not agree and may run [`DRIFT`] apart. A word that is late only shortens the borrower's part; one that is
-//! doubled is answered as before and lends nothing more; one that is lost leaves the keeper with less for a loan's life.
+//! doubled is answered as before and lends nothing more; one that is lost leaves the keeper with less for a lease's life.
 //!
 //! What is lent and not used by its end lapses: it is lost to the customer, not to the quota.
 
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 
-/// How long a loan lasts, µs. Danger of longer: rate that lies idle where a customer's traffic has moved on. Of shorter: a
+/// How long a lease lasts, µs. Danger of longer: rate that lies idle where a customer's traffic has moved on. Of shorter: a
 /// cut-off gateway that has nothing left before its peers are back.
-pub const LOAN: Micros = 6_000_000;
+pub const LEASE: Micros = 6_000_000;
 /// How far apart clocks may run: a part in so many.
 pub const DRIFT: Micros = 100;
-/// A borrower asks anew once less than this is left of its loan, µs.
+/// A borrower asks anew once less than this is left of its lease, µs.
 const RENEWED: Micros = 2_000_000;
 /// Most of a part's rate and depth that is lent at a time, of a store; the rest serves those that have borrowed nothing.
 pub(crate) const OF_STORE: f64 = 0.75;
-/// The same of a ceiling. Danger of more: a keeper that has just started must take all of it for lent until a loan's life is over.
+/// The same of a ceiling. Danger of more: a keeper that has just started must take all of it for lent until a lease's life is over.
 pub(crate) const OF_CEILING: f64 = 0.35;
-/// Room in a loan, s of its rate, where one try's units are not more.
+/// Room in a lease, s of its rate, where one try's units are not more.
 const ROOM: f64 = 1.0;
 /// What a borrower wants, as a multiple of what it was granted lately: its pace swings.
 const WANTED: f64 = 1.25;
-/// Loans of one part at a time. Guards memory.
-const LOANS_MOST: usize = 64;
+/// Leases of one part at a time. Guards memory.
+const LEASES_MOST: usize = 64;
 /// Units a second under which a gateway borrows nothing: what it would be lent lapses before its next try.
 const LEAST_PACE: f64 = 0.4;
 /// µs for which a part must have refused nobody to lend to who asks. Danger: a customer that wants all of its quota, whose rate lies idle
 /// at gateways that its tries have left (seen: four tenths of all quotas unused, 24 gateways at half as much again).
 pub(crate) const CALM_FOR: Micros = 10_000_000;
-/// Less than this is no loan, units a second.
+/// Less than this is no lease, units a second.
 const LEAST: f64 = 0.05;
 
-/// A loan as it is told: units a second, the most units that it may gather, and units that come with it.
+/// A lease as it is told: units a second, the most units that it may gather, and units that come with it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Loan {
+pub struct Lease {
     /// Units a second.
     pub rate: f64,
     /// Most units at once.
@@ -51,7 +51,7 @@
     pub units: f64,
 }
 
-/// What who asks says of loans.
+/// What who asks says of leases.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Wish {
     /// Units a second that it would use.
@@ -60,12 +60,14 @@
     pub held: Option<(f64, f64, Micros)>,
 }
 
-/// A loan at the keeper.
+/// A lease at the keeper.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 struct Lent {
     from: u32,
     serial: u16,
-    loan: Loan,
+    /// Builds before read it under this name when a node is upgraded in place.
+    #[serde(rename = "loan")]
+    lease: Lease,
     until: Micros,
     /// Whether it is of the store too, or of the ceiling alone.
     of_store: bool,
@@ -83,9 +85,9 @@
     /// ceiling.
     pub fn between(&self, from: Micros, to: Micros, of_store: bool) -> (f64, f64) {
         let of = || self.lent.iter().filter(|lent| lent.of_store || !of_store);
-        let units = |lent: &Lent| lent.loan.rate * lent.until.min(to).saturating_sub(from) as f64 / 1e6;
+        let units = |lent: &Lent| lent.lease.rate * lent.until.min(to).saturating_sub(from) as f64 / 1e6;
         let stands = of().filter(|lent| lent.until > to);
-        (of().map(units).sum(), stands.map(|lent| lent.loan.room).sum())
+        (of().map(units).sum(), stands.map(|lent| lent.lease.room).sum())
     }
 
     /// Drops what has ended.
@@ -98,22 +100,22 @@
         self.lent.is_empty()
     }
 
-    /// Notes a loan that who asks still holds and that is not known here. Danger: a keeper that was restarted and fills at a rate
+    /// Notes a lease that who asks still holds and that is not known here. Danger: a keeper that was restarted and fills at a rate
     /// that its last life has lent.
     pub fn told(&mut self, now: Micros, from: u32, wish: &Wish, of_store: bool) {
         let Some((rate, room, left)) = wish.held else { return };
         let known = self.lent.iter().any(|lent| lent.from == from && lent.until > now);
-        if known || self.lent.len() >= LOANS_MOST {
+        if known || self.lent.len() >= LEASES_MOST {
             return;
         }
-        let until = now.saturating_add(left.min(LOAN));
-        self.lent.push(Lent { from, serial: 0, loan: Loan { rate, room, units: 0.0 }, until, of_store });
+        let until = now.saturating_add(left.min(LEASE));
+        self.lent.push(Lent { from, serial: 0, lease: Lease { rate, room, units: 0.0 }, until, of_store });
     }
 
     /// A ceiling of which nobody knows what an earlier life of this keeper has lent, until then: as much as may have been.
     pub fn unknown(&mut self, (rate, depth): (f64, f64), until: Micros) {
-        let loan = Loan { rate: rate * OF_CEILING, room: depth * OF_CEILING, units: 0.0 };
-        self.lent.push(Lent { from: u32::MAX, serial: 0, loan, until, of_store: false });
+        let lease = Lease { rate: rate * OF_CEILING, room: depth * OF_CEILING, units: 0.0 };
+        self.lent.push(Lent { from: u32::MAX, serial: 0, lease, until, of_store: false });
     }
 
     /// Lends to who asks under this number, of what may be lent of a rate and a depth, where so many units are held. The same ask again is
@@ -121,30 +123,30 @@
     pub fn lend(
         &mut self, now: Micros, (from, serial): (u32, u16), wish: &Wish,
         (rate, depth, level): (f64, f64, f64), (try_units, of_store, all): (f64, bool, bool),
-    ) -> Option<(Loan, bool)> {
+    ) -> Option<(Lease, bool)> {
         self.tidy(now);
         let mine = |lent: &&Lent| lent.from == from;
         if let Some(again) = self.lent.iter().filter(mine).find(|lent| lent.serial == serial) {
-            return Some((again.loan, false));
+            return Some((again.lease, false));
         }
         if wish.rate < LEAST_PACE {
             return None;
         }
-        // The next loan follows the last without a step: it is the same one, with a later end. A borrower that wants half of it or less
+        // The next lease follows the last without a step: it is the same one, with a later end. A borrower that wants half of it or less
         // lets it lapse.
         if let Some(last) = self.lent.iter_mut().find(|lent| lent.from == from && lent.of_store == of_store) {
-            if last.until > now + RENEWED + LOAN / 10 || wish.rate * WANTED < last.loan.rate / 2.0 {
+            if last.until > now + RENEWED + LEASE / 10 || wish.rate * WANTED < last.lease.rate / 2.0 {
                 return None;
             }
-            (last.serial, last.until) = (serial, now.saturating_add(LOAN));
-            last.loan.units = 0.0;
-            return Some((last.loan, false));
+            (last.serial, last.until) = (serial, now.saturating_add(LEASE));
+            last.lease.units = 0.0;
+            return Some((last.lease, false));
         }
-        if self.lent.len() >= LOANS_MOST {
+        if self.lent.len() >= LEASES_MOST {
             return None;
         }
-        let lent = |of: fn(&Loan) -> f64| self.lent.iter().map(|lent| of(&lent.loan)).sum::<f64>();
-        let (free_rate, free_depth) = (rate - lent(|loan| loan.rate), depth - lent(|loan| loan.room));
+        let lent = |of: fn(&Lease) -> f64| self.lent.iter().map(|lent| of(&lent.lease)).sum::<f64>();
+        let (free_rate, free_depth) = (rate - lent(|lease| lease.rate), depth - lent(|lease| lease.room));
         let wanted = (wish.rate * WANTED).min(free_rate);
         if wanted < LEAST || free_depth < try_units {
             return None;
@@ -152,18 +154,18 @@
         let most = if all { free_depth } else { (wanted * ROOM).max(try_units).min(free_depth) };
         // A whole try's units from the first moment, where the part can spare them: a gateway is cut off without a warning.
         let units = if of_store && level >= 2.0 * try_units { try_units } else { 0.0 };
-        let loan = Loan { rate: wanted, room: most, units };
-        self.lent.push(Lent { from, serial, loan, until: now.saturating_add(LOAN), of_store });
-        Some((loan, true))
+        let lease = Lease { rate: wanted, room: most, units };
+        self.lent.push(Lent { from, serial, lease, until: now.saturating_add(LEASE), of_store });
+        Some((lease, true))
     }
 }
 
-/// A loan at who has it.
+/// A lease at who has it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Held {
     /// Which of the customer's keepers lent it.
     pub keeper: u32,
-    loan: Loan,
+    lease: Lease,
     level: f64,
     filled: Micros,
     until: Micros,
@@ -171,7 +173,7 @@
 
 impl Held {
     /// What came of an ask that was first put then, behind one that may still have units.
-    pub fn after(last: Option<Held>, now: Micros, asked: Micros, keeper: u32, loan: Loan) -> Held {
+    pub fn after(last: Option<Held>, now: Micros, asked: Micros, keeper: u32, lease: Lease) -> Held {
         let left = match last {
             Some(mut last) if last.keeper == keeper && !last.is_over(now) => {
                 last.take(now, 0.0);
@@ -180,8 +182,8 @@
             _ => 0.0,
         };
         // It fills from now on: its keeper had lent it before the word left.
-        let until = asked.saturating_add(LOAN - LOAN / DRIFT);
-        Held { keeper, loan, level: (loan.units + left).min(loan.room), filled: now, until }
+        let until = asked.saturating_add(LEASE - LEASE / DRIFT);
+        Held { keeper, lease, level: (lease.units + left).min(lease.room), filled: now, until }
     }
 
     /// Whether it has ended.
@@ -201,7 +203,7 @@
         }
         let span = now.saturating_sub(self.filled) as f64 / 1e6;
         self.filled = self.filled.max(now);
-        self.level = (self.level + self.loan.rate * span).min(self.loan.room);
+        self.level = (self.level + self.lease.rate * span).min(self.lease.room);
         let takes = self.level >= units;
         self.level -= if takes { units } else { 0.0 };
         takes
@@ -212,12 +214,12 @@
         if self.is_over(now) {
             0.0
         } else {
-            self.loan.rate
+            self.lease.rate
         }
     }
 
     /// What its keeper is told of it: the rate, the room, and for how long.
     pub fn told(&self, now: Micros) -> Option<(f64, f64, Micros)> {
-        (!self.is_over(now)).then(|| (self.loan.rate, self.loan.room, self.until - now))
+        (!self.is_over(now)).then(|| (self.lease.rate, self.lease.room, self.until - now))
     }
 }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -4,7 +4,7 @@
 //! who asked ([`Memory`]): until when nothing can be had, so that tries till then are turned away here and at once, without
 //! a word; and how full the part was, so that a home that has lost its state, or a gateway that hears no home, can go by that.
 //!
-//! A home also lends: a rate, for a while, to who has asked often ([`Loan`]), which is used without a word and goes on
+//! A home also lends: a rate, for a while, to who has asked often ([`Lease`]), which is used without a word and goes on
 //! where no home is heard.
 //!
 //! No input or output; time, in µs, is an argument.
@@ -25,8 +25,8 @@
 mod lease;
 mod memory;
 
-pub use keeper::{Ask, Keeper, Said, Start, Terms, Verdict, LEASE};
-pub use lease::{Held, Lender, Loan, Wish, DRIFT, LOAN};
+pub use keeper::{Ask, Keeper, Said, Start, Terms, Verdict, GRANT_LIFE};
+pub use lease::{Held, Lease, Lender, Wish, DRIFT, LEASE};
 pub use memory::Memory;
 
 /// A time or a span, in microseconds.
--- a/crates/quota/src/memory.rs
+++ b/crates/quota/src/memory.rs
@@ -1,6 +1,6 @@
 //! What a gateway that asks remembers of a customer's home.
 
-use crate::lease::{Held, Loan, Wish};
+use crate::lease::{Held, Lease, Wish};
 use crate::{Micros, Said, Verdict};
 use serde::{Deserialize, Serialize};
 
@@ -80,7 +80,7 @@
         self.granted * (-span / GRANTS_FOR).exp()
     }
 
-    /// Whether a try of so many units goes by what a home has lent; it takes them then. A loan that is nearly over is only used
+    /// Whether a try of so many units goes by what a home has lent; it takes them then. A lease that is nearly over is only used
     /// where no home will be asked (`late`): the ask brings the next one.
     pub fn lent(&mut self, now: Micros, units: f64, late: bool) -> bool {
         let Some(held) = &mut self.held else { return false };
@@ -98,8 +98,8 @@
     }
 
     /// A keeper has lent this, asked at that time.
-    pub fn borrowed(&mut self, now: Micros, asked: Micros, keeper: u32, loan: Loan) {
-        self.held = Some(Held::after(self.held, now, asked, keeper, loan));
+    pub fn borrowed(&mut self, now: Micros, asked: Micros, keeper: u32, lease: Lease) {
+        self.held = Some(Held::after(self.held, now, asked, keeper, lease));
     }
 
     /// Whether a try of so many units may go with no home heard; it takes them then.
--- a/crates/quota/tests/keeper.rs
+++ b/crates/quota/tests/keeper.rs
@@ -1,7 +1,7 @@
 //! A home's part alone: what it grants under any course of asks, and what a gateway that asks makes of its words.
 
 use proptest::prelude::*;
-use saffronpaddle_quota::{Ask, Keeper, Memory, Micros, Said, Start, Terms, Verdict, LEASE};
+use saffronpaddle_quota::{Ask, Keeper, Memory, Micros, Said, Start, Terms, Verdict, GRANT_LIFE};
 use std::collections::BTreeSet;
 
 const S: Micros = 1_000_000;
@@ -97,7 +97,7 @@
         "the other unit is there"
     );
     assert_eq!(
-        home.ask(LEASE + 200_001, ask(1, 9), &terms, LASTS).verdict,
+        home.ask(GRANT_LIFE + 200_001, ask(1, 9), &terms, LASTS).verdict,
         Verdict::Short,
         "an old one is a new one"
     );
--- a/crates/quota/tests/lease.rs
+++ b/crates/quota/tests/lease.rs
@@ -1,8 +1,8 @@
-//! Loans: whatever words are lost, late, doubled or out of order, whoever restarts and however clocks run apart, the units that
+//! Leases: whatever words are lost, late, doubled or out of order, whoever restarts and however clocks run apart, the units that
 //! go stay within one store of the whole.
 
 use proptest::prelude::*;
-use saffronpaddle_quota::{Ask, Keeper, Loan, Memory, Micros, Start, Terms, Verdict, Wish, DRIFT, LOAN};
+use saffronpaddle_quota::{Ask, Keeper, Lease, Memory, Micros, Start, Terms, Verdict, Wish, DRIFT, LEASE};
 use std::collections::BTreeMap;
 
 const MS: Micros = 1_000;
@@ -34,7 +34,7 @@
 enum Fault {
     /// The keeper goes on filling at its whole rate.
     RateKept,
-    /// A borrower's loan has no end.
+    /// A borrower's lease has no end.
     NoEnd,
     /// A keeper that is back knows nothing of ceilings that it lent.
     ForgetsCeiling,
@@ -75,7 +75,7 @@
 }
 
 /// Plays a course of one keeper and three askers whose clocks run apart by as much as is allowed. Returns the lowest level of
-/// the store and of the ceiling, and how many tries went by loans.
+/// the store and of the ceiling, and how many tries went by leases.
 fn play(terms: &Terms, steps: &[Step], restarts: bool, fault: Option<Fault>) -> (f64, f64, u32) {
     let store = (terms.rate, terms.depth);
     let (mut whole, ceiling) = (Whole::new(store), terms.ceiling.unwrap_or((1e9, 1e9)));
@@ -87,8 +87,8 @@
     hard.at = now;
     let mut home = Keeper::open(now, Start::Full, now, terms);
     let mut memories = [Memory::default(); 3];
-    let (mut low, mut low_hard, mut by_loan) = (f64::MAX, f64::MAX, 0);
-    let mut late: BTreeMap<(Micros, u32), (u32, Micros, Loan)> = BTreeMap::new();
+    let (mut low, mut low_hard, mut by_lease) = (f64::MAX, f64::MAX, 0);
+    let mut late: BTreeMap<(Micros, u32), (u32, Micros, Lease)> = BTreeMap::new();
     let mut serial = 0;
     // Clocks of askers run slow, the worst that a lender can meet.
     let clock = |now: Micros, who: u32| match who {
@@ -98,13 +98,13 @@
     for step in steps {
         now += step.after;
         while let Some(first) = late.first_entry().filter(|entry| entry.key().0 <= now) {
-            let ((at, _), (who, asked, loan)) = first.remove_entry();
-            memories[who as usize].borrowed(clock(at, who), clock(asked, who), 0, loan);
+            let ((at, _), (who, asked, lease)) = first.remove_entry();
+            memories[who as usize].borrowed(clock(at, who), clock(asked, who), 0, lease);
         }
         if step.restart && restarts {
             born = now;
             let start = Start::Since(1.0, 0);
-            let up = if fault == Some(Fault::ForgetsCeiling) { LOAN } else { 0 };
+            let up = if fault == Some(Fault::ForgetsCeiling) { LEASE } else { 0 };
             home = Keeper::open(now, start, up, terms);
             if fault == Some(Fault::ForgetsCeiling) {
                 home = Keeper::open(now, Start::Full, 60 * S, terms);
@@ -114,7 +114,7 @@
         let (who, me) = (step.who, clock(now, step.who));
         let memory = &mut memories[who as usize];
         let mut gone = memory.lent(me, 1.0, false);
-        by_loan += u32::from(gone);
+        by_lease += u32::from(gone);
         if !gone && !step.ask_lost {
             serial += 1;
             let wish: Wish = memory.wish(me, 0, 1.0);
@@ -122,7 +122,7 @@
                 let ask = Ask { from: who, serial, units: 1.0 };
                 let said = home.ask(now, ask, terms, LASTS);
                 let mut other = home.clone();
-                let loan = match fault {
+                let lease = match fault {
                     Some(Fault::RateKept) => other.lend(now, ask, &wish, terms, 1.0),
                     _ => home.lend(now, ask, &wish, terms, 1.0),
                 };
@@ -132,11 +132,11 @@
                         memory.granted(me, 1.0);
                     }
                 }
-                if let Some(loan) = loan.filter(|_| !step.answer_lost) {
+                if let Some(lease) = lease.filter(|_| !step.answer_lost) {
                     let asked = if fault == Some(Fault::NoEnd) { now + 30 * S } else { now };
                     late.insert(
                         (now + step.answer_late, u32::from(serial) * 2 + u32::from(copy)),
-                        (who, asked, loan),
+                        (who, asked, lease),
                     );
                 }
             }
@@ -144,14 +144,14 @@
         if !gone && step.answer_lost {
             // With no answer, what is lent goes.
             gone = memory.lent(me, 1.0, true);
-            by_loan += u32::from(gone);
+            by_lease += u32::from(gone);
         }
         if gone {
             low = low.min(whole.goes(now));
             low_hard = low_hard.min(hard.goes(now));
         }
     }
-    (low, low_hard, by_loan)
+    (low, low_hard, by_lease)
 }
 
 fn plan(rate: f64, depth: f64, ceiling: Option<(f64, f64)>) -> Terms {
@@ -163,7 +163,7 @@
 
     /// No word, and no want of one, brings a store of the whole under nothing.
     #[test]
-    fn what_goes_by_loans_and_by_grants_stays_within_the_whole(
+    fn what_goes_by_leases_and_by_grants_stays_within_the_whole(
         rate in 0.5..10.0f64, depth in 3.0..30.0f64, steps in prop::collection::vec(step(), 50..300),
     ) {
         let (low, _, _) = play(&plan(rate, depth, None), &steps, false, None);
@@ -205,14 +205,14 @@
 fn planted_faults_pass_the_whole() {
     let terms = plan(4.0, 4.0, None);
     let hard = plan(1000.0, 1000.0, Some((6.0, 14.0)));
-    let mut by_loan = 0;
+    let mut by_lease = 0;
     for seed in 0..40 {
-        let (low, _, loans) = play(&terms, &course(seed), false, None);
+        let (low, _, leases) = play(&terms, &course(seed), false, None);
         assert!(low > -1e-6, "{low}");
-        by_loan += loans;
+        by_lease += leases;
         assert!(play(&hard, &course(seed), true, None).1 > -1e-6);
     }
-    assert!(by_loan > 500, "loans are used: {by_loan}");
+    assert!(by_lease > 500, "leases are used: {by_lease}");
     for fault in [Fault::RateKept, Fault::NoEnd] {
         let low =
             (0..40).map(|seed| play(&terms, &course(seed), false, Some(fault)).0).fold(f64::MAX, f64::min);
@@ -240,8 +240,8 @@
             let serial = 10_000 + tick as u16;
             let wish = home.wish(now);
             beside.look(now, &beside_terms);
-            let loan = beside.lend(now, Ask { from: 1, serial, units: 0.0 }, &wish, &beside_terms, 1.0);
-            loan.into_iter().for_each(|loan| home.borrowed(now, now, loan));
+            let lease = beside.lend(now, Ask { from: 1, serial, units: 0.0 }, &wish, &beside_terms, 1.0);
+            lease.into_iter().for_each(|lease| home.borrowed(now, now, lease));
         }
         if third == 1 {
             let ask = Ask { from: 6, serial: tick as u16, units: 1.0 };
@@ -258,19 +258,19 @@
 /// The old holder's part ends before the new one's begins: an answer that was on its way for long has little life left, and one that
 /// comes later than that none, with a clock that runs slow by all that is allowed.
 #[test]
-fn a_loan_ends_by_when_it_was_asked_for_and_not_by_when_the_answer_came() {
+fn a_lease_ends_by_when_it_was_asked_for_and_not_by_when_the_answer_came() {
     let terms = plan(4.0, 8.0, None);
     let mut home = Keeper::open(60 * S, Start::Full, 60 * S, &terms);
     let ask = Ask { from: 3, serial: 1, units: 1.0 };
     let asked = 60 * S;
     home.ask(asked + 20 * MS, ask, &terms, LASTS);
     let wish = Wish { rate: 2.0, held: None };
-    let loan = home.lend(asked + 20 * MS, ask, &wish, &terms, 1.0).expect("it lends");
+    let lease = home.lend(asked + 20 * MS, ask, &wish, &terms, 1.0).expect("it lends");
     // From here on the keeper has it back.
-    let back = asked + 20 * MS + LOAN;
-    for late in [30 * MS, 3 * S, LOAN, 2 * LOAN] {
+    let back = asked + 20 * MS + LEASE;
+    for late in [30 * MS, 3 * S, LEASE, 2 * LEASE] {
         let mut memory = Memory::default();
-        memory.borrowed(asked + late, asked, 0, loan);
+        memory.borrowed(asked + late, asked, 0, lease);
         let mut went = 0;
         for tick in 0..200 {
             // By the borrower's clock; the true time runs ahead of it by a part in a hundred.
@@ -281,6 +281,6 @@
                 went += 1;
             }
         }
-        assert_eq!(went > 0, late < LOAN / 2 + S, "{went} after {late} us");
+        assert_eq!(went > 0, late < LEASE / 2 + S, "{went} after {late} us");
     }
 }
--- a/crates/saffronpaddle/tests/apart.rs
+++ b/crates/saffronpaddle/tests/apart.rs
@@ -73,7 +73,7 @@
     assert!(report.within("all", 0, 12).beyond <= BEGINNINGS, "{report}");
 }
 
-/// Eight that stood still wake together, with queues of old words and loans that are over.
+/// Eight that stood still wake together, with queues of old words and leases that are over.
 #[test]
 fn nodes_that_stood_still_and_wake_grant_no_more_than_the_whole() {
     let step = "[[step]]\ndo = \"pause\"\nat_ms = 3000\ncount = 8\nfor_ms = 4000\n";
