Begin the mean of what servers do with what is seen, beside the servers that did it

Ruled out: rights to cold servers (none refused as too cold), early give-ups, retries. Lines at fault: `served` in the tick of control.rs, a mean of weight 0.05 that begins at 0 (3.95 told where 12.5 were given at second 3), and Crowding::now, which set it beside the servers of that moment.

Change: a Mean weighs samples alike until enough are in; crowding keeps the mean of the warm servers over the same ticks. No constant moved.

--- a/crates/decision/src/cold.rs
+++ b/crates/decision/src/cold.rs
@@ -102,7 +102,7 @@
         let lately = self.fresh().any(|server| self.is_warming(server, now));
         let ready = self.servers.ready().1;
         let few = ready > 0.0 && warm < WARM_FEW * ready;
-        self.pace = if few || ready == 0.0 { self.pace } else { self.served / warm };
+        self.pace = if few || ready == 0.0 { self.pace } else { self.served.now() / warm };
         // Danger: a fleet in service, all of whose servers are replaced, that forgets what such servers can do.
         let told = self.pace > COLD_BLIND / self.servers.cover();
         // Once they are warm, it ends with the first look at which nothing waits.
@@ -204,7 +204,7 @@
         let gateways = self.servers.cover();
         // What one warm server does for this gateway; where none is, what one did. Danger: a few that have just become warm
         // taken for the ones that do what all do together.
-        let does = if warm > 0.0 { self.served / warm } else { self.pace };
+        let does = if warm > 0.0 { self.served.now() / warm } else { self.pace };
         let known = does.min(self.pace * PACE_MOST) * COLD_SAFE * rules.fall_multiple;
         let rate = known.max(COLD_BLIND / gateways) * span;
         let kept = (COLD_KEEPERS / gateways).clamp(COLD_KEPT, 1.0);
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -2,6 +2,7 @@
 //! in `interface.rs`; what was added to the design is marked as an exception to it, or by its danger.
 
 use crate::counts::Of;
+use crate::crowding::SERVED_WEIGHT;
 use crate::fuzzy::{chance_under, infer, rank};
 use crate::homes::Homes;
 use crate::interface::*;
@@ -42,8 +43,7 @@
 const RUMOURS: (usize, usize) = (6, 4); // rumours in a message, bad news and good
 const NEWS_FOR: Micros = 4_000_000; // µs for which evidence is news
 const HEARD_WEIGHT: f64 = 0.4; // weight of a rumour at the one told
-const SERVED_WEIGHT: f64 = 0.05; // weights in the fleet's mean: of one gateway's rate of answers,
-const OUT_WEIGHT: f64 = 0.2; // and of what is out here at a tick
+const OUT_WEIGHT: f64 = 0.2; // weight in the fleet's mean of what is out here at a tick
 const WAIT_WEIGHT: f64 = 0.15; // weights of a new sample: in a server's wait,
 const FAIL_WEIGHT: f64 = 0.2; // in its share of failures,
 const LATENCY_WEIGHT: f64 = 0.02; // and in the mean latency of all servers
@@ -239,7 +239,7 @@
     fn crowding(&self) -> f64 {
         let gateways = f64::from(self.settings.gateways);
         if self.wide {
-            self.crowd.now(gateways, self.served, self.shortest_aim / 1e6)
+            self.crowd.now(gateways, self.served.now(), self.shortest_aim / 1e6)
         } else {
             0.0
         }
@@ -546,7 +546,7 @@
         self.random.shuffle(&mut bad);
         self.random.shuffle(&mut good);
         let rumours = bad.into_iter().take(RUMOURS.0).chain(good.into_iter().take(RUMOURS.1)).collect();
-        News { served: self.served, aims: self.pooled.clone(), out: self.crowd.out, rumours }
+        News { served: self.served.now(), aims: self.pooled.clone(), out: self.crowd.out, rumours }
     }
 
     /// Takes in news. Danger: one gateway's word, said often, that shuts servers out or tries away; it is weighed now
@@ -557,7 +557,7 @@
             return;
         }
         *last = now;
-        self.served += (news.served - self.served) * SERVED_WEIGHT;
+        self.served.mix(news.served, SERVED_WEIGHT);
         self.crowd.out.mix(news.out);
         self.pooled.iter_mut().zip(news.aims).for_each(|(pool, told)| pool.mix(told));
         for rumour in news.rumours {
@@ -696,7 +696,7 @@
         self.fuzzy.peak = open;
         let span = TICK as f64 / 1e6;
         let weight = if self.wide { SERVED_WEIGHT } else { span / 4.0 };
-        self.served += (self.done / span - self.served) * weight;
+        self.served.add(self.done / span, weight);
         self.done = 0.0;
         self.typical = self.servers.median_wait().unwrap_or(self.shortest_aim * FIRST_WAIT);
         let out = self.all_attempts().count() as f64;
@@ -719,7 +719,7 @@
         let lacks: f64 = fresh.map(|server| 1.0 - server.warmth(&rules, now)).sum();
         // The servers that are sent to from here stand for all.
         let of_all = if ready > held { ready / held.max(1.0) } else { 1.0 };
-        self.crowd.servers(ready, (well - lacks) * of_all);
+        self.crowd.servers((well - lacks) * of_all);
     }
 
     /// Lets evidence fade, and judges all servers anew: what nobody has seen for long keeps none out.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -13,6 +13,7 @@
 mod fuzzy;
 mod homes;
 pub mod interface;
+mod mean;
 mod message;
 mod pairs;
 mod pooled;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -3,6 +3,7 @@
 use crate::counts::Counts;
 use crate::crowding::Crowding;
 use crate::interface::*;
+use crate::mean::Mean;
 use crate::message::{self, Rumour};
 use crate::pooled::Pooled;
 use crate::rto::Rto;
@@ -457,7 +458,7 @@
     pub(crate) lately: Vec<Micros>,
     pub(crate) newer: Vec<bool>,
     /// Answers a second at one gateway, and those since the last tick.
-    pub(crate) served: f64,
+    pub(crate) served: Mean,
     pub(crate) done: f64,
     pub(crate) retries: f64,
     /// When the next wake-up, gossip and tick are due.
@@ -542,7 +543,7 @@
             weighed: vec![0; settings.gateways as usize],
             lately: vec![0; settings.gateways as usize],
             newer: vec![false; settings.gateways as usize],
-            served: 0.0,
+            served: Mean::default(),
             done: 0.0,
             retries: 0.0,
             woken: Micros::MAX,
--- a/crates/decision/src/twin.rs
+++ b/crates/decision/src/twin.rs
@@ -1,6 +1,7 @@
 //! What a gateway keeps in mind, as its next process takes it over. Plain data; nothing is decided here.
 
 use crate::interface::*;
+use crate::mean::Mean;
 use crate::state::{Attempt, Fuzzy, Gateway, Home, Server, Stage, Store};
 use serde::{Deserialize, Serialize};
 
@@ -55,7 +56,7 @@
             low_out: self.low_out,
             all_out: self.all_out,
             aims: self.aims.clone(),
-            served: self.served,
+            served: self.served.now(),
             retries: self.retries,
             out: own.chain(abroad).collect(),
         }
@@ -85,7 +86,7 @@
             (self.latency, self.typical) = (kept.latency, kept.typical);
         }
         (self.low_out, self.all_out) = (kept.low_out, kept.all_out);
-        (self.served, self.retries) = (kept.served, kept.retries);
+        (self.served, self.retries) = (Mean::known(kept.served), kept.retries);
         self.abroad = kept.out.into_iter().map(|out| out.attempt(link)).collect();
     }
 }
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -961,6 +961,42 @@
     );
 }
 
+/// Danger: a fleet that has just come up, whose mean of what servers do began at nought: it takes them for slow, and sends one
+/// that warms up a part of what it bears.
+#[test]
+fn a_fleet_that_has_just_come_up_knows_what_its_servers_do() {
+    let mut fleet = Fleet::new(30, 12, |_| {});
+    let mut customer = 1000;
+    let (mut warm, mut cold) = (0, 0);
+    for round in 0..60 {
+        if round == 36 {
+            for stand in &mut fleet.stands {
+                let started = Some(stand.now);
+                stand.servers(ListKind::Changes, vec![ServerEntry { started, ..entry(99) }]);
+            }
+        }
+        for place in 0..fleet.stands.len() {
+            customer += 1;
+            fleet.stands[place].request(SAFE, 1, customer, 2 * S);
+            fleet.collect(place);
+        }
+        fleet.pass(80 * MS);
+        let at = |of: fn(u64) -> bool| {
+            let all = fleet.stands.iter().flat_map(|stand| &stand.out);
+            all.filter(|(_, _, server)| of(server.0)).count()
+        };
+        warm += if round < 36 { at(|server| server < 12) } else { 0 };
+        cold += at(|server| server == 99);
+        fleet.serve_all();
+    }
+    // One of twelve warm servers does this many in the 24 rounds in which the cold one has from 0.2 to 0.4 of its capacity; a
+    // fleet sends it 1.2 times what that makes.
+    let does = warm as f64 / 36.0 * 24.0 / 12.0;
+    let bears = does * 0.3;
+    assert!(does > 40.0, "{does}");
+    assert!((0.8 * bears..2.0 * bears).contains(&(cold as f64)), "{cold} of {bears}");
+}
+
 /// Cut off, tries do not wait for homes: most are decided at once, and an ask now and then finds out when that is over.
 #[test]
 fn a_gateway_that_hears_nobody_decides_at_once_and_probes() {
