Count tries without an end in the ledger, and keep tries in the order they were asked

Cause: a run's end is looked for after each event once load is over, and each look walked all tries (45% of the samples of a run of 300 nodes); the reports' sums over tries ran in a hash map's order, so that the same run gave another last digit; what cold servers could do looked each server up by name 10 times a second. Change: a count that follows the tries, an insertion-ordered map (indexmap, in the lock file already), one look-up a server.

--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -2,6 +2,7 @@
 //!
 //! It does no input or output and reads no clock: each entry bears its time, counted from the run's start.
 
+use indexmap::IndexMap;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -158,6 +159,13 @@
     with_room: bool,
 }
 
+impl Try {
+    /// Whether it has an end: an answer, or none for a known reason.
+    fn is_over(&self) -> bool {
+        self.answer.is_some() || self.unanswered.is_some()
+    }
+}
+
 /// A try as the ledger saw it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Seen {
@@ -270,7 +278,10 @@
 #[derive(Debug)]
 pub struct Ledger {
     bounds: Bounds,
-    tries: HashMap<String, Try>,
+    /// In the order in which they were asked: sums over them come out the same each time.
+    tries: IndexMap<String, Try>,
+    /// How many of them have no end yet.
+    open: usize,
     keys: Keys,
     /// By key: how many of its effects took place in all groups.
     effects: HashMap<String, u32>,
@@ -363,7 +374,8 @@
     pub fn new(bounds: Bounds) -> Ledger {
         Ledger {
             bounds,
-            tries: HashMap::new(),
+            tries: IndexMap::new(),
+            open: 0,
             keys: HashMap::new(),
             effects: HashMap::new(),
             told: HashMap::new(),
@@ -406,8 +418,9 @@
             work: 0.0,
             with_room: false,
         };
-        let node = entry.asked.node;
+        let (node, before) = (entry.asked.node, self.tries.len());
         self.tries.entry(id).or_insert(entry).asked.node = node;
+        self.open += self.tries.len() - before;
     }
 
     /// A try's final answer has come whole.
@@ -416,10 +429,11 @@
         let Some(entry) = self.tries.get_mut(id) else {
             return self.double.push(Breach::ForeignAnswer(format!("{id}: an answer to nothing")));
         };
-        if entry.answer.is_some() || entry.unanswered.is_some() {
+        if entry.is_over() {
             return self.double.push(Breach::AnsweredTwice(id.to_owned()));
         }
         entry.answer = Some((answer, now));
+        self.open -= 1;
         let (customer, units) = (entry.asked.customer, entry.asked.units);
         let room = |limits: &mut BTreeMap<u64, Limit>| {
             limits.get_mut(&customer).is_none_or(|limit| limit.has_room(now, units))
@@ -453,6 +467,7 @@
     /// A try will get no answer.
     pub fn unanswered(&mut self, id: &str, why: Unanswered) {
         if let Some(entry) = self.tries.get_mut(id) {
+            self.open -= usize::from(!entry.is_over());
             entry.unanswered.get_or_insert(why);
             let got = why == Unanswered::Lost;
             self.stints.entry(entry.asked.node).or_default().got += u64::from(got);
@@ -635,7 +650,7 @@
             .for_each(|(at, _)| *at = now);
     }
 
-    /// All tries, in no order.
+    /// All tries, in the order in which they were asked.
     pub fn seen(&self) -> impl Iterator<Item = Seen> + '_ {
         self.tries.values().map(|entry| Seen {
             node: entry.asked.node,
@@ -655,15 +670,19 @@
         const STEP: Duration = Duration::from_millis(100);
         let steps = (to.saturating_sub(from).as_secs_f64() / STEP.as_secs_f64()) as u32;
         let at = |step: u32| from + STEP * step + STEP / 2;
+        // Looked up once a server: there may be tens of thousands.
         let of = |(name, capacity): &(String, f64)| {
-            (0..steps).map(|step| capacity * self.warmth(at(step), name) * STEP.as_secs_f64()).sum::<f64>()
+            let born = self.cold.get(name).map(|cold| cold.born);
+            let warmth =
+                |now: Duration| born.map_or(1.0, |born| warmth(&self.bounds, now.saturating_sub(born)));
+            (0..steps).map(|step| capacity * warmth(at(step)) * STEP.as_secs_f64()).sum::<f64>()
         };
         servers.iter().map(of).sum()
     }
 
     /// Tries that have no end yet.
     pub fn open(&self) -> usize {
-        self.tries.values().filter(|entry| entry.answer.is_none() && entry.unanswered.is_none()).count()
+        self.open
     }
 
     /// Judges the run, which is over: what has no end by now is lost.
--- a/crates/standins/src/ledger/tests.rs
+++ b/crates/standins/src/ledger/tests.rs
@@ -49,6 +49,32 @@
     }
 }
 
+#[test]
+fn tries_without_an_end_are_counted_and_all_are_told_in_the_order_in_which_they_were_asked() {
+    let mut ledger = Ledger::new(Bounds::default());
+    let ids: Vec<String> = (0..100).map(|number| format!("t{}", number * 7 % 100)).collect();
+    for (node, id) in ids.iter().enumerate() {
+        ledger.asked(ms(5), Asked { node, ..asked(id, Repeats::Safe) });
+    }
+    ledger.asked(ms(6), Asked { node: 3, ..asked(&ids[3], Repeats::Safe) });
+    assert_eq!(ledger.open(), 100, "sent once more, it counts once");
+    let ended: [fn(&mut Ledger, &str); 4] = [
+        |ledger, id| ledger.answered(ms(10), id, Answer::Refused),
+        |ledger, id| ledger.unanswered(id, Unanswered::Killed),
+        |ledger, id| ledger.left(ms(10), id),
+        |ledger, id| ledger.answered(ms(10), id, Answer::Served),
+    ];
+    for (id, end) in ids.iter().zip(ended.iter().cycle()).take(40) {
+        end(&mut ledger, id);
+        // What ends twice has ended once.
+        ledger.answered(ms(11), id, Answer::Served);
+        ledger.unanswered(id, Unanswered::Lost);
+    }
+    ledger.answered(ms(12), "nobody's", Answer::Served);
+    assert_eq!(ledger.open(), 60);
+    assert!(ledger.seen().map(|seen| seen.node).eq(0..100));
+}
+
 #[test]
 fn each_breach_of_the_second_rule_is_seen() {
     let mut ledger = one(Repeats::Safe);
