Play virtual fleets of up to 10,000 nodes, with the operator file's working set

Cause: 1,000 nodes and servers were the bound, [servers] working_set was not read in virtual time, and each node and change of the list walked the whole list at the list service.

--- a/crates/fleet/src/customers.rs
+++ b/crates/fleet/src/customers.rs
@@ -9,7 +9,7 @@
 const USUAL: f64 = 0.7;
 const GREEDY: f64 = 1.6;
 
-/// All of them.
+/// All of them, the hot one last.
 pub fn customers(scenario: &Scenario, fleet: &Fleet, seed: u64) -> Vec<Customer> {
     let mut random = fastrand::Rng::with_seed(seed);
     let usual = |place: usize| if place % 5 == 4 { GREEDY } else { USUAL };
@@ -31,5 +31,17 @@
             rate,
         }
     };
-    all.map(customer).collect()
+    let mut all: Vec<Customer> = all.map(customer).collect();
+    if scenario.hot_share > 0.0 {
+        let others: f64 = all.iter().map(|customer| customer.rate).sum();
+        let largest = |a: &usize, b: &usize| fleet.plans[*a].rate.total_cmp(&fleet.plans[*b].rate);
+        all.push(Customer {
+            id: random.u64(1..1 << 33),
+            plan: (0..fleet.plans.len()).max_by(largest).unwrap_or(0),
+            first: random.usize(..scenario.instances),
+            spread: scenario.instances,
+            rate: others * scenario.hot_share / (1.0 - scenario.hot_share),
+        });
+    }
+    all
 }
--- a/crates/fleet/src/room.rs
+++ b/crates/fleet/src/room.rs
@@ -15,8 +15,10 @@
 const EACH_RELAY: usize = 40;
 /// Bytes of an instance: idle it takes 8 MB, and as much again with its connections.
 const INSTANCE_BYTES: u64 = 16_000_000;
-/// Most instances as processes.
+/// Most instances as processes, app servers before them and tries that clients offer them a second.
 const PROCESSES: usize = 400;
+const SERVERS: usize = 1_000;
+const RATE: f64 = 5_000.0;
 /// Bytes of the rig itself.
 const RIG_BYTES: u64 = 500_000_000;
 
@@ -41,6 +43,12 @@
         "{} instances: {PROCESSES} processes are the most, and more are for virtual time",
         scenario.instances
     );
+    ensure!(
+        scenario.servers <= SERVERS && scenario.rate <= RATE,
+        "{} servers and {} tries a second: {SERVERS} and {RATE} are the most, and more are for virtual time",
+        scenario.servers,
+        scenario.rate
+    );
     let (descriptors, bytes) = needs(scenario);
     let (soft, hard) = getrlimit(Resource::RLIMIT_NOFILE).context("the limit of descriptors")?;
     ensure!(
@@ -52,6 +60,18 @@
     if soft < hard {
         setrlimit(Resource::RLIMIT_NOFILE, hard, hard).context("more descriptors")?;
     }
+    holds(scenario, bytes)
+}
+
+/// Looks whether there is room for a run in virtual time.
+///
+/// # Errors
+/// The machine can't hold it, with what it lacks.
+pub fn look(scenario: &Scenario) -> Result<()> {
+    holds(scenario, crate::virtually::needs(scenario))
+}
+
+fn holds(scenario: &Scenario, bytes: u64) -> Result<()> {
     let free = available().unwrap_or(u64::MAX);
     ensure!(
         bytes <= free,
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -139,6 +139,8 @@
     pub rate: f64,
     /// Times its quota that each customer asks for, in place of `rate`; 0 for that.
     pub times_quota: f64,
+    /// Share of all tries that one more customer asks for, of the largest plan and through all nodes; 0 for none.
+    pub hot_share: f64,
     /// Fewest and most nodes that a customer's tries come through.
     pub spread: (usize, usize),
     /// For how long they are offered.
@@ -312,14 +314,15 @@
         let mut file = Section::whole(table);
         let mut scenario = Scenario {
             name: file.parsed("name", "a text", |name| Some(name.to_owned())).unwrap_or_default(),
-            instances: file.number("instances", 3, 1..=MOST) as usize,
-            servers: file.number("servers", 12, 1..=MOST) as usize,
+            instances: file.number("instances", 3, 1..=NODES_MOST) as usize,
+            servers: file.number("servers", 12, 1..=SERVERS_MOST) as usize,
             customers: file.number("customers", 60, 1..=10_000) as usize,
-            rate: file.figure("rate", 160.0, 0.0..=5000.0),
+            rate: file.figure("rate", 160.0, 0.0..=RATE_MOST),
             times_quota: file.figure("times_quota", 0.0, 0.0..=100.0),
+            hot_share: file.figure("hot_share", 0.0, 0.0..=0.9),
             spread: (
-                file.number("spread_least", 2, 1..=MOST) as usize,
-                file.number("spread_most", 4, 1..=MOST) as usize,
+                file.number("spread_least", 2, 1..=NODES_MOST) as usize,
+                file.number("spread_most", 4, 1..=NODES_MOST) as usize,
             ),
             duration: file.span_ms("duration_ms", 30_000, 1000..=3_600_000),
             together: file.flag("together", true),
@@ -448,8 +451,8 @@
         };
         let heal_gap = section.span_ms("heal_gap_ms", 0, 0..=60_000);
         let section_counts = section.has("count");
-        let wanted = section.number("count", 1, 1..=MOST) as usize;
-        let fixed = section.has("who").then(|| section.number("who", 0, 0..=MOST) as usize);
+        let wanted = section.number("count", 1, 1..=SERVERS_MOST) as usize;
+        let fixed = section.has("who").then(|| section.number("who", 0, 0..=SERVERS_MOST) as usize);
         let which = self.which(section);
         let named = section.parsed("side", "instances or a side", |text| self.ends(text));
         let named: Option<Vec<usize>> = named.map(|ends| ends.into_iter().filter_map(node).collect());
@@ -511,8 +514,10 @@
 pub const SLOTS: usize = 16;
 /// App servers in a group that drops repeats.
 pub const GROUP: usize = 3;
-/// Most instances, and most app servers.
-const MOST: u64 = 1000;
+/// Most instances, app servers and tries a second, as virtual time bears them; by processes there are fewer (`room`).
+const NODES_MOST: u64 = 10_000;
+const SERVERS_MOST: u64 = 100_000;
+const RATE_MOST: f64 = 100_000.0;
 
 /// The scenarios that come with the program, by name.
 pub const SHIPPED: [(&str, &str); 11] = [
--- a/crates/fleet/src/virtually/lists.rs
+++ b/crates/fleet/src/virtually/lists.rs
@@ -7,6 +7,8 @@
 use saffronpaddle_roster::{Doubt, Pace, Terms};
 use saffronpaddle_standins::discovery::{Back, Bearing, Calls, LINE_MOST};
 use saffronpaddle_standins::links::End;
+use std::collections::BTreeSet;
+use std::ops::Bound;
 use std::time::Duration;
 
 /// A watch that says nothing for so long is left, and a call without terms that is not answered, µs.
@@ -36,6 +38,39 @@
 struct List {
     seq: u64,
     entries: Vec<(u64, &'static str, Option<Micros>)>,
+    /// The entries by the version of their last change. Guards against a walk over a long list for each node and change.
+    by_version: BTreeSet<(u64, usize)>,
+}
+
+impl List {
+    /// So many servers, all ready.
+    fn whole(servers: usize, born: Option<Micros>) -> List {
+        let entries = vec![(1, "ready", born); servers];
+        List { seq: 1, entries, by_version: (0..servers).map(|at| (1, at)).collect() }
+    }
+
+    fn write(&mut self, at: usize, health: &'static str) {
+        self.seq += 1;
+        let Some(entry) = self.entries.get_mut(at) else { return };
+        self.by_version.remove(&(entry.0, at));
+        self.by_version.insert((self.seq, at));
+        (entry.0, entry.1) = (self.seq, health);
+    }
+
+    /// Numbered anew, as if all had been written at one stroke.
+    fn renumber(&mut self) {
+        self.seq = 1;
+        self.entries.iter_mut().for_each(|entry| entry.0 = 1);
+        self.by_version = (0..self.entries.len()).map(|at| (1, at)).collect();
+    }
+
+    /// The places of the entries that changed after a version, in order.
+    fn changed(&self, from: u64) -> Vec<usize> {
+        let later = (Bound::Excluded((from, usize::MAX)), Bound::Unbounded);
+        let mut changed: Vec<usize> = self.by_version.range(later).map(|(_, at)| *at).collect();
+        changed.sort_unstable();
+        changed
+    }
 }
 
 pub(super) struct Service {
@@ -51,7 +86,7 @@
     pub fn of(scenario: &Scenario) -> Service {
         let (calls_per_s, bytes_per_s) = scenario.list_bears;
         let born = scenario.cold.then_some(START);
-        let list = List { seq: 1, entries: vec![(1, "ready", born); scenario.servers] };
+        let list = List::whole(scenario.servers, born);
         let bears = Bearing { calls_per_s, bytes_per_s, turns_away: scenario.list_turns_away, down: false };
         let first = list.clone();
         Service { list, first, bears, silent: false, busy: 0, calls: Calls::default() }
@@ -61,10 +96,7 @@
         match back {
             Back::Older => self.list = self.first.clone(),
             Back::Empty => self.list = List::default(),
-            Back::Renumbered => {
-                self.list.seq = 1;
-                self.list.entries.iter_mut().for_each(|entry| entry.0 = 1);
-            }
+            Back::Renumbered => self.list.renumber(),
         }
     }
 
@@ -78,12 +110,13 @@
     /// The entries since a version, and whether they are the whole list.
     fn since(&self, from: Option<u64>) -> (bool, Vec<Line>) {
         let from = from.filter(|from| *from <= self.list.seq);
-        let changed = |(at, health, _): &(u64, &'static str, _)| match from {
-            Some(from) => *at > from,
-            None => *health != "gone",
+        let line = |(at, entry): (usize, &(u64, &'static str, Option<Micros>))| (at, entry.1, entry.2);
+        let all = &self.list.entries;
+        let entries = match from {
+            Some(from) => self.list.changed(from).into_iter().map(|at| line((at, &all[at]))).collect(),
+            None => all.iter().enumerate().filter(|(_, entry)| entry.1 != "gone").map(line).collect(),
         };
-        let entries = self.list.entries.iter().enumerate().filter(|(_, entry)| changed(entry));
-        (from.is_none(), entries.map(|(at, (_, health, born))| (at, *health, *born)).collect())
+        (from.is_none(), entries)
     }
 }
 
@@ -124,12 +157,7 @@
 
     /// An entry is written.
     pub(super) fn write(&mut self, server: usize, health: &'static str) {
-        let list = &mut self.service.list;
-        list.seq += 1;
-        let seq = list.seq;
-        if let Some(entry) = list.entries.get_mut(server) {
-            (entry.0, entry.1) = (seq, health);
-        }
+        self.service.list.write(server, health);
         self.push();
     }
 
--- a/crates/fleet/src/virtually/mod.rs
+++ b/crates/fleet/src/virtually/mod.rs
@@ -19,7 +19,7 @@
 };
 use saffronpaddle_decision::setup::{self, Named};
 use saffronpaddle_decision::Gateway;
-use saffronpaddle_operator::{Operator, Quotas};
+use saffronpaddle_operator::Operator;
 use saffronpaddle_roster::Terms;
 use saffronpaddle_standins::ledger::{Answer, Asked, Ledger, Repeats, Unanswered};
 use saffronpaddle_standins::links::{End, Links, Which};
@@ -47,6 +47,13 @@
 const UNREAD: usize = 270;
 /// Load begins so long after the first process started.
 const BEFORE: Micros = 500_000;
+/// Bytes of a node, of what it knows of a server and of a peer, and of a try, which the ledger keeps to the end.
+const NODE_BYTES: f64 = 50_000.0;
+const SERVER_BYTES: f64 = 180.0;
+const PEER_BYTES: f64 = 50.0;
+const TRY_BYTES: f64 = 1_000.0;
+/// Tries for each that is offered first: clients come again.
+const TRIES: f64 = 1.5;
 /// How long after the last try a run may go on. All is over long before.
 const AFTER: Micros = 20_000_000;
 
@@ -148,7 +155,8 @@
     requests: u64,
 }
 
-/// Plays a scenario to its end. `operator` is the operator file of all nodes, of which the list service's terms and quotas count.
+/// Plays a scenario to its end. `operator` is the operator file of all nodes, of which the list service's terms, quotas and
+/// the working set of servers count.
 ///
 /// # Errors
 /// The scenario asks for what there is not in virtual time, or the operator file is wrong.
@@ -162,13 +170,23 @@
         "clients don't leave and servers don't join in virtual time"
     );
     let says = Operator::parse(operator)?;
-    let mut run = Virtual::new(scenario, seed, (says.list, says.quotas))?;
+    let mut run = Virtual::new(scenario, seed, says)?;
     run.run();
     Ok(run.report())
 }
 
+/// Bytes that a run needs, from above.
+pub fn needs(scenario: &Scenario) -> u64 {
+    let (nodes, servers) = (scenario.instances as f64, scenario.servers as f64);
+    let fleet = Fleet::usual(scenario.instances);
+    let offered: f64 = customers(scenario, &fleet, 0).iter().map(|customer| customer.rate).sum();
+    let tries = offered * scenario.duration.as_secs_f64() * TRIES;
+    let node = NODE_BYTES + servers * SERVER_BYTES + nodes * PEER_BYTES;
+    (nodes * node + tries * TRY_BYTES) as u64
+}
+
 impl Virtual {
-    fn new(scenario: Scenario, seed: u64, (terms, quotas): (Option<Terms>, Quotas)) -> Result<Virtual> {
+    fn new(scenario: Scenario, seed: u64, says: Operator) -> Result<Virtual> {
         // What links and clients draw comes from the thread's own generator.
         fastrand::seed(seed);
         let fleet = Fleet::usual(scenario.instances);
@@ -197,13 +215,15 @@
             scenario,
             fleet,
             customers,
-            terms,
+            terms: says.list,
             seed,
         };
         run.begin_servers();
         for at in 0..run.scenario.instances {
             let mut named = setup::read(&run.fleet.settings(at).to_string()).map_err(anyhow::Error::msg)?;
-            (named.settings.fenced, named.settings.spare_words) = (quotas.fenced, quotas.spare_words);
+            (named.settings.fenced, named.settings.spare_words) =
+                (says.quotas.fenced, says.quotas.spare_words);
+            named.settings.working_set = says.servers.working_set;
             let gateway = Gateway::new(seed ^ at as u64, named.settings.clone(), run.now)?;
             let follower = Follower::new(run.scenario.instances as u32, run.terms.as_ref());
             run.nodes.push(Node {
@@ -387,6 +407,7 @@
         for (name, count) in self.nodes[at].gateway.counted().named() {
             *self.decided.entry(name).or_default() += count;
         }
+        *self.decided.entry("servers_looked_at").or_default() += self.nodes[at].gateway.looked_at();
     }
 
     /// Its process ends in this moment, with all that it held.
--- a/crates/saffronpaddle/src/fleet.rs
+++ b/crates/saffronpaddle/src/fleet.rs
@@ -64,7 +64,10 @@
     let (kept, folder) = (keep.is_some(), keep.unwrap_or_else(temporary));
     let options = Options { program, seed, folder, operator, say: true };
     let report = match in_virtual_time {
-        true => saffronpaddle_fleet::virtually::play(scenario, seed, &options.operator)?,
+        true => {
+            saffronpaddle_fleet::room::look(&scenario)?;
+            saffronpaddle_fleet::virtually::play(scenario, seed, &options.operator)?
+        }
         false => saffronpaddle_fleet::run(scenario, &options, kept)?,
     };
     if let Some(path) = json {
--- a/crates/saffronpaddle/src/main.rs
+++ b/crates/saffronpaddle/src/main.rs
@@ -27,7 +27,9 @@
         [--seconds N] [--keep FOLDER]   [--roster] reads from discovery, etcd or both, whatever the scenario says;
         [--servers N] [--table]           --table shows each second by side; --operator FILE is the instances' operator
         [--operator FILE] [--program P]   file; --program plays another build of the program; --virtual plays the decision
-        [--virtual]                       modules of the fleet alone, in virtual time, up to 1,000 nodes
+        [--virtual]                       modules of the fleet alone, in virtual time, up to 10,000
+                                          nodes and 100,000 servers as memory allows: some 180 bytes
+                                          for each server that each node knows, 50 for each peer
   saffronpaddle fleet counts LOGS...      adds up the figures that nodes told their logs (log.counts_every_ms): a table,
         [--csv]                           or CSV with a line a node; LOGS are files or folders
   saffronpaddle --help | --version
