--- a/crates/fleet/tests/virtual_at_size.rs
+++ b/crates/fleet/tests/virtual_at_size.rs
@@ -90,6 +90,21 @@
     assert!(report.verdict.after_drain_most_ms <= 1.0, "{report}");
 }
 
+/// Danger: a fleet that goes on refusing what its servers could do, long after a mistake is over.
+#[test]
+fn a_fleet_serves_as_before_two_seconds_after_its_list_has_shrunk_by_mistake() {
+    let flips = "[[step]]\ndo = \"flip\"\ncount = 68\nat_ms = 4000\nfor_ms = 5000\n";
+    let report = play(&(fleet(300, 0.7, 15, "") + flips), 1, "");
+    // Two seconds after the list is whole again the fleet serves as before.
+    let (before, after) = (report.within("all", 0, 4), report.within("all", 11, 15));
+    assert!(
+        after.served as f64 >= 0.95 * before.served as f64,
+        "{} before, {} after\n{report}",
+        before.served,
+        after.served
+    );
+}
+
 /// The operator file's `[servers] working_set` holds in virtual time as in a node: a long list is not looked at as a whole.
 #[test]
 fn a_working_set_is_read_from_the_operator_file() {
