--- a/crates/bench/src/scale/bounds.rs
+++ b/crates/bench/src/scale/bounds.rs
@@ -7,8 +7,10 @@
 /// What the fleet of one point is.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Point {
-    /// Nodes in all.
+    /// Nodes that the fleet's settings name.
     pub nodes: usize,
+    /// The first of them that run, real ones among them; 0 for all. The others take no words, and no tries come through them.
+    pub present: usize,
     /// Processes of the program among them.
     pub real: usize,
     /// App servers on the list.
@@ -39,11 +41,16 @@
 const SHARE: (f64, f64) = (0.0, 1.0);
 const SKEW: (f64, f64) = (0.0, 2.0);
 const SECONDS: (u64, u64) = (1, 60);
+/// The longest that one point, and that all of them, may take.
+pub const POINT: Duration = Duration::from_secs(90);
+pub const ALL: Duration = Duration::from_secs(590);
 /// Hollow processes at the most.
 const PROCESSES: usize = 6;
 /// Nodes times servers for which one more is worth while, and the servers that each counts with at the least. Danger: nodes
 /// that wait for one another in one loop, as no processes would.
 const A_LOOP: (usize, usize) = (15_000, 200);
+/// Tries a second of all nodes of one loop, above which one more process is worth while: about half of a core.
+const A_LOOP_TRIES: f64 = 1_500.0;
 /// How long is waited after a change of load, where a look is short, and else.
 const SETTLES: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(1_500));
 /// A look of so many seconds is short.
@@ -66,10 +73,26 @@
 }
 
 impl Point {
+    /// Nodes that run.
+    pub fn running(&self) -> usize {
+        if self.present == 0 {
+            self.nodes
+        } else {
+            self.present
+        }
+    }
+
+    /// Hollow nodes that run.
+    pub fn hollow(&self) -> usize {
+        self.running().saturating_sub(self.real)
+    }
+
     /// Hollow processes.
     pub fn processes(&self) -> usize {
-        let hollow = self.nodes.saturating_sub(self.real);
-        (hollow * self.servers.max(A_LOOP.1)).div_ceil(A_LOOP.0).min(PROCESSES).min(hollow)
+        let hollow = self.hollow();
+        let by_size = (hollow * self.servers.max(A_LOOP.1)).div_ceil(A_LOOP.0);
+        let by_tries = (hollow as f64 * self.tries / A_LOOP_TRIES).ceil() as usize;
+        by_size.max(by_tries).min(PROCESSES).min(hollow)
     }
 
     /// Between what is started or ended and the next look, so that its beginning is not measured.
@@ -81,16 +104,21 @@
         }
     }
 
+    /// The least that it takes: two looks, and what settles before them and after.
+    pub fn least(&self) -> Duration {
+        2 * Duration::from_secs(self.seconds) + 3 * self.settles()
+    }
+
     /// Bytes that it takes at the most, as reckoned.
     pub fn bytes(&self) -> f64 {
         let seen = (self.tries * 3.0 * self.seconds as f64).min(self.tenants as f64);
         let node = NODE
             + self.servers as f64 * A_SERVER
             + self.nodes as f64 * A_PEER
-            + (seen + self.tenants as f64 / self.nodes as f64) * A_TENANT;
+            + (seen + self.tenants as f64 / self.running() as f64) * A_TENANT;
         let table = if self.spread == 0 { 0.0 } else { self.tenants as f64 * 16.0 };
         RUN + self.processes() as f64 * (A_PROCESS + 16.0 * self.tenants as f64 + table)
-            + self.nodes as f64 * node
+            + self.running() as f64 * node
     }
 
     /// Whether the machine bears it.
@@ -100,21 +128,24 @@
     pub fn check(&self) -> Result<()> {
         within("nodes", self.nodes, NODES)?;
         within("real", self.real, REAL)?;
-        ensure!(self.real <= self.nodes, "real {} is more than nodes {}", self.real, self.nodes);
+        ensure!(self.present <= self.nodes, "present {} is more than nodes {}", self.present, self.nodes);
+        ensure!(self.real <= self.running(), "real {} is more than nodes {}", self.real, self.running());
         within("servers", self.servers, SERVERS)?;
         within("tenants", self.tenants, TENANTS)?;
         within("tries", self.tries, TRIES)?;
         within("changes", self.changes, CHANGES)?;
         within("restart", self.restart, SHARE)?;
-        within("spread", self.spread, (0, self.nodes))?;
+        within("spread", self.spread, (0, self.running()))?;
         within("skew", self.skew, SKEW)?;
         within("seconds", self.seconds, SECONDS)?;
+        let least = self.least();
+        ensure!(least < POINT, "two looks of {} s take {least:?}; a point may take {POINT:?}", self.seconds);
         let (all, free) = machine()?;
         let (needed, most) = (self.bytes(), (all / 2.0).min(free));
         if needed > most {
             bail!(
                 "{} nodes with {} servers and {} tenants need about {:.1} GB; {:.1} GB may be used here",
-                self.nodes,
+                self.running(),
                 self.servers,
                 self.tenants,
                 needed / 1e9,
--- a/crates/bench/tests/scale.rs
+++ b/crates/bench/tests/scale.rs
@@ -30,10 +30,35 @@
     refused(&["--sweep", "nodes", "--points", "3", "--servers", "0"], "servers 0 is not from 1 to 100000");
     refused(&["--sweep", "nodes", "--points", "3", "--tries", "NaN"], "tries NaN is not from 0 to 1000");
     refused(&["--sweep", "nodes", "--points", "3", "--real", "4"], "real 4 is more than nodes 3");
+    refused(&["--sweep", "nodes", "--points", "3", "--present", "4"], "present 4 is more than nodes 3");
+    refused(
+        &["--sweep", "nodes", "--points", "30", "--present", "2", "--real", "3"],
+        "real 3 is more than nodes 2",
+    );
     refused(&["--sweep", "nodes", "--points", "3", "--spread", "4"], "spread 4 is not from 0 to 3");
     refused(&["--sweep", "restart", "--points", "1.5"], "restart 1.5 is not from 0 to 1");
     refused(&["--sweep", "nodes", "--points", "3", "--seconds", "3600"], "seconds 3600 is not from 1 to 60");
     refused(&["--sweep", "nodes", "--points", "3", "--list", "wishes"], "agent or service");
+    refused(&["nodes"], "nodes");
+    refused(&["--sweep"], "--sweep");
+    refused(&["--sweep", "nodes", "--points", ""], "--points");
+    refused(&["--sweep", "tenants", "--quick"], "give --points");
+    refused(&["--sweep", "tenants", "--points", "0"], "tenants 0 is not from 1 to 1000000");
+    refused(&["--sweep", "tries", "--points", "-1"], "tries -1 is not from 0 to 1000");
+    refused(&["--sweep", "changes", "--points", "1001"], "changes 1001 is not from 0 to 1000");
+    refused(&["--sweep", "nodes", "--points", "3", "--skew", "3"], "skew 3 is not from 0 to 2");
+    refused(&["--sweep", "nodes", "--points", "3", "--servers", "1e3"], "--servers 1e3");
+    refused(&["--sweep", "nodes", "--points", "3", "--seconds", "0"], "seconds 0 is not from 1 to 60");
+    refused(&["--sweep", "nodes", "--points", "3,30,3"], "point 3 is there twice");
+    refused(&["--sweep", "nodes", "--nodes", "3"], "--nodes beside --sweep nodes");
+}
+
+#[test]
+fn what_takes_longer_than_a_run_may_or_has_nowhere_to_be_written_is_refused() {
+    refused(&["--sweep", "nodes", "--points", "3", "--seconds", "50"], "a point may take 90s");
+    refused(&["--seconds", "20"], "all may take 590s");
+    refused(&["--sweep", "nodes", "--points", "3", "--csv", "/no/such/rows.csv"], "/no/such/rows.csv is not");
+    refused(&["--sweep", "nodes", "--points", "3", "--plot", "/"], "/ is not a file in a folder");
 }
 
 #[test]
--- a/crates/hollow/src/list.rs
+++ b/crates/hollow/src/list.rs
@@ -110,6 +110,7 @@
         let Some(frame) = frame else { bail!("the watch ended") };
         let Ok(data) = frame?.into_data() else { continue };
         shard.figures.borrow_mut().list.1 += data.len() as u64;
+        let _turn = shard.turn().await;
         let mut rest = &data[..];
         while let Some(list) = lists.next(&mut rest).context("the watch")? {
             let list: List = serde_json::from_slice(&list).context("a list of the watch")?;
--- a/crates/hollow/src/shard.rs
+++ b/crates/hollow/src/shard.rs
@@ -34,7 +34,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, Mutex, MutexGuard, Notify};
 
 /// A connection to an app server comes up after this, µs.
 const HANDSHAKE: Micros = 400;
@@ -52,6 +52,8 @@
 pub struct Spec {
     /// Nodes of the whole fleet.
     pub gateways: u32,
+    /// The first of them that run: tries come through these alone.
+    pub present: u32,
     /// The first of this process, and how many it has.
     pub nodes: (u32, u32),
     /// Settings of node 0 as the platform gives them, and the zone's name of each node by its number, counted round.
@@ -128,6 +130,8 @@
     serial: Cell<u64>,
     armed: Cell<Micros>,
     sooner: Notify,
+    /// Whose list is read. Danger: a change that hundreds of nodes read in one go, while what is due to others waits.
+    reading: Mutex<()>,
     random: RefCell<fastrand::Rng>,
     loading: Cell<bool>,
     /// Node, version of the list, when it was acted on.
@@ -159,11 +163,19 @@
     local.block_on(&runtime, run(spec, told))
 }
 
-async fn run(spec: Spec, mut told: mpsc::UnboundedReceiver<String>) -> Result<()> {
+async fn run(spec: Spec, told: mpsc::UnboundedReceiver<String>) -> Result<()> {
     let shard = Rc::new(Shard::new(spec)?);
     say(&shard.look()?)?;
     shard.begin().await?;
-    let driver = tokio::task::spawn_local(Rc::clone(&shard).drive());
+    // Danger: what is due behind a change that is just read by hundreds of tasks. This one is looked at between few of them.
+    tokio::select! {
+        () = Rc::clone(&shard).drive() => Ok(()),
+        over = obey(&shard, told) => over,
+    }
+}
+
+/// Does what it is told, until there are no more words.
+async fn obey(shard: &Rc<Shard>, mut told: mpsc::UnboundedReceiver<String>) -> Result<()> {
     while let Some(word) = told.recv().await {
         let (word, rest) = word.split_once(' ').unwrap_or((&word, ""));
         match word {
@@ -186,7 +198,6 @@
             _ => anyhow::bail!("an unknown word: {word}"),
         }
     }
-    driver.abort();
     Ok(())
 }
 
@@ -216,7 +227,7 @@
 impl Shard {
     fn new(spec: Spec) -> Result<Shard> {
         let named = setup::read(&spec.settings).map_err(anyhow::Error::msg)?;
-        let tenants = Tenants::new(spec.tenants.0, spec.tenants.1, (spec.gateways, spec.tries), spec.spread);
+        let tenants = Tenants::new(spec.tenants.0, spec.tenants.1, (spec.present, spec.tries), spec.spread);
         let drawn = (0..spec.nodes.1).map(|place| tenants.at(spec.nodes.0 + place)).collect();
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
         fastrand::seed(spec.seed);
@@ -230,6 +241,7 @@
             serial: Cell::new(0),
             armed: Cell::new(Micros::MAX),
             sooner: Notify::new(),
+            reading: Mutex::new(()),
             random: RefCell::new(fastrand::Rng::with_seed(spec.seed)),
             loading: Cell::new(false),
             acted: RefCell::default(),
@@ -459,6 +471,13 @@
         figures.sent.1 += many * bytes as u64;
     }
 
+    /// Comes back when the node may read its list: one after another, and between two of them comes what else is due.
+    pub async fn turn(&self) -> MutexGuard<'_, ()> {
+        let turn = self.reading.lock().await;
+        tokio::task::yield_now().await;
+        turn
+    }
+
     /// A list has come; when it was acted on is noted.
     pub fn listed(&self, node: &Rc<Node>, list: &List) {
         let zone = |name: &String| self.spec.zones.iter().position(|zone| zone == name);
