Count CPU a change in the list by thread and in nanoseconds, not in ticks of 10 ms

Cause: the roster command took CPU from stat, 10 ms a tick: 20 µs a change at 100 changes a second over 5 s, and did not tell threads apart.

It reads schedstat of each thread, in ns, and the count of runs beside it.

--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -5,6 +5,7 @@
 use nix::unistd::Pid;
 use saffronpaddle_standins::process::{cpu_seconds, memory};
 use saffronpaddle_standins::settings::{configuration, Fleet, Places, Plan};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -30,6 +31,23 @@
         text.split(' ').next().and_then(|word| word.parse().ok()).context("schedstat")
     }
 
+    /// CPU time in ns and runs of its threads so far, by their names (`/proc/PID/task/*/schedstat`). A thread that has ended
+    /// is not among them.
+    pub fn threads(&self) -> Result<BTreeMap<String, (u64, u64)>> {
+        let mut threads = BTreeMap::new();
+        for task in std::fs::read_dir(format!("/proc/{}/task", self.child.id()))? {
+            let task = task?.path();
+            // It may have ended meanwhile.
+            let read = |file| std::fs::read_to_string(task.join(file));
+            let (Ok(name), Ok(text)) = (read("comm"), read("schedstat")) else { continue };
+            let mut words = text.split_whitespace().map(str::parse::<u64>);
+            let (Some(Ok(spent)), Some(Ok(runs))) = (words.next(), words.nth(1)) else { continue };
+            let sum = threads.entry(name.trim_end().to_owned()).or_insert((0, 0));
+            *sum = (sum.0 + spent, sum.1 + runs);
+        }
+        Ok(threads)
+    }
+
     /// CPU seconds of all its threads.
     pub fn spent_all(&self) -> Result<f64> {
         cpu_seconds(self.child.id()).context("its CPU time")
--- a/crates/bench/src/roster.rs
+++ b/crates/bench/src/roster.rs
@@ -9,6 +9,7 @@
 use saffronpaddle_standins::ledger::Bounds;
 use saffronpaddle_standins::wire::Wire;
 use saffronpaddle_standins::World;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
@@ -55,25 +56,48 @@
         println!("{hosts} hosts: exec to ready with the whole list {:.0} ms", begun.elapsed().as_secs_f64() * 1e3);
         println!("memory then {:.1} MB", node.memory()? as f64 / 1e6);
         tokio::time::sleep(Duration::from_secs(1)).await;
-        let idle = node.spent_all()?;
+        let (before, begun) = (node.threads()?, Instant::now());
         tokio::time::sleep(Duration::from_secs(3)).await;
-        let idle = (node.spent_all()? - idle) / 3.0;
-        let (before, begun) = (node.spent_all()?, Instant::now());
+        let idle = since(&before, &node.threads()?, begun.elapsed());
+        let (before, begun) = (node.threads()?, Instant::now());
         let mut tick = tokio::time::interval(Duration::from_secs(1) / changes_s);
         for number in 0..(changes_s * seconds) as usize {
             tick.tick().await;
             let health = if number / hosts % 2 == 0 { "draining" } else { "ready" };
             etcd.put(&key(number % hosts), &value(number % hosts, health));
         }
-        let busy = (node.spent_all()? - before) / begun.elapsed().as_secs_f64();
-        println!("idle {:.2}% of a core; at {changes_s} changes a second {:.2}%", idle * 100.0, busy * 100.0);
-        println!("a change costs {:.0} µs of CPU", (busy - idle) * 1e6 / f64::from(changes_s));
+        let busy = since(&before, &node.threads()?, begun.elapsed());
+        let all = |rates: &Rates| rates.values().map(|(spent, _)| spent).sum::<f64>();
+        let (idle_all, busy_all) = (all(&idle), all(&busy));
+        println!("idle {:.3}% of a core; at {changes_s} changes a second {:.3}%", idle_all * 100.0, busy_all * 100.0);
+        let a_change = 1.0 / f64::from(changes_s);
+        println!("a change costs {:.1} µs of CPU", (busy_all - idle_all) * 1e6 * a_change);
+        for (name, (spent, runs)) in &busy {
+            let (idle_spent, idle_runs) = idle.get(name).copied().unwrap_or_default();
+            let (spent, runs) = ((spent - idle_spent) * 1e6 * a_change, (runs - idle_runs) * a_change);
+            println!("  thread {name}: {spent:.1} µs and {runs:.2} runs a change, {:.3}% idle", idle_spent * 100.0);
+        }
         println!("memory after {} changes {:.1} MB", changes_s * seconds, node.memory()? as f64 / 1e6);
         let _ = std::fs::remove_file(&file);
         Ok(())
     })
 }
 
+/// Seconds of CPU and runs a second, by thread.
+type Rates = BTreeMap<String, (f64, f64)>;
+
+fn since(
+    before: &BTreeMap<String, (u64, u64)>, after: &BTreeMap<String, (u64, u64)>, over: Duration,
+) -> Rates {
+    let over = over.as_secs_f64();
+    let rate = |(name, (spent, runs)): (&String, &(u64, u64))| {
+        let (spent_before, runs_before) = before.get(name).copied().unwrap_or_default();
+        let spent = spent.saturating_sub(spent_before) as f64 / 1e9 / over;
+        (name.clone(), (spent, runs.saturating_sub(runs_before) as f64 / over))
+    };
+    after.iter().map(rate).collect()
+}
+
 async fn ready(world: &World, node: &process::Measured) -> bool {
     let asked = async {
         let mut wire = Wire::new(TcpStream::connect(node.address).await?);
