--- a/crates/decision/src/servers/tests.rs
+++ b/crates/decision/src/servers/tests.rs
@@ -185,3 +185,10 @@
     assert!(known.clone().all(|server| server.held));
     assert!(known.count() < 50, "of 500 that were known, this one keeps its part");
 }
+
+/// Bytes of one server in the table of which nothing is known. A bound: growth is to be seen, not forbidden.
+#[test]
+fn a_server_of_which_nothing_is_known_costs_few_bytes() {
+    let row = std::mem::size_of::<(ServerId, Server)>();
+    assert!(row <= 144, "{row}");
+}
--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -4,7 +4,7 @@
 use crate::stamped::{Stamp, Stamped};
 use http::uri::PathAndQuery;
 use hyper_util::rt::TokioIo;
-use saffronpaddle_roster::{Change, Follower, Header, KeyValue, Next, Rules, WatchEvent};
+use saffronpaddle_roster::{Change, Follower, Header, KeyValue, Listing, Next, Rules, WatchEvent};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
@@ -81,7 +81,7 @@
         /// When the first byte of it was read off the socket.
         read: Instant,
     },
-    /// A member said something, if only that nothing has changed.
+    /// A member said something, if only that nothing has changed. Not told beside a change, which says so too.
     Alive,
     /// A line for the log.
     Log(String),
@@ -164,7 +164,7 @@
 
     /// Tells what has changed, and what the follower has for the log.
     async fn told(&mut self, change: Change, read: Instant) -> Result<(), Unwanted> {
-        if !change.entries.is_empty() || change.whole {
+        if change.says_something() {
             self.tell(News::Changed { change, read }).await?;
         }
         for line in self.follower.logs() {
@@ -193,9 +193,9 @@
         let token = self.authenticate(&mut grpc).await?;
         for _ in 0..AGAIN {
             if reread || self.follower.resume().is_none() {
-                let (header, kvs) = self.range(&mut grpc, token.as_ref()).await?;
+                let (header, listing) = self.range(&mut grpc, token.as_ref()).await?;
                 let read = stamp.take();
-                let change = self.follower.range_of(header, kvs, self.at(read), unix_ms());
+                let change = self.follower.range_of(header, listing, self.at(read), unix_ms());
                 let believed = self.follower.believe(self.at(Instant::now()));
                 if self.told(change, read).await.is_err() {
                     return Ok(Unwanted);
@@ -274,12 +274,10 @@
     }
 
     /// The whole prefix at one revision, linearizable, page by page.
-    async fn range(
-        &self, grpc: &mut Grpc<Channel>, token: Option<&Token>,
-    ) -> Outcome<(Header, Vec<KeyValue>)> {
+    async fn range(&self, grpc: &mut Grpc<Channel>, token: Option<&Token>) -> Outcome<(Header, Listing)> {
         let mut tries = 0;
         'anew: loop {
-            let (mut kvs, mut found) = (Vec::new(), None::<Header>);
+            let (mut listing, mut found) = (self.follower.listing(), None::<Header>);
             let mut key = self.settings.prefix.clone().into_bytes();
             loop {
                 let ask = api::RangeRequest {
@@ -301,10 +299,12 @@
                 };
                 let header = answer.header.map(header).ok_or_else(|| left("a range without a header"))?;
                 let header = *found.get_or_insert(header);
-                let Some(last) = answer.kvs.last().map(|kv| kv.key.clone()) else { return Ok((header, kvs)) };
-                kvs.extend(answer.kvs.into_iter().map(key_value));
+                let Some(last) = answer.kvs.last().map(|kv| kv.key.clone()) else {
+                    return Ok((header, listing));
+                };
+                listing.page(answer.kvs.into_iter().map(key_value));
                 if !answer.more {
-                    return Ok((header, kvs));
+                    return Ok((header, listing));
                 }
                 // The least key behind the last one.
                 key = [&last[..], &[0]].concat();
@@ -340,8 +340,11 @@
         let mut probe = interval(timing.probe_every);
         probe.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut heard = Instant::now();
+        // Each stands over all messages: a change sets up no timer of its own.
+        let (silent, listener) = (sleep(timing.silent_after), self.tell.clone());
+        let unwanted = listener.closed();
+        tokio::pin!(silent, unwanted);
         loop {
-            let silent = (heard + timing.silent_after).saturating_duration_since(Instant::now());
             let answer = tokio::select! {
                 biased;
                 answer = answers.message() => answer?.ok_or_else(|| left("its watch has ended"))?,
@@ -354,8 +357,15 @@
                     let _ = ask.try_send(request(progress));
                     continue;
                 }
-                () = sleep(silent) => return Err(left("it is silent")),
-                () = self.tell.closed() => return Ok(Ended::Unwanted),
+                () = &mut silent => {
+                    let by = heard + timing.silent_after;
+                    if by <= Instant::now() {
+                        return Err(left("it is silent"));
+                    }
+                    silent.as_mut().reset(by.into());
+                    continue;
+                }
+                () = &mut unwanted => return Ok(Ended::Unwanted),
             };
             heard = Instant::now();
             let read = stamp.take();
@@ -376,7 +386,10 @@
                 (change, next) = self.follower.events(header, events, answer.fragment, told, unix_ms());
                 next
             };
-            if self.told(change, read).await.is_err() || self.tell(News::Alive).await.is_err() {
+            if !change.says_something() && self.tell(News::Alive).await.is_err() {
+                return Ok(Ended::Unwanted);
+            }
+            if self.told(change, read).await.is_err() {
                 return Ok(Ended::Unwanted);
             }
             match next {
--- a/crates/etcd/tests/client.rs
+++ b/crates/etcd/tests/client.rs
@@ -68,9 +68,9 @@
                 }
                 for entry in change.entries {
                     if entry.standing == Standing::Gone {
-                        self.hosts.remove(&entry.host);
+                        self.hosts.remove(&*entry.host);
                     } else {
-                        self.hosts.insert(entry.host, (entry.standing, entry.born_ms));
+                        self.hosts.insert(entry.host.to_string(), (entry.standing, entry.born_ms));
                     }
                 }
             }
--- a/crates/hollow/src/shard.rs
+++ b/crates/hollow/src/shard.rs
@@ -461,7 +461,7 @@
 
     /// A list has come; when it was acted on is noted.
     pub fn listed(&self, node: &Rc<Node>, list: &List) {
-        let zone = |name: &String| self.spec.zones.iter().position(|zone| zone == name);
+        let zone = |name: &str| self.spec.zones.iter().position(|zone| zone == name);
         let entry = |entry: Entry| {
             let server = ServerEntry {
                 server: server_id(&entry.host),
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -127,9 +127,9 @@
 impl From<&Host> for Entry {
     fn from(host: &Host) -> Entry {
         Entry {
-            host: host.host.clone(),
+            host: host.host.as_str().into(),
             dial: host.dial,
-            site: host.site.clone(),
+            site: host.site.as_str().into(),
             block: host.block,
             standing: host.health.into(),
             share: host.share,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -29,8 +29,12 @@
 /// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
 /// has to tell counts as told 6 s later, also on a watch that nobody serves any more.
 const SILENT_FOR: Duration = Duration::from_secs(3);
-/// Most bytes of one list.
-const LIST_MOST: usize = 4 << 20;
+/// Servers of the longest list that is read, and bytes of one in the full form with room for long names: 40,000 of ten letters each take
+/// 124 bytes a server.
+const SERVERS_MOST: usize = 40_000;
+const SERVER_MOST: usize = 256;
+/// Most bytes of one list. Guards memory: its text is kept until its last byte has come, and then stands beside its entries.
+const LIST_MOST: usize = SERVERS_MOST * SERVER_MOST;
 
 /// How one address stands to the list.
 #[derive(Default)]
@@ -357,3 +361,6 @@
     }
     bail!("the watch ended")
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -440,7 +440,7 @@
     }
 
     fn take_list(self: &Rc<Self>, list: &[Entry], whole: bool) {
-        let zone = |name: &String| self.named.zones.iter().position(|zone| zone == name);
+        let zone = |name: &str| self.named.zones.iter().position(|zone| zone == name);
         let entries = list.iter().map(|entry| {
             let server = ServerEntry {
                 server: server_id(&entry.host),
--- a/crates/node/src/roster.rs
+++ b/crates/node/src/roster.rs
@@ -47,6 +47,7 @@
     use saffronpaddle_roster::{Change, Entry, Rules, Source};
     use std::collections::BTreeMap;
     use std::io;
+    use std::sync::Arc;
     use std::time::{Duration, Instant};
     use tokio::sync::mpsc;
 
@@ -103,7 +104,12 @@
         let thread = std::thread::Builder::new().name("etcd".to_owned()).spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             match runtime {
-                Ok(runtime) => runtime.block_on(saffronpaddle_etcd::follow(settings, tell)),
+                // As a task: what a message wakes then runs in the same round, where the future that is blocked on
+                // would wait for one more look at all descriptors.
+                Ok(runtime) => runtime.block_on(async {
+                    // It ends as the node does.
+                    let _ = tokio::spawn(saffronpaddle_etcd::follow(settings, tell)).await;
+                }),
                 Err(error) => eprintln!("etcd: not followed: {error}"),
             }
         });
@@ -121,15 +127,17 @@
                 }
             }
             changes.flush(&node);
-            // Others have their turn between two strokes.
-            tokio::task::yield_now().await;
+            // Others have their turn between two strokes. Where nothing waits they have it anyway.
+            if !news.is_empty() {
+                tokio::task::yield_now().await;
+            }
         }
     }
 
     /// Changes that wait: host by host the last one.
     #[derive(Default)]
     struct Changes {
-        entries: BTreeMap<String, Entry>,
+        entries: BTreeMap<Arc<str>, Entry>,
         first: Option<Instant>,
     }
 
@@ -142,7 +150,7 @@
                 node.roster(Source::Etcd, change);
                 return;
             }
-            self.entries.extend(change.entries.into_iter().map(|entry| (entry.host.clone(), entry)));
+            self.entries.extend(change.entries.into_iter().map(|entry| (Arc::clone(&entry.host), entry)));
         }
 
         fn flush(&mut self, node: &Rc<Node>) {
--- a/crates/roster/src/entry.rs
+++ b/crates/roster/src/entry.rs
@@ -1,6 +1,7 @@
 //! One app server on the roster, and how it is written under its key.
 
 use serde::Deserialize;
+use std::borrow::Cow;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,12 +26,12 @@
 /// What the roster says of a server: the fields of discovery's entries.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
-    /// Its name, the same at every edge node.
-    pub host: String,
+    /// Its name, the same at every edge node. Shared with who keeps it: a first list of 40,000 holds no name twice.
+    pub host: Arc<str>,
     /// Where it listens.
     pub dial: SocketAddr,
     /// Its hall.
-    pub site: String,
+    pub site: Arc<str>,
     /// The group that drops repeats of a key.
     pub block: u64,
     /// Its standing.
@@ -42,7 +43,7 @@
 }
 
 /// An entry as it is kept under its name. Danger: 40,000 names that are kept twice, each with its hall's.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Kept {
     dial: SocketAddr,
     site: Arc<str>,
@@ -60,9 +61,10 @@
     }
 
     /// The whole entry.
-    pub fn entry(&self, host: &str) -> Entry {
+    pub fn entry(&self, host: &Arc<str>) -> Entry {
         let Kept { dial, block, share, born_ms, standing, .. } = *self;
-        Entry { host: host.to_owned(), dial, site: self.site.to_string(), block, standing, share, born_ms }
+        let (host, site) = (Arc::clone(host), Arc::clone(&self.site));
+        Entry { host, dial, site, block, standing, share, born_ms }
     }
 
     /// Its standing.
@@ -80,10 +82,9 @@
         Kept { standing, ..self }
     }
 
-    /// Whether an entry of the same name says the same.
-    pub fn says(&self, entry: &Entry) -> bool {
-        let same = (self.dial, &*self.site, self.block) == (entry.dial, &entry.site, entry.block);
-        same && (self.share, self.born_ms, self.standing) == (entry.share, entry.born_ms, entry.standing)
+    /// It started then.
+    pub fn begin(&mut self, born_ms: u64) {
+        self.born_ms = born_ms;
     }
 }
 
@@ -112,10 +113,12 @@
 }
 
 #[derive(Deserialize)]
-struct Value {
-    host: Option<String>,
+struct Value<'a> {
+    #[serde(borrow)]
+    host: Option<Cow<'a, str>>,
     dial: SocketAddr,
-    site: String,
+    #[serde(borrow)]
+    site: Cow<'a, str>,
     #[serde(default)]
     block: u64,
     #[serde(default = "ready")]
@@ -157,7 +160,7 @@
     if !(value.share.is_finite() && value.share > 0.0) {
         return Err("its share is not above 0".to_owned());
     }
-    let (dial, site, block) = (value.dial, value.site, value.block);
+    let (dial, site, block) = (value.dial, Arc::from(&*value.site), value.block);
     let (standing, share, born_ms) = (value.health, value.share, value.born_ms);
-    Ok(Entry { host: host.to_owned(), dial, site, block, standing, share, born_ms })
+    Ok(Entry { host: host.into(), dial, site, block, standing, share, born_ms })
 }
--- a/crates/roster/src/follower.rs
+++ b/crates/roster/src/follower.rs
@@ -5,6 +5,7 @@
 use crate::entry::{self, Entry, Kept, Sites, Standing};
 use crate::{Change, Time};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 /// Most hosts that are kept. Guards memory against a prefix that is shared with something else.
 const HOSTS_MOST: usize = 100_000;
@@ -94,12 +95,51 @@
     spoilt: bool,
 }
 
+/// A whole list as its pages come: each value is read at once and let go. Danger: the text of 40,000 values beside what is
+/// kept of them, and memory full of holes when it is let go.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    prefix: String,
+    sites: Sites,
+    /// A map, as a row of 40,000 would be one large block: the allocator takes its return for a sign that large blocks are to
+    /// be kept from then on.
+    listed: BTreeMap<Arc<str>, Listed>,
+}
+
+/// What is kept of a key, or its revision and why it can't be read.
+type Listed = Result<Box<Held>, (i64, String)>;
+
+impl Listing {
+    /// Takes in a page of the range.
+    pub fn page(&mut self, kvs: impl IntoIterator<Item = KeyValue>) {
+        for kv in kvs {
+            let Some(host) = entry::host(&self.prefix, &kv.key) else { continue };
+            let (host, read) = read(host, &kv, &mut self.sites);
+            self.listed.insert(host, read);
+        }
+    }
+}
+
+/// What stands under a host's key, in the form in which it is kept.
+fn read(host: &str, kv: &KeyValue, sites: &mut Sites) -> (Arc<str>, Listed) {
+    let (create_revision, mod_revision) = (kv.create_revision, kv.mod_revision);
+    match entry::read(host, &kv.value) {
+        Ok(entry) => {
+            let kept = Kept::new(&entry, sites);
+            let held = Held { entry: kept, create_revision, mod_revision, spoilt: false };
+            (entry.host, Ok(Box::new(held)))
+        }
+        Err(why) => (host.into(), Err((mod_revision, why))),
+    }
+}
+
 /// Follows one prefix.
 #[derive(Clone, Debug)]
 pub struct Follower {
     prefix: String,
     rules: Rules,
-    hosts: BTreeMap<Box<str>, Held>,
+    /// Apart from their names, so that the whole table is rebuilt without a large block.
+    hosts: BTreeMap<Arc<str>, Box<Held>>,
     sites: Sites,
     /// Hosts whose value could never be read, with the revision that was told.
     unreadable: BTreeMap<String, i64>,
@@ -202,11 +242,18 @@
     /// Takes in a whole, linearizable range over the prefix, of one revision. Who is held and not in it is gone, and
     /// counts as told now. `now` is Unix time in milliseconds, for servers that came anew without a start of their own.
     pub fn range(&mut self, header: Header, kvs: &[KeyValue], told: Time, now: u64) -> Change {
-        self.range_of(header, kvs.to_vec(), told, now)
+        let mut listing = self.listing();
+        listing.page(kvs.iter().cloned());
+        self.range_of(header, listing, told, now)
     }
 
-    /// The same, of keys that are let go one by one as they are read. Danger: a first list of 40,000 that is held twice.
-    pub fn range_of(&mut self, header: Header, kvs: Vec<KeyValue>, told: Time, now: u64) -> Change {
+    /// A list of which no page has come.
+    pub fn listing(&self) -> Listing {
+        Listing { prefix: self.prefix.clone(), sites: self.sites.clone(), listed: BTreeMap::new() }
+    }
+
+    /// Takes in a range of which all pages have come.
+    pub fn range_of(&mut self, header: Header, listing: Listing, told: Time, now: u64) -> Change {
         self.seen.ranges += 1;
         let first = self.revision.is_none();
         if let Some(known) = self.header {
@@ -225,23 +272,9 @@
         self.reconnected();
         (self.header, self.revision) = (Some(header), Some(header.revision));
         let mut change = Change { entries: Vec::new(), told, whole: first };
-        let mut listed: Vec<(String, KeyValue)> = Vec::with_capacity(kvs.len());
-        for mut kv in kvs {
-            if let Some(host) = entry::host(&self.prefix, &kv.key) {
-                let host = host.to_owned();
-                kv.key = Vec::new();
-                listed.push((host, kv));
-            }
-        }
-        // As etcd has them, but for what is no UTF-8.
-        listed.sort_by(|(one, _), (other, _)| one.cmp(other));
-        listed.dedup_by(|later, first| {
-            let same = later.0 == first.0;
-            if same {
-                std::mem::swap(first, later);
-            }
-            same
-        });
+        let Listing { sites, listed, .. } = listing;
+        // What it read goes by these names.
+        self.sites = sites;
         if listed.is_empty() && (first || self.hosts.len() > 1) {
             // A first list too: what the node was told at its start stands against a prefix that is empty, or misspelt.
             self.unlisted |= first;
@@ -250,19 +283,18 @@
             self.doubt(told, all);
             return change;
         }
-        let is_listed = |host: &str| listed.binary_search_by(|(other, _)| other.as_str().cmp(host)).is_ok();
+        let is_listed = |host: &str| listed.contains_key(host);
         let absent = |host: &&str| !is_listed(host) && !self.wiped.contains(*host);
         let gone = self.hosts.keys().map(|host| &**host).filter(absent);
         let gone: Vec<String> = gone.map(str::to_owned).collect();
         gone.iter().for_each(|host| self.remove(host, &mut change));
         self.unreadable.retain(|host, _| is_listed(host));
-        for (host, kv) in listed {
-            // What came first is as old as its value says; what came anew is not.
-            self.put(&host, &kv, if first { 0 } else { now }, &mut change);
-        }
-        if first {
-            // A map that grew in order is half empty.
-            self.hosts = std::mem::take(&mut self.hosts).into_iter().collect();
+        // What came first is as old as its value says; what came anew is not.
+        let born = if first { 0 } else { now };
+        if self.hosts.is_empty() {
+            self.fill(listed, born, &mut change);
+        } else {
+            listed.into_iter().for_each(|(host, read)| self.put(host, read, born, &mut change));
         }
         self.resolve(&mut change);
         change
@@ -383,7 +415,8 @@
                     self.remove(host, change);
                 }
             } else {
-                self.put(host, &event.kv, now, change);
+                let (host, read) = read(host, &event.kv, &mut self.sites);
+                self.put(host, read, now, change);
             }
         }
         self.resolve(change);
@@ -420,8 +453,8 @@
     /// A whole response, or the whole list, is there: what fragments told of drains gives way to it.
     fn resolve(&mut self, change: &mut Change) {
         let mut left = std::mem::take(&mut self.provisional);
-        change.entries.iter().for_each(|entry| _ = left.remove(&entry.host));
-        let held = left.iter().filter_map(|host| Some((host, self.hosts.get(host.as_str())?)));
+        change.entries.iter().for_each(|entry| _ = left.remove(&*entry.host));
+        let held = left.iter().filter_map(|host| self.hosts.get_key_value(host.as_str()));
         change.entries.extend(held.map(|(host, held)| held.entry.entry(host)));
     }
 
@@ -440,63 +473,81 @@
         let gone = careful.values().filter(|standing| **standing == Standing::Gone).count();
         let wiped = gone >= self.hosts.len() && self.hosts.len() > 1;
         for (host, standing) in careful {
-            let Some(held) = self.hosts.get(host) else { continue };
+            let Some((host, held)) = self.hosts.get_key_value(host) else { continue };
             // A removal is told as a drain until the whole response is there.
             let standing = standing.min(Standing::Draining);
             if standing > held.entry.standing() && !wiped {
                 change.entries.push(Entry { standing, ..held.entry.entry(host) });
-                self.provisional.insert(host.to_owned());
+                self.provisional.insert(host.to_string());
             }
         }
     }
 
     fn remove(&mut self, host: &str, change: &mut Change) {
         self.wiped.remove(host);
-        if let Some(held) = self.hosts.remove(host) {
-            change.entries.push(Entry { standing: Standing::Gone, ..held.entry.entry(host) });
+        if let Some((host, held)) = self.hosts.remove_entry(host) {
+            change.entries.push(Entry { standing: Standing::Gone, ..held.entry.entry(&host) });
         }
     }
 
-    fn put(&mut self, host: &str, kv: &KeyValue, now: u64, change: &mut Change) {
-        self.wiped.remove(host);
-        let known = self.hosts.get(host);
-        if known.is_some_and(|held| held.mod_revision == kv.mod_revision && !held.spoilt) {
-            return;
-        }
-        match entry::read(host, &kv.value) {
-            Ok(mut entry) => {
-                // A key that was created anew without a start of its own is a process that has just started: cold.
-                let anew = known.is_none_or(|held| held.create_revision != kv.create_revision);
-                if entry.born_ms == 0 {
-                    entry.born_ms = if anew { now } else { known.map_or(0, |held| held.entry.born_ms()) };
+    /// Takes a whole list into an empty table, at one stroke: one that grows in order is half empty.
+    fn fill(&mut self, listed: BTreeMap<Arc<str>, Listed>, born: u64, change: &mut Change) {
+        change.entries.reserve_exact(listed.len().min(HOSTS_MOST));
+        let mut hosts = Vec::new();
+        for (host, read) in listed {
+            match read {
+                Ok(_) if hosts.len() >= HOSTS_MOST => {}
+                Ok(mut held) => {
+                    if held.entry.born_ms() == 0 {
+                        held.entry.begin(born);
+                    }
+                    change.entries.push(held.entry.entry(&host));
+                    self.unreadable.remove(&*host);
+                    hosts.push((host, held));
                 }
-                if self.hosts.len() >= HOSTS_MOST && known.is_none() {
-                    return;
-                }
-                let kept = Kept::new(&entry, &mut self.sites);
-                if known.is_none_or(|held| !held.entry.says(&entry)) {
-                    change.entries.push(entry);
-                }
-                self.unreadable.remove(host);
-                let (create_revision, mod_revision) = (kv.create_revision, kv.mod_revision);
-                let held = Held { entry: kept, create_revision, mod_revision, spoilt: false };
-                self.hosts.insert(host.into(), held);
+                Err((revision, why)) => self.spoilt(&host, revision, &why),
             }
-            Err(why) => self.spoilt(host, kv, &why),
         }
+        self.hosts = hosts.into_iter().collect();
+    }
+
+    fn put(&mut self, host: Arc<str>, read: Listed, now: u64, change: &mut Change) {
+        self.wiped.remove(&*host);
+        let known = self.hosts.get(&host);
+        let revision = read.as_ref().map_or_else(|(revision, _)| *revision, |held| held.mod_revision);
+        if known.is_some_and(|held| held.mod_revision == revision && !held.spoilt) {
+            return;
+        }
+        let mut held = match read {
+            Ok(held) => held,
+            Err((revision, why)) => return self.spoilt(&host, revision, &why),
+        };
+        // A key that was created anew without a start of its own is a process that has just started: cold.
+        let anew = known.is_none_or(|known| known.create_revision != held.create_revision);
+        if held.entry.born_ms() == 0 {
+            held.entry.begin(if anew { now } else { known.map_or(0, |known| known.entry.born_ms()) });
+        }
+        if self.hosts.len() >= HOSTS_MOST && known.is_none() {
+            return;
+        }
+        if known.is_none_or(|known| known.entry != held.entry) {
+            change.entries.push(held.entry.entry(&host));
+        }
+        self.unreadable.remove(&*host);
+        self.hosts.insert(host, held);
     }
 
     /// A value that can't be read: the last good entry stays. It is counted each time and told once, until it is good.
-    fn spoilt(&mut self, host: &str, kv: &KeyValue, why: &str) {
+    fn spoilt(&mut self, host: &str, mod_revision: i64, why: &str) {
         self.seen.unreadable += 1;
         let kept = self.hosts.contains_key(host);
         let told = match self.hosts.get_mut(host) {
             Some(held) => {
-                held.mod_revision = kv.mod_revision;
+                held.mod_revision = mod_revision;
                 std::mem::replace(&mut held.spoilt, true)
             }
             None if self.unreadable.len() >= HOSTS_MOST => true,
-            None => self.unreadable.insert(host.to_owned(), kv.mod_revision).is_some(),
+            None => self.unreadable.insert(host.to_owned(), mod_revision).is_some(),
         };
         if !told {
             let then = if kept { "its last good entry stays" } else { "it is not listed" };
@@ -504,3 +555,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod pace;
 
 pub use entry::{Entry, Standing};
-pub use follower::{Follower, Header, KeyValue, Next, Rules, WatchEvent};
+pub use follower::{Follower, Header, KeyValue, Listing, Next, Rules, WatchEvent};
 pub use merge::{Merge, Source};
 pub use objects::{Objects, Unreadable};
 pub use pace::{Doubt, Hedged, Pace, Terms};
@@ -35,3 +35,10 @@
     /// Whether hosts that are not among the entries are unknown to this source: its first whole list.
     pub whole: bool,
 }
+
+impl Change {
+    /// Whether it tells of anything: of an entry, or that there is none beside those it has.
+    pub fn says_something(&self) -> bool {
+        self.whole || !self.entries.is_empty()
+    }
+}
--- a/crates/roster/src/merge.rs
+++ b/crates/roster/src/merge.rs
@@ -8,6 +8,7 @@
 use crate::entry::{Entry, Kept, Sites, Standing};
 use crate::Change;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Where news of the roster comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -26,7 +27,7 @@
 /// All sources, merged.
 #[derive(Clone, Debug, Default)]
 pub struct Merge {
-    hosts: BTreeMap<Box<str>, Says>,
+    hosts: BTreeMap<Arc<str>, Says>,
     sites: Sites,
     contradictions: u64,
 }
@@ -39,19 +40,19 @@
 
     /// Takes in news of one source; what the decision module is to be told of it.
     pub fn take(&mut self, source: Source, change: Change) -> Change {
-        let mut touched: BTreeMap<String, Option<Entry>> = BTreeMap::new();
+        let mut touched: BTreeMap<Arc<str>, Option<Entry>> = BTreeMap::new();
         if change.whole {
             // Who is not on the whole list is gone for this source, if it ever had a say.
             for (host, says) in &self.hosts {
                 if says[source as usize].as_ref().is_some_and(|kept| kept.standing() != Standing::Gone) {
-                    touched.insert(host.to_string(), None);
+                    touched.insert(Arc::clone(host), None);
                 }
             }
         }
-        touched.extend(change.entries.into_iter().map(|entry| (entry.host.clone(), Some(entry))));
+        touched.extend(change.entries.into_iter().map(|entry| (Arc::clone(&entry.host), Some(entry))));
         let mut entries = Vec::new();
         for (host, entry) in touched {
-            let says = self.hosts.entry(host.as_str().into()).or_default();
+            let says = self.hosts.entry(Arc::clone(&host)).or_default();
             let before = merged(&host, says);
             let place = &mut says[source as usize];
             *place = match (entry, place.take()) {
@@ -64,7 +65,7 @@
             self.contradictions += u64::from(standings.windows(2).any(|two| two[0] != two[1]));
             // Guards memory: a host that nobody lists any more is forgotten.
             if says.iter().flatten().all(|kept| kept.standing() == Standing::Gone) {
-                self.hosts.remove(host.as_str());
+                self.hosts.remove(&host);
             }
             entries.extend(after.filter(|after| before.as_ref() != Some(after)));
         }
@@ -82,7 +83,7 @@
     }
 }
 
-fn merged(host: &str, says: &Says) -> Option<Entry> {
+fn merged(host: &Arc<str>, says: &Says) -> Option<Entry> {
     let said = || says.iter().flatten().map(Box::as_ref);
     let standing = said().map(Kept::standing).max()?;
     let born_ms = said().map(Kept::born_ms).max().unwrap_or(0);
--- a/crates/roster/tests/roster.rs
+++ b/crates/roster/tests/roster.rs
@@ -101,7 +101,7 @@
     let change = follower.range(header(600), &kvs, ms(900), NOW);
     let expected = [("a", Standing::Draining), ("b", Standing::Gone), ("d", Standing::Ready)];
     assert_eq!((standings(&change), change.told, change.whole), (expected.into(), ms(900), false));
-    let new = change.entries.iter().find(|entry| entry.host == "d").expect("it is told");
+    let new = change.entries.iter().find(|entry| &*entry.host == "d").expect("it is told");
     assert_eq!(new.born_ms, NOW, "it came in the gap and tells no start of its own: cold");
     assert_eq!(follower.resume(), Some(601));
 }
@@ -312,7 +312,7 @@
 
 fn said(host: &str, standing: Standing, dial: u16, born_ms: u64) -> Change {
     let dial = format!("127.0.0.1:{dial}").parse().expect("an address");
-    let (host, site) = (host.to_owned(), "a".to_owned());
+    let (host, site) = (host.into(), "a".into());
     let entry = Entry { host, dial, site, block: 1, standing, share: 1.0, born_ms };
     Change { entries: vec![entry], told: ms(1), whole: false }
 }
@@ -390,7 +390,7 @@
         let mut told: BTreeMap<String, Standing> = BTreeMap::new();
         let mut note = |change: Change| {
             for entry in change.entries {
-                told.insert(entry.host, entry.standing);
+                told.insert(entry.host.to_string(), entry.standing);
             }
         };
         store.insert("anchor".into(), kv("anchor", 1, 1, value(80, "ready", 7)));
