Take news that was read off its socket, or answers a call, before any first byte

Cause: the watch's connection was driven by one task and its lists taken by another (discovery.rs call, watch_list): between the two the socket was empty and `taken` stood, so a first byte found nothing behind; and no look was taken at a call that is not answered yet.

Change: the task that takes lists drives the connection; calls that are out are looked at. The test writes a piece in one write and goes on only once the node stands still and all is unread in its sockets. Two tests more.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -7,7 +7,7 @@
 use anyhow::{anyhow, bail, Context, Result};
 use bytes::Bytes;
 use http_body_util::Empty;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{HOST, RETRY_AFTER};
 use hyper::{Request, StatusCode};
@@ -17,13 +17,14 @@
 use std::cell::{Cell, RefCell};
 use std::future::{pending, poll_fn, Future};
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::{Rc, Weak};
 use std::sync::{Arc, Weak as Looked};
+use std::task::{Context as Polled, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
@@ -43,15 +44,25 @@
     /// The connection of that watch, and whether all that was read of it has been taken.
     watch: RefCell<Looked<TcpStream>>,
     taken: Cell<bool>,
+    /// Connections of calls that are not answered yet.
+    asked: RefCell<Vec<Looked<TcpStream>>>,
     /// Discovery has moved: nothing new is asked of this one.
     left: Cell<bool>,
 }
 
 impl Word {
-    /// Whether something of it has come that the node has not taken yet.
+    /// Whether something of it has come that the node has not taken yet: on its watch, or as the answer to a call.
     fn is_behind(&self) -> bool {
-        let watch = self.watch.borrow().upgrade();
-        self.open.get() && (!self.taken.get() || watch.is_some_and(|watch| !is_quiet(&watch)))
+        let has_more = |stream: &Looked<TcpStream>| stream.upgrade().is_some_and(|stream| !is_quiet(&stream));
+        (self.open.get() && (!self.taken.get() || has_more(&self.watch.borrow())))
+            || self.asked.borrow().iter().any(has_more)
+    }
+
+    /// A call is out.
+    fn asks(&self, stream: &Arc<TcpStream>) {
+        let mut asked = self.asked.borrow_mut();
+        asked.retain(|stream| stream.strong_count() > 0);
+        asked.push(Arc::downgrade(stream));
     }
 }
 
@@ -220,23 +231,42 @@
     }
 }
 
-/// A task that ends with its owner: a watch that is left must not keep its connection.
-struct Driver(JoinHandle<()>);
+/// What drives a call's connection until that ends; it goes with its owner. No task of its own. Danger: news that one task has
+/// read off the socket and another has not taken yet, while a first byte finds the socket empty.
+struct Driver(Option<Pin<Box<dyn Future<Output = ()>>>>);
 
-impl Drop for Driver {
-    fn drop(&mut self) {
-        self.0.abort();
+impl Driver {
+    fn drive(&mut self, context: &mut Polled<'_>) {
+        // How it ended shows in the watch.
+        if self.0.as_mut().is_some_and(|connection| connection.as_mut().poll(context).is_ready()) {
+            self.0 = None;
+        }
     }
 }
 
 /// A call that was answered with a watch, and what drives its connection.
 struct Watch {
-    _driver: Driver,
+    driver: Driver,
     body: Incoming,
     /// Its connection, to be looked at.
     stream: Looked<TcpStream>,
 }
 
+impl Watch {
+    /// The next frame; none has come only once all that the machine holds was read.
+    fn poll_next(&mut self, context: &mut Polled<'_>) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+        // Danger: the library reads on only once the last frame has been taken and the next is asked for.
+        for _ in 0..2 {
+            self.driver.drive(context);
+            let next = Pin::new(&mut self.body).poll_frame(context);
+            if next.is_ready() {
+                return next;
+            }
+        }
+        Poll::Pending
+    }
+}
+
 /// What a call was answered that is no watch.
 enum NoWatch {
     /// The service has said when to come back.
@@ -245,25 +275,30 @@
 }
 
 /// One call, until it is answered. `answers`: how long that may take, with the connection.
-async fn call(address: SocketAddr, path: String, answers: Duration) -> Result<Watch, NoWatch> {
+async fn call(
+    word: Rc<Word>, address: SocketAddr, path: String, answers: Duration,
+) -> Result<Watch, NoWatch> {
     let opened = async {
         let by = Instant::now() + answers;
         let connect = TcpStream::connect(address);
         let stream = timeout(SILENT_FOR.min(answers), connect).await.context("it does not come up")??;
         let stream = Arc::new(stream);
         let looked = Arc::downgrade(&stream);
+        word.asks(&stream);
         let (mut sender, connection) = http1::handshake(TokioIo::new(Shared(stream))).await?;
-        let driver = Driver(tokio::task::spawn_local(async move {
-            // How it ended shows in the watch.
-            let _ = connection.await;
-        }));
+        let mut driver = Driver(Some(Box::pin(async move { _ = connection.await })));
         let request = Request::builder().uri(path).header(HOST, address.to_string());
-        let answer = timeout_at(by, sender.send_request(request.body(Empty::<Bytes>::new())?)).await;
-        anyhow::Ok((driver, looked, answer.context("the call is not answered")??))
+        let mut answer = pin!(sender.send_request(request.body(Empty::<Bytes>::new())?));
+        let answer = poll_fn(|context| {
+            driver.drive(context);
+            answer.as_mut().poll(context)
+        });
+        let answer = timeout_at(by, answer).await.context("the call is not answered")??;
+        anyhow::Ok((driver, looked, answer))
     };
     let (driver, stream, answer) = opened.await.map_err(NoWatch::Failed)?;
     if answer.status() == StatusCode::OK {
-        return Ok(Watch { _driver: driver, body: answer.into_body(), stream });
+        return Ok(Watch { driver, body: answer.into_body(), stream });
     }
     let after = answer.headers().get(RETRY_AFTER).and_then(|after| after.to_str().ok()?.trim().parse().ok());
     let failed = || NoWatch::Failed(anyhow!("the watch was answered {}", answer.status()));
@@ -272,13 +307,14 @@
 
 /// Calls again and again, also while earlier calls are still open, until one is answered with a watch. The others end with it.
 async fn soonest(
-    address: SocketAddr, path: &str, answers: Duration, pace: &mut Pace, mut beside: Duration,
+    word: &Rc<Word>, address: SocketAddr, path: &str, answers: Duration, pace: &mut Pace,
+    mut beside: Duration,
 ) -> Watch {
     let mut calls = JoinSet::new();
     let mut told = false;
     loop {
         let begun = Instant::now();
-        calls.spawn_local(call(address, path.to_owned(), answers));
+        calls.spawn_local(call(Rc::clone(word), address, path.to_owned(), answers));
         let next = sleep(beside);
         tokio::pin!(next);
         loop {
@@ -313,9 +349,10 @@
     let from = from.map_or(String::new(), |seq| format!("&from={seq}"));
     let path = format!("/api/targets?watch=1{from}");
     let answers = pace.answer_within().unwrap_or_else(|| follower.answers());
+    let word = Rc::clone(&follower.word);
     let mut watch = match pace.beside(fastrand::f64()) {
-        Some(beside) => soonest(address, &path, answers, pace, beside).await,
-        None => match call(address, path, answers).await {
+        Some(beside) => soonest(&word, address, &path, answers, pace, beside).await,
+        None => match call(Rc::clone(&word), address, path, answers).await {
             Ok(watch) => watch,
             Err(NoWatch::Failed(error)) => return Err(error),
             Err(NoWatch::ComeBack(status, after)) => {
@@ -325,8 +362,9 @@
         },
     };
     follower.opened = true;
-    let word = Rc::clone(&follower.word);
+    word.asked.borrow_mut().clear();
     word.watch.replace(watch.stream.clone());
+    word.taken.set(false);
     word.open.set(true);
     let mut lists = Objects::new(LIST_MOST);
     // A silent machine keeps its connection open: only the missing signs of life tell.
@@ -335,7 +373,7 @@
         let settles = doubt.map(|at| at.saturating_sub(follower.born.elapsed()));
         let patience = settles.map_or(SILENT_FOR, |settles| settles.min(SILENT_FOR));
         let next = poll_fn(|context| {
-            let next = Pin::new(&mut watch.body).poll_frame(context);
+            let next = watch.poll_next(context);
             word.taken.set(next.is_pending());
             next
         });
--- a/crates/saffronpaddle/tests/crossings.rs
+++ b/crates/saffronpaddle/tests/crossings.rs
@@ -5,8 +5,8 @@
 //! them all at once as it goes on.
 
 use saffronpaddle_standins::scripted::*;
-use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io::{BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::thread;
 use std::time::Duration;
 
@@ -28,11 +28,6 @@
     }
 }
 
-/// A piece of a watch, as it is.
-fn write_piece(watch: &mut TcpStream, piece: &str) {
-    write!(watch, "{:x}\r\n{piece}\r\n", piece.len()).expect("the watch is open");
-}
-
 /// Two servers of which a node knows the first.
 fn two(tag: &str) -> (Servers, Discovery, Node, [SocketAddr; 2]) {
     let (servers, discovery) = (Servers::new(), Discovery::start());
@@ -144,11 +139,10 @@
 
 // ---- Drains ----
 
-/// Danger: a loop that was late finds a drain and requests waiting for it at once, and writes the requests first. The news was
-/// there before them: not one of them may go to the server that drains, over kept connections or new ones.
-#[test]
-fn a_node_that_stood_still_takes_the_drain_before_the_requests_that_came_with_it() {
-    let (servers, discovery, node, dials) = two("still");
+/// Has a node stand still, over and over, while requests and news of the list come to it: the one drains of whom the other was
+/// drained before. All of it is there unread as the node goes on, the news in such pieces.
+fn stands_still(tag: &str, pieces: impl Fn(&str) -> Vec<String>) {
+    let (servers, discovery, node, dials) = two(tag);
     let (_, mut watch) = discovery.watch();
     let mut clients: Vec<Client> = (0..8).map(|_| node.client()).collect();
     let mut drains = true;
@@ -162,12 +156,19 @@
         let (name, health) =
             if drains { ("s-2", ["draining", "ready"]) } else { ("s-1", ["ready", "draining"]) };
         let hosts = [host("s-1", dials[0], 1, health[0]), host("s-2", dials[1], 1, health[1])];
-        node.signal("-STOP");
+        node.stand_still();
         // The requests first: the order in which the machine tells of them is theirs.
         for (number, client) in clients.iter_mut().enumerate() {
-            client.write(&request(&format!("r{round}-{number}"), "pay", "20000m"));
+            let request = request(&format!("r{round}-{number}"), "pay", "20000m");
+            client.write(&request);
+            until_unread(&client.stream, request.len());
         }
-        write_list(&mut watch, &list(2 + round, true, &hosts));
+        let pieces = pieces(&list(2 + round, true, &hosts));
+        pieces.iter().for_each(|piece| write_piece(&mut watch, piece));
+        until_unread(
+            &watch,
+            pieces.iter().map(|piece| format!("{:x}", piece.len()).len() + 4 + piece.len()).sum(),
+        );
         node.signal("-CONT");
         for client in &mut clients {
             assert_eq!(client.answer().expect("an answer").status(), 200);
@@ -177,6 +178,75 @@
     }
 }
 
+/// Danger: a loop that was late finds a drain and requests waiting for it at once, and writes the requests first. The news was
+/// there before the node went on: not one of them may go to the server that drains, over kept connections or new ones.
+#[test]
+fn a_node_that_stood_still_takes_the_drain_before_the_requests_that_came_with_it() {
+    stands_still("still", |list| vec![format!("{list}\n")]);
+}
+
+/// Danger: news that has been read off its socket and is not taken yet, behind the signs of life that came before it or in the
+/// middle of a list that came in pieces, while a first byte asks whether anything waits.
+#[test]
+fn a_node_that_stood_still_takes_a_drain_that_came_in_pieces_behind_signs_of_life() {
+    stands_still("still-pieces", |list| {
+        let mut pieces = vec![" ".to_owned(), "\n".to_owned()];
+        pieces.extend(list.as_bytes().chunks(40).map(|piece| String::from_utf8_lossy(piece).into_owned()));
+        pieces.push("\n".to_owned());
+        pieces
+    });
+}
+
+/// Danger: the answer to a call for the list, with the list behind it, that waits beside requests: no watch is open yet.
+#[test]
+fn a_node_that_stood_still_takes_a_drain_that_came_with_the_answer_to_its_call() {
+    let (servers, listener) = (Servers::new(), TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let dials = ["s-1", "s-2"].map(|name| servers.start(name, &[SERVES]));
+    let at = listener.local_addr().expect("an address");
+    let node = Node::start("still-call", at, &[host("s-1", dials[0], 1, "ready")]);
+    listener.set_nonblocking(true).expect("it can be");
+    let mut clients: Vec<Client> = (0..8).map(|_| node.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.ask(&request(&format!("w{number}"), "read", "20000m")).status(), 200);
+        assert_eq!(servers.next().server, "s-1");
+    }
+    let mut newest = None;
+    let mut called = loop {
+        node.stand_still();
+        newest = std::iter::from_fn(|| listener.accept().ok()).last().or(newest);
+        // A call that is on its way, or that was given up, is none to be answered.
+        let call = newest.take_if(|(stream, _)| {
+            stream.set_nonblocking(true).expect("a mode");
+            let seen = stream.peek(&mut [0]).is_ok();
+            stream.set_nonblocking(false).expect("a mode");
+            seen
+        });
+        if let Some((stream, _)) = call {
+            Message::read(&mut BufReader::new(stream.try_clone().expect("a clone")));
+            if !closed_by_now(&stream) {
+                break stream;
+            }
+        }
+        node.signal("-CONT");
+        thread::sleep(Duration::from_millis(10));
+    };
+    for (number, client) in clients.iter_mut().enumerate() {
+        let request = request(&format!("r{number}"), "pay", "20000m");
+        client.write(&request);
+        until_unread(&client.stream, request.len());
+    }
+    let list = moved(2, true, dials) + "\n";
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let answer = format!("{head}{:x}\r\n{list}\r\n", list.len());
+    called.write_all(answer.as_bytes()).expect("the call is open");
+    until_unread(&called, answer.len());
+    node.signal("-CONT");
+    for client in &mut clients {
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+        assert_eq!(servers.next().server, "s-2");
+    }
+}
+
 // ---- Clients ----
 
 /// A node with its operators' address, which knows one server in some standing.
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -11,7 +11,7 @@
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// No wait is longer; only a failing test gets there.
 pub const PATIENCE: Duration = Duration::from_secs(60);
@@ -225,6 +225,7 @@
         let (tell, watches) = mpsc::channel();
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
+                stream.set_nodelay(true).expect("it can be");
                 let head = Message::read(&mut BufReader::new(stream.try_clone().expect("a clone")));
                 let chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
                 if let (Some(head), Ok(())) = (head, stream.write_all(chunked)) {
@@ -241,9 +242,47 @@
     }
 }
 
+/// Writes a piece of a watch, as it is: in one write. Danger: a piece in several writes, of which the machine keeps all but the
+/// first here until the other side's has said that it has that.
+pub fn write_piece(watch: &mut TcpStream, piece: &str) {
+    let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
+    watch.write_all(chunk.as_bytes()).expect("the watch is open");
+}
+
 /// Writes a line of a watch.
 pub fn write_list(watch: &mut TcpStream, list: &str) {
-    write!(watch, "{:x}\r\n{list}\n\r\n", list.len() + 1).expect("the watch is open");
+    write_piece(watch, &format!("{list}\n"));
+}
+
+/// Bytes that a connection's other side, a process of this machine, has there and has not read yet (`/proc/net/tcp`).
+pub fn unread(stream: &TcpStream) -> usize {
+    let own = stream.local_addr().expect("an address");
+    let other = stream.peer_addr().expect("it is connected");
+    let shown = |address: SocketAddr| match address {
+        SocketAddr::V4(address) => {
+            format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port())
+        }
+        SocketAddr::V6(_) => panic!("tests connect by IPv4"),
+    };
+    let ends = (shown(other), shown(own));
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the machine tells of its connections");
+    let row = table.lines().find_map(|row| {
+        let mut fields = row.split_whitespace().skip(1);
+        let row_ends = (fields.next()?.to_owned(), fields.next()?.to_owned());
+        (row_ends == ends).then(|| fields.nth(1).map(str::to_owned))?
+    });
+    let queues = row.expect("the other side is of this machine");
+    let (_, unread) = queues.split_once(':').expect("two queues");
+    usize::from_str_radix(unread, 16).expect("a number")
+}
+
+/// Waits until a connection's other side has so many bytes there that it has not read.
+pub fn until_unread(stream: &TcpStream, bytes: usize) {
+    let begun = Instant::now();
+    while unread(stream) < bytes {
+        assert!(begun.elapsed() < PATIENCE, "{bytes} bytes come to the other side's machine");
+        thread::sleep(Duration::from_millis(1));
+    }
 }
 
 /// An entry of the list, in discovery's form.
@@ -432,6 +471,21 @@
         }
     }
 
+    /// Has it stand still, and comes back once all of its threads do. Danger: a signal that was sent and has not got there.
+    pub fn stand_still(&self) {
+        self.signal("-STOP");
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let stands = |task: std::fs::DirEntry| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            stat.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T'))
+        };
+        let begun = Instant::now();
+        while !std::fs::read_dir(&tasks).expect("it runs").flatten().all(stands) {
+            assert!(begun.elapsed() < PATIENCE, "it stands still");
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Sends it a signal, as `kill` names it.
     pub fn signal(&self, name: &str) {
         let kill = Command::new("kill").args([name, &self.child.id().to_string()]).status();
