--- a/crates/admin/tests/counts.rs
+++ b/crates/admin/tests/counts.rs
@@ -1,6 +1,7 @@
 //! Over any order of events, what was taken is what has ended and what is open; and what is told says so.
 
 use proptest::prelude::*;
+use proptest::test_runner::FileFailurePersistence;
 use saffronpaddle_admin::{End, Figures, Line, Tally, LINE_MOST};
 
 fn told(text: &str, name: &str) -> u64 {
@@ -10,6 +11,10 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_failure_persistence(
+        FileFailurePersistence::WithSource("proptest-regressions")
+    ))]
+
     #[test]
     fn taken_is_what_has_ended_and_what_is_open(steps in prop::collection::vec((0usize..3, 0u8..6), 0..200)) {
         let names = ["a", "b", "c"].map(str::to_owned);
--- a/crates/decision/tests/walks.rs
+++ b/crates/decision/tests/walks.rs
@@ -4,7 +4,7 @@
 
 use common::{entry, sends, settings, Stand, KEYED_ALL, MS, S, SAFE};
 use saffronpaddle_decision::interface::*;
-use saffronpaddle_decision::Gateway;
+use saffronpaddle_decision::{Gateway, Kept};
 use std::collections::{BTreeMap, BTreeSet};
 
 const MANY: u64 = 40_000;
@@ -209,6 +209,11 @@
     assert!(stand.out.iter().any(|(out, _, _)| *out == id), "it was sent again");
 }
 
+/// What is handed over, by name, so that a difference says where it is.
+fn fields(kept: &Kept) -> BTreeMap<String, serde_json::Value> {
+    serde_json::from_value(serde_json::to_value(kept).expect("plain data")).expect("fields with names")
+}
+
 #[test]
 fn the_next_process_of_a_gateway_goes_on_from_what_is_sent_to_here() {
     let mut stand = stand(300, 6_000);
@@ -218,12 +223,20 @@
     let kept = stand.gateway.keep();
     assert!(kept.size().1 <= 512, "{} of 6,000 servers are handed over", kept.size().1);
     let text = serde_json::to_string(&kept).expect("plain data");
-    let read = serde_json::from_str(&text).expect("its own words");
-    assert_eq!(kept.size(), saffronpaddle_decision::Kept::size(&read));
+    let read: Kept = serde_json::from_str(&text).expect("its own words");
+    assert_eq!(fields(&kept), fields(&read), "its own words say all of it");
+    assert_eq!(kept, read, "its own words say all of it");
     let mut heir = Gateway::new(9, settings(3, 300), stand.now).expect("sound settings");
     heir.resume(read, 1);
     let entries = (0..6_000).map(spread).collect();
     heir.handle(stand.now, Event::Servers { kind: ListKind::Complete, entries }, &mut Vec::new());
     assert_eq!(heir.rotation(), (6_000, 0));
-    assert_eq!(heir.keep().size().1, kept.size().1);
+    // What was answered since the last tick alone is not: the heir's ticks begin with it.
+    let (mut before, after) = (fields(&kept), fields(&heir.keep()));
+    let seen = before.get_mut("fuzzy").and_then(|fuzzy| fuzzy.get_mut("seen")).expect("it is kept");
+    *seen = serde_json::json!(vec![(0.0, 0.0); stand.settings.classes.len()]);
+    assert!(before.keys().eq(after.keys()));
+    for (name, value) in &before {
+        assert_eq!(Some(value), after.get(name), "{name}");
+    }
 }
--- a/crates/explore/tests/explored.rs
+++ b/crates/explore/tests/explored.rs
@@ -1,5 +1,7 @@
 //! The worlds that are visited whole, the faults that must be found in them, and walks through a large one.
 
+use proptest::prelude::ProptestConfig;
+use proptest::test_runner::FileFailurePersistence;
 use saffronpaddle_decision::interface::{Effect, Group};
 use saffronpaddle_exchange::Bug;
 use saffronpaddle_explore::nodes::{play, Play};
@@ -121,7 +123,12 @@
 }
 
 proptest::proptest! {
-    #![proptest_config(proptest::prelude::ProptestConfig { cases: 48, ..Default::default() })]
+    // A case costs as much as five of others.
+    #![proptest_config(ProptestConfig {
+        cases: (ProptestConfig::default().cases / 5).max(48),
+        failure_persistence: Some(Box::new(FileFailurePersistence::WithSource("proptest-regressions"))),
+        ..ProptestConfig::default()
+    })]
 
     /// Any choices in a large world: where they break something, proptest looks for fewer of them that still do.
     #[test]
--- a/crates/handover/tests/overlap.rs
+++ b/crates/handover/tests/overlap.rs
@@ -2,6 +2,7 @@
 //! wrong at any step.
 
 use proptest::prelude::*;
+use proptest::test_runner::FileFailurePersistence;
 use saffronpaddle_decision::interface::*;
 use saffronpaddle_decision::Gateway;
 use saffronpaddle_handover::*;
@@ -250,6 +251,10 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_failure_persistence(
+        FileFailurePersistence::WithSource("proptest-regressions")
+    ))]
+
     /// Whatever bytes come in place of a word, a conversation ends or goes on; nothing else happens.
     #[test]
     fn rubbish_is_no_word(bytes in prop::collection::vec(any::<u8>(), 0..300), live: bool) {
--- a/crates/quota/tests/keeper.rs
+++ b/crates/quota/tests/keeper.rs
@@ -1,6 +1,7 @@
 //! A home's part alone: what it grants under any course of asks, and what a gateway that asks makes of its words.
 
 use proptest::prelude::*;
+use proptest::test_runner::FileFailurePersistence;
 use saffronpaddle_quota::{Ask, Keeper, Memory, Micros, Said, Start, Terms, Verdict, LEASE};
 use std::collections::BTreeSet;
 
@@ -16,6 +17,10 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_failure_persistence(
+        FileFailurePersistence::WithSource("proptest-regressions")
+    ))]
+
     /// However asks come, twice, late or out of order: the tries let go stay under the store and the ceiling.
     #[test]
     fn never_over_the_whole_under_loss_delay_and_doubling(
@@ -143,6 +148,10 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_failure_persistence(
+        FileFailurePersistence::WithSource("proptest-regressions")
+    ))]
+
     /// Gateways that all hear no home any more: what they let go together follows from what homes granted before.
     #[test]
     fn gateways_that_hear_no_home_go_on_at_the_pace_that_homes_granted(
--- a/crates/quota/tests/lease.rs
+++ b/crates/quota/tests/lease.rs
@@ -2,6 +2,7 @@
 //! go stay within one store of the whole.
 
 use proptest::prelude::*;
+use proptest::test_runner::FileFailurePersistence;
 use saffronpaddle_quota::{Ask, Keeper, Loan, Memory, Micros, Start, Terms, Verdict, Wish, DRIFT, LOAN};
 use std::collections::BTreeMap;
 
@@ -159,7 +160,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: ProptestConfig::default().cases.max(400),
+        failure_persistence: Some(Box::new(FileFailurePersistence::WithSource("proptest-regressions"))),
+        ..ProptestConfig::default()
+    })]
 
     /// No word, and no want of one, brings a store of the whole under nothing.
     #[test]
--- a/crates/workset/tests/workset.rs
+++ b/crates/workset/tests/workset.rs
@@ -1,6 +1,7 @@
 //! How sets lie over a long list, and that sums are those of a walk.
 
 use proptest::prelude::*;
+use proptest::test_runner::FileFailurePersistence;
 use saffronpaddle_workset::{Median, Set, CARERS, SOUGHT, WHOLE};
 
 /// Servers' numbers, as hashes of names are spread.
@@ -124,6 +125,10 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_failure_persistence(
+        FileFailurePersistence::WithSource("proptest-regressions")
+    ))]
+
     #[test]
     fn a_gateways_place_in_a_servers_order_is_where_the_order_names_it(
         server: u64, gateways in 9_u32..5_000, me in 0_u32..5_000,
