Play the hard cases of the size: 8 processes and 500 hollow nodes as one fleet

One ledger judges all nodes: hollow ones tell it of each try, first byte, answer and end (crates/hollow/src/audit.rs, off in measurements). Front::client is public for it.

Trials with planted faults, each seen to fail: drains not believed, cold servers sent to without rights, all asks granted, homes that begin anew full, no end at the deadline, a short list not believed.

--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -10,14 +10,16 @@
 //!
 //! - [`tenants`]: who the tries are of, and what their quotas are.
 //! - [`figures`]: what is counted.
+//! - [`audit`]: what a ledger is told of them, and faults between them, where a test asks for it.
 //! - [`shard`]: the nodes of one process, and the words by which it is told what to do.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod audit;
 pub mod figures;
 mod list;
 mod node;
 pub mod shard;
 pub mod tenants;
 
-pub use shard::{serve, Spec};
+pub use shard::{serve, server_id, Spec};
--- a/crates/hollow/src/shard.rs
+++ b/crates/hollow/src/shard.rs
@@ -7,11 +7,15 @@
 //! - `load` and `rest`: tries begin, or end.
 //! - `restart SHARE`: that share of its nodes ends at once and starts anew; once all of these have a list again: how long each
 //!   took, µs.
+//! - `audit`: what was kept for a ledger since the last such word ([`Audited`](crate::audit::Audited)), if the first line says so.
+//! - `faults {...}`: what befalls its nodes from now on ([`Faults`](crate::audit::Faults)).
+//! - `renew SHARE`: as `restart`, without a wait for lists; `unlisted` says how many nodes have none.
 //! - `acted [[SEQ, AT], ...]`: for each change of the list, when the last of its nodes had acted on it, µs after AT (none where
 //!   one has not yet); and these spans over all nodes and changes.
 //!
 //! It ends with its standard input.
 
+use crate::audit::{Audit, Trial};
 use crate::figures::{Look, Spans, Sums, Why};
 use crate::list;
 use crate::node::{Node, Try};
@@ -136,6 +140,7 @@
     lag: RefCell<Spans>,
     added: RefCell<Spans>,
     complaints: Cell<u64>,
+    audit: RefCell<Audit>,
 }
 
 /// Serves the words of whoever started this process, until there are no more.
@@ -146,6 +151,7 @@
     let mut first = String::new();
     std::io::stdin().read_line(&mut first)?;
     let spec: Spec = serde_json::from_str(&first).context("its first line")?;
+    let trial: Trial = serde_json::from_str(&first).context("its first line")?;
     let (words, told) = mpsc::unbounded_channel();
     std::thread::spawn(move || {
         for line in std::io::stdin().lines().map_while(Result::ok) {
@@ -156,11 +162,11 @@
     });
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, run(spec, told))
+    local.block_on(&runtime, run(spec, trial, told))
 }
 
-async fn run(spec: Spec, mut told: mpsc::UnboundedReceiver<String>) -> Result<()> {
-    let shard = Rc::new(Shard::new(spec)?);
+async fn run(spec: Spec, trial: Trial, mut told: mpsc::UnboundedReceiver<String>) -> Result<()> {
+    let shard = Rc::new(Shard::new(spec, trial)?);
     say(&shard.look()?)?;
     shard.begin().await?;
     let driver = tokio::task::spawn_local(Rc::clone(&shard).drive());
@@ -182,6 +188,19 @@
                 shard.restart(rest.parse()?).await?;
                 say(&shard.listed_all(from).await)?;
             }
+            "renew" => {
+                shard.restart(rest.parse()?).await?;
+                say(&())?;
+            }
+            "unlisted" => {
+                let unlisted = |node: &&Rc<Node>| node.listed.get().is_none();
+                say(&shard.nodes.borrow().iter().filter(unlisted).count())?;
+            }
+            "audit" => say(&shard.audit.borrow_mut().take(shard.now()))?,
+            "faults" => {
+                shard.audit.borrow_mut().faults = serde_json::from_str(rest)?;
+                say(&())?;
+            }
             "acted" => say(&shard.acted_on(&serde_json::from_str::<Vec<(u64, Micros)>>(rest)?))?,
             _ => anyhow::bail!("an unknown word: {word}"),
         }
@@ -208,20 +227,22 @@
 }
 
 /// A server's id, as `saffronpaddle-node` has it: FNV-1a of its name.
-fn server_id(host: &str) -> ServerId {
+pub fn server_id(host: &str) -> ServerId {
     let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
     ServerId(host.bytes().fold(0xcbf2_9ce4_8422_2325, step))
 }
 
 impl Shard {
-    fn new(spec: Spec) -> Result<Shard> {
+    fn new(spec: Spec, trial: Trial) -> Result<Shard> {
         let named = setup::read(&spec.settings).map_err(anyhow::Error::msg)?;
         let tenants = Tenants::new(spec.tenants.0, spec.tenants.1, (spec.gateways, spec.tries), spec.spread);
         let drawn = (0..spec.nodes.1).map(|place| tenants.at(spec.nodes.0 + place)).collect();
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
         fastrand::seed(spec.seed);
+        let settings = Settings { working_set: true, fenced: trial.fenced, ..named.settings };
         Ok(Shard {
-            settings: Settings { working_set: true, ..named.settings },
+            audit: RefCell::new(Audit::new(trial, settings.rules)),
+            settings,
             started: (Instant::now(), unix),
             nodes: RefCell::default(),
             tenants,
@@ -299,6 +320,7 @@
                 let _ = task.await;
             }
             node.peers.take();
+            self.audit.borrow_mut().ended(self.now(), node.me.0, node.tries.borrow().keys());
             let fresh = self.node(place, life).await?;
             self.figures.borrow_mut().cut += node.tries.borrow().len() as u64;
             self.nodes.borrow_mut()[place] = Rc::clone(&fresh);
@@ -372,7 +394,12 @@
         let Some(node) = node.filter(|node| node.life == due.life) else { return };
         match due.what {
             What::Wake(token) => self.happened(&node, Event::Tell(ModuleEvent::Woke { token }), Why::Wake),
-            What::Happens(event) => self.happened(&node, event, Why::Request),
+            What::Happens(event) => {
+                if let Event::Replied { link, .. } = &event {
+                    self.audit.borrow_mut().over(self.now(), node.me.0, *link);
+                }
+                self.happened(&node, event, Why::Request);
+            }
             What::Alarm => {
                 if node.alarm.get() == due.at {
                     node.alarm.set(Micros::MAX);
@@ -415,13 +442,15 @@
                 self.figures.borrow_mut().connects += 1;
                 self.later(node, now + HANDSHAKE, What::Happens(Event::Connected { link }));
             }
-            Command::Send { link, id, .. } => {
+            Command::Send { link, id, server } => {
+                self.audit.borrow_mut().sends(node.me.0, link, &id, server);
                 node.on.borrow_mut().insert(link, id);
                 events.push_back(Event::Begin { link, quiet: true });
             }
             Command::Write { link } => self.works(node, now, link),
             Command::Close { link } => {
                 node.on.borrow_mut().remove(&link);
+                self.audit.borrow_mut().closed(now, node.me.0, link);
                 events.push_back(Event::Closed { link });
             }
             Command::Answer { id, verdict } => self.answered(node, now, &id, verdict),
@@ -477,6 +506,7 @@
             };
             (server, entry.dial)
         };
+        self.audit.borrow_mut().listed(self.now(), node.me.0, list, server_id);
         let entries = list.hosts.iter().map(|host| entry(Entry::from(host))).collect();
         self.happened(node, Event::Listed { whole: list.whole, entries }, Why::List);
         let now = self.now();
@@ -536,6 +566,7 @@
             patience,
             whole: true,
         };
+        self.audit.borrow_mut().asked(self.now(), &id, node.me.0, tenant.id, class);
         node.tries.borrow_mut().insert(id, Try { due, class, work: 0 });
         let deadline = self.now() + patience;
         self.happened(node, Event::Asked { effect, deadline, tell }, Why::Request);
@@ -553,10 +584,12 @@
         let work = (mean * (0.5 + draw)) as Micros;
         of.into_iter().for_each(|of| of.work += work);
         drop(tries);
+        let Some(work) = self.audit.borrow_mut().written(now, (node.me.0, link), work) else { return };
         self.later(node, now + work, What::Happens(Event::Replied { link, outcome: Outcome::Ok }));
     }
 
     fn answered(&self, node: &Rc<Node>, now: Micros, id: &RequestId, verdict: Verdict) {
+        self.audit.borrow_mut().answered(now, id, verdict);
         let Some(of) = node.tries.borrow_mut().remove(id) else { return };
         let mut figures = self.figures.borrow_mut();
         match verdict {
@@ -631,7 +664,9 @@
                 figures.taken.0 += 1;
                 figures.taken.1 += bytes.len() as u64;
             }
-            shard.happened(&node, Event::Tell(ModuleEvent::Peer { from, bytes }), Why::Word);
+            if shard.audit.borrow_mut().hears(from.0, node.me.0) {
+                shard.happened(&node, Event::Tell(ModuleEvent::Peer { from, bytes }), Why::Word);
+            }
         }
     }
 }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -260,8 +260,8 @@
         while clients.join_next().await.is_some() {}
     }
 
-    /// One client's request, with its retries.
-    async fn client(&self, customer: Customer, class: usize) {
+    /// One client's request, with its retries; comes back when the last try has ended.
+    pub async fn client(&self, customer: Customer, class: usize) {
         let key = self.fleet.classes[class].keyed.then(|| format!("{:032x}", fastrand::u128(..)));
         let mut patience = Patience::begin(self.world.now(), key.is_some());
         loop {
