--- a/crates/bench/src/scale/mod.rs
+++ b/crates/bench/src/scale/mod.rs
@@ -374,7 +374,7 @@
     }
     let (full, text) = rig.service.texts;
     let note = if text < full {
-        "with all of the platform's fields it is longer than the 4 MiB that a node takes"
+        "with all of the platform's fields it is longer than what a node takes"
     } else {
         ""
     };
--- a/crates/bench/src/scale/service.rs
+++ b/crates/bench/src/scale/service.rs
@@ -2,6 +2,7 @@
 //! stays small beside that of thousands of nodes; what a stand-in notes of each node is left out.
 
 use anyhow::Result;
+use saffronpaddle_hollow::LIST_MOST;
 use saffronpaddle_standins::wire::Wire;
 use saffronpaddle_standins::World;
 use std::collections::BTreeMap;
@@ -17,9 +18,6 @@
 /// stroke, as the agents of thousands of machines do not give them.
 const SIGN_OF_LIFE: Duration = Duration::from_secs(2);
 
-/// Most bytes of one list that a node takes (`saffronpaddle-node`); a longer one is written without the fields that may be left out.
-const LIST_MOST: usize = 4 << 20;
-
 /// A server on the list.
 #[derive(Clone, Debug)]
 struct Server {
@@ -33,7 +31,7 @@
 struct List {
     seq: u64,
     servers: Vec<Server>,
-    /// Whether fields that may be left out are.
+    /// Whether fields that may be left out are: with them it would be longer than what a node takes.
     short: bool,
     /// Which servers changed with each version from 2 on.
     changed: Vec<Vec<usize>>,
--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod shard;
 pub mod tenants;
 
+pub use list::LIST_MOST;
 pub use shard::{serve, server_id, Spec};
--- a/crates/hollow/src/list.rs
+++ b/crates/hollow/src/list.rs
@@ -23,7 +23,7 @@
 /// As in `saffronpaddle-node`: a watch that says nothing for so long is taken for dead.
 const SILENT_FOR: Duration = Duration::from_secs(3);
 /// And the most bytes of one list.
-const LIST_MOST: usize = 40_000 * 256;
+pub const LIST_MOST: usize = 40_000 * 256;
 
 struct Driver(JoinHandle<()>);
 
