Tell what a warm server does by those that did it, not by the few that are left

Cause: cold.rs set `served`, a mean over seconds, beside the servers that are warm at this moment (`pace` in look_for_warm, `does` in credit), so what one does looked up to twice as much as servers fell away. Change: the mean of the warm servers over the same ticks stands below the line, or those of now where they are more; it only ever sends less. Test: of twelve servers four are left and one comes cold; it got 12 sends for a bound of 10 without the change, and keeps to it with it. Decision and warm-up tests pass.

--- a/crates/decision/src/cold.rs
+++ b/crates/decision/src/cold.rs
@@ -96,13 +96,25 @@
         self.servers.ready().1 - cold.count() as f64
     }
 
+    /// What one warm server does a second for this gateway, where so many are warm now. Danger: answers of the last seconds set
+    /// beside the few that are left of those that gave them: cold servers pushed over by as many times what one can do.
+    fn does(&self, warm: f64) -> f64 {
+        self.served.now() / self.warmed.now().max(warm)
+    }
+
+    /// Takes in a tick: how many warm servers gave the answers that were counted in it.
+    pub(crate) fn count_warm(&mut self, now: Micros, weight: f64) {
+        let warm = self.warm(now);
+        self.warmed.add(warm, weight);
+    }
+
     /// Notes whether warm servers tell enough.
     pub(crate) fn look_for_warm(&mut self, now: Micros) {
         let warm = self.warm(now);
         let lately = self.fresh().any(|server| self.is_warming(server, now));
         let ready = self.servers.ready().1;
         let few = ready > 0.0 && warm < WARM_FEW * ready;
-        self.pace = if few || ready == 0.0 { self.pace } else { self.served.now() / warm };
+        self.pace = if few || ready == 0.0 { self.pace } else { self.does(warm) };
         // Danger: a fleet in service, all of whose servers are replaced, that forgets what such servers can do.
         let told = self.pace > COLD_BLIND / self.servers.cover();
         // Once they are warm, it ends with the first look at which nothing waits.
@@ -204,7 +216,7 @@
         let gateways = self.servers.cover();
         // What one warm server does for this gateway; where none is, what one did. Danger: a few that have just become warm
         // taken for the ones that do what all do together.
-        let does = if warm > 0.0 { self.served.now() / warm } else { self.pace };
+        let does = if warm > 0.0 { self.does(warm) } else { self.pace };
         let known = does.min(self.pace * PACE_MOST) * COLD_SAFE * rules.fall_multiple;
         let rate = known.max(COLD_BLIND / gateways) * span;
         let kept = (COLD_KEEPERS / gateways).clamp(COLD_KEPT, 1.0);
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -697,6 +697,7 @@
         let span = TICK as f64 / 1e6;
         let weight = if self.wide { SERVED_WEIGHT } else { span / 4.0 };
         self.served.add(self.done / span, weight);
+        self.count_warm(now, weight);
         self.done = 0.0;
         self.typical = self.servers.median_wait().unwrap_or(self.shortest_aim * FIRST_WAIT);
         let out = self.all_attempts().count() as f64;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -459,6 +459,8 @@
     pub(crate) newer: Vec<bool>,
     /// Answers a second at one gateway, and those since the last tick.
     pub(crate) served: Mean,
+    /// How many servers were warm over the same time.
+    pub(crate) warmed: Mean,
     pub(crate) done: f64,
     pub(crate) retries: f64,
     /// When the next wake-up, gossip and tick are due.
@@ -544,6 +546,7 @@
             lately: vec![0; settings.gateways as usize],
             newer: vec![false; settings.gateways as usize],
             served: Mean::default(),
+            warmed: Mean::default(),
             done: 0.0,
             retries: 0.0,
             woken: Micros::MAX,
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -997,6 +997,40 @@
     assert!((0.8 * bears..2.0 * bears).contains(&(cold as f64)), "{cold} of {bears}");
 }
 
+/// Danger: what all servers did lately, taken for the work of the few that are left: a cold one is sent several times what it bears.
+#[test]
+fn what_a_server_does_is_told_by_the_servers_that_did_it_when_most_of_them_fall_away() {
+    let mut fleet = Fleet::new(30, 12, |_| {});
+    let mut customer = 1000;
+    let (mut warm, mut cold) = (0, 0);
+    for round in 0..60 {
+        if round == 50 {
+            for stand in &mut fleet.stands {
+                let gone = |server| ServerEntry { standing: Standing::Gone, ..entry(server) };
+                let fresh = ServerEntry { started: Some(stand.now), ..entry(99) };
+                let entries = (4..12).map(gone).chain([fresh]).collect();
+                stand.servers(ListKind::Changes, entries);
+            }
+        }
+        for place in 0..fleet.stands.len() {
+            customer += 1;
+            fleet.stands[place].request(SAFE, 1, customer, 2 * S);
+            fleet.collect(place);
+        }
+        fleet.pass(80 * MS);
+        let at = |of: fn(u64) -> bool| {
+            let all = fleet.stands.iter().flat_map(|stand| &stand.out);
+            all.filter(|(_, _, server)| of(server.0)).count()
+        };
+        warm += if (20..50).contains(&round) { at(|server| server < 12) } else { 0 };
+        cold += at(|server| server == 99);
+        fleet.serve_all();
+    }
+    // One of twelve did this many in ten rounds; a cold one has a fifth of its capacity, and is sent 1.2 times what that makes.
+    let bears = warm as f64 / 30.0 * 10.0 / 12.0 * 0.2;
+    assert!(bears > 3.0 && cold as f64 <= 2.0 * bears, "{cold} of {bears}");
+}
+
 /// Cut off, tries do not wait for homes: most are decided at once, and an ask now and then finds out when that is over.
 #[test]
 fn a_gateway_that_hears_nobody_decides_at_once_and_probes() {
