Say once what the module is told of a listed server, and when unwatched clients are looked at

Found by reading again. Hollow nodes had a copy of the node's server ids and of how an entry of the list becomes the module's: both now call saffronpaddle_node::listed. The loop that accepts clients and the one that serves them out each had the same two branches for unwatched connections: one `Soon` serves both; what it has waited for is kept where a round of the loop drops it. Two tests of fleets share their round, two of crowds what slow clients do; each keeps its assertions.

--- a/crates/crowd/src/tests.rs
+++ b/crates/crowd/src/tests.rs
@@ -17,6 +17,18 @@
     assert!(!limits.over(60_000 * MS, &Seat { busy: true, ..seat }));
 }
 
+/// Slow good clients write a piece each 200 ms for 2 s; how many have written all.
+fn go_on(seats: &mut Vec<(bool, Seat)>, now: Duration) -> usize {
+    for (good, seat) in &mut *seats {
+        if *good && (now - seat.came).as_millis().is_multiple_of(200) {
+            (seat.last, seat.head) = (now, Some(seat.head.unwrap_or(now)));
+        }
+    }
+    let before = seats.len();
+    seats.retain(|(good, seat)| !(*good && now - seat.came >= 2000 * MS));
+    before - seats.len()
+}
+
 /// A crowd of thousands comes, each of which stops somewhere before the end of its head; slow good clients write a piece
 /// each 200 ms for 2 s. None of them has to go, however the others come.
 #[test]
@@ -26,14 +38,7 @@
     let (mut done, mut lost) = (0, 0);
     for step in 0..10_000u64 {
         let now = 5 * MS * step as u32;
-        for (good, seat) in &mut seats {
-            if *good && (now - seat.came).as_millis().is_multiple_of(200) {
-                (seat.last, seat.head) = (now, Some(seat.head.unwrap_or(now)));
-            }
-        }
-        let before = seats.len();
-        seats.retain(|(good, seat)| !(*good && now - seat.came >= 2000 * MS));
-        done += before - seats.len();
+        done += go_on(&mut seats, now);
         seats.retain(|(good, seat)| {
             let over = limits.over(now, seat);
             lost += usize::from(*good && over);
@@ -131,14 +136,7 @@
     let (mut done, mut lost, mut batches) = (0, 0, 0);
     for step in 0..2000u64 {
         let now = 5 * MS * step as u32;
-        for (good, seat) in &mut seats {
-            if *good && (now - seat.came).as_millis().is_multiple_of(200) {
-                (seat.last, seat.head) = (now, Some(seat.head.unwrap_or(now)));
-            }
-        }
-        let before = seats.len();
-        seats.retain(|(good, seat)| !(*good && now - seat.came >= 2000 * MS));
-        done += before - seats.len();
+        done += go_on(&mut seats, now);
         // 200 a second that stop, half of them after some bytes; 10 that go on; and now and then 300 at once that say nothing.
         let burst = if step % 200 == 100 { 300 } else { 0 };
         let head = (step % 2 == 0).then_some(now);
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -961,6 +961,24 @@
     );
 }
 
+/// Each node of a fleet is asked once by a new customer, and all that was sent is served: how much of it went to the twelve that are
+/// warm, and to 99.
+fn a_round(fleet: &mut Fleet, customer: &mut u64) -> (usize, usize) {
+    for place in 0..fleet.stands.len() {
+        *customer += 1;
+        fleet.stands[place].request(SAFE, 1, *customer, 2 * S);
+        fleet.collect(place);
+    }
+    fleet.pass(80 * MS);
+    let at = |of: fn(u64) -> bool| {
+        let all = fleet.stands.iter().flat_map(|stand| &stand.out);
+        all.filter(|(_, _, server)| of(server.0)).count()
+    };
+    let sent = (at(|server| server < 12), at(|server| server == 99));
+    fleet.serve_all();
+    sent
+}
+
 /// Danger: a fleet that has just come up, whose mean of what servers do began at nought: it takes them for slow, and sends one
 /// that warms up a part of what it bears.
 #[test]
@@ -975,19 +993,9 @@
                 stand.servers(ListKind::Changes, vec![ServerEntry { started, ..entry(99) }]);
             }
         }
-        for place in 0..fleet.stands.len() {
-            customer += 1;
-            fleet.stands[place].request(SAFE, 1, customer, 2 * S);
-            fleet.collect(place);
-        }
-        fleet.pass(80 * MS);
-        let at = |of: fn(u64) -> bool| {
-            let all = fleet.stands.iter().flat_map(|stand| &stand.out);
-            all.filter(|(_, _, server)| of(server.0)).count()
-        };
-        warm += if round < 36 { at(|server| server < 12) } else { 0 };
-        cold += at(|server| server == 99);
-        fleet.serve_all();
+        let (at_warm, at_cold) = a_round(&mut fleet, &mut customer);
+        warm += if round < 36 { at_warm } else { 0 };
+        cold += at_cold;
     }
     // One of twelve warm servers does this many in the 24 rounds in which the cold one has from 0.2 to 0.4 of its capacity; a
     // fleet sends it 1.2 times what that makes.
@@ -1012,19 +1020,9 @@
                 stand.servers(ListKind::Changes, entries);
             }
         }
-        for place in 0..fleet.stands.len() {
-            customer += 1;
-            fleet.stands[place].request(SAFE, 1, customer, 2 * S);
-            fleet.collect(place);
-        }
-        fleet.pass(80 * MS);
-        let at = |of: fn(u64) -> bool| {
-            let all = fleet.stands.iter().flat_map(|stand| &stand.out);
-            all.filter(|(_, _, server)| of(server.0)).count()
-        };
-        warm += if (20..50).contains(&round) { at(|server| server < 12) } else { 0 };
-        cold += at(|server| server == 99);
-        fleet.serve_all();
+        let (at_warm, at_cold) = a_round(&mut fleet, &mut customer);
+        warm += if (20..50).contains(&round) { at_warm } else { 0 };
+        cold += at_cold;
     }
     // One of twelve did this many in ten rounds; a cold one has a fifth of its capacity, and is sent 1.2 times what that makes.
     let bears = warm as f64 / 30.0 * 10.0 / 12.0 * 0.2;
--- a/crates/hollow/src/lib.rs
+++ b/crates/hollow/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod tenants;
 
 pub use list::LIST_MOST;
-pub use shard::{serve, server_id, Spec};
+pub use saffronpaddle_node::listed::server_id;
+pub use shard::{serve, Spec};
--- a/crates/hollow/src/shard.rs
+++ b/crates/hollow/src/shard.rs
@@ -23,12 +23,13 @@
 use anyhow::{Context, Result};
 use nix::time::{clock_gettime, ClockId};
 use saffronpaddle_decision::interface::{
-    Action, CellId, ClassId, CustomerId, Event as ModuleEvent, GatewayId, Micros, Outcome, PlanId, RequestId,
-    ServerEntry, ServerId, Settings, Standing, ZoneId,
+    Action, ClassId, CustomerId, Event as ModuleEvent, GatewayId, Micros, Outcome, PlanId, RequestId,
+    Settings, ZoneId,
 };
 use saffronpaddle_decision::setup;
 use saffronpaddle_exchange::{Bounds, Command, Event, LinkId, Verdict};
 use saffronpaddle_node::config::{List, PeerAddresses};
+use saffronpaddle_node::listed::{server_entry, server_id};
 use saffronpaddle_node::peers::Peers;
 use saffronpaddle_roster::Entry;
 use serde::{Deserialize, Serialize};
@@ -237,12 +238,6 @@
     Ok(line.split_whitespace().next().context("VmRSS")?.parse::<u64>()? * 1024)
 }
 
-/// A server's id, as `saffronpaddle-node` has it: FNV-1a of its name.
-pub fn server_id(host: &str) -> ServerId {
-    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    ServerId(host.bytes().fold(0xcbf2_9ce4_8422_2325, step))
-}
-
 impl Shard {
     fn new(spec: Spec, trial: Trial) -> Result<Shard> {
         let named = setup::read(&spec.settings).map_err(anyhow::Error::msg)?;
@@ -509,24 +504,9 @@
 
     /// A list has come; when it was acted on is noted.
     pub fn listed(&self, node: &Rc<Node>, list: &List) {
-        let zone = |name: &str| self.spec.zones.iter().position(|zone| zone == name);
-        let entry = |entry: Entry| {
-            let server = ServerEntry {
-                server: server_id(&entry.host),
-                zone: ZoneId(zone(&entry.site).map_or(u32::MAX, |place| place as u32)),
-                cell: CellId(entry.block),
-                standing: match entry.standing {
-                    saffronpaddle_roster::Standing::Ready => Standing::Ready,
-                    saffronpaddle_roster::Standing::Draining => Standing::Draining,
-                    saffronpaddle_roster::Standing::Gone => Standing::Gone,
-                },
-                size: entry.share,
-                started: (entry.born_ms > 0).then_some(entry.born_ms.saturating_mul(1000)),
-            };
-            (server, entry.dial)
-        };
         self.audit.borrow_mut().listed(self.now(), node.me.0, list, server_id);
-        let entries = list.hosts.iter().map(|host| entry(Entry::from(host))).collect();
+        let entry = |host| server_entry(&Entry::from(host), &self.spec.zones);
+        let entries = list.hosts.iter().map(entry).collect();
         self.happened(node, Event::Listed { whole: list.whole, entries }, Why::List);
         let now = self.now();
         self.figures.borrow_mut().list.2 += 1;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -238,6 +238,32 @@
     }
 }
 
+/// When unwatched connections are looked at next.
+struct Soon {
+    /// Told where there is one that was none before.
+    unwatched: Rc<Notify>,
+    /// None while there is none.
+    at: Option<Instant>,
+}
+
+impl Soon {
+    /// Comes back when they are to be looked at. What has been waited for is kept where this is dropped before.
+    async fn due(&mut self) {
+        if self.at.is_none() {
+            self.unwatched.notified().await;
+            self.again(true);
+        }
+        if let Some(at) = self.at {
+            tokio::time::sleep_until(at).await;
+        }
+    }
+
+    /// They have been looked at; whether there are more.
+    fn again(&mut self, more: bool) {
+        self.at = more.then(|| Instant::now() + UNWATCHED_EVERY);
+    }
+}
+
 /// Whether a connection that could not be accepted is alone in that.
 fn is_its_own(error: &io::Error) -> bool {
     use io::ErrorKind::{ConnectionAborted, ConnectionReset, Interrupted};
@@ -252,10 +278,7 @@
     let (mut crowd, mut backlog) = (Crowd::new(), Backlog::new(listener));
     let mut look = tokio::time::interval(LOOK_EVERY);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let unwatched = Rc::clone(&crowd.unwatched);
-    let soon = tokio::time::sleep(Duration::ZERO);
-    tokio::pin!(soon);
-    let mut looks_soon = false;
+    let mut soon = Soon { unwatched: Rc::clone(&crowd.unwatched), at: None };
     let mut standing = phase.clone();
     let closed = reached(phase.clone(), Phase::Closing);
     tokio::pin!(closed);
@@ -295,14 +318,7 @@
             () = &mut closed => break,
             Ok(()) = standing.changed() => {}
             _ = look.tick() => crowd.look(),
-            () = unwatched.notified(), if !looks_soon => {
-                soon.as_mut().reset(Instant::now() + UNWATCHED_EVERY);
-                looks_soon = true;
-            }
-            () = &mut soon, if looks_soon => {
-                looks_soon = crowd.look_at_unwatched();
-                soon.as_mut().reset(Instant::now() + UNWATCHED_EVERY);
-            }
+            () = soon.due() => soon.again(crowd.look_at_unwatched()),
             // One that ends, by itself or not, has closed its socket.
             Some(_) = crowd.tasks.join_next(), if full => {
                 lacks = false;
@@ -326,14 +342,7 @@
                 break;
             },
             _ = look.tick() => crowd.look(),
-            () = unwatched.notified(), if !looks_soon => {
-                soon.as_mut().reset(Instant::now() + UNWATCHED_EVERY);
-                looks_soon = true;
-            }
-            () = &mut soon, if looks_soon => {
-                looks_soon = crowd.look_at_unwatched();
-                soon.as_mut().reset(Instant::now() + UNWATCHED_EVERY);
-            }
+            () = soon.due() => soon.again(crowd.look_at_unwatched()),
         }
     }
     if let Some(front) = &node.front {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod handover;
 mod heads;
 mod life;
+pub mod listed;
 mod manager;
 mod node;
 pub mod peers;
--- /dev/null
+++ b/crates/node/src/listed.rs
@@ -0,0 +1,30 @@
+//! What the decision module and the exchange are told of an app server on the list.
+
+use saffronpaddle_decision::interface::{CellId, ServerEntry, ServerId, Standing, ZoneId};
+use saffronpaddle_roster::Entry;
+use std::net::SocketAddr;
+
+/// A server's id, the same at every edge node: FNV-1a of its name.
+pub fn server_id(host: &str) -> ServerId {
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    ServerId(host.bytes().fold(0xcbf2_9ce4_8422_2325, step))
+}
+
+/// An entry of the list, and where its server is found. `zones` are the names that the settings have, in their order; a zone
+/// that is not among them is none of them.
+pub fn server_entry(entry: &Entry, zones: &[String]) -> (ServerEntry, SocketAddr) {
+    let zone = zones.iter().position(|zone| **zone == *entry.site);
+    let server = ServerEntry {
+        server: server_id(&entry.host),
+        zone: ZoneId(zone.map_or(u32::MAX, |place| place as u32)),
+        cell: CellId(entry.block),
+        standing: match entry.standing {
+            saffronpaddle_roster::Standing::Ready => Standing::Ready,
+            saffronpaddle_roster::Standing::Draining => Standing::Draining,
+            saffronpaddle_roster::Standing::Gone => Standing::Gone,
+        },
+        size: entry.share,
+        started: (entry.born_ms > 0).then_some(entry.born_ms.saturating_mul(1000)),
+    };
+    (server, entry.dial)
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,6 +6,7 @@
 use crate::config::{Health, Host, List};
 use crate::discovery::Words;
 use crate::handover::Links;
+use crate::listed::server_entry;
 use crate::peers::Peers;
 use crate::sockets::{Front, Switched};
 use crate::upstream::{Forward, Upstream};
@@ -14,8 +15,7 @@
 use hyper::StatusCode;
 use saffronpaddle_admin::{End, Figures};
 use saffronpaddle_decision::interface::{
-    Action, CellId, ClassId, Event as ModuleEvent, GatewayId, Micros, RequestId, ServerEntry, ServerId,
-    Standing, ZoneId,
+    Action, ClassId, Event as ModuleEvent, GatewayId, Micros, RequestId, ServerEntry, Standing,
 };
 use saffronpaddle_decision::setup::Named;
 use saffronpaddle_decision::{Gateway, Kept};
@@ -440,22 +440,7 @@
     }
 
     fn take_list(self: &Rc<Self>, list: &[Entry], whole: bool) {
-        let zone = |name: &str| self.named.zones.iter().position(|zone| zone == name);
-        let entries = list.iter().map(|entry| {
-            let server = ServerEntry {
-                server: server_id(&entry.host),
-                zone: ZoneId(zone(&entry.site).map_or(u32::MAX, |place| place as u32)),
-                cell: CellId(entry.block),
-                standing: match entry.standing {
-                    saffronpaddle_roster::Standing::Ready => Standing::Ready,
-                    saffronpaddle_roster::Standing::Draining => Standing::Draining,
-                    saffronpaddle_roster::Standing::Gone => Standing::Gone,
-                },
-                size: entry.share,
-                started: (entry.born_ms > 0).then_some(entry.born_ms.saturating_mul(1000)),
-            };
-            (server, entry.dial)
-        });
+        let entries = list.iter().map(|entry| server_entry(entry, &self.named.zones));
         let entries: Vec<(ServerEntry, SocketAddr)> = entries.collect();
         if let Some(front) = &self.front {
             let told =
@@ -470,9 +455,3 @@
         self.merge.borrow_mut().get_or_insert_with(Merge::new);
     }
 }
-
-/// A server's id, the same at every edge node: FNV-1a of its name.
-fn server_id(host: &str) -> ServerId {
-    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    ServerId(host.bytes().fold(0xcbf2_9ce4_8422_2325, step))
-}
