--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -1,7 +1,9 @@
 //! The machine itself.
 
 use crate::table::{Alarms, ByNumber, Link, Out, Place, Ran, Row, Stage, State};
-use crate::{Bounds, Bug, Bugs, Command, Event, LinkId, Module, Sound, Ticket, Verdict};
+use crate::{
+    Bounds, Bug, Bugs, Command, Event, LinkId, Module, OpenRequest, Sound, Ticket, Verdict, WaitsFor,
+};
 use saffronpaddle_admin::{End, Tally};
 use saffronpaddle_decision::interface::{
     Action, AttemptNo, Effect, Event as ModuleEvent, Group, ListKind, Micros, Outcome, RequestId,
@@ -94,6 +96,18 @@
         (self.rows.len(), self.links.len())
     }
 
+    /// The requests that have no final answer yet, in no order.
+    pub fn open_requests(&self) -> impl Iterator<Item = OpenRequest> + '_ {
+        let state = |link: LinkId| self.links.get(&link).map(|link| link.state);
+        self.rows.iter().filter(|(_, row)| row.open).map(move |(id, row)| OpenRequest {
+            id: id.clone(),
+            class: row.class,
+            deadline: row.deadline,
+            attempts: row.attempts,
+            waits_for: WaitsFor::of(row, state),
+        })
+    }
+
     /// Other bounds on connections from now on; those beyond it go as they fall idle and room is wanted.
     pub fn set_most_links(&mut self, most: usize) {
         self.bounds.links = most;
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -13,10 +13,12 @@
 
 mod bugs;
 mod exchange;
+mod open;
 mod table;
 
 pub use bugs::{Bug, Bugs, Sound};
 pub use exchange::Exchange;
+pub use open::{OpenRequest, WaitsFor};
 
 use saffronpaddle_decision::interface::{
     Action, Effect, Event as ModuleEvent, Micros, Outcome, RequestId, ServerEntry, ServerId,
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -415,6 +415,13 @@
         }
     }
 
+    /// When the process ends at the latest, once it was told to stop.
+    pub fn ends(&self) -> Option<Time> {
+        let until = self.until.filter(|_| self.state >= State::Draining)?;
+        let more = if self.state == State::Draining { self.limits.finish_within } else { Duration::ZERO };
+        Some(until.saturating_add(more))
+    }
+
     /// After how long [`Event::Seen`] is wanted again; `None` where readiness hangs on nothing.
     pub fn look_after(&self) -> Option<Duration> {
         let span = if self.state == State::Starting { Self::NEXT_STARTING } else { Self::NEXT };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod seats;
 pub mod serve;
 mod shared;
+mod shutdown;
 mod sockets;
 mod upstream;
 
--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -5,6 +5,7 @@
 use crate::facts::Facing;
 use crate::manager::Manager;
 use crate::node::Node;
+use crate::shutdown;
 use saffronpaddle_admin::Call;
 use saffronpaddle_lifecycle::{Action, Event, Lifecycle, Limits, State};
 use std::future::{pending, Future};
@@ -12,6 +13,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, sleep_until, Instant};
+use tracing::info;
 
 /// What a node is told from outside.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +59,17 @@
         }
     }
 
+    /// Tells the log that the node stops, and when it ends at the latest.
+    fn tell_stop(&self, now: Duration) {
+        let ends_in = self.machine.ends().map(|ends| ends.saturating_sub(now));
+        info!(
+            state = self.machine.state().name(),
+            ends_in_ms = ends_in.map(|span| span.as_millis() as u64),
+            open_requests = self.facing.node().open_requests().len(),
+            "told to stop"
+        );
+    }
+
     /// When something must be looked at or ends by itself.
     fn next(&self, looked: Instant) -> Option<Instant> {
         let until = self.machine.until().map(|until| self.born + until);
@@ -105,6 +118,9 @@
                     Action::Exit => gone = true,
                 }
             }
+            if matches!(self.machine.state(), State::Draining) && before.phase < Phase::Leaving {
+                self.tell_stop(now);
+            }
             let (ready, why) = (self.machine.ready(), self.machine.reasons());
             // Until then all that was taken is answered.
             let ends = self.machine.until().filter(|_| self.machine.state() == State::Closing);
@@ -118,6 +134,7 @@
                 let _ = asked.answer.send(self.answer(asked.call));
             }
             if gone {
+                shutdown::tell("gone", self.facing.node());
                 // The last words are worth a moment, but no more: the manager also sees the process end.
                 self.manager.retry();
                 return;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,7 +19,7 @@
 };
 use saffronpaddle_decision::setup::Named;
 use saffronpaddle_decision::{Gateway, Kept};
-use saffronpaddle_exchange::{Bounds, Command, Event, Exchange, Ticket, Verdict};
+use saffronpaddle_exchange::{Bounds, Command, Event, Exchange, OpenRequest, Ticket, Verdict};
 use saffronpaddle_roster::{Change, Entry, Merge, Source};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -29,6 +29,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tracing::debug;
 
 /// Rounds of the loop between an alarm and what comes of it: the driver's, the connection's, the exchange's.
 const LATE_LOOKS: usize = 3;
@@ -186,6 +187,7 @@
     /// the exchange is never entered twice. A payload goes with the answer that it belongs to.
     pub fn happened(self: &Rc<Self>, event: Event<SocketAddr>, payload: Option<Payload>) {
         let mut commands = Vec::new();
+        debug!(?event, "exchange");
         self.exchange.borrow_mut().handle(self.clock.now(), event, &mut commands);
         self.alarm.set(self.exchange.borrow().next_alarm());
         let mut payload = payload;
@@ -226,6 +228,13 @@
         self.exchange.borrow().ready()
     }
 
+    /// The requests that have no final answer yet; those that have been open longest first.
+    pub fn open_requests(&self) -> Vec<OpenRequest> {
+        let mut open: Vec<OpenRequest> = self.exchange.borrow().open_requests().collect();
+        open.sort_by_key(|request| request.deadline);
+        open
+    }
+
     /// The figures as staff are told them.
     pub fn figures(&self) -> String {
         self.with_figures(|figures| figures.told())
@@ -296,6 +305,7 @@
     }
 
     fn carry_out(self: &Rc<Self>, command: Command<SocketAddr>, payload: &mut Option<Payload>) {
+        debug!(?command, "exchange");
         match command {
             Command::Connect { link, dial } => self.upstream.connect(self, link, dial),
             Command::Send { link, id, server } => {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -11,6 +11,7 @@
 use crate::node::Node;
 use crate::peers::{self, Peers};
 use crate::roster;
+use crate::shutdown;
 use crate::upstream::Upstream;
 use anyhow::{Context, Result};
 use saffronpaddle_lifecycle::{Lifecycle, Limits};
@@ -272,6 +273,7 @@
             tokio::task::spawn_local(Rc::clone(&node).tell_counts(counts_every)),
             tokio::task::spawn_local(clients::late::prove()),
             tokio::task::spawn_local(life::feed(Rc::clone(&node), Rc::clone(&manager))),
+            tokio::task::spawn_local(shutdown::tell_open_requests(Rc::clone(&node), seen.clone())),
         ];
         let clients = clients::serve(self.listener, self.shared, node, self.seats, seen);
         let clients = tokio::task::spawn_local(clients);
--- a/crates/saffronpaddle/src/main.rs
+++ b/crates/saffronpaddle/src/main.rs
@@ -4,6 +4,7 @@
 mod call;
 mod demo;
 mod fleet;
+mod log;
 
 use anyhow::{Context, Result};
 use lexopt::prelude::*;
@@ -81,6 +82,7 @@
         }
     }
     let named = || std::env::var_os("SAFFRONPADDLE_OPERATOR").filter(|name| !name.is_empty());
+    log::start()?;
     serve::run(operator.or_else(named).map(PathBuf::from))?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -502,6 +502,11 @@
         self.log.recv_timeout(PATIENCE).expect("a line of the log")
     }
 
+    /// The lines of its log that were written and not read yet.
+    pub fn log_so_far(&self) -> Vec<String> {
+        self.log.try_iter().collect()
+    }
+
     /// Waits for its end.
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("it ends")
