Give no request more time than its process has, and keep one guard for every step

Cause: a process that is told to stop reckoned with its longest deadline, and only requests read while it closed were bounded by its end at all. The platform kills 0.7 s after the longest deadline or 3 s, whichever is shorter.

The exchange cuts every request to it, those that are open too, and refuses what comes later; clients are told that trying again is harmless where it is. Sends, repeats, first bytes and last pieces pass one guard with typed denials; six invariants are looked at from the tables and counted in the figures. The checker has a world of its own and a planted fault (EndForgotten).

--- a/crates/exchange/src/bugs.rs
+++ b/crates/exchange/src/bugs.rs
@@ -55,11 +55,13 @@
     EarlyAnswerKept,
     /// A request counts as one that may have run before its last byte went.
     RunsBeforeWhole,
+    /// Requests that are open when the process is told to stop keep their own time.
+    EndForgotten,
 }
 
 impl Bug {
     /// All of them.
-    pub const ALL: [Bug; 26] = [
+    pub const ALL: [Bug; 27] = [
         Bug::AnswerAfterCancel,
         Bug::CancelWithoutClose,
         Bug::ResendAfterFirstByte,
@@ -86,6 +88,7 @@
         Bug::PassingCalledOff,
         Bug::EarlyAnswerKept,
         Bug::RunsBeforeWhole,
+        Bug::EndForgotten,
     ];
 }
 
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -1,8 +1,10 @@
 //! The machine itself.
 
+use crate::guard::{self, Facts};
 use crate::table::{Alarms, ByNumber, Link, Out, Place, Ran, Row, Stage, State};
 use crate::{
-    Bounds, Bug, Bugs, Command, Event, LinkId, Module, OpenRequest, Sound, Ticket, Verdict, WaitsFor,
+    Bounds, Bug, Bugs, Command, Denial, Event, Invariant, LinkId, Module, OpenRequest, Sound, Ticket,
+    Verdict, Violation, Violations, WaitsFor,
 };
 use saffronpaddle_admin::{End, Tally};
 use saffronpaddle_decision::interface::{
@@ -25,16 +27,33 @@
     /// Idle connections in the order in which they came back.
     idle: BTreeSet<(Micros, LinkId)>,
     stopped: bool,
+    /// All is answered by then, as the process ends; the end of time where it was not told to.
+    answer_by: Micros,
     next_link: u64,
     next_ticket: u64,
     /// A request whose last piece waits for what the module says of it.
     releasing: Option<RequestId>,
     /// How requests have ended. Nothing hangs on it here.
     tally: Tally,
+    /// Steps that the guard did not let through, by why.
+    denials: HashMap<Denial, u64>,
+    violations: Violations,
     /// What the module is told when it has done with what it was told before.
     pending: VecDeque<ModuleEvent>,
 }
 
+/// How much later than that a process that was held up may still give an answer, µs.
+const LATE: Micros = 150_000;
+
+/// How a request ends with an answer.
+fn end_of(verdict: Verdict) -> End {
+    match verdict {
+        Verdict::Served => End::Fulfilled,
+        Verdict::Refused(_) => End::Throttled,
+        Verdict::Failed => End::Faulted,
+    }
+}
+
 /// Commands, in the order in which they are to be carried out.
 type Commands<A> = Vec<Command<A>>;
 
@@ -58,10 +77,13 @@
             alarms: Alarms::new(),
             idle: BTreeSet::new(),
             stopped: false,
+            answer_by: Micros::MAX,
             next_link: 0,
             next_ticket: 0,
             releasing: None,
             tally: Tally::default(),
+            denials: HashMap::new(),
+            violations: Violations::default(),
             pending: VecDeque::new(),
         }
     }
@@ -118,6 +140,32 @@
         &self.tally
     }
 
+    /// How often an attempt was kept from its next step, by why.
+    pub fn denials(&self) -> impl Iterator<Item = (Denial, u64)> + '_ {
+        Denial::ALL.into_iter().map(|denial| (denial, self.denials.get(&denial).copied().unwrap_or(0)))
+    }
+
+    /// How often an invariant did not hold.
+    pub fn violations(&self) -> &Violations {
+        &self.violations
+    }
+
+    /// Violations that nobody was told of yet.
+    pub fn take_violations(&mut self) -> Vec<Violation> {
+        if self.violations.any_untold() {
+            self.violations.take()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// The process ends now: whoever still waits is never answered.
+    pub fn exits(&mut self) {
+        for (id, row) in &self.rows {
+            self.violations.check(!row.open, Invariant::AnsweredBeforeExit, id);
+        }
+    }
+
     /// A request that could not be taken was answered by the shell: its words made no request, or its id is in use.
     pub fn turned_away(&mut self, class: usize, end: End) {
         self.tally.taken(class);
@@ -136,20 +184,21 @@
         // What is past its time is so before anything that comes now. Danger: a late loop that still serves it.
         self.expire(now, commands);
         match event {
-            Event::Asked { effect, deadline, tell } => self.asked(effect, deadline, tell),
+            Event::Asked { effect, deadline, tell } => self.asked(now, effect, deadline, tell, commands),
             Event::ClientGone { id, ticket } => self.client_gone(&id, ticket),
             Event::Connected { link } => self.connected(now, link, commands),
             Event::ConnectFailed { link, lack } => self.connect_failed(link, lack),
             Event::Begin { link, quiet } => self.begin(now, link, quiet, commands),
             Event::Replied { link, outcome } => self.replied(now, link, outcome, commands),
-            Event::Passing { link } => self.passing(link, commands),
+            Event::Passing { link } => self.passing(now, link, commands),
             Event::Left { link } => self.left(link, commands),
             Event::Whole { id, ticket, deadline } => self.whole(now, &id, ticket, deadline),
-            Event::Upgraded { link } => self.upgraded(link, commands),
+            Event::Upgraded { link } => self.upgraded(now, link, commands),
             Event::Broken { link } => self.broken(now, link, commands),
             Event::Gone { link } => self.gone(link, commands),
             Event::Closed { link } => self.closed(now, link, commands),
             Event::Listed { whole, entries } => self.listed(whole, entries, commands),
+            Event::Ending { answer_by } => self.ending(answer_by),
             Event::Stop => self.stop(commands),
             Event::Tick => self.tick(now, commands),
             Event::Tell(event) => self.pending.push_back(event),
@@ -180,9 +229,10 @@
             Action::Refuse { id, retry_in } => {
                 let may_refuse = self.rows.get(&id).is_some_and(Row::may_be_refused);
                 let kept = may_refuse || self.bugs.planted(Bug::RefusalAfterRun);
-                self.answer(&id, if kept { Verdict::Refused(retry_in) } else { Verdict::Failed }, commands);
+                let verdict = if kept { Verdict::Refused(retry_in) } else { Verdict::Failed };
+                self.answer(now, &id, verdict, commands);
             }
-            Action::Fail { id } => self.answer(&id, Verdict::Failed, commands),
+            Action::Fail { id } => self.answer(now, &id, Verdict::Failed, commands),
             Action::Cancel { id, attempt } => {
                 let out = self.rows.get(&id).and_then(|row| row.out.as_ref());
                 let passing = self.rows.get(&id).is_some_and(|row| row.passing)
@@ -195,20 +245,31 @@
         }
     }
 
-    fn asked(&mut self, effect: Effect, deadline: Micros, tell: ModuleEvent) {
-        let ModuleEvent::Request { id, class, whole, .. } = &tell else { return };
+    fn asked(
+        &mut self, now: Micros, effect: Effect, deadline: Micros, mut tell: ModuleEvent,
+        commands: &mut Commands<A>,
+    ) {
+        let ModuleEvent::Request { id, class, whole, patience, .. } = &mut tell else { return };
         if self.knows(id) {
             return;
         }
+        *patience = (*patience).min(self.answer_by.saturating_sub(now));
         let ticket = self.next_ticket();
         self.next_ticket += 1;
         let (class, whole) = (class.0, *whole);
         self.tally.taken(class);
-        let row = Row {
+        if now >= self.answer_by {
+            // The process has no time left for it. Nothing of it has been sent, so that trying again is harmless.
+            self.tally.ended(class, End::Throttled);
+            return commands.push(Command::Answer { id: id.clone(), verdict: Verdict::Refused(None) });
+        }
+        let mut row = Row {
             ticket,
             class,
             effect,
             deadline,
+            process_end: Micros::MAX,
+            cut_short: false,
             open: true,
             whole,
             spent: false,
@@ -218,6 +279,7 @@
             ran: None,
             alarm: None,
         };
+        row.cut(self.answer_by);
         self.rows.insert(id.clone(), row);
         let id = id.clone();
         self.arm(&id);
@@ -247,25 +309,24 @@
     }
 
     /// Answers a request, unless that has been done: an open row is the right to answer.
-    fn answer(&mut self, id: &RequestId, verdict: Verdict, commands: &mut Commands<A>) {
+    fn answer(&mut self, now: Micros, id: &RequestId, verdict: Verdict, commands: &mut Commands<A>) {
         let Some(row) = self.rows.get_mut(id).filter(|row| row.open) else { return };
+        let in_time = now <= row.answered_by(self.bounds.overdue).saturating_add(LATE);
+        self.violations.check(in_time, Invariant::AnsweredInTime, id);
         row.open = false;
-        let end = match verdict {
-            Verdict::Served => End::Fulfilled,
-            Verdict::Refused(_) => End::Throttled,
-            Verdict::Failed => End::Faulted,
-        };
-        self.tally.ended(row.class, end);
+        self.tally.ended(row.class, end_of(verdict));
         commands.push(Command::Answer { id: id.clone(), verdict });
         self.settle_row(id);
     }
 
-    /// Fails a request, whatever the module says, which hears of it.
-    fn fail(&mut self, id: &RequestId, commands: &mut Commands<A>) {
+    /// Ends a request, whatever the module says, which hears of it.
+    fn end(&mut self, now: Micros, id: &RequestId, verdict: Verdict, commands: &mut Commands<A>) {
         if let Some(row) = self.rows.get(id).filter(|row| row.open) {
-            self.tally.ended(row.class, End::Faulted);
+            let in_time = now <= row.answered_by(self.bounds.overdue).saturating_add(LATE);
+            self.violations.check(in_time, Invariant::AnsweredInTime, id);
+            self.tally.ended(row.class, end_of(verdict));
         }
-        commands.push(Command::Answer { id: id.clone(), verdict: Verdict::Failed });
+        commands.push(Command::Answer { id: id.clone(), verdict });
         self.abandon(id, true);
     }
 
@@ -305,13 +366,14 @@
         let number = row.attempts;
         row.attempts += 1;
         let until = time_out.map_or(row.deadline, |span| row.deadline.min(now.saturating_add(span)));
-        // What is not kept can't go out again, whatever the module says.
-        let second = (row.out.is_some() && !self.bugs.planted(Bug::TwoAttemptsOut))
-            || (row.spent && !self.bugs.planted(Bug::GoneBodySentAgain));
+        let attempt_out = row.out.is_some() && !self.bugs.planted(Bug::TwoAttemptsOut);
+        let body_gone = row.spent && !self.bugs.planted(Bug::GoneBodySentAgain);
         if row.attempts > self.bounds.attempts {
-            return self.fail(id, commands);
+            return self.end(now, id, Verdict::Failed, commands);
         }
-        if second || now >= until || !self.may_go(now, id, server, true) {
+        let facts = Facts { attempt_out, body_gone, ..self.facts(now, until, id, server, true) };
+        if let Err(denial) = guard::check(&facts) {
+            *self.denials.entry(denial).or_default() += 1;
             return self.tell_end(id, number, Outcome::NotSent, false);
         }
         let stage = Stage::Waiting(LinkId(u64::MAX));
@@ -321,11 +383,26 @@
         self.start(now, id, commands);
     }
 
-    /// Whether the effects of a request allow an attempt at a server that is ready. Danger: an effect that happens
-    /// twice.
+    /// What the guard has to know of an attempt at a server: when it is chosen, or (`choice` is false) later. Whether another
+    /// is out, and where the connection leads, is the caller's to say.
+    fn facts(&self, now: Micros, until: Micros, id: &RequestId, server: ServerId, choice: bool) -> Facts {
+        Facts {
+            now,
+            until,
+            answer_by: self.answer_by,
+            client_waits: self.rows.get(id).is_some_and(|row| row.open),
+            attempt_out: false,
+            body_gone: false,
+            server_ready: self.places.contains_key(&server),
+            repeat_allowed: self.may_go(now, id, server, choice),
+        }
+    }
+
+    /// Whether the effects of a request allow an attempt at a server. An effect must not happen twice.
     fn may_go(&self, now: Micros, id: &RequestId, server: ServerId, choice: bool) -> bool {
-        let (Some(row), Some(place)) = (self.rows.get(id), self.places.get(&server)) else { return false };
+        let Some(row) = self.rows.get(id) else { return false };
         let Some(ran) = row.ran else { return true };
+        let Some(place) = self.places.get(&server) else { return false };
         match row.effect {
             Effect::Safe => true,
             Effect::Unsafe => self.bugs.planted(Bug::UnsafeResent),
@@ -400,13 +477,21 @@
 
     /// Whether the attempt on a connection may still begin: its request is open and in time, and the connection leads to
     /// its server, which is ready, where that is now.
-    fn fit(&self, now: Micros, id: &RequestId, link: LinkId) -> bool {
+    fn fit(&mut self, now: Micros, id: &RequestId, link: LinkId) -> bool {
         let Some(row) = self.rows.get(id) else { return false };
         let Some(out) = row.out.as_ref() else { return false };
-        let leads = self.leads(link) || self.bugs.planted(Bug::DrainCheckedBeforeConnectOnly);
-        let may_go = self.may_go(now, id, out.server, false);
-        let may_go = may_go || (self.bugs.planted(Bug::DrainCheckedBeforeConnectOnly) && row.ran.is_none());
-        row.open && now < out.until && leads && may_go
+        let unchecked = self.bugs.planted(Bug::DrainCheckedBeforeConnectOnly);
+        let facts = self.facts(now, out.until, id, out.server, false);
+        let facts = Facts {
+            server_ready: self.leads(link) || unchecked,
+            repeat_allowed: facts.repeat_allowed || (unchecked && row.ran.is_none()),
+            ..facts
+        };
+        let checked = guard::check(&facts);
+        if let Err(denial) = checked {
+            *self.denials.entry(denial).or_default() += 1;
+        }
+        checked.is_ok()
     }
 
     /// Whether a connection reaches its server where that is now. Guards drains, and addresses that pass from one to
@@ -466,6 +551,7 @@
         if !quiet && !self.bugs.planted(Bug::ReuseWithBytesWaiting) {
             return self.replace(now, &id, link, commands);
         }
+        self.look_at_first_byte(now, &id, link);
         let Some(row) = self.links.get_mut(&link) else { return };
         row.state = State::Written;
         let place =
@@ -480,6 +566,32 @@
         commands.push(Command::Write { link });
     }
 
+    /// Looks at what is about to be written, from the tables alone: the guard has let it through.
+    fn look_at_first_byte(&mut self, now: Micros, id: &RequestId, link: LinkId) {
+        let (Some(row), Some(carrier)) = (self.rows.get(id), self.links.get(&link)) else { return };
+        let place = self.places.get(&carrier.server);
+        let in_time = now <= row.deadline.min(self.answer_by);
+        let ready = place.is_some_and(|place| place.dial == carrier.dial);
+        let on_it = row.out.as_ref().is_some_and(|out| out.stage == Stage::On(link) && out.began.is_none());
+        let once = row.open && on_it;
+        let safely = match (row.ran, row.effect, place) {
+            (None, ..) | (_, Effect::Safe, _) => true,
+            (Some(ran), Effect::Keyed { group, window }, Some(place)) => {
+                let same_group = match group {
+                    Group::All => true,
+                    Group::Zone => place.zone == ran.zone,
+                    Group::Cell => place.cell == ran.cell,
+                };
+                same_group && now <= ran.at.saturating_add(window)
+            }
+            _ => false,
+        };
+        self.violations.check(in_time, Invariant::SentInTime, id);
+        self.violations.check(ready, Invariant::SentToReadyServer, id);
+        self.violations.check(once, Invariant::SentOnce, id);
+        self.violations.check(safely, Invariant::RepeatedSafely, id);
+    }
+
     /// A connection turned out bad before a byte was written: a kept one makes way for another, a new one speaks ill of
     /// its server.
     fn replace(&mut self, now: Micros, id: &RequestId, link: LinkId, commands: &mut Commands<A>) {
@@ -494,7 +606,7 @@
         let Some(id) = self.on(link) else {
             if self.bugs.planted(Bug::AnswerAfterCancel) && outcome == Outcome::Ok {
                 if let Some(id) = self.links.get(&link).and_then(|row| row.of.clone()) {
-                    self.answer(&id, Verdict::Served, commands);
+                    self.answer(now, &id, Verdict::Served, commands);
                 }
             }
             return;
@@ -514,13 +626,13 @@
             commands.push(Command::Close { link });
         }
         if outcome == Outcome::Ok {
-            self.answer(&id, Verdict::Served, commands);
+            self.answer(now, &id, Verdict::Served, commands);
         }
         self.ended(&id, outcome);
     }
 
     /// The first bytes of an answer are there: it is the client's from now on, for as long as it takes.
-    fn passing(&mut self, link: LinkId, commands: &mut Commands<A>) {
+    fn passing(&mut self, now: Micros, link: LinkId, commands: &mut Commands<A>) {
         let Some(id) = self.on(link) else { return };
         let written = self.links.get(&link).is_some_and(|row| row.state == State::Written);
         let Some(row) = self.rows.get_mut(&id).filter(|_| written) else { return };
@@ -533,7 +645,7 @@
         if let Some(out) = row.out.as_mut() {
             (out.until, out.limit) = (Micros::MAX, Micros::MAX);
         }
-        self.answer(&id, Verdict::Served, commands);
+        self.answer(now, &id, Verdict::Served, commands);
         self.pending.push_back(ModuleEvent::Started { id });
     }
 
@@ -551,7 +663,9 @@
         if row.ticket != ticket || !row.open || row.whole {
             return;
         }
-        row.deadline = deadline;
+        (row.deadline, row.cut_short) = (deadline, false);
+        row.cut(self.answer_by);
+        let deadline = row.deadline;
         if let Some(out) = row.out.as_mut() {
             (out.until, out.limit) = (deadline, out.limit.min(deadline));
         }
@@ -574,13 +688,13 @@
     }
 
     /// The connection leaves the exchange with the answer. Whoever has it closes it, if nobody waits for the answer.
-    fn upgraded(&mut self, link: LinkId, commands: &mut Commands<A>) {
+    fn upgraded(&mut self, now: Micros, link: LinkId, commands: &mut Commands<A>) {
         let Some(id) = self.on(link) else { return };
         if self.links.get(&link).is_none_or(|row| row.state != State::Written) {
             return;
         }
         self.links.remove(&link);
-        self.answer(&id, Verdict::Served, commands);
+        self.answer(now, &id, Verdict::Served, commands);
         self.ended(&id, Outcome::Ok);
     }
 
@@ -783,6 +897,20 @@
         }
     }
 
+    /// Gives all that is open, and all that comes, no more time than the process has.
+    fn ending(&mut self, answer_by: Micros) {
+        self.answer_by = self.answer_by.min(answer_by);
+        if self.bugs.planted(Bug::EndForgotten) {
+            return;
+        }
+        let open: Vec<RequestId> =
+            self.rows.iter().filter(|(_, row)| row.open).map(|(id, _)| id.clone()).collect();
+        for id in open {
+            self.rows.entry(id.clone()).and_modify(|row| row.cut(self.answer_by));
+            self.arm(&id);
+        }
+    }
+
     fn stop(&mut self, commands: &mut Commands<A>) {
         self.stopped = true;
         if self.bugs.planted(Bug::KeptAfterStop) {
@@ -794,19 +922,23 @@
 
     // Time.
 
-    /// Fails what is past its time and was not answered, whatever the module says.
+    /// Ends what is past its time and was not answered, whatever the module says. Where the process's end cuts the client's
+    /// time short, and trying again is harmless, the client is told so.
     fn expire(&mut self, now: Micros, commands: &mut Commands<A>) {
         if self.alarms.first().is_none_or(|(at, _)| *at > now) {
             return;
         }
         let late = |id: &RequestId| {
             let row = self.rows.get(id)?;
-            let over = now >= row.deadline.saturating_add(self.bounds.overdue);
-            (over && (row.open || self.bugs.planted(Bug::DeadlineRacedByReply))).then(|| id.clone())
+            let over = now >= row.answered_by(self.bounds.overdue);
+            let refused = row.cut_short && row.open && row.may_be_refused();
+            let verdict = if refused { Verdict::Refused(None) } else { Verdict::Failed };
+            let wanted = row.open || self.bugs.planted(Bug::DeadlineRacedByReply);
+            (over && wanted).then(|| (id.clone(), verdict))
         };
         let due = self.alarms.iter().take_while(|(at, _)| *at <= now);
-        let due: Vec<RequestId> = due.filter_map(|(_, id)| late(id)).collect();
-        due.iter().for_each(|id| self.fail(id, commands));
+        let due: Vec<(RequestId, Verdict)> = due.filter_map(|(_, id)| late(id)).collect();
+        due.iter().for_each(|(id, verdict)| self.end(now, id, *verdict, commands));
     }
 
     fn tick(&mut self, now: Micros, commands: &mut Commands<A>) {
@@ -835,7 +967,8 @@
         let mut rows: Vec<_> = self.rows.iter().collect();
         rows.sort_by_key(|(id, _)| *id);
         for (id, row) in rows {
-            (id, row.deadline, row.open, row.attempts, row.ran, row.alarm).hash(hasher);
+            (id, row.deadline, row.process_end, row.cut_short, row.open, row.attempts, row.ran, row.alarm)
+                .hash(hasher);
             (row.whole, row.spent, row.passing).hash(hasher);
             let Some(out) = &row.out else { continue };
             (out.number, out.server, out.until, out.limit, out.began).hash(hasher);
@@ -855,7 +988,7 @@
             let idle: Vec<usize> = place.idle.iter().map(|link| rank(*link)).collect();
             (server, place.dial, place.zone, place.cell, idle).hash(hasher);
         }
-        (self.stopped, self.next_ticket).hash(hasher);
+        (self.stopped, self.answer_by, self.next_ticket).hash(hasher);
     }
 
     /// What is wrong between the tables, which say the same in several ways.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -13,11 +13,15 @@
 
 mod bugs;
 mod exchange;
+mod guard;
+mod invariants;
 mod open;
 mod table;
 
 pub use bugs::{Bug, Bugs, Sound};
 pub use exchange::Exchange;
+pub use guard::Denial;
+pub use invariants::{Invariant, Violation, Violations};
 pub use open::{OpenRequest, WaitsFor};
 
 use saffronpaddle_decision::interface::{
@@ -186,6 +190,12 @@
         /// The entries.
         entries: Vec<(ServerEntry, A)>,
     },
+    /// The process was told to stop: all that it has taken, and all that it takes from now on, is answered by then, whatever
+    /// time the clients have left.
+    Ending {
+        /// When.
+        answer_by: Micros,
+    },
     /// The node leaves: idle connections are closed, and none is kept any more. What is open goes on.
     Stop,
     /// The time of [`Exchange::next_alarm`] has come.
--- a/crates/exchange/src/table.rs
+++ b/crates/exchange/src/table.rs
@@ -36,6 +36,10 @@
     pub class: usize,
     pub effect: Effect,
     pub deadline: Micros,
+    /// The process answers it by then; the end of time where it was not told to stop.
+    pub process_end: Micros,
+    /// Its client would wait for longer than that.
+    pub cut_short: bool,
     /// It has no final answer, and somebody waits for one.
     pub open: bool,
     /// Its last byte has come and may be written: before that nothing of it can have run.
@@ -127,7 +131,20 @@
     pub fn due(&self, overdue: Micros) -> Option<Micros> {
         let attempt = self.out.as_ref().filter(|out| !matches!(out.stage, Stage::Ending(..)));
         let attempt = attempt.map(|out| out.limit).filter(|limit| *limit < Micros::MAX);
-        let last = self.open.then(|| self.deadline.saturating_add(overdue));
+        let last = self.open.then(|| self.answered_by(overdue));
         attempt.into_iter().chain(last).min()
     }
+
+    /// When it is answered at the latest, whatever the module says.
+    pub fn answered_by(&self, overdue: Micros) -> Micros {
+        self.deadline.saturating_add(overdue).min(self.process_end)
+    }
+
+    /// Gives it no more time than the process has.
+    pub fn cut(&mut self, process_end: Micros) {
+        self.process_end = process_end;
+        if self.deadline > process_end {
+            (self.deadline, self.cut_short) = (process_end, true);
+        }
+    }
 }
--- a/crates/explore/src/chart.rs
+++ b/crates/explore/src/chart.rs
@@ -34,6 +34,7 @@
         Step::SeesEnd(l) => (2, 1, format!("wire {l} has ended")),
         Step::Closes(l) => (2, 1, format!("wire {l} is closed")),
         Step::Changes => (3, 1, "the list changes".to_owned()),
+        Step::Ending => (1, 1, "the process is told when it ends".to_owned()),
         Step::Stops => (1, 1, "the node is told to leave".to_owned()),
         Step::Passes => (1, 1, "a step of the clock".to_owned()),
         Step::Rings => (1, 1, "the alarm rings".to_owned()),
--- a/crates/explore/src/planted.rs
+++ b/crates/explore/src/planted.rs
@@ -19,6 +19,7 @@
         Bug::TicketIgnored => "one-id",
         Bug::IdleNotCounted | Bug::ResendAfterFirstByte => "one-wire",
         Bug::KeptAfterStop => "stop",
+        Bug::EndForgotten => "ending",
         Bug::DeadlineRacedByReply | Bug::AlarmForgotten => "late",
         Bug::GoneBodySentAgain | Bug::EarlyAnswerKept | Bug::RunsBeforeWhole => "coming",
         Bug::PassingCalledOff => "passing",
--- a/crates/explore/src/setups.rs
+++ b/crates/explore/src/setups.rs
@@ -34,6 +34,7 @@
         faults: false,
         leave: false,
         stop: false,
+        ends_after: None,
         wild: false,
         verdicts: true,
         upgrades: false,
@@ -129,6 +130,16 @@
             horizon: 3,
             ..base("stop", "the node is told to leave at any time, between two attempts too")
         },
+        Setup {
+            requests: vec![Effect::Unsafe, Effect::Safe],
+            sends: 1,
+            servers: vec![(0, 0)],
+            verdicts: false,
+            ends_after: Some(1),
+            patience: 3,
+            horizon: 3,
+            ..base("ending", "the process is told at any time that it ends before its clients stop waiting")
+        },
         Setup {
             upgrades: true,
             changes: vec![Change::Drains(0)],
--- a/crates/explore/src/world.rs
+++ b/crates/explore/src/world.rs
@@ -125,6 +125,8 @@
     pub leave: bool,
     /// The node may be told to leave.
     pub stop: bool,
+    /// The process may be told to stop at any time; it answers all that it has so many steps later.
+    pub ends_after: Option<u64>,
     /// The module may call off at any time, and send with a time-out of one step.
     pub wild: bool,
     /// It may refuse and fail at any time.
@@ -184,6 +186,8 @@
     Changes,
     /// The node is told to leave.
     Stops,
+    /// The process is told when it ends.
+    Ending,
     /// The clock goes on by a step.
     Passes,
     /// The alarm rings.
@@ -266,9 +270,11 @@
 }
 
 impl Client {
-    /// When its request fails, whatever the module says.
-    fn last(&self, setup: &Setup) -> Micros {
-        self.asked.unwrap_or(0) + setup.patience * setup.step + setup.bounds.overdue
+    /// When its request is ended, whatever the module says: sooner where the process does not last so long.
+    fn last(&self, setup: &Setup, answer_by: Option<Micros>) -> Micros {
+        let asked = self.asked.unwrap_or(0);
+        let last = asked + setup.patience * setup.step + setup.bounds.overdue;
+        answer_by.map_or(last, |end| last.min(end.max(asked)))
     }
 }
 
@@ -315,6 +321,8 @@
     told: Vec<(u8, bool)>,
     changed: usize,
     stopped: bool,
+    /// All is answered by then, as the process ends.
+    answer_by: Option<Micros>,
     rung: bool,
     /// The module has just refused.
     refuses: bool,
@@ -345,6 +353,7 @@
             told,
             changed: 0,
             stopped: false,
+            answer_by: None,
             rung: false,
             refuses: false,
             wakes: Vec::new(),
@@ -363,6 +372,7 @@
         self.exchange.digest(&mut hasher);
         self.exchange.module().module.digest(&mut hasher);
         (self.clock, &self.told, self.changed, self.stopped, self.rung, &self.wakes).hash(&mut hasher);
+        self.answer_by.hash(&mut hasher);
         let rank = |link: LinkId| self.wires.keys().position(|other| *other == link);
         for client in &self.clients {
             let out = client.out.map(|out| (out.attempt, rank(out.link), out.server, out.at));
@@ -486,6 +496,9 @@
         if setup.stop && !self.stopped {
             steps.push(Step::Stops);
         }
+        if setup.ends_after.is_some() && self.answer_by.is_none() && self.clock < setup.horizon {
+            steps.push(Step::Ending);
+        }
         if self.due(setup) && !self.rung {
             steps.push(Step::Rings);
         }
@@ -706,6 +719,11 @@
                 });
                 Event::Listed { whole: false, entries: entries.collect() }
             }
+            Step::Ending => {
+                let answer_by = now + setup.ends_after.unwrap_or(0) * setup.step;
+                self.answer_by = Some(answer_by);
+                Event::Ending { answer_by }
+            }
             Step::Stops => {
                 self.stopped = true;
                 Event::Stop
@@ -845,7 +863,7 @@
                     if client.finals > 1 {
                         return breach("one answer", format!("request {r} is answered twice"));
                     }
-                    let last = client.last(setup);
+                    let last = client.last(setup, self.answer_by);
                     let in_time =
                         if verdict == Verdict::Served { now < last } else { now <= last || setup.late };
                     if !in_time {
@@ -901,7 +919,7 @@
             if let Some(r) = self.client(setup, id) {
                 let client = &mut self.clients[usize::from(r)];
                 // What is answered, abandoned or past its time is owed nothing.
-                let last = client.last(setup);
+                let last = client.last(setup, self.answer_by);
                 if client.finals == 0 && !client.left && now < last {
                     client.sends |= 1 << client.sends.count_ones();
                 }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -16,8 +16,10 @@
 #![warn(missing_docs)]
 
 pub mod readiness;
+mod stop;
 
 pub use readiness::{Conditions, Facts, Readiness, Reason, Reasons};
+pub use stop::{kill_after, StopPlan, HOLD_UP};
 
 use std::time::Duration;
 
@@ -70,16 +72,18 @@
 }
 
 impl Limits {
-    /// What an answer may take from its deadline until it is written. The platform's kill comes 700 ms after the longest
-    /// deadline: 600 ms of leaving and these stay below that.
-    const LAST_WORDS: Duration = Duration::from_millis(50);
+    /// How long new work is taken after the word to stop: the front looks every 0.1 s, and sends new connections for up
+    /// to 0.4 s.
+    const LEAVE_FOR: Duration = Duration::from_millis(600);
 
-    /// Ready as soon as it listens, whatever it knows: how an edge node without an operator file behaves.
+    /// Ready as soon as it listens, whatever it knows: how an edge node without an operator file behaves. It ends by
+    /// itself before the platform kills it.
     pub fn immediate(longest_deadline: Duration) -> Limits {
+        let whole = kill_after(longest_deadline).saturating_sub(stop::END_BEFORE_KILL);
         Limits {
             readiness: readiness::Conditions::none(),
-            leave_for: Duration::from_millis(600),
-            finish_within: longest_deadline + Limits::LAST_WORDS,
+            leave_for: Limits::LEAVE_FOR.min(whole),
+            finish_within: whole.saturating_sub(Limits::LEAVE_FOR),
             reload_within: Duration::from_secs(10),
         }
     }
@@ -93,7 +97,10 @@
     /// What is known of the conditions now; wanted after each [`Lifecycle::look_after`].
     Seen(Facts),
     /// The word to stop (SIGTERM).
-    Stop,
+    Stop {
+        /// It was sent after this moment: a process that was held up reads it late.
+        since: Time,
+    },
     /// The word to read the configuration anew (SIGHUP).
     Reload,
     /// The reload that was asked for has ended, well or not.
@@ -166,6 +173,8 @@
     ready: bool,
     /// When the state ends by itself.
     until: Option<Time>,
+    /// How the process ends, once it was told to stop.
+    stop: Option<StopPlan>,
     /// A word to reload that came during a reload; it counts once.
     again: bool,
     /// A reload is under way that began before the node was ready.
@@ -202,6 +211,7 @@
             announced: false,
             ready: false,
             until: None,
+            stop: None,
             again: false,
             quietly: false,
             lame: None,
@@ -254,7 +264,7 @@
         match event {
             Event::Listening => self.listening = true,
             Event::Seen(facts) => self.readiness.see(now, &facts),
-            Event::Stop => self.stop(now, out),
+            Event::Stop { since } => self.stop(now, since, out),
             Event::Reload => self.reload(now, out),
             Event::Reloaded { taken } => self.reloaded(now, taken, out),
             Event::Succeeded(yes) => self.succeeded(yes, out),
@@ -274,7 +284,7 @@
         }
     }
 
-    fn stop(&mut self, now: Time, out: &mut Vec<Action>) {
+    fn stop(&mut self, now: Time, since: Time, out: &mut Vec<Action>) {
         match self.state {
             State::Starting if !self.listening => {
                 // Nothing was taken: there is nothing to finish.
@@ -282,8 +292,10 @@
                 self.gone(out);
             }
             State::Starting | State::Ready | State::Reloading => {
-                self.enter(State::Draining, now, self.limits.leave_for);
                 let longest = self.limits.leave_for + self.limits.finish_within;
+                let plan = StopPlan::new(now, since, longest);
+                self.stop = Some(plan);
+                self.enter(State::Draining, now, self.limits.leave_for.min(plan.ends.saturating_sub(now)));
                 out.push(Action::Manager(Word::Stopping));
                 out.push(Action::Manager(Word::Extend(longest + Self::EXTEND)));
                 out.push(Action::CloseAfterAnswers);
@@ -291,8 +303,12 @@
                     out.push(Action::LeaveListener);
                 }
             }
-            // Who says it twice is in a hurry: nothing that was taken is dropped, but nothing new is taken.
-            State::Draining => self.close(now, out),
+            // Said twice: nothing new is taken from now on, and what was taken has less time.
+            State::Draining => {
+                let plan = StopPlan::new(now, since, self.limits.finish_within);
+                self.stop = Some(self.stop.map_or(plan, |before| before.sooner(plan)));
+                self.close(now, out);
+            }
             State::Closing | State::Gone => {}
         }
     }
@@ -367,7 +383,9 @@
     }
 
     fn close(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.enter(State::Closing, now, self.limits.finish_within);
+        // Limits that a reload has set meanwhile change nothing: the platform's time runs from the signal.
+        let left = self.stop.map_or(self.limits.finish_within, |plan| plan.ends.saturating_sub(now));
+        self.enter(State::Closing, now, left);
         out.push(Action::StopAccepting);
     }
 
@@ -415,11 +433,9 @@
         }
     }
 
-    /// When the process ends at the latest, once it was told to stop.
-    pub fn ends(&self) -> Option<Time> {
-        let until = self.until.filter(|_| self.state >= State::Draining)?;
-        let more = if self.state == State::Draining { self.limits.finish_within } else { Duration::ZERO };
-        Some(until.saturating_add(more))
+    /// How the process ends, once it was told to stop.
+    pub fn stop_plan(&self) -> Option<StopPlan> {
+        self.stop
     }
 
     /// After how long [`Event::Seen`] is wanted again; `None` where readiness hangs on nothing.
--- a/crates/lifecycle/tests/life.rs
+++ b/crates/lifecycle/tests/life.rs
@@ -66,6 +66,12 @@
         out
     }
 
+    /// Tells it to stop, by a signal that is read at once.
+    fn stop(&mut self) -> Vec<Action> {
+        let since = self.now;
+        self.tell(Event::Stop { since })
+    }
+
     /// Shows the same facts every 100 ms for a span.
     fn sees(&mut self, facts: &Facts, span: u64) -> Vec<Action> {
         let mut out = Vec::new();
@@ -173,7 +179,7 @@
 #[test]
 fn a_stop_takes_work_for_a_while_then_finishes_inside_its_bound() {
     let mut life = Life::ready();
-    let out = life.tell(Event::Stop);
+    let out = life.stop();
     assert!(says(&out, &Word::Stopping) == 1 && does(&out, &Action::CloseAfterAnswers), "{out:?}");
     assert_eq!(says(&out, &Word::Extend(ms(4_600))), 1);
     assert!(!life.life.ready());
@@ -187,7 +193,7 @@
 #[test]
 fn a_stop_ends_as_soon_as_all_is_served() {
     let mut life = Life::ready();
-    life.tell(Event::Stop);
+    life.stop();
     life.after(600);
     assert!(does(&life.tell(Event::Served), &Action::Exit));
 }
@@ -195,11 +201,11 @@
 #[test]
 fn a_second_sigterm_takes_nothing_new_but_still_finishes() {
     let mut life = Life::ready();
-    life.tell(Event::Stop);
+    life.stop();
     life.after(100);
-    let out = life.tell(Event::Stop);
+    let out = life.stop();
     assert!(does(&out, &Action::StopAccepting) && !does(&out, &Action::Exit), "{out:?}");
-    let out = life.tell(Event::Stop);
+    let out = life.stop();
     assert!(!does(&out, &Action::Exit), "a third changes nothing: {out:?}");
     assert!(does(&life.after(3_000), &Action::Exit));
 }
@@ -207,12 +213,12 @@
 #[test]
 fn sigterm_while_starting_ends_it() {
     let mut life = Life::new();
-    let out = life.tell(Event::Stop);
+    let out = life.stop();
     assert!(says(&out, &Word::Stopping) == 1 && does(&out, &Action::Exit), "nothing was taken: {out:?}");
     // Once it listens, something may have been taken.
     let mut life = Life::new();
     life.tell(Event::Listening);
-    let out = life.tell(Event::Stop);
+    let out = life.stop();
     assert!(!does(&out, &Action::Exit) && life.life.state() == State::Draining);
     let out = life.sees(&good(), 500);
     assert_eq!(says(&out, &Word::Ready), 0, "a node that stops never becomes ready");
@@ -258,7 +264,7 @@
 fn sighup_while_stopping_is_passed_over() {
     for span in [0, 600] {
         let mut life = Life::ready();
-        life.tell(Event::Stop);
+        life.stop();
         life.after(span);
         let out = life.tell(Event::Reload);
         assert!(!does(&out, &Action::ReadConfiguration) && says(&out, &Word::Reloading) == 0, "{out:?}");
@@ -270,7 +276,7 @@
     let mut life = Life::ready();
     life.tell(Event::Reload);
     life.tell(Event::Reload);
-    assert_eq!(says(&life.tell(Event::Stop), &Word::Stopping), 1);
+    assert_eq!(says(&life.stop(), &Word::Stopping), 1);
     let out = life.tell(Event::Reloaded { taken: true });
     assert!(says(&out, &Word::Ready) == 0 && !does(&out, &Action::ReadConfiguration), "{out:?}");
     assert_eq!(life.life.state(), State::Draining);
@@ -316,7 +322,7 @@
     assert!(does(&life.tell(Event::Reload), &Action::ReadConfiguration));
     life.tell(Event::Reloaded { taken: true });
     assert!(!life.life.ready());
-    assert_eq!(says(&life.tell(Event::Stop), &Word::Stopping), 1);
+    assert_eq!(says(&life.stop(), &Word::Stopping), 1);
     // There is no way back from a stop, and its own times hold.
     assert!(!does(&life.tell(Event::Rejoin), &Action::KeepOpen));
     assert!(
@@ -354,7 +360,7 @@
             Event::Listening,
             Event::Seen(good()),
             Event::Seen(Facts { lag: ms(9_000), ..good() }),
-            Event::Stop,
+            Event::Stop { since: now },
             Event::Reload,
             Event::Reloaded { taken: true },
             Event::Served,
@@ -427,3 +433,70 @@
     explore(&Lifecycle::new(limits(), ms(0)), ms(0), seen, 6, &mut count);
     assert!(count > 30_000, "{count} orders");
 }
+
+/// The platform's time for a process that was told to stop: 0.7 s after its longest deadline, of which 3 s count at most.
+#[test]
+fn a_process_ends_before_the_platform_kills_it_whatever_the_longest_deadline_is() {
+    for (longest, killed_after) in
+        [(400, 1_100), (2_900, 3_600), (3_000, 3_700), (9_113, 3_700), (3_600_000, 3_700)]
+    {
+        assert_eq!(kill_after(ms(longest)), ms(killed_after));
+        let mut life = Life::new();
+        life.life = Lifecycle::new(Limits::immediate(ms(longest)), ms(0));
+        life.tell(Event::Listening);
+        life.now = ms(10_000);
+        life.stop();
+        let plan = life.life.stop_plan().expect("it was told to stop");
+        let killed = ms(10_000 + killed_after);
+        assert!(plan.ends < killed, "{longest}: {plan:?}");
+        assert!(plan.answer_by + HOLD_UP < killed, "{longest}: {plan:?}");
+        assert!(plan.answer_by > ms(10_000 + killed_after - 400), "{longest}: time is not wasted: {plan:?}");
+        while life.life.state() != State::Gone {
+            assert!(life.now < plan.ends, "it ends by then");
+            life.now = life.life.until().expect("it ends by itself");
+            life.tell(Event::Tick);
+        }
+    }
+}
+
+/// A process that was held up reads the signal late: the platform's time runs from when it was sent.
+#[test]
+fn a_signal_that_is_read_late_leaves_less_time() {
+    let mut life = Life::ready();
+    life.now = ms(20_000);
+    life.tell(Event::Stop { since: ms(19_850) });
+    let plan = life.life.stop_plan().expect("it was told to stop");
+    assert_eq!(plan.ends, ms(19_850 + 3_600));
+    // One that was held up for longer than it has still gives its answers.
+    let mut life = Life::ready();
+    life.now = ms(60_000);
+    life.tell(Event::Stop { since: ms(0) });
+    let plan = life.life.stop_plan().expect("it was told to stop");
+    assert!(plan.answer_by > life.now && plan.ends < life.now + ms(300), "{plan:?}");
+}
+
+/// A reload that ends after the word to stop sets limits for another life; this one's end stays.
+#[test]
+fn limits_that_are_set_after_the_word_to_stop_do_not_move_the_end() {
+    let mut life = Life::ready();
+    life.tell(Event::Reload);
+    life.stop();
+    let plan = life.life.stop_plan();
+    life.life.set_limits(Limits { finish_within: ms(60_000), leave_for: ms(60_000), ..limits() });
+    life.tell(Event::Reloaded { taken: true });
+    assert!(does(&life.after(600), &Action::StopAccepting));
+    assert_eq!(life.life.stop_plan(), plan);
+    assert!(does(&life.after(3_000), &Action::Exit));
+}
+
+/// A second word to stop only ever brings the end nearer.
+#[test]
+fn a_second_sigterm_never_moves_the_end_away() {
+    let mut life = Life::ready();
+    life.stop();
+    let first = life.life.stop_plan().expect("it was told to stop");
+    life.after(599);
+    life.stop();
+    let second = life.life.stop_plan().expect("it was told to stop");
+    assert!(second.ends <= first.ends && second.answer_by <= first.answer_by, "{first:?} {second:?}");
+}
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -63,8 +63,6 @@
 const FIRST_WITHIN: Duration = Duration::from_millis(500);
 /// Rounds of the loop in which bytes that the machine holds reach a request's reader: the driver's, the connection's and one more.
 const LAST_LOOKS: usize = 3;
-/// A node that ends answers all that it has so much before its bound. Guards answers that are made and not yet written.
-const LAST_WORDS: Duration = Duration::from_millis(30);
 /// Pause after a connection that could not be accepted, for lack of descriptors mostly; shorter where one is closed.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 /// How often who may make way is looked for while one waits for a place and nobody has ended.
@@ -91,14 +89,20 @@
     /// Whether the five rules can be kept for new work, and if not, why.
     pub ready: bool,
     pub why: Reasons,
-    /// When the process ends, whatever is still open.
-    pub ends: Option<Instant>,
+    /// The process was told to stop, and answers all that it has by then.
+    pub answer_by: Option<Instant>,
 }
 
 impl Standing {
     /// How it stands before anything was seen.
     pub fn unready() -> Standing {
-        Standing { phase: Phase::Serving, accepts: true, ready: false, why: Reasons::default(), ends: None }
+        Standing {
+            phase: Phase::Serving,
+            accepts: true,
+            ready: false,
+            why: Reasons::default(),
+            answer_by: None,
+        }
     }
 }
 
@@ -412,7 +416,7 @@
     tokio::select! {
         biased;
         _ = &mut connection => return,
-        () = reached(phase, Phase::Emptying) => {}
+        () = reached(phase.clone(), Phase::Emptying) => {}
     }
     // What the machine holds is read before the connection counts as idle.
     tokio::task::yield_now().await;
@@ -422,6 +426,9 @@
         seen if seen.asked => Duration::ZERO,
         _ => FIRST_WITHIN,
     };
+    // No longer than the process takes requests at all.
+    let left = phase.borrow().answer_by.map(|end| end.saturating_duration_since(Instant::now()));
+    let wait = left.map_or(wait, |left| wait.min(left));
     if tokio::time::timeout(wait, &mut connection).await.is_ok() {
         return;
     }
@@ -483,11 +490,6 @@
     if pipe.is_none() && !asked.has_waited(seat.rested()) {
         return too_late(node, class);
     }
-    if let Some(ends) = phase.borrow().ends {
-        // Danger: a request that is taken on the way out, whose client would wait for longer than this process is there.
-        let left = ends.saturating_duration_since(Instant::now()).saturating_sub(LAST_WORDS);
-        asked.patience = asked.patience.min(left + DELIVERY);
-    }
     let patience = asked.patience.saturating_sub(DELIVERY);
     let (mut event, mut forward) = asked.arrived(head, body, seat);
     let pipe = pipe.map(|(first, rest)| {
--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -1,13 +1,13 @@
 //! Runs the life cycle: words in (signals, time, what is seen), what the state machine asks for out.
 
 use crate::admin::{Asked, Said};
-use crate::clients::{Phase, Standing};
+use crate::clients::{late, Phase, Standing};
 use crate::facts::Facing;
 use crate::manager::Manager;
 use crate::node::Node;
 use crate::shutdown;
 use saffronpaddle_admin::Call;
-use saffronpaddle_lifecycle::{Action, Event, Lifecycle, Limits, State};
+use saffronpaddle_lifecycle::{Action, Event, Lifecycle, Limits, State, StopPlan};
 use std::future::{pending, Future};
 use std::rc::Rc;
 use std::time::Duration;
@@ -59,15 +59,23 @@
         }
     }
 
-    /// Tells the log that the node stops, and when it ends at the latest.
-    fn tell_stop(&self, now: Duration) {
-        let ends_in = self.machine.ends().map(|ends| ends.saturating_sub(now));
+    /// The event of a signal to stop. A loop that was held up reads it late, and the platform's time runs from the signal.
+    fn stop(&self) -> Event {
+        let since = late::since().map_or_else(|| self.now(), |since| since.duration_since(self.born));
+        Event::Stop { since }
+    }
+
+    /// Bounds all that the node has taken, and all that it takes from now on, by the process's end.
+    fn begin_to_stop(&self, now: Duration, plan: StopPlan) {
+        let node = self.facing.node();
         info!(
             state = self.machine.state().name(),
-            ends_in_ms = ends_in.map(|span| span.as_millis() as u64),
-            open_requests = self.facing.node().open_requests().len(),
+            answer_in_ms = plan.answer_by.saturating_sub(now).as_millis() as u64,
+            ends_in_ms = plan.ends.saturating_sub(now).as_millis() as u64,
+            open_requests = node.open_requests().len(),
             "told to stop"
         );
+        node.answer_all_by(self.born + plan.answer_by);
     }
 
     /// When something must be looked at or ends by itself.
@@ -92,6 +100,7 @@
         // The first look is due at once.
         let mut looked = self.born.checked_sub(Lifecycle::NEXT).unwrap_or(self.born);
         let mut event = Event::Listening;
+        let mut stopping: Option<StopPlan> = None;
         loop {
             let mut out = Vec::new();
             let now = self.now();
@@ -118,14 +127,14 @@
                     Action::Exit => gone = true,
                 }
             }
-            if matches!(self.machine.state(), State::Draining) && before.phase < Phase::Leaving {
-                self.tell_stop(now);
+            let plan = self.machine.stop_plan();
+            if let Some(plan) = plan.filter(|_| plan != stopping) {
+                self.begin_to_stop(now, plan);
+                stopping = Some(plan);
             }
             let (ready, why) = (self.machine.ready(), self.machine.reasons());
-            // Until then all that was taken is answered.
-            let ends = self.machine.until().filter(|_| self.machine.state() == State::Closing);
-            let ends = ends.map(|ends| self.born + ends);
-            let after = Standing { phase, accepts, ready, why, ends };
+            let answer_by = plan.map(|plan| self.born + plan.answer_by);
+            let after = Standing { phase, accepts, ready, why, answer_by };
             if after != before {
                 self.standing.send_replace(after);
             }
@@ -135,6 +144,7 @@
             }
             if gone {
                 shutdown::tell("gone", self.facing.node());
+                self.facing.node().exits();
                 // The last words are worth a moment, but no more: the manager also sees the process end.
                 self.manager.retry();
                 return;
@@ -143,7 +153,7 @@
             event = tokio::select! {
                 biased;
                 word = words.recv(), if words_left => match word {
-                    Some(Word::Stop) => Event::Stop,
+                    Some(Word::Stop) => self.stop(),
                     Some(Word::Reload) => Event::Reload,
                     None => {
                         words_left = false;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,7 +19,9 @@
 };
 use saffronpaddle_decision::setup::Named;
 use saffronpaddle_decision::{Gateway, Kept};
-use saffronpaddle_exchange::{Bounds, Command, Event, Exchange, OpenRequest, Ticket, Verdict};
+use saffronpaddle_exchange::{
+    Bounds, Command, Event, Exchange, Invariant, OpenRequest, Ticket, Verdict, Violation,
+};
 use saffronpaddle_roster::{Change, Entry, Merge, Source};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -29,7 +31,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use tracing::debug;
+use tracing::{debug, error};
 
 /// Rounds of the loop between an alarm and what comes of it: the driver's, the connection's, the exchange's.
 const LATE_LOOKS: usize = 3;
@@ -122,6 +124,8 @@
     told: RefCell<(u64, BTreeMap<String, Host>)>,
     /// Peers that were heard in this life, by their numbers.
     peers_heard: RefCell<BTreeSet<GatewayId>>,
+    /// The process was told to stop, and answers all that it has by then.
+    answer_by: Cell<Option<Instant>>,
 }
 
 impl Node {
@@ -163,6 +167,7 @@
             list_heard: Cell::new(None),
             told: RefCell::default(),
             peers_heard: RefCell::default(),
+            answer_by: Cell::default(),
         });
         HERE.with_borrow_mut(|here| here.insert(number, Rc::downgrade(&node)));
         Ok(node)
@@ -189,6 +194,7 @@
         let mut commands = Vec::new();
         debug!(?event, "exchange");
         self.exchange.borrow_mut().handle(self.clock.now(), event, &mut commands);
+        self.tell_violations();
         self.alarm.set(self.exchange.borrow().next_alarm());
         let mut payload = payload;
         commands.into_iter().for_each(|command| self.carry_out(command, &mut payload));
@@ -215,6 +221,35 @@
         }
     }
 
+    /// The process was told to stop: all that the node has taken, and all that it takes from now on, is answered by then.
+    pub fn answer_all_by(self: &Rc<Self>, end: Instant) {
+        let earlier = self.answer_by.get().is_some_and(|earlier| earlier <= end);
+        if !earlier {
+            self.answer_by.set(Some(end));
+        }
+        let left = end.saturating_duration_since(Instant::now()).as_micros() as Micros;
+        self.happened(Event::Ending { answer_by: self.clock.now() + left }, None);
+    }
+
+    /// How long a server that gets a request now has to answer: no longer than the client waits, nor than the process lasts.
+    pub fn time_left(&self, forward: &Forward) -> Duration {
+        let until = self.answer_by.get().map_or(forward.deadline, |end| forward.deadline.min(end));
+        until.saturating_duration_since(Instant::now())
+    }
+
+    /// The process ends: requests without an answer are violations, and told as such.
+    pub fn exits(&self) {
+        self.exchange.borrow_mut().exits();
+        self.tell_violations();
+    }
+
+    /// Tells the log of invariants that did not hold.
+    fn tell_violations(&self) {
+        for Violation { invariant, request } in self.exchange.borrow_mut().take_violations() {
+            error!(invariant = invariant.name(), request = &*request.0, "an invariant does not hold");
+        }
+    }
+
     /// The node leaves: no connection to a server is kept any more.
     pub fn leave(self: &Rc<Self>) {
         self.happened(Event::Stop, None);
@@ -256,7 +291,10 @@
         let exchange = self.exchange.borrow();
         let (registry_entries, out_of_rotation) = exchange.module().rotation();
         let (names, tally) = (&self.named.classes, exchange.tally().clone());
-        let decided = exchange.module().counted().named().collect();
+        let mut decided: Vec<(&'static str, u64)> = exchange.module().counted().named().collect();
+        decided.extend(exchange.denials().map(|(denial, count)| (denial.figure(), count)));
+        let violations = exchange.violations();
+        decided.extend(Invariant::ALL.map(|invariant| (invariant.figure(), violations.count(invariant))));
         let words = self.peers.as_ref().map_or((0, 0), Peers::words);
         told(&Figures { names, tally, registry_entries, out_of_rotation, words, decided })
     }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -148,7 +148,8 @@
         let (node, dial) = (Rc::clone(node), wire.dial);
         let task = tokio::task::spawn_local(async move {
             let mut sender = sender;
-            let answer = exchange(&mut sender, &forward, server, dial).await;
+            let left = node.time_left(&forward);
+            let answer = exchange(&mut sender, &forward, left, server, dial).await;
             match answer {
                 Came::Switched(switched) => {
                     // The connection is the socket's now.
@@ -246,9 +247,9 @@
 /// Writes the request and reads its answer: whole if it is a short one, so that a client never gets one that was cut where
 /// another attempt can help.
 async fn exchange(
-    sender: &mut SendRequest<Outgoing>, forward: &Forward, server: ServerId, dial: SocketAddr,
+    sender: &mut SendRequest<Outgoing>, forward: &Forward, left: Duration, server: ServerId, dial: SocketAddr,
 ) -> Came {
-    let Some(answer) = head(sender, forward, dial).await else { return Came::Lost };
+    let Some(answer) = head(sender, forward, left, dial).await else { return Came::Lost };
     let (status, outcome) = (answer.status(), outcome(&answer));
     if let (StatusCode::SWITCHING_PROTOCOLS, Some(offer)) = (status, &forward.offer) {
         return switched(offer, server, answer).await.map_or(Came::Lost, Came::Switched);
@@ -317,9 +318,9 @@
 
 /// Writes the request and reads the head of its answer.
 async fn head(
-    sender: &mut SendRequest<Outgoing>, forward: &Forward, dial: SocketAddr,
+    sender: &mut SendRequest<Outgoing>, forward: &Forward, left: Duration, dial: SocketAddr,
 ) -> Option<Response<Incoming>> {
-    let left = forward.deadline.saturating_duration_since(Instant::now()).as_millis();
+    let left = left.as_millis();
     let mut request = Request::builder()
         .method(&forward.method)
         .uri(&forward.target)
