Begin a randomized fault soak: a seed draws a fleet, its load and faults that overlap

Real processes without an operator file, as the platform runs them; SIGTERM with the platform's kill after it and connections that first ask meanwhile, hold-ups of 0.15 s, SIGKILL, SIGSTOP, SIGHUP in a row, servers that hang, reset, err, drain or crash, links and the list service. A close that comes later than 0.25 s after a request was written counts as lost from now on, in all scenarios.

--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -12,6 +12,7 @@
 use std::process::{Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::process::Child;
 use tokio::time::timeout;
 
@@ -50,6 +51,10 @@
     pub manager: Arc<Manager>,
     /// Held by who starts or ends its processes: one deed at a time.
     pub turn: tokio::sync::Mutex<()>,
+    /// Whether it has an operator file, and a service manager that it tells how it goes.
+    pub operated: bool,
+    /// What it tells its log.
+    pub log_level: &'static str,
     listener: Option<TcpListener>,
     program: PathBuf,
     folder: PathBuf,
@@ -82,7 +87,20 @@
     ) -> Instance {
         let (program, folder) = (program.to_owned(), folder.to_owned());
         let (turn, process, cost) = Default::default();
-        Instance { number, address, manager, turn, listener, program, folder, process, cost }
+        let (operated, log_level) = (true, "info");
+        Instance {
+            number,
+            address,
+            manager,
+            turn,
+            operated,
+            log_level,
+            listener,
+            program,
+            folder,
+            process,
+            cost,
+        }
     }
 
     fn process(&self) -> Option<Arc<Process>> {
@@ -138,7 +156,10 @@
         let log = std::fs::OpenOptions::new().create(true).append(true).open(self.log())?;
         let log_from = log.metadata()?.len();
         let mut command = Command::new(&self.program);
-        command.arg("run").arg("--operator").arg(self.folder.join("operator.toml"));
+        command.arg("run").env("LB_LOG", self.log_level);
+        if self.operated {
+            command.arg("--operator").arg(self.folder.join("operator.toml"));
+        }
         for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LISTEN_FDS", "LISTEN_PID", "LISTEN_FDNAMES"] {
             command.env_remove(key);
         }
@@ -167,7 +188,7 @@
             cost.cpu_now = 0.0;
         }
         tokio::spawn(Arc::clone(self).watch(Arc::clone(&process)));
-        match timeout(ready_within, self.manager.ready()).await {
+        match timeout(ready_within, self.ready()).await {
             Ok(at) => {
                 let memory = memory(process.number()).unwrap_or(0);
                 let mut cost = self.cost();
@@ -185,6 +206,33 @@
         Ok(())
     }
 
+    /// When it was first ready: it says so, or is asked where it has nobody to tell.
+    async fn ready(&self) -> Instant {
+        if self.operated {
+            return self.manager.ready().await;
+        }
+        while !self.answers_ready().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Instant::now()
+    }
+
+    async fn answers_ready(&self) -> bool {
+        let Ok(mut stream) = tokio::net::TcpStream::connect(self.address).await else { return false };
+        let asked = b"GET /-/ready HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\n\r\n";
+        let mut answer = String::new();
+        let written = stream.write_all(asked).await.is_ok();
+        written && stream.read_to_string(&mut answer).await.is_ok() && answer.starts_with("HTTP/1.1 200")
+    }
+
+    /// Lines of its log that tell of an invariant that did not hold.
+    pub fn violations(&self) -> Vec<String> {
+        let text = std::fs::read(self.log()).map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+        let text = text.unwrap_or_default();
+        let violated = text.lines().filter(|line| line.contains("an invariant does not hold"));
+        violated.map(|line| format!("instance {}: {line}", self.number)).collect()
+    }
+
     /// Watches a process to its end: an end that nobody ordered is a fault, and so is a bad one.
     async fn watch(self: Arc<Self>, process: Arc<Process>) {
         let status = loop {
@@ -232,21 +280,44 @@
     pub async fn stop(&self) {
         let Some(process) = self.process() else { return };
         self.signal(Signal::SIGTERM);
-        let ended = async {
-            loop {
-                let mut child = process.child.lock().await;
-                if !matches!(child.try_wait(), Ok(None)) {
-                    return;
-                }
-                drop(child);
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        };
-        if timeout(END_WITHIN, ended).await.is_err() {
+        if timeout(END_WITHIN, ended(&process)).await.is_err() {
             self.fault("told to stop and did not end");
             self.signal(Signal::SIGKILL);
         }
     }
+
+    /// Tells the process that runs to stop, and kills it when its time is up. It may be held up once meanwhile.
+    pub async fn terminate(&self, killed_after: Duration, held_up_at: Option<Duration>, hold_up: Duration) {
+        let Some(process) = self.process() else { return };
+        let begun = Instant::now();
+        let ends = ended(&process);
+        tokio::pin!(ends);
+        self.signal(Signal::SIGTERM);
+        if let Some(at) = held_up_at {
+            if timeout(at, &mut ends).await.is_ok() {
+                return;
+            }
+            self.signal(Signal::SIGSTOP);
+            tokio::time::sleep(hold_up).await;
+            self.signal(Signal::SIGCONT);
+        }
+        if timeout(killed_after.saturating_sub(begun.elapsed()), &mut ends).await.is_err() {
+            self.signal(Signal::SIGKILL);
+            ends.await;
+        }
+    }
+}
+
+/// Comes back once a process has ended.
+async fn ended(process: &Process) {
+    loop {
+        let mut child = process.child.lock().await;
+        if !matches!(child.try_wait(), Ok(None)) {
+            return;
+        }
+        drop(child);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
 }
 
 fn killed(status: ExitStatus) -> bool {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod rig;
 pub mod room;
 pub mod scenario;
+pub mod soak;
 pub mod virtually;
 pub mod ways;
 pub mod windows;
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -40,15 +40,25 @@
     pub operator: String,
     /// Told of each step as it is taken.
     pub say: bool,
+    /// What the instances tell their logs.
+    pub log_level: &'static str,
 }
 
 /// How long a drained server's process goes on after its list entry was changed.
 pub(crate) const DRAINS_FOR: Duration = Duration::from_millis(1500);
 /// All clients have ended by then: the longest deadline and its retries.
 const CLIENTS_END: Duration = Duration::from_secs(20);
-/// Descriptors and memory of an instance, as on the platform's scored days.
-const SOCKETS: usize = 1024;
+/// Memory of an instance, as on the platform's scored days.
 const MEMORY_MB: usize = 192;
+/// The platform kills a process that was told to stop so long after the longest deadline, of which it counts no more than
+/// this.
+const KILL_GRACE: Duration = Duration::from_millis(700);
+const DEADLINE_COUNTED: Duration = Duration::from_secs(3);
+/// How long a process may be held up.
+const HOLD_UP: Duration = Duration::from_millis(150);
+/// Connections to a process that is told to stop, which first ask after that, and until when they do.
+const LATE_ASKERS: usize = 6;
+const ASK_WITHIN: Duration = Duration::from_millis(1300);
 
 static RUNS: AtomicU64 = AtomicU64::new(0);
 
@@ -153,6 +163,7 @@
         }
     };
     faults.extend(rig.instances.iter().flat_map(|instance| instance.cost().faults.clone()));
+    faults.extend(rig.instances.iter().flat_map(|instance| instance.violations()));
     faults.extend(rig.meddled());
     let capacities: Vec<(String, f64)> =
         rig.servers.iter().map(|server| (server.name().to_owned(), server.capacity())).collect();
@@ -184,8 +195,7 @@
 
 impl Rig {
     async fn set_up(scenario: Scenario, options: &Options) -> Result<Rig> {
-        let mut fleet = Fleet::usual(scenario.instances);
-        fleet.bounds.answer_slack = scenario.answer_slack;
+        let fleet = scenario.fleet();
         let world = World::begin(fleet.bounds.clone());
         let discovery = Discovery::new(Arc::clone(&world));
         let servers = servers(&scenario, &fleet, &world, &discovery)?;
@@ -237,8 +247,9 @@
             let manager =
                 Manager::start(&format!("saffronpaddle-fleet-{}-{run}-{number}", std::process::id()))?;
             let listener = scenario.handed_over.then_some(listener);
-            let instance =
+            let mut instance =
                 Instance::new(number, address, listener, manager, &options.program, &options.folder);
+            (instance.operated, instance.log_level) = (scenario.operated, options.log_level);
             let (me, mut agent, mut door) = (End::Node(number), discovery.agent(number).await?, address);
             if ways.touches(me, End::List) {
                 let behind = std::mem::replace(&mut agent, unclaimed()?);
@@ -257,7 +268,7 @@
                 discovery: agent,
                 peer_listen,
                 peers: network.peers_of(number)?,
-                sockets: SOCKETS,
+                sockets: scenario.sockets,
                 memory_mb: MEMORY_MB,
             };
             let seed = options.seed.wrapping_add(number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -333,7 +344,7 @@
 
     /// Offers all customers' tries, and comes back when the last has ended.
     async fn offer(&self) {
-        let fleet = Fleet::usual(self.scenario.instances);
+        let fleet = self.scenario.fleet();
         let mut clients = tokio::task::JoinSet::new();
         for customer in &self.customers {
             fleet.limit(&mut self.world.ledger(), customer);
@@ -363,10 +374,12 @@
         let (instances, servers) = (self.instances.clone(), self.servers.clone());
         let customers = self.customers.clone();
         let (within, lateness) = (self.scenario.ready_within, self.scenario.lateness);
+        let longest = self.scenario.fleet().classes.iter().map(|class| class.deadline).max();
+        let killed_after = longest.unwrap_or_default().min(DEADLINE_COUNTED) + KILL_GRACE;
         let deed = step.deed.clone();
         async move {
             let whose = match deed {
-                Deed::Start(who) | Deed::Restart(who) => Some(who),
+                Deed::Start(who) | Deed::Restart(who) | Deed::Terminate(who, _) => Some(who),
                 Deed::Kill(who, _) | Deed::Killearly(who, _) | Deed::Pause(who, _) => Some(who),
                 _ => None,
             };
@@ -389,6 +402,15 @@
                     start(&old, within).await;
                 }
                 Deed::Restart(_) => {}
+                Deed::Terminate(who, how) if instances[who].runs() => {
+                    let late = front.ask_late(who, &customers, LATE_ASKERS, ASK_WITHIN).await;
+                    instances[who].terminate(killed_after, how.held_up_at, HOLD_UP).await;
+                    world.ledger().restarted(who);
+                    late.join_all().await;
+                    sleep(how.back_after).await;
+                    start(&instances[who], within).await;
+                }
+                Deed::Terminate(..) => {}
                 Deed::Kill(who, lasts) if instances[who].runs() => {
                     front.killed_or_back(who);
                     instances[who].signal(Signal::SIGKILL);
@@ -483,6 +505,16 @@
                     sleep(lasts).await;
                     servers[who].set(|temper| temper.silent = false);
                 }
+                Deed::Resets(who, share, lasts) => {
+                    servers[who].set(|temper| temper.resets = share);
+                    sleep(lasts).await;
+                    servers[who].set(|temper| temper.resets = 0.0);
+                }
+                Deed::Errors(who, share, lasts) => {
+                    servers[who].set(|temper| temper.errors = share);
+                    sleep(lasts).await;
+                    servers[who].set(|temper| temper.errors = 0.0);
+                }
                 Deed::Slow(times, lasts) => {
                     servers.iter().for_each(|server| server.set(|temper| temper.slow = times));
                     sleep(lasts).await;
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -20,6 +20,8 @@
     Reload(usize),
     /// SIGTERM, and once it has ended, a new process.
     Restart(usize),
+    /// SIGTERM, and SIGKILL when the platform's time for it is up; a new process after a while.
+    Terminate(usize, Terminated),
     /// SIGKILL, and a new process after a while.
     Kill(usize, Duration),
     /// SIGKILL, a new process after a while, which is killed so long after its own start, and another.
@@ -46,6 +48,10 @@
     Crash(usize, Duration),
     /// An app server takes requests and answers none for a while.
     Silent(usize, Duration),
+    /// An app server resets so many of its connections, after the work was done, for a while.
+    Resets(usize, f64, Duration),
+    /// An app server answers so many of its requests with an error, after the work was done, for a while.
+    Errors(usize, f64, Duration),
     /// All app servers take so many times as long for a while.
     Slow(f64, Duration),
     /// Discovery is silent for a while.
@@ -64,11 +70,29 @@
         use Deed::*;
         matches!(
             self,
-            Etcdcut(_) | Etcdfreeze(..) | Etcdcompact | Killearly(..) | Join(_) | Burst(..) | Crowd(..)
+            Etcdcut(_)
+                | Etcdfreeze(..)
+                | Etcdcompact
+                | Killearly(..)
+                | Join(_)
+                | Burst(..)
+                | Crowd(..)
+                | Terminate(..)
+                | Resets(..)
+                | Errors(..)
         )
     }
 }
 
+/// How an instance is told to end by the platform.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terminated {
+    /// When its next process starts, after the end of this one.
+    pub back_after: Duration,
+    /// When it stands still, after SIGTERM, for as long as a process may be held up; never without this.
+    pub held_up_at: Option<Duration>,
+}
+
 /// A deed and its time, counted from when the fleet is up.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Step {
@@ -159,6 +183,12 @@
     pub members: usize,
     /// Whether listeners are kept by the rig and handed over.
     pub handed_over: bool,
+    /// Whether instances have an operator file. Without one they run as the platform starts them.
+    pub operated: bool,
+    /// Times the usual deadlines of all classes.
+    pub deadline_times: f64,
+    /// Descriptors that an instance may hold.
+    pub sockets: usize,
     /// Sides: groups of instances and servers, by name; figures are told by side.
     pub sides: Vec<Side>,
     /// Instances that are not started with the others.
@@ -188,12 +218,15 @@
     who: usize,
     lasts: Duration,
     times: f64,
+    /// The part of requests that is meant.
+    share: f64,
     /// The links that are meant: all between instances where nothing is said.
     which: Which,
     fault: links::Fault,
     /// Whether it lasts to the end.
     forever: bool,
     heal_gap: Duration,
+    held_up_at: Option<Duration>,
 }
 
 impl Said {
@@ -222,10 +255,13 @@
 type Kind = (&'static str, Whom, fn(&Said) -> Deed);
 
 /// All that a step may be.
-const DEEDS: [Kind; 26] = [
+const DEEDS: [Kind; 29] = [
     ("start", Whom::Instance, |said| Deed::Start(said.who)),
     ("reload", Whom::Instance, |said| Deed::Reload(said.who)),
     ("restart", Whom::Instance, |said| Deed::Restart(said.who)),
+    ("terminate", Whom::Instance, |said| {
+        Deed::Terminate(said.who, Terminated { back_after: said.lasts, held_up_at: said.held_up_at })
+    }),
     ("kill", Whom::Instance, |said| Deed::Kill(said.who, said.lasts)),
     ("kill-early", Whom::Instance, |said| Deed::Killearly(said.who, said.lasts)),
     ("crowd", Whom::Instance, |said| Deed::Crowd(said.who, said.lasts)),
@@ -246,6 +282,8 @@
     ("flip", Whom::Server, |said| Deed::Flip(said.who, said.lasts)),
     ("crash", Whom::Server, |said| Deed::Crash(said.who, said.lasts)),
     ("silent", Whom::Server, |said| Deed::Silent(said.who, said.lasts)),
+    ("resets", Whom::Server, |said| Deed::Resets(said.who, said.share, said.lasts)),
+    ("errors", Whom::Server, |said| Deed::Errors(said.who, said.share, said.lasts)),
     ("slow", Whom::All, |said| Deed::Slow(said.times, said.lasts)),
     ("undiscovered", Whom::All, |said| Deed::Undiscovered(said.lasts)),
     ("etcd-cut", Whom::Member, |said| Deed::Etcdcut(said.who)),
@@ -332,6 +370,9 @@
             roster: file.parsed("roster", "discovery, etcd or both", Roster::read).unwrap_or_default(),
             members: file.number("members", 3, 1..=9) as usize,
             handed_over: file.flag("handed_over", true),
+            operated: file.flag("operated", true),
+            deadline_times: file.figure("deadline_times", 1.0, 0.01..=100.0),
+            sockets: file.number("sockets", SOCKETS, 64..=65_536) as usize,
             ready_within: file.span_ms("ready_within_ms", 30_000, 1000..=600_000),
             sides: Vec::new(),
             absent: BTreeSet::new(),
@@ -353,6 +394,9 @@
             known: file.parsed("known", "fresh, nothing or stale", Known::read).unwrap_or_default(),
             steps: Vec::new(),
         };
+        if scenario.handed_over && !scenario.operated {
+            file.fault("handed_over", "needs an operator file");
+        }
         if scenario.spread.0 > scenario.spread.1 {
             file.fault("spread_least", "must be at most spread_most");
             scenario.spread.0 = scenario.spread.1;
@@ -394,6 +438,17 @@
         Ok(scenario)
     }
 
+    /// What all instances are told alike.
+    pub fn fleet(&self) -> Fleet {
+        let mut fleet = Fleet::usual(self.instances);
+        fleet.bounds.answer_slack = self.answer_slack;
+        for class in &mut fleet.classes {
+            class.deadline = class.deadline.mul_f64(self.deadline_times);
+            class.aim = class.aim.min(class.deadline);
+        }
+        fleet
+    }
+
     /// Requests in work at once at each app server.
     pub fn cores_of(&self, fleet: &Fleet) -> usize {
         let needed = self.rate * fleet.mean_work() / self.servers as f64;
@@ -440,6 +495,8 @@
         let forever = !section.has("for_ms");
         let lasts = section.span_ms("for_ms", 2_000, 0..=600_000);
         let times = section.figure("times", 2.0, 0.1..=100.0);
+        let share = section.figure("share", 0.5, 0.0..=1.0);
+        let held_up_at = section.span_ms_or_none("held_up_at_ms", 0, 60_000);
         let delay = section.span_ms("delay_ms", 0, 0..=10_000);
         let fault = links::Fault {
             loss: section.figure("loss", 0.0, 0.0..=1.0),
@@ -482,7 +539,8 @@
             };
             for (place, who) in chosen.into_iter().enumerate() {
                 let which = which.clone();
-                let deed = does(&Said { who, lasts, times, which, fault, forever, heal_gap });
+                let deed =
+                    does(&Said { who, lasts, times, share, which, fault, forever, heal_gap, held_up_at });
                 self.steps.push(Step { at: begin + gap * place as u32, deed });
             }
             let Some(every) = every else { break };
@@ -514,6 +572,8 @@
 pub const SLOTS: usize = 16;
 /// App servers in a group that drops repeats.
 pub const GROUP: usize = 3;
+/// Descriptors of an instance, as on the platform's scored days.
+const SOCKETS: u64 = 1024;
 /// Most instances, app servers and tries a second, as virtual time bears them; by processes there are fewer (`room`).
 const NODES_MOST: u64 = 10_000;
 const SERVERS_MOST: u64 = 100_000;
--- a/crates/fleet/src/virtually/mod.rs
+++ b/crates/fleet/src/virtually/mod.rs
@@ -671,7 +671,13 @@
             }
             // Refused when the run began.
             Deed::Etcdcut(_) | Deed::Etcdfreeze(..) | Deed::Etcdcompact => {}
-            Deed::Killearly(..) | Deed::Join(_) | Deed::Burst(..) | Deed::Crowd(..) => {}
+            Deed::Killearly(..)
+            | Deed::Join(_)
+            | Deed::Burst(..)
+            | Deed::Crowd(..)
+            | Deed::Terminate(..)
+            | Deed::Resets(..)
+            | Deed::Errors(..) => {}
         }
     }
 
--- a/crates/saffronpaddle/src/fleet.rs
+++ b/crates/saffronpaddle/src/fleet.rs
@@ -3,8 +3,9 @@
 use anyhow::{Context, Result};
 use lexopt::prelude::*;
 use saffronpaddle_fleet::scenario::SHIPPED;
+use saffronpaddle_fleet::soak::{self, Plan, Size};
 use saffronpaddle_fleet::{Options, Overrides, Scenario};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Adds the counts in logs up: a table, or CSV.
@@ -23,6 +24,52 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Plays fleets with random faults, a seed after the other, until one breaks a rule.
+fn soak(mut arguments: lexopt::Parser) -> Result<ExitCode> {
+    let (mut seed, mut runs, mut size, mut shrinks) = (1, 1, Size::LONG, true);
+    let mut folder = std::env::temp_dir().join(format!("saffronpaddle-soak-{}", std::process::id()));
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Long("seed") => seed = arguments.value()?.parse()?,
+            Long("runs") => runs = arguments.value()?.parse()?,
+            Long("short") => size = Size::SHORT,
+            Long("keep") => folder = PathBuf::from(arguments.value()?),
+            Long("no-shrink") => shrinks = false,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let program = std::env::current_exe().context("this program")?;
+    let mut failed = 0;
+    for seed in seed..seed + runs {
+        let of_seed = folder.join(seed.to_string());
+        let options = |folder: &Path| Options {
+            program: program.clone(),
+            seed,
+            folder: folder.to_owned(),
+            operator: String::new(),
+            say: false,
+            log_level: "debug",
+        };
+        let plan = Plan::draw(seed, size);
+        let report = soak::play(&plan, &options(&of_seed))?;
+        println!("{report}");
+        if report.good() {
+            std::fs::remove_dir_all(&of_seed)?;
+            continue;
+        }
+        failed += 1;
+        println!("seed {seed} fails; logs are in {}", of_seed.display());
+        println!("{}", soak::timeline(&report, &of_seed));
+        let smallest = match shrinks {
+            true => soak::shrink(&plan, &report, &options(&folder.join("shrinks")))?,
+            false => plan,
+        };
+        println!("the smallest plan that was seen to fail:\n{}", smallest.text());
+    }
+    println!("{} of {runs} seeds failed", failed);
+    Ok(if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 pub fn fleet(mut arguments: lexopt::Parser) -> Result<ExitCode> {
     let (mut named, mut seed, mut json, mut keep) = (None, 1, None, None);
     let (mut table, mut program, mut operator) = (false, None, String::new());
@@ -31,6 +78,7 @@
     while let Some(argument) = arguments.next()? {
         match argument {
             Value(name) if named.is_none() && name == "counts" => return counts(arguments),
+            Value(name) if named.is_none() && name == "soak" => return soak(arguments),
             Value(name) if named.is_none() => named = Some(name.to_string_lossy().into_owned()),
             Long("seed") => seed = arguments.value()?.parse()?,
             Long("json") => json = Some(PathBuf::from(arguments.value()?)),
@@ -62,7 +110,7 @@
     let program = program.map_or_else(std::env::current_exe, Ok).context("this program")?;
     let temporary = || std::env::temp_dir().join(format!("saffronpaddle-fleet-{}", std::process::id()));
     let (kept, folder) = (keep.is_some(), keep.unwrap_or_else(temporary));
-    let options = Options { program, seed, folder, operator, say: true };
+    let options = Options { program, seed, folder, operator, say: true, log_level: "info" };
     let report = match in_virtual_time {
         true => {
             saffronpaddle_fleet::room::look(&scenario)?;
--- a/crates/saffronpaddle/src/log.rs
+++ b/crates/saffronpaddle/src/log.rs
@@ -17,13 +17,13 @@
         }
         _ => LevelFilter::INFO,
     };
-    // The platform and the service manager date each line by themselves.
-    tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
-        .with_max_level(level)
-        .with_ansi(false)
-        .with_target(false)
-        .without_time()
-        .init();
+    let lines = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    if level > LevelFilter::INFO {
+        // Whoever looks at single events compares the logs of several processes.
+        lines.with_max_level(level).init();
+    } else {
+        // The platform and the service manager date each line by themselves.
+        lines.with_max_level(level).without_time().init();
+    }
     Ok(())
 }
--- a/crates/saffronpaddle/src/main.rs
+++ b/crates/saffronpaddle/src/main.rs
@@ -33,6 +33,9 @@
                                           for each server that each node knows, 50 for each peer
   saffronpaddle fleet counts LOGS...      adds up the figures that nodes told their logs (log.counts_every_ms): a table,
         [--csv]                           or CSV with a line a node; LOGS are files or folders
+  saffronpaddle fleet soak                plays fleets of 10 to 40 processes with random faults that overlap, judged by the rules:
+        [--seed N] [--runs N] [--short]   one that fails is told with the way of its requests through all logs, and is made
+        [--keep FOLDER] [--no-shrink]     smaller by leaving out faults
   saffronpaddle --help | --version
 ";
 
--- a/crates/saffronpaddle/tests/common/mod.rs
+++ b/crates/saffronpaddle/tests/common/mod.rs
@@ -39,7 +39,8 @@
 pub fn fleet_with(tag: &str, text: &str, operator: &str) -> Report {
     let scenario = Scenario::parse(text, 1).expect("a good scenario");
     let folder = std::env::temp_dir().join(format!("saffronpaddle-{}-fleet-{tag}", std::process::id()));
-    let options = Options { program: program(), seed: 1, folder, operator: operator.to_owned(), say: false };
+    let operator = operator.to_owned();
+    let options = Options { program: program(), seed: 1, folder, operator, say: false, log_level: "info" };
     let _place = Place::taken();
     saffronpaddle_fleet::run(scenario, &options, false).expect("it is played")
 }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -14,6 +14,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 /// Between the front's looks at a node's readiness.
 const POLL: Duration = Duration::from_millis(250);
@@ -34,6 +35,8 @@
 const CROWD: usize = 1100;
 /// Between idle clients' looks at their connections.
 const CROWD_LOOK: Duration = Duration::from_millis(100);
+/// A request and the close of its connection may cross: the close is seen no later than so long after the request was written.
+const CROSSES_WITHIN: Duration = Duration::from_millis(250);
 /// Idle connections kept to one node.
 const IDLE_MOST: usize = 64;
 
@@ -178,6 +181,10 @@
     customer: Customer,
 }
 
+fn new_key() -> String {
+    format!("{:032x}", fastrand::u128(..))
+}
+
 enum End {
     /// With how long to stay away, where that was said.
     Answered(Answer, Option<Duration>),
@@ -262,12 +269,10 @@
 
     /// One client's request, with its retries; comes back when the last try has ended.
     pub async fn client(&self, customer: Customer, class: usize) {
-        let key = self.fleet.classes[class].keyed.then(|| format!("{:032x}", fastrand::u128(..)));
+        let key = self.fleet.classes[class].keyed.then(new_key);
         let mut patience = Patience::begin(self.world.now(), key.is_some());
         loop {
-            let number = self.next.fetch_add(1, Ordering::Relaxed);
-            let id = format!("{:08x}{number:08x}", self.seed as u32);
-            let request = Request { id, key: key.clone(), class, customer: customer.clone() };
+            let request = self.request(customer.clone(), class, key.clone());
             let after = match self.send(&request).await {
                 Some(End::Answered(Answer::Served, _) | End::Unanswered(Unanswered::Left)) => return,
                 Some(End::Answered(_, after)) => after,
@@ -300,22 +305,61 @@
                 },
             };
             let end = self.exchange(request, node, wire, fresh).await;
-            let (id, world) = (&request.id, &self.world);
-            match &end {
-                End::Answered(answer, _) => world.ledger().answered(world.now(), id, *answer),
-                // Its connection closed unread: the client sends it once more on a new one.
-                End::Unanswered(Unanswered::NotTaken) if !fresh => {
-                    self.figures.resent.fetch_add(1, Ordering::Relaxed);
-                    lock(&self.doors[node].idle).clear();
-                    continue;
-                }
-                End::Unanswered(Unanswered::Left) => world.ledger().left(world.now(), id),
-                End::Unanswered(why) => world.ledger().unanswered(id, *why),
+            // Its connection closed unread: the client sends it once more on a new one.
+            if matches!(end, End::Unanswered(Unanswered::NotTaken)) && !fresh {
+                self.figures.resent.fetch_add(1, Ordering::Relaxed);
+                lock(&self.doors[node].idle).clear();
+                continue;
             }
+            self.note(&request.id, &end);
             return Some(end);
         }
     }
 
+    /// Opens connections to a node now, each of which first asks at a moment within this span.
+    pub async fn ask_late(
+        self: &Arc<Self>, node: usize, customers: &[Customer], count: usize, within: Duration,
+    ) -> JoinSet<()> {
+        let mut askers = JoinSet::new();
+        for _ in 0..count {
+            let (Some(wire), Some(customer)) = (self.connect(node).await, fastrand::choice(customers)) else {
+                continue;
+            };
+            let (front, customer) = (Arc::clone(self), customer.clone());
+            askers.spawn(async move {
+                front.ask_once(node, wire, customer, within.mul_f64(fastrand::f64())).await
+            });
+        }
+        askers
+    }
+
+    /// Asks once on a connection, after a while.
+    async fn ask_once(&self, node: usize, wire: Wire, customer: Customer, after: Duration) {
+        tokio::time::sleep(after).await;
+        let class = class_of(&self.fleet, fastrand::f64());
+        let request = self.request(customer, class, None);
+        // It may close while nothing was asked; what was asked by then is asked again elsewhere.
+        let end = self.exchange(&request, node, wire, false).await;
+        self.note(&request.id, &end);
+    }
+
+    /// A request with an id of its own.
+    fn request(&self, customer: Customer, class: usize, key: Option<String>) -> Request {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let key = key.or_else(|| self.fleet.classes[class].keyed.then(new_key));
+        Request { id: format!("{:08x}{number:08x}", self.seed as u32), key, class, customer }
+    }
+
+    /// Notes how a try has ended.
+    fn note(&self, id: &str, end: &End) {
+        let world = &self.world;
+        match end {
+            End::Answered(answer, _) => world.ledger().answered(world.now(), id, *answer),
+            End::Unanswered(Unanswered::Left) => world.ledger().left(world.now(), id),
+            End::Unanswered(why) => world.ledger().unanswered(id, *why),
+        }
+    }
+
     /// Fills a node's descriptors with connections that never send a word, and opens new ones where it closes some.
     pub async fn crowd(&self, node: usize, lasts: Duration) {
         let end = self.world.now() + lasts;
@@ -418,7 +462,9 @@
             Err(_) if leaves.is_some() => End::Unanswered(Unanswered::Left),
             ended => {
                 let closed = matches!(ended, Ok(Ok(None) | Err(_)));
-                let unread = world.ledger().attempts(&request.id) == 0;
+                // A close that crosses a request comes at once; one that comes later has dropped it.
+                let crossed = world.now() < sent + CROSSES_WITHIN;
+                let unread = crossed && world.ledger().attempts(&request.id) == 0;
                 match excuse() {
                     Some(why) => End::Unanswered(why),
                     // Closed between two requests: that crossed this one, and no attempt was made of it.
