Have the soak judge invariants by who stood still, and play another build

Seed 4 counted answers that came late as broken: its instance 8 had been stopped for 4.8 s by order, as the plan and its log show; such an instance is excused for late answers alone.

--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -10,6 +10,7 @@
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -55,6 +56,8 @@
     pub operated: bool,
     /// What it tells its log.
     pub log_level: &'static str,
+    /// Whether a process of it was made to stand still, for longer than one may be held up.
+    pub stood_still: AtomicBool,
     listener: Option<TcpListener>,
     program: PathBuf,
     folder: PathBuf,
@@ -95,6 +98,7 @@
             turn,
             operated,
             log_level,
+            stood_still: AtomicBool::new(false),
             listener,
             program,
             folder,
@@ -225,12 +229,17 @@
         written && stream.read_to_string(&mut answer).await.is_ok() && answer.starts_with("HTTP/1.1 200")
     }
 
-    /// Lines of its log that tell of an invariant that did not hold.
+    /// Lines of its log that tell of an invariant that did not hold. One that stood still by order answers late.
     pub fn violations(&self) -> Vec<String> {
         let text = std::fs::read(self.log()).map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
         let text = text.unwrap_or_default();
+        let stood_still = self.stood_still.load(Ordering::Relaxed);
+        let excused = |line: &&str| stood_still && line.contains("answered_in_time");
         let violated = text.lines().filter(|line| line.contains("an invariant does not hold"));
-        violated.map(|line| format!("instance {}: {line}", self.number)).collect()
+        violated
+            .filter(|line| !excused(line))
+            .map(|line| format!("instance {}: {line}", self.number))
+            .collect()
     }
 
     /// Watches a process to its end: an end that nobody ordered is a fault, and so is a bad one.
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -444,6 +444,7 @@
                 Deed::Pause(who, lasts) => {
                     let stopped = world.now();
                     front.paused(who);
+                    instances[who].stood_still.store(true, Ordering::Relaxed);
                     if instances[who].signal(Signal::SIGSTOP) {
                         sleep(lasts).await;
                         instances[who].signal(Signal::SIGCONT);
--- a/crates/saffronpaddle/src/fleet.rs
+++ b/crates/saffronpaddle/src/fleet.rs
@@ -26,19 +26,20 @@
 
 /// Plays fleets with random faults, a seed after the other, until one breaks a rule.
 fn soak(mut arguments: lexopt::Parser) -> Result<ExitCode> {
-    let (mut seed, mut runs, mut size, mut shrinks) = (1, 1, Size::LONG, true);
+    let (mut seed, mut runs, mut size, mut shrinks, mut program) = (1, 1, Size::LONG, true, None);
     let mut folder = std::env::temp_dir().join(format!("saffronpaddle-soak-{}", std::process::id()));
     while let Some(argument) = arguments.next()? {
         match argument {
             Long("seed") => seed = arguments.value()?.parse()?,
             Long("runs") => runs = arguments.value()?.parse()?,
             Long("short") => size = Size::SHORT,
+            Long("program") => program = Some(PathBuf::from(arguments.value()?)),
             Long("keep") => folder = PathBuf::from(arguments.value()?),
             Long("no-shrink") => shrinks = false,
             other => return Err(other.unexpected().into()),
         }
     }
-    let program = std::env::current_exe().context("this program")?;
+    let program = program.map_or_else(std::env::current_exe, Ok).context("this program")?;
     let mut failed = 0;
     for seed in seed..seed + runs {
         let of_seed = folder.join(seed.to_string());
