--- a/crates/saffronpaddle/tests/common/mod.rs
+++ b/crates/saffronpaddle/tests/common/mod.rs
@@ -11,10 +11,11 @@
 
 /// A place among the fleets that play. Danger: eight fleets of 30 processes beside one another on a small machine, where what the ledger
 /// sees of one connection's end comes so late that it takes two attempts one behind the other for two at once.
-struct Place;
+pub struct Place;
 
 impl Place {
-    fn taken() -> Place {
+    /// Waits for one.
+    pub fn taken() -> Place {
         let playing = PLAYING.0.lock().unwrap_or_else(PoisonError::into_inner);
         let wait = PLAYING.1.wait_while(playing, |playing| *playing >= AT_ONCE);
         *wait.unwrap_or_else(PoisonError::into_inner) += 1;
@@ -29,6 +30,13 @@
     }
 }
 
+/// How a randomized run is played.
+#[allow(dead_code)]
+pub fn soak_options(seed: u64) -> Options {
+    let folder = std::env::temp_dir().join(format!("saffronpaddle-{}-soak-{seed}", std::process::id()));
+    Options { program: program(), seed, folder, operator: String::new(), say: false, log_level: "debug" }
+}
+
 /// Plays a scenario with instances of the program that stands beside this test.
 #[allow(dead_code)]
 pub fn fleet(tag: &str, text: &str) -> Report {
@@ -36,6 +44,7 @@
 }
 
 /// The same with an operator file.
+#[allow(dead_code)]
 pub fn fleet_with(tag: &str, text: &str, operator: &str) -> Report {
     let scenario = Scenario::parse(text, 1).expect("a good scenario");
     let folder = std::env::temp_dir().join(format!("saffronpaddle-{}-fleet-{tag}", std::process::id()));
