Make interrupted calls again, tell accept's errors apart, read short reads whole

Cause, each shown by the failing test or its parts: EINTR of a read or write ended its connection; an accept that failed for a shortage of the machine sent idle connections away; the end of the backlog was taken for reached at the first error; a socket that could not be made at the start ended the process. Found beside: the runtime's stream takes a short read for the last one, and waits for an event that does not come.

Change: crates/netio, one place for all sockets of a node and of etcd's client: Socket (made again when interrupted, goes by what the machine says), AcceptFailure by errno, retry_shortage for what is bound at the start, is_local_failure for connects that say nothing of a server.

--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -4,6 +4,7 @@
 use crate::stamped::{Stamp, Stamped};
 use http::uri::PathAndQuery;
 use hyper_util::rt::TokioIo;
+use saffronpaddle_netio::Socket;
 use saffronpaddle_roster::{Change, Follower, Header, KeyValue, Listing, Next, Rules, WatchEvent};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -241,6 +242,7 @@
             async move {
                 let stream = TcpStream::connect(member).await?;
                 stream.set_nodelay(true)?;
+                let stream = Socket::new(stream);
                 Ok::<_, std::io::Error>(TokioIo::new(Stamped { stream, stamp }))
             }
         });
--- a/crates/etcd/src/stamped.rs
+++ b/crates/etcd/src/stamped.rs
@@ -1,13 +1,13 @@
 //! A connection that notes when bytes were read off its socket. Guards the 250 ms of a drain: they run from there, and
 //! not from when the bytes were decoded and their turn came.
 
+use saffronpaddle_netio::Socket;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// When a connection's bytes were read.
 #[derive(Clone, Debug, Default)]
@@ -38,7 +38,7 @@
 
 /// The connection.
 pub struct Stamped {
-    pub stream: TcpStream,
+    pub stream: Socket,
     pub stamp: Stamp,
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/netio/src/socket.rs
@@ -1,5 +1,9 @@
-//! A connection that one reads and writes and others look at.
+//! A TCP connection that one reads and writes and others look at.
+//!
+//! The runtime's own stream takes a read or write that moved less than was asked for as a sign that the machine has no
+//! more; where that is not so, it waits for an event that does not come. This one goes by what the machine says.
 
+use crate::retry_interrupted;
 use socket2::SockRef;
 use std::future::Future;
 use std::io;
@@ -23,21 +27,37 @@
 /// Whether nothing has come on a connection that was not read, not even an end. The machine is asked, as nobody may have
 /// looked yet.
 pub fn is_quiet(stream: &TcpStream) -> bool {
-    let seen = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    let seen = retry_interrupted(|| SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]));
     seen.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
-/// The one that reads and writes.
-pub struct Shared(pub Arc<TcpStream>);
+/// The one that reads and writes. Calls that a signal interrupts are made again.
+#[derive(Debug)]
+pub struct Socket(Arc<TcpStream>);
+
+impl Socket {
+    /// Wraps a connection.
+    pub fn new(stream: impl Into<Arc<TcpStream>>) -> Socket {
+        Socket(stream.into())
+    }
+
+    /// The connection, to be looked at.
+    pub fn stream(&self) -> &TcpStream {
+        &self.0
+    }
+
+    /// The connection, no longer wrapped; none where somebody looks at it in this very moment, which nobody does for longer.
+    pub fn into_inner(self) -> Option<TcpStream> {
+        Arc::try_unwrap(self.0).ok()
+    }
 
-impl Shared {
     /// Writes as soon as the machine takes something.
     fn write(
         &self, context: &mut Context<'_>, write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.poll_write_ready(context))?;
-            match write(&self.0) {
+            match retry_interrupted(|| write(&self.0)) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -45,13 +65,13 @@
     }
 }
 
-impl AsyncRead for Shared {
+impl AsyncRead for Socket {
     fn poll_read(
         self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
+            match retry_interrupted(|| self.0.try_read(buffer.initialize_unfilled())) {
                 Ok(read) => {
                     buffer.advance(read);
                     return Poll::Ready(Ok(()));
@@ -63,7 +83,7 @@
     }
 }
 
-impl AsyncWrite for Shared {
+impl AsyncWrite for Socket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         self.write(context, |stream| stream.try_write(bytes))
     }
--- /dev/null
+++ b/crates/netio/src/uninterrupted.rs
@@ -0,0 +1,84 @@
+//! Calls that a signal has interrupted are made again.
+
+use std::io::{self, ErrorKind, IoSlice};
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Makes a call again for as long as signals interrupt it.
+///
+/// # Errors
+/// All others of the call.
+pub fn retry_interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
+/// A stream whose reads and writes are made again where a signal has interrupted them.
+#[derive(Debug)]
+pub struct Uninterrupted<S>(S);
+
+impl<S> Uninterrupted<S> {
+    /// Wraps a stream.
+    pub fn new(stream: S) -> Uninterrupted<S> {
+        Uninterrupted(stream)
+    }
+
+    /// The stream.
+    pub fn get_ref(&self) -> &S {
+        &self.0
+    }
+
+    /// The stream, no longer wrapped.
+    pub fn into_inner(self) -> S {
+        self.0
+    }
+}
+
+/// Polls again for as long as signals interrupt the call.
+fn poll_uninterrupted<T>(mut poll: impl FnMut() -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+    loop {
+        match ready!(poll()) {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            done => return Poll::Ready(done),
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Uninterrupted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        poll_uninterrupted(|| Pin::new(&mut self.0).poll_read(context, buffer))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Uninterrupted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        poll_uninterrupted(|| Pin::new(&mut self.0).poll_write(context, bytes))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        poll_uninterrupted(|| Pin::new(&mut self.0).poll_write_vectored(context, parts))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        poll_uninterrupted(|| Pin::new(&mut self.0).poll_flush(context))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        poll_uninterrupted(|| Pin::new(&mut self.0).poll_shutdown(context))
+    }
+}
--- /dev/null
+++ b/crates/netio/tests/failures.rs
@@ -0,0 +1,123 @@
+//! Each errno that the manual pages document, and what is done about it.
+
+use saffronpaddle_netio::{is_local_failure, is_shortage, retry_shortage, AcceptFailure, Uninterrupted};
+use std::cell::Cell;
+use std::io::{self, ErrorKind};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+
+/// A stream each of whose calls is interrupted so many times first, and then moves one byte.
+struct Interrupted {
+    times: u32,
+    left: u32,
+    written: Vec<u8>,
+}
+
+impl Interrupted {
+    fn interrupts(&mut self) -> bool {
+        let interrupts = self.left > 0;
+        self.left = if interrupts { self.left - 1 } else { self.times };
+        interrupts
+    }
+}
+
+impl AsyncRead for Interrupted {
+    fn poll_read(
+        mut self: Pin<&mut Self>, _: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.interrupts() {
+            return Poll::Ready(Err(ErrorKind::Interrupted.into()));
+        }
+        buffer.put_slice(b"x");
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Interrupted {
+    fn poll_write(mut self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        if self.interrupts() {
+            return Poll::Ready(Err(ErrorKind::Interrupted.into()));
+        }
+        self.written.extend_from_slice(&bytes[..1]);
+        Poll::Ready(Ok(1))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn interrupted_calls_are_made_again_and_nothing_is_lost_or_doubled() {
+    let mut stream = Uninterrupted::new(Interrupted { times: 3, left: 3, written: Vec::new() });
+    let mut read = [0; 5];
+    stream.read_exact(&mut read).await.expect("it is read");
+    stream.write_all(b"a request").await.expect("it is written");
+    assert_eq!((&read, &stream.get_ref().written[..]), (b"xxxxx", &b"a request"[..]));
+}
+
+#[test]
+fn accept_tells_errors_of_one_connection_from_shortages() {
+    let failure = |errno: nix::errno::Errno| AcceptFailure::of(&io::Error::from_raw_os_error(errno as i32));
+    use nix::errno::Errno::*;
+    let of_one = [
+        EINTR,
+        ECONNABORTED,
+        ECONNRESET,
+        EPROTO,
+        EPERM,
+        ENETDOWN,
+        ENOPROTOOPT,
+        EHOSTDOWN,
+        ENONET,
+        EHOSTUNREACH,
+        EOPNOTSUPP,
+        ENETUNREACH,
+        ETIMEDOUT,
+    ];
+    for errno in of_one {
+        assert_eq!(failure(errno), AcceptFailure::OfOneConnection, "{errno}");
+    }
+    assert_eq!(failure(EMFILE), AcceptFailure::NoDescriptor);
+    for errno in [ENFILE, ENOBUFS, ENOMEM, EINVAL] {
+        assert_eq!(failure(errno), AcceptFailure::Passing, "{errno}");
+    }
+}
+
+#[test]
+fn what_is_lacking_here_says_nothing_of_a_server() {
+    use nix::errno::Errno::*;
+    let local = |errno: nix::errno::Errno| is_local_failure(&io::Error::from_raw_os_error(errno as i32));
+    for errno in [EMFILE, ENFILE, EADDRNOTAVAIL, ENOBUFS, ENOMEM, EAGAIN, EINTR] {
+        assert!(local(errno), "{errno}");
+    }
+    for errno in [ECONNREFUSED, ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, ECONNRESET] {
+        assert!(!local(errno), "{errno}");
+    }
+}
+
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn a_shortage_is_waited_out_and_an_end_comes_all_the_same() {
+    let tries = Cell::new(0);
+    let after = |times| {
+        let tries = &tries;
+        move || {
+            tries.set(tries.get() + 1);
+            let error = nix::errno::Errno::ENFILE as i32;
+            let done = if tries.get() > times { Ok(()) } else { Err(io::Error::from_raw_os_error(error)) };
+            std::future::ready(done)
+        }
+    };
+    assert!(retry_shortage(after(5)).await.is_ok());
+    tries.set(0);
+    let error = retry_shortage(after(u32::MAX)).await.expect_err("it does not pass");
+    assert!(is_shortage(&error));
+    // What others have to change is told at once.
+    let refused = || std::future::ready(Err::<(), _>(io::Error::from(ErrorKind::AddrInUse)));
+    assert!(retry_shortage(refused).await.is_err());
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -3,6 +3,7 @@
 use crate::node::Node;
 use anyhow::{Context, Result};
 use saffronpaddle_admin::{failure, success, Bad, Call, Caller, Desk, Line};
+use saffronpaddle_netio::{retry_shortage, AcceptFailure, Socket};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -50,7 +51,8 @@
     /// # Errors
     /// It is taken.
     pub async fn bind(address: SocketAddr) -> Result<Admin> {
-        let listener = TcpListener::bind(address).await.with_context(|| format!("admin_addr {address}"))?;
+        let bound = retry_shortage(|| TcpListener::bind(address)).await;
+        let listener = bound.with_context(|| format!("admin_addr {address}"))?;
         Ok(Admin { listener })
     }
 }
@@ -94,6 +96,7 @@
                     });
                     room.borrow_mut().tasks.insert(caller, task.abort_handle());
                 }
+                Err(error) if AcceptFailure::of(&error) == AcceptFailure::OfOneConnection => {}
                 Err(_) => sleep(ACCEPT_AGAIN).await,
             },
             () = over(until) => {
@@ -113,7 +116,8 @@
     }
 }
 
-async fn converse(mut stream: TcpStream, node: &Rc<Node>, ask: &mpsc::Sender<Asked>) -> std::io::Result<()> {
+async fn converse(stream: TcpStream, node: &Rc<Node>, ask: &mpsc::Sender<Asked>) -> std::io::Result<()> {
+    let mut stream = Socket::new(stream);
     let (mut line, mut piece) = (Line::default(), [0; PIECE]);
     let call = loop {
         let length = stream.read(&mut piece).await?;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -26,6 +26,7 @@
 use saffronpaddle_decision::setup::Named;
 use saffronpaddle_exchange::Ticket;
 use saffronpaddle_lifecycle::Reasons;
+use saffronpaddle_netio::AcceptFailure;
 use saffronpaddle_sockets::upgrade::{self, Offer};
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -65,6 +66,8 @@
 const LAST_LOOKS: usize = 3;
 /// Pause after a connection that could not be accepted, for lack of descriptors mostly; shorter where one is closed.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// How often that is waited for once the node takes no more.
+const PAUSES_AT_THE_END: u32 = 10;
 /// How often who may make way is looked for while one waits for a place and nobody has ended.
 const ROOM_AGAIN: Duration = Duration::from_millis(5);
 
@@ -236,6 +239,24 @@
         .await
     }
 
+    /// All that wait in it. What the machine has accepted counts as taken, and would be reset with the listener; a call that
+    /// fails for a moment is made again.
+    async fn rest(&self) -> Vec<Came> {
+        let (mut rest, mut pauses) = (Vec::new(), 0);
+        while let Ok(accepted) = tokio::time::timeout(Duration::ZERO, self.listener.accept()).await {
+            match accepted {
+                Ok((stream, _)) => rest.push((stream, self.clear)),
+                Err(error) if AcceptFailure::of(&error) == AcceptFailure::OfOneConnection => {}
+                Err(_) if pauses >= PAUSES_AT_THE_END => break,
+                Err(_) => {
+                    pauses += 1;
+                    tokio::time::sleep(ACCEPT_AGAIN).await;
+                }
+            }
+        }
+        rest
+    }
+
     /// Nobody waits for what comes.
     fn left_alone(&mut self) {
         self.behind = true;
@@ -268,12 +289,6 @@
     }
 }
 
-/// Whether a connection that could not be accepted is alone in that.
-fn is_its_own(error: &io::Error) -> bool {
-    use io::ErrorKind::{ConnectionAborted, ConnectionReset, Interrupted};
-    matches!(error.kind(), ConnectionAborted | ConnectionReset | Interrupted)
-}
-
 /// Accepts clients until the edge node closes, then serves out those that it has. At most `most` at a time. A listener
 /// that is `shared` goes on in other hands: what waits in its backlog is theirs.
 pub async fn serve(
@@ -312,12 +327,15 @@
                     crowd.press.came(crowd.began.elapsed());
                     waits = Some(came);
                 }
-                Err(error) if is_its_own(&error) => {}
-                // Guards against running out of descriptors: the connection waits until there is one.
-                Err(_) => {
-                    crowd.make_way(crowd.tasks.len());
-                    lacks = true;
-                }
+                Err(error) => match AcceptFailure::of(&error) {
+                    AcceptFailure::OfOneConnection => {}
+                    // The connection waits until there is a descriptor for it.
+                    AcceptFailure::NoDescriptor => {
+                        crowd.make_way(crowd.tasks.len());
+                        lacks = true;
+                    }
+                    AcceptFailure::Passing => lacks = true,
+                },
             },
             () = &mut closed => break,
             Ok(()) = standing.changed() => {}
@@ -334,10 +352,10 @@
     }
     node.leave();
     waits.into_iter().for_each(|came| crowd.seat(came, &node, &phase));
-    // What the machine has accepted counts as taken. Guards against resetting it with the listener.
-    let left = async || tokio::time::timeout(Duration::ZERO, backlog.listener.accept()).await;
-    while let Some(Ok(Ok((stream, _)))) = if shared { None } else { Some(left().await) } {
-        crowd.seat((stream, backlog.clear), &node, &phase);
+    if !shared {
+        for came in backlog.rest().await {
+            crowd.seat(came, &node, &phase);
+        }
     }
     drop(backlog);
     loop {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -3,7 +3,6 @@
 
 use crate::config::List;
 use crate::node::Node;
-use crate::shared::{is_quiet, Shared};
 use anyhow::{anyhow, bail, Context, Result};
 use bytes::Bytes;
 use http_body_util::Empty;
@@ -13,6 +12,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use saffronpaddle_decision::interface::Discovery;
+use saffronpaddle_netio::{is_quiet, Socket};
 use saffronpaddle_roster::{Doubt, Objects, Pace, Terms};
 use std::cell::{Cell, RefCell};
 use std::future::{pending, poll_fn, Future};
@@ -289,7 +289,7 @@
         let stream = Arc::new(stream);
         let looked = Arc::downgrade(&stream);
         word.asks(&stream);
-        let (mut sender, connection) = http1::handshake(TokioIo::new(Shared(stream))).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(Socket::new(stream))).await?;
         let mut driver = Driver(Some(Box::pin(async move { _ = connection.await })));
         let request = Request::builder().uri(path).header(HOST, address.to_string());
         let mut answer = pin!(sender.send_request(request.body(Empty::<Bytes>::new())?));
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -4,6 +4,7 @@
 use crate::node::Node;
 use saffronpaddle_decision::interface::{Event as ModuleEvent, GatewayId, Twin};
 use saffronpaddle_handover::{read, write, Do, Family, LinkNo, Role, State, Word, LINE_MOST, VERSION};
+use saffronpaddle_netio::Uninterrupted;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
@@ -113,8 +114,8 @@
 /// An elder that was met at the start, and what it said.
 pub struct Met {
     no: LinkNo,
-    reader: BufReader<OwnedReadHalf>,
-    writer: OwnedWriteHalf,
+    reader: BufReader<Uninterrupted<OwnedReadHalf>>,
+    writer: Uninterrupted<OwnedWriteHalf>,
     lines: mpsc::Receiver<Rc<str>>,
 }
 
@@ -132,7 +133,8 @@
     pub async fn meet(&self, links: &Links) -> Option<(Met, State)> {
         let stream = timeout(CONNECT_WITHIN, UnixStream::connect(&self.path)).await.ok()?.ok()?;
         let (no, out) = links.family.borrow_mut().open(links.now(), Role::Heir)?;
-        let (reader, mut writer) = stream.into_split();
+        let (reader, writer) = stream.into_split();
+        let (reader, mut writer) = (Uninterrupted::new(reader), Uninterrupted::new(writer));
         let mut reader = BufReader::new(reader);
         for step in out {
             if let Do::Say(word) = step {
@@ -216,6 +218,7 @@
     let opened = node.links.family.borrow_mut().open(node.links.now(), Role::Elder);
     let Some((no, _)) = opened else { return };
     let (reader, writer) = stream.into_split();
+    let (reader, writer) = (Uninterrupted::new(reader), Uninterrupted::new(writer));
     let (tell, lines) = mpsc::channel(WAITING_MOST);
     node.links.lines.borrow_mut().insert(no, tell);
     tokio::task::spawn_local(talk(Rc::clone(node), no, BufReader::new(reader), writer, lines));
@@ -223,8 +226,8 @@
 
 /// One conversation, to its end.
 async fn talk(
-    node: Rc<Node>, no: LinkNo, mut reader: BufReader<OwnedReadHalf>, mut writer: OwnedWriteHalf,
-    mut lines: mpsc::Receiver<Rc<str>>,
+    node: Rc<Node>, no: LinkNo, mut reader: BufReader<Uninterrupted<OwnedReadHalf>>,
+    mut writer: Uninterrupted<OwnedWriteHalf>, mut lines: mpsc::Receiver<Rc<str>>,
 ) {
     let writes = tokio::task::spawn_local(async move {
         while let Some(line) = lines.recv().await {
@@ -298,7 +301,7 @@
 }
 
 /// One line; an error where it has no end.
-async fn line(reader: &mut BufReader<OwnedReadHalf>) -> io::Result<Vec<u8>> {
+async fn line(reader: &mut BufReader<Uninterrupted<OwnedReadHalf>>) -> io::Result<Vec<u8>> {
     let mut line = Vec::new();
     let mut bounded = reader.take(LINE_MOST as u64);
     bounded.read_until(b'\n', &mut line).await?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,7 +19,6 @@
 mod roster;
 mod seats;
 pub mod serve;
-mod shared;
 mod shutdown;
 mod sockets;
 mod upstream;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -4,6 +4,7 @@
 use crate::node::Node;
 use anyhow::{Context, Result};
 use saffronpaddle_decision::interface::GatewayId;
+use saffronpaddle_netio::{retry_interrupted, retry_shortage};
 use socket2::{Domain, Socket, Type};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -34,7 +35,8 @@
 impl Peers {
     pub async fn bind(addresses: PeerAddresses, me: GatewayId, reuse: bool) -> Result<Peers> {
         let PeerAddresses { listen, each, all } = addresses;
-        let socket = bind_datagrams(listen, reuse).with_context(|| format!("peer_listen {listen}"))?;
+        let bound = retry_shortage(|| async { bind_datagrams(listen, reuse) }).await;
+        let socket = bound.with_context(|| format!("peer_listen {listen}"))?;
         Ok(Peers { socket, each, all, me: me.0 as usize, words: Cell::default() })
     }
 
@@ -57,7 +59,7 @@
             let (told, heard) = self.words.get();
             self.words.set((told + 1, heard));
             // Losing one is in the nature of datagrams.
-            let _ = self.socket.try_send_to(bytes, to);
+            let _ = retry_interrupted(|| self.socket.try_send_to(bytes, to));
         }
     }
 
--- a/crates/node/src/seats.rs
+++ b/crates/node/src/seats.rs
@@ -2,8 +2,8 @@
 
 use crate::clients::late;
 use crate::heads::Heads;
-use crate::shared::{has_ended, Shared};
 use saffronpaddle_crowd::{rested, Seat as Seen};
+use saffronpaddle_netio::{has_ended, Socket};
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -196,7 +196,7 @@
 
 /// A client's connection whose bytes are seen as they come.
 pub struct Watched {
-    stream: Shared,
+    stream: Socket,
     seat: Arc<Seat>,
     heads: Heads,
 }
@@ -204,12 +204,12 @@
 impl Watched {
     /// Watches a connection.
     pub fn new(stream: Arc<TcpStream>, seat: Arc<Seat>) -> Watched {
-        Watched { stream: Shared(stream), seat, heads: Heads::new() }
+        Watched { stream: Socket::new(stream), seat, heads: Heads::new() }
     }
 
     /// The connection, no longer watched; none where somebody looks at it in this very moment, which nobody does for longer.
     pub fn into_inner(self) -> Option<TcpStream> {
-        Arc::try_unwrap(self.stream.0).ok()
+        self.stream.into_inner()
     }
 }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -15,6 +15,7 @@
 use crate::upstream::Upstream;
 use anyhow::{Context, Result};
 use saffronpaddle_lifecycle::{Lifecycle, Limits};
+use saffronpaddle_netio::retry_shortage;
 use saffronpaddle_operator::Operator;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -187,8 +188,8 @@
         let reuse = operator.as_ref().is_some_and(|file| file.says.listen.reuse_port);
         let listener = match handed {
             Some(listener) => TcpListener::from_std(listener),
-            None if reuse => bind_reusing(config.listen),
-            None => TcpListener::bind(config.listen).await,
+            None if reuse => retry_shortage(|| async { bind_reusing(config.listen) }).await,
+            None => retry_shortage(|| TcpListener::bind(config.listen)).await,
         };
         let listener = listener.with_context(|| format!("listen {}", config.listen))?;
         let peers = match config.peers {
--- a/crates/node/src/sockets.rs
+++ b/crates/node/src/sockets.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use saffronpaddle_decision::interface::{ClassId, CustomerId, Micros, ServerId};
+use saffronpaddle_netio::retry_interrupted;
 use saffronpaddle_sockets::frames::{self, Rules, Scanner, Seen, Side};
 use saffronpaddle_sockets::table::{Command, Shut, SocketId, Sockets};
 use saffronpaddle_sockets::upgrade::{self, Switch};
@@ -314,11 +315,13 @@
 
     /// Reads once what a side says.
     fn read(&mut self, node: &Rc<Node>, front: &Front, from: Side) {
-        SCRATCH.with_borrow_mut(|scratch| match self.streams[from as usize].try_read(scratch) {
-            Ok(0) => self.end(node, front, from),
-            Ok(length) => self.came(node, front, from, &scratch[..length]),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(_) => self.end(node, front, from),
+        SCRATCH.with_borrow_mut(|scratch| {
+            match retry_interrupted(|| self.streams[from as usize].try_read(scratch)) {
+                Ok(0) => self.end(node, front, from),
+                Ok(length) => self.came(node, front, from, &scratch[..length]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => self.end(node, front, from),
+            }
         });
     }
 
@@ -380,7 +383,7 @@
         let way = &mut self.ways[to.other() as usize];
         let mut written = 0;
         while written < way.out.len() {
-            match self.streams[to as usize].try_write(&way.out[written..]) {
+            match retry_interrupted(|| self.streams[to as usize].try_write(&way.out[written..])) {
                 Ok(length) => written += length,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(_) => return self.end(node, front, to),
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -3,7 +3,6 @@
 use crate::bodies::{joined, Gathered, Outgoing, Passing, Pipe, BODY_MOST, LARGEST};
 use crate::node::{Node, Payload};
 use crate::seats::Seat;
-use crate::shared::is_quiet;
 use crate::sockets::Switched;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -18,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use saffronpaddle_decision::interface::{Effect, Outcome, RequestId, ServerId};
 use saffronpaddle_exchange::{Event, LinkId};
+use saffronpaddle_netio::{is_local_failure, is_quiet, Socket};
 use saffronpaddle_sockets::upgrade::{self, Offer};
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
@@ -40,10 +40,6 @@
 /// Rounds of the loop that a first byte waits for news of the list to be taken: the driver's, the connection's, the watch's, and
 /// some to spare. Guards against a watch that is never read.
 const BEHIND_MOST: u32 = 16;
-/// What the machine says when this process, not the server, lacks something: too many descriptors here or on the
-/// whole machine, no address, buffer or memory left.
-const OWN_LACK: [i32; 5] = [24, 23, 99, 105, 12];
-
 /// A client's request as it goes on to an app server.
 pub struct Forward {
     pub id: RequestId,
@@ -206,14 +202,14 @@
         Ok(stream) => stream,
         Err(error) => {
             // Guards against blaming a server for what is lacking here.
-            let lack = error.raw_os_error().is_some_and(|code| OWN_LACK.contains(&code));
+            let lack = is_local_failure(&error);
             node.upstream.wires.borrow_mut().remove(&link);
             return node.happened(Event::ConnectFailed { link, lack }, None);
         }
     };
     // Without it a request in two pieces would wait for an acknowledgement; it works all the same.
     let _ = stream.set_nodelay(true);
-    let stream = TokioIo::new(stream);
+    let stream = TokioIo::new(Socket::new(stream));
     let io = Gated { stream, node: node.number(), link, open, waited: 0, round: None };
     let handshake = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(io).await;
     let Ok((sender, connection)) = handshake else {
@@ -356,7 +352,7 @@
     let switch = upgrade::verify(offer, answer.headers()).ok()?;
     let upgraded = hyper::upgrade::on(answer).await.ok()?;
     let parts = upgraded.downcast::<Gated>().ok()?;
-    let (stream, early) = (parts.io.stream.into_inner(), parts.read_buf);
+    let (stream, early) = (parts.io.stream.into_inner().into_inner()?, parts.read_buf);
     let switched = Switched { key: offer.key.clone(), switch, server, stream, early };
     Some(Box::new(switched))
 }
@@ -372,7 +368,7 @@
 
 /// A socket to which no request's first byte goes before the exchange was asked.
 struct Gated {
-    stream: TokioIo<TcpStream>,
+    stream: TokioIo<Socket>,
     /// By number: an upgrade wants a socket that could go to another thread, though none does.
     node: u64,
     link: LinkId,
@@ -404,7 +400,7 @@
                 node.left(&forward);
             }
             // Guards against the rest of one answer being read as the next.
-            let quiet = is_quiet(self.stream.inner());
+            let quiet = is_quiet(self.stream.inner().stream());
             node.happened(Event::Begin { link: self.link, quiet }, None);
         }
         Poll::Ready(if self.open.load(Ordering::Relaxed) {
--- a/crates/saffronpaddle/tests/failing_calls.rs
+++ b/crates/saffronpaddle/tests/failing_calls.rs
@@ -106,7 +106,31 @@
     assert_eq!((unanswered, running as u64), (0, PROCESSES), "{plan}: of {asked} requests");
 }
 
+#[test]
+fn no_request_is_dropped_while_accept_and_connect_fail_for_a_moment() {
+    answers_all("accept=5,connect=5");
+}
+
+#[test]
+fn no_request_is_dropped_while_reads_and_writes_are_interrupted_and_short() {
+    answers_all("recv=5,send=5,short=30");
+}
+
 #[test]
 fn no_request_is_dropped_and_no_process_ends_while_all_calls_fail_for_a_moment() {
     answers_all("accept=5,connect=5,socket=5,recv=5,send=5,short=10");
 }
+
+/// A process makes its sockets at its start: what is lacking for a moment there does not end it.
+#[test]
+fn a_process_starts_while_sockets_can_not_be_made_for_a_moment() {
+    let discovery = Discovery::start();
+    for seed in 1..=6 {
+        let tag = format!("failing-start-{seed}");
+        let mut node = Node::launch(&tag, discovery.address, &[], 1024, |command| {
+            command.env("LD_PRELOAD", shim());
+            command.env("FAILING_CALLS", "socket=60").env("FAILING_SEED", seed.to_string());
+        });
+        assert!(node.runs(), "seed {seed}");
+    }
+}
