Let system calls fail in the soak too, and log why connections close

A seed also draws which calls fail (accept, connect, socket, recv, send, short reads), by the shim of the tests. At debug level the log tells why a client's connection closes and why a request is turned away.

--- a/crates/fleet/src/instance.rs
+++ b/crates/fleet/src/instance.rs
@@ -56,6 +56,8 @@
     pub operated: bool,
     /// What it tells its log.
     pub log_level: &'static str,
+    /// A library that is loaded into its processes and makes system calls fail, and by which plan.
+    pub preload: Option<(PathBuf, String)>,
     /// Whether a process of it was made to stand still, for longer than one may be held up.
     pub stood_still: AtomicBool,
     listener: Option<TcpListener>,
@@ -98,6 +100,7 @@
             turn,
             operated,
             log_level,
+            preload: None,
             stood_still: AtomicBool::new(false),
             listener,
             program,
@@ -164,6 +167,11 @@
         if self.operated {
             command.arg("--operator").arg(self.folder.join("operator.toml"));
         }
+        if let Some((library, plan)) = &self.preload {
+            let seed = (self.number as u64 + 1) * (self.cost().processes + 1);
+            command.env("LD_PRELOAD", library).env("FAILING_CALLS", plan);
+            command.env("FAILING_SEED", seed.to_string());
+        }
         for key in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LISTEN_FDS", "LISTEN_PID", "LISTEN_FDNAMES"] {
             command.env_remove(key);
         }
--- a/crates/fleet/src/rig.rs
+++ b/crates/fleet/src/rig.rs
@@ -42,6 +42,8 @@
     pub say: bool,
     /// What the instances tell their logs.
     pub log_level: &'static str,
+    /// A library that makes system calls of the instances fail, where the scenario says which.
+    pub preload: Option<PathBuf>,
 }
 
 /// How long a drained server's process goes on after its list entry was changed.
@@ -250,6 +252,8 @@
             let mut instance =
                 Instance::new(number, address, listener, manager, &options.program, &options.folder);
             (instance.operated, instance.log_level) = (scenario.operated, options.log_level);
+            let plan = Some(scenario.failing_calls.clone()).filter(|plan| !plan.is_empty());
+            instance.preload = options.preload.clone().zip(plan);
             let (me, mut agent, mut door) = (End::Node(number), discovery.agent(number).await?, address);
             if ways.touches(me, End::List) {
                 let behind = std::mem::replace(&mut agent, unclaimed()?);
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -189,6 +189,9 @@
     pub deadline_times: f64,
     /// Descriptors that an instance may hold.
     pub sockets: usize,
+    /// System calls of the instances that fail, with the percent of each: `accept=5,recv=5`. Nothing fails without a library
+    /// that makes them fail.
+    pub failing_calls: String,
     /// Sides: groups of instances and servers, by name; figures are told by side.
     pub sides: Vec<Side>,
     /// Instances that are not started with the others.
@@ -372,6 +375,9 @@
             handed_over: file.flag("handed_over", true),
             operated: file.flag("operated", true),
             deadline_times: file.figure("deadline_times", 1.0, 0.01..=100.0),
+            failing_calls: file
+                .parsed("failing_calls", "a text", |text| Some(text.to_owned()))
+                .unwrap_or_default(),
             sockets: file.number("sockets", SOCKETS, 64..=65_536) as usize,
             ready_within: file.span_ms("ready_within_ms", 30_000, 1000..=600_000),
             sides: Vec::new(),
--- a/crates/fleet/src/soak.rs
+++ b/crates/fleet/src/soak.rs
@@ -40,6 +40,13 @@
 
 /// No fault begins in the first and the last part of a run: all is up, and comes to rest.
 const QUIET_MS: (u64, u64) = (1_000, 4_000);
+/// System calls that fail throughout a run, where there is a library that makes them fail.
+const FAILING_CALLS: [&str; 4] = [
+    "",
+    "accept=3,connect=3",
+    "recv=3,send=3,short=20",
+    "accept=3,connect=3,socket=3,recv=3,send=3,short=10",
+];
 /// Most runs that are spent on making a plan smaller.
 const SHRINK_RUNS: usize = 24;
 
@@ -54,12 +61,14 @@
         let sockets = [256, 1024][random.usize(0..2)];
         let lateness = random.u64(0..=500);
         let leaves = [0.0, 0.1][random.usize(0..2)];
+        let calls = FAILING_CALLS[random.usize(0..FAILING_CALLS.len())];
         let mut header = format!("name = \"soak-{seed}\"\ninstances = {instances}\nservers = {servers}\n");
         // Writing to a string does not fail.
         let _ = write!(
             header,
             "customers = {}\nrate = {rate}\nduration_ms = {}\noperated = false\nhanded_over = false\n\
-             deadline_times = {times}\nsockets = {sockets}\nlateness_ms = {lateness}\nleave_share = {leaves}\n",
+             deadline_times = {times}\nsockets = {sockets}\nlateness_ms = {lateness}\nleave_share = {leaves}\n\
+             failing_calls = \"{calls}\"\n",
             instances * 5,
             size.seconds * 1000,
         );
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -40,6 +40,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::{coop, AbortHandle, JoinSet};
 use tokio::time::{Instant, MissedTickBehavior};
+use tracing::debug;
 
 /// Time kept back for an answer's way to the client.
 const DELIVERY: Duration = Duration::from_millis(5);
@@ -176,6 +177,7 @@
         for Taken { seat, task } in &self.seats {
             if seat.unwatched() {
                 if seat.has_left() {
+                    debug!(why = "client_left", "a connection closes");
                     task.abort();
                 } else {
                     more = true;
@@ -402,6 +404,7 @@
             }
         }
         if !seat.is_busy() {
+            debug!(why = "sent_away", asked = seat.asked(), "a connection closes");
             return;
         }
         seat.stays();
@@ -450,6 +453,12 @@
     if tokio::time::timeout(wait, &mut connection).await.is_ok() {
         return;
     }
+    debug!(
+        why = "process_stops",
+        asked = seat.asked(),
+        waited_ms = wait.as_millis() as u64,
+        "a connection closes"
+    );
     connection.as_mut().graceful_shutdown();
     // A client that broke off has been told to the node by the request's guard.
     let _ = connection.await;
@@ -614,6 +623,12 @@
 
 /// The same to what makes no request, which counts as one of its class if its head names one.
 fn unread(node: &Node, headers: &HeaderMap, (status, words): Bad) -> Reply {
+    debug!(
+        request = text(headers, "x-request-id"),
+        status = status.as_u16(),
+        why = words.trim_end(),
+        "turned away"
+    );
     if let Some(class) = class_of(&node.named, headers) {
         node.turned_away(class, End::Faulted);
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -301,6 +301,7 @@
 
     /// A request that was not taken was answered all the same.
     pub fn turned_away(&self, class: ClassId, end: End) {
+        debug!(class = class.0, ?end, "turned away");
         self.exchange.borrow_mut().turned_away(class.0, end);
     }
 
--- a/crates/saffronpaddle/src/fleet.rs
+++ b/crates/saffronpaddle/src/fleet.rs
@@ -26,7 +26,8 @@
 
 /// Plays fleets with random faults, a seed after the other, until one breaks a rule.
 fn soak(mut arguments: lexopt::Parser) -> Result<ExitCode> {
-    let (mut seed, mut runs, mut size, mut shrinks, mut program) = (1, 1, Size::LONG, true, None);
+    let (mut seed, mut runs, mut size, mut shrinks) = (1, 1, Size::LONG, true);
+    let (mut program, mut preload) = (None, None);
     let mut folder = std::env::temp_dir().join(format!("saffronpaddle-soak-{}", std::process::id()));
     while let Some(argument) = arguments.next()? {
         match argument {
@@ -36,6 +37,7 @@
             Long("program") => program = Some(PathBuf::from(arguments.value()?)),
             Long("keep") => folder = PathBuf::from(arguments.value()?),
             Long("no-shrink") => shrinks = false,
+            Long("preload") => preload = Some(PathBuf::from(arguments.value()?)),
             other => return Err(other.unexpected().into()),
         }
     }
@@ -50,6 +52,7 @@
             operator: String::new(),
             say: false,
             log_level: "debug",
+            preload: preload.clone(),
         };
         let plan = Plan::draw(seed, size);
         let report = soak::play(&plan, &options(&of_seed))?;
@@ -111,7 +114,7 @@
     let program = program.map_or_else(std::env::current_exe, Ok).context("this program")?;
     let temporary = || std::env::temp_dir().join(format!("saffronpaddle-fleet-{}", std::process::id()));
     let (kept, folder) = (keep.is_some(), keep.unwrap_or_else(temporary));
-    let options = Options { program, seed, folder, operator, say: true, log_level: "info" };
+    let options = Options { program, seed, folder, operator, say: true, log_level: "info", preload: None };
     let report = match in_virtual_time {
         true => {
             saffronpaddle_fleet::room::look(&scenario)?;
--- a/crates/saffronpaddle/src/main.rs
+++ b/crates/saffronpaddle/src/main.rs
@@ -36,7 +36,7 @@
   saffronpaddle fleet soak                plays fleets of 10 to 40 processes with random faults that overlap, judged by the rules:
         [--seed N] [--runs N] [--short]   one that fails is told with the way of its requests through all logs, and is made
         [--keep FOLDER] [--no-shrink]     smaller by leaving out faults
-        [--program P]
+        [--program P] [--preload LIBRARY] LIBRARY makes system calls fail, as tests/shim/failing_calls.c does
   saffronpaddle --help | --version
 ";
 
--- a/crates/saffronpaddle/tests/common/mod.rs
+++ b/crates/saffronpaddle/tests/common/mod.rs
@@ -2,7 +2,9 @@
 
 use saffronpaddle_fleet::{Options, Report, Scenario};
 use saffronpaddle_standins::scripted::program;
-use std::sync::{Condvar, Mutex, PoisonError};
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::{Condvar, Mutex, OnceLock, PoisonError};
 
 /// Fleets that one test program plays at once.
 const AT_ONCE: usize = 2;
@@ -34,7 +36,23 @@
 #[allow(dead_code)]
 pub fn soak_options(seed: u64) -> Options {
     let folder = std::env::temp_dir().join(format!("saffronpaddle-{}-soak-{seed}", std::process::id()));
-    Options { program: program(), seed, folder, operator: String::new(), say: false, log_level: "debug" }
+    let (operator, log_level, preload) = (String::new(), "debug", Some(shim().clone()));
+    Options { program: program(), seed, folder, operator, say: false, log_level, preload }
+}
+
+/// The library that makes system calls fail, built once.
+#[allow(dead_code)]
+pub fn shim() -> &'static PathBuf {
+    static SHIM: OnceLock<PathBuf> = OnceLock::new();
+    SHIM.get_or_init(|| {
+        let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/shim/failing_calls.c");
+        let name = format!("saffronpaddle-{}-failing_calls.so", std::process::id());
+        let library = std::env::temp_dir().join(name);
+        let mut compiler = Command::new("cc");
+        compiler.args(["-O1", "-shared", "-fPIC", "-o"]).arg(&library).arg(source).arg("-ldl");
+        assert!(compiler.status().expect("a C compiler").success(), "the shim builds");
+        library
+    })
 }
 
 /// Plays a scenario with instances of the program that stands beside this test.
@@ -49,7 +67,8 @@
     let scenario = Scenario::parse(text, 1).expect("a good scenario");
     let folder = std::env::temp_dir().join(format!("saffronpaddle-{}-fleet-{tag}", std::process::id()));
     let operator = operator.to_owned();
-    let options = Options { program: program(), seed: 1, folder, operator, say: false, log_level: "info" };
+    let (log_level, preload) = ("info", None);
+    let options = Options { program: program(), seed: 1, folder, operator, say: false, log_level, preload };
     let _place = Place::taken();
     saffronpaddle_fleet::run(scenario, &options, false).expect("it is played")
 }
--- a/crates/saffronpaddle/tests/failing_calls.rs
+++ b/crates/saffronpaddle/tests/failing_calls.rs
@@ -1,13 +1,14 @@
 //! System calls that fail for a moment, as Linux documents: no request that was written whole is closed without an answer,
 //! and no process ends by itself.
 
+mod common;
+
+use common::shim;
 use saffronpaddle_standins::scripted::*;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,20 +21,6 @@
 /// Processes of each plan.
 const PROCESSES: u64 = 3;
 
-/// The library that makes calls fail, built once.
-fn shim() -> &'static PathBuf {
-    static SHIM: OnceLock<PathBuf> = OnceLock::new();
-    SHIM.get_or_init(|| {
-        let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/shim/failing_calls.c");
-        let name = format!("saffronpaddle-{}-failing_calls.so", std::process::id());
-        let library = std::env::temp_dir().join(name);
-        let mut compiler = Command::new("cc");
-        compiler.args(["-O1", "-shared", "-fPIC", "-o"]).arg(&library).arg(source).arg("-ldl");
-        assert!(compiler.status().expect("a C compiler").success(), "the shim builds");
-        library
-    })
-}
-
 /// What clients saw: requests that were written whole, and those of them whose connection closed without an answer.
 #[derive(Default)]
 struct Seen {
@@ -86,6 +73,11 @@
         thread::spawn(move || client(address, &name, until, &seen))
     });
     let clients: Vec<_> = clients.collect();
+    while Instant::now() < until {
+        // Each request that was not looked at holds a descriptor of this process.
+        servers.forget();
+        thread::sleep(Duration::from_millis(20));
+    }
     clients.into_iter().for_each(|client| client.join().expect("no panic"));
     node.runs()
 }
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -161,6 +161,11 @@
         got
     }
 
+    /// Drops all requests that have come and were not looked at, and their connections here.
+    pub fn forget(&self) {
+        self.got.try_iter().for_each(drop);
+    }
+
     /// Fails if a request has come that was not looked at.
     pub fn got_no_more(&self) {
         assert!(self.got.try_recv().is_err(), "one attempt too many");
