--- /dev/null
+++ b/crates/exchange/src/exchange/requests.rs
@@ -0,0 +1,133 @@
+//! The life of a request: taken, answered, abandoned, and when it has to be looked at.
+
+use super::{end_of, Commands, Exchange, LATE};
+use crate::table::Row;
+use crate::{Bug, Bugs, Command, Invariant, Module, Ticket, Verdict};
+use saffronpaddle_admin::End;
+use saffronpaddle_decision::interface::{Effect, Event as ModuleEvent, Micros, RequestId};
+use std::hash::Hash;
+
+impl<A: Copy + Eq + Hash, M: Module, B: Bugs> Exchange<A, M, B> {
+    pub(super) fn asked(
+        &mut self, now: Micros, effect: Effect, deadline: Micros, mut tell: ModuleEvent,
+        commands: &mut Commands<A>,
+    ) {
+        let ModuleEvent::Request { id, class, whole, patience, .. } = &mut tell else { return };
+        if self.knows(id) {
+            return;
+        }
+        *patience = (*patience).min(self.answer_by.saturating_sub(now));
+        let ticket = self.next_ticket();
+        self.next_ticket += 1;
+        let (class, whole) = (class.0, *whole);
+        self.tally.taken(class);
+        if now >= self.answer_by {
+            // The process has no time left for it. Nothing of it has been sent, so that trying again is harmless.
+            self.tally.ended(class, End::Throttled);
+            return commands.push(Command::Answer { id: id.clone(), verdict: Verdict::Refused(None) });
+        }
+        let mut row = Row {
+            ticket,
+            class,
+            effect,
+            deadline,
+            process_end: Micros::MAX,
+            cut_short: false,
+            open: true,
+            whole,
+            spent: false,
+            passing: false,
+            attempts: 0,
+            out: None,
+            ran: None,
+            alarm: None,
+        };
+        row.cut(self.answer_by);
+        self.rows.insert(id.clone(), row);
+        let id = id.clone();
+        self.arm(&id);
+        self.pending.push_back(tell);
+    }
+
+    pub(super) fn client_gone(&mut self, id: &RequestId, ticket: Ticket) {
+        let Some(row) = self.rows.get(id) else { return };
+        if row.ticket == ticket || self.bugs.planted(Bug::TicketIgnored) {
+            self.abandon(id, false);
+        }
+    }
+
+    /// Nobody waits for an answer any more. The module calls the attempt off, where that is allowed.
+    pub(super) fn abandon(&mut self, id: &RequestId, answered: bool) {
+        let Some(row) = self.rows.get_mut(id).filter(|row| row.open) else { return };
+        row.open = false;
+        if !answered {
+            self.tally.ended(row.class, End::Gone);
+        }
+        if self.bugs.planted(Bug::EndNeverTold) {
+            self.rows.remove(id);
+            self.alarms.retain(|(_, other)| other != id);
+        }
+        self.pending.push_back(ModuleEvent::Abandoned { id: id.clone() });
+        self.settle_row(id);
+    }
+
+    /// Answers a request, unless that has been done: an open row is the right to answer.
+    pub(super) fn answer(
+        &mut self, now: Micros, id: &RequestId, verdict: Verdict, commands: &mut Commands<A>,
+    ) {
+        let Some(row) = self.rows.get_mut(id).filter(|row| row.open) else { return };
+        let in_time = now <= row.answered_by(self.bounds.overdue).saturating_add(LATE);
+        self.violations.check(in_time, Invariant::AnsweredInTime, id);
+        row.open = false;
+        self.tally.ended(row.class, end_of(verdict));
+        commands.push(Command::Answer { id: id.clone(), verdict });
+        self.settle_row(id);
+    }
+
+    /// Ends a request, whatever the module says, which hears of it.
+    pub(super) fn end(&mut self, now: Micros, id: &RequestId, verdict: Verdict, commands: &mut Commands<A>) {
+        if let Some(row) = self.rows.get(id).filter(|row| row.open) {
+            let in_time = now <= row.answered_by(self.bounds.overdue).saturating_add(LATE);
+            self.violations.check(in_time, Invariant::AnsweredInTime, id);
+            self.tally.ended(row.class, end_of(verdict));
+        }
+        commands.push(Command::Answer { id: id.clone(), verdict });
+        self.abandon(id, true);
+    }
+
+    /// Sets a row's alarm anew, or lets go of a row of which nothing is owed any more.
+    pub(super) fn settle_row(&mut self, id: &RequestId) {
+        if self.rows.get(id).is_some_and(|row| row.open || row.out.is_some()) {
+            return self.arm(id);
+        }
+        if let Some(Row { alarm: Some(at), .. }) = self.rows.remove(id) {
+            self.alarms.remove(&(at, id.clone()));
+        }
+    }
+
+    pub(super) fn arm(&mut self, id: &RequestId) {
+        let Some(row) = self.rows.get_mut(id) else { return };
+        let due = row.due(self.bounds.overdue);
+        if row.alarm == due {
+            return;
+        }
+        if let Some(at) = std::mem::replace(&mut row.alarm, due) {
+            self.alarms.remove(&(at, id.clone()));
+        }
+        if let Some(at) = due {
+            self.alarms.insert((at, id.clone()));
+        }
+    }
+}
+
+impl Row {
+    /// Whether trying again is harmless, as a refusal promises.
+    fn may_be_refused(&self) -> bool {
+        let began = self.out.as_ref().is_some_and(|out| out.began.is_some());
+        let may_have_run = self.ran.is_some() || (began && self.whole);
+        match self.effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Unsafe => !may_have_run,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/clients/connection.rs
@@ -0,0 +1,120 @@
+//! One client's connection, from when it is accepted until it ends.
+
+use super::reply::CLOSE;
+use super::respond::respond;
+use super::{reached, Phase, Standing};
+use crate::node::Node;
+use crate::seats::{Busy, Seat, Watched};
+use hyper::header::CONNECTION;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use saffronpaddle_crowd::Limits;
+use std::convert::Infallible;
+use std::future::{poll_fn, Future};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{watch, Notify};
+use tokio::time::Instant;
+use tracing::debug;
+
+/// Most bytes buffered for one client, so that all together stay far from the memory limit.
+const BUFFER_MOST: usize = 32 * 1024;
+/// How long a connection that has never asked may still ask once the edge node closes. Guards a request that is on its
+/// way when the node that the machine gave the connection to is told to stop.
+const FIRST_WITHIN: Duration = Duration::from_millis(500);
+/// Rounds of the loop in which bytes that the machine holds reach a request's reader: the driver's, the connection's and one more.
+const LAST_LOOKS: usize = 3;
+
+/// One client's connection, until it ends or is sent away.
+pub(super) async fn converse(
+    stream: Arc<TcpStream>, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Arc<Seat>,
+    unwatched: Rc<Notify>,
+) {
+    let talk = talk(stream, node, phase, Arc::clone(&seat));
+    tokio::pin!(talk);
+    loop {
+        let watched = poll_fn(|context| {
+            let polled = talk.as_mut().poll(context);
+            if polled.is_pending() && seat.is_newly_unwatched() {
+                unwatched.notify_one();
+            }
+            polled
+        });
+        tokio::select! {
+            biased;
+            () = watched => return,
+            () = seat.sent_away() => {}
+        }
+        // Danger: a request whose last byte comes in the instant in which its connection is closed. What the machine holds
+        // is read first; who turns out to have asked stays.
+        for _ in 0..LAST_LOOKS {
+            tokio::task::yield_now().await;
+            // No timer: each would take a tick of its own, and a crowd would be let in by the tick.
+            if poll_fn(|context| Poll::Ready(talk.as_mut().poll(context).is_ready())).await {
+                return;
+            }
+        }
+        if !seat.is_busy() {
+            debug!(why = "sent_away", asked = seat.asked(), "a connection closes");
+            return;
+        }
+        seat.stays();
+    }
+}
+
+async fn talk(stream: Arc<TcpStream>, node: Rc<Node>, phase: watch::Receiver<Standing>, seat: Arc<Seat>) {
+    let _ = stream.set_nodelay(true);
+    let seen = phase.clone();
+    let held = Arc::clone(&seat);
+    let watched = Watched::new(stream, Arc::clone(&seat));
+    let service = service_fn(move |request| {
+        let (node, seen, seat) = (Rc::clone(&node), seen.clone(), Arc::clone(&held));
+        async move {
+            let busy = Busy::new(&seat);
+            let mut reply = respond(&node, request, &seen, &seat).await;
+            reply.body_mut().keep(busy);
+            if seen.borrow().phase > Phase::Serving {
+                reply.headers_mut().insert(CONNECTION, CLOSE);
+            }
+            Ok::<_, Infallible>(reply)
+        }
+    });
+    let mut http = http1::Builder::new();
+    // How long heads may take is seen to from outside.
+    http.header_read_timeout(None).max_buf_size(BUFFER_MOST);
+    http.auto_date_header(false);
+    let connection = http.serve_connection(TokioIo::new(watched), service).with_upgrades();
+    tokio::pin!(connection);
+    tokio::select! {
+        biased;
+        _ = &mut connection => return,
+        () = reached(phase.clone(), Phase::Emptying) => {}
+    }
+    // What the machine holds is read before the connection counts as idle.
+    tokio::task::yield_now().await;
+    // Danger: the library takes a kept connection for idle though half of a head has come on it.
+    let wait = match seat.seen() {
+        seen if seen.head.is_some() => Limits::USUAL.head_within,
+        seen if seen.asked => Duration::ZERO,
+        _ => FIRST_WITHIN,
+    };
+    // No longer than the process takes requests at all.
+    let left = phase.borrow().answer_by.map(|end| end.saturating_duration_since(Instant::now()));
+    let wait = left.map_or(wait, |left| wait.min(left));
+    if tokio::time::timeout(wait, &mut connection).await.is_ok() {
+        return;
+    }
+    debug!(
+        why = "process_stops",
+        asked = seat.asked(),
+        waited_ms = wait.as_millis() as u64,
+        "a connection closes"
+    );
+    connection.as_mut().graceful_shutdown();
+    // A client that broke off has been told to the node by the request's guard.
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/node/src/clients/reply.rs
@@ -0,0 +1,91 @@
+//! Answers to clients.
+
+use super::request::{class_of, text, Rejected};
+use crate::bodies;
+use crate::node::{Answer, Node, Payload};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, RETRY_AFTER, SEC_WEBSOCKET_VERSION};
+use hyper::{Response, StatusCode};
+use saffronpaddle_admin::End;
+use saffronpaddle_decision::interface::ClassId;
+use saffronpaddle_sockets::upgrade;
+use std::time::Duration;
+use tracing::debug;
+
+/// Ends a connection with the answer.
+pub(super) const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
+/// An answer to a client.
+pub(super) type Reply = Response<bodies::Reply>;
+
+/// Turns an upgrade away, and says which version is spoken.
+pub(super) fn not_upgraded(status: StatusCode, words: &'static str) -> Reply {
+    let mut reply = turned_away(status, words);
+    reply.headers_mut().insert(SEC_WEBSOCKET_VERSION, upgrade::VERSION);
+    reply
+}
+
+/// An answer to what can't be served, after which nothing that comes on the connection is believed.
+pub(super) fn turned_away(status: StatusCode, words: &'static str) -> Reply {
+    let mut reply = plain(status, words);
+    reply.headers_mut().insert(CONNECTION, CLOSE);
+    reply
+}
+
+/// The same to what makes no request, which counts as one of its class if its head names one.
+pub(super) fn unread(node: &Node, headers: &HeaderMap, rejected: Rejected) -> Reply {
+    let Rejected { status, reason } = rejected;
+    debug!(
+        request = text(headers, "x-request-id"),
+        status = status.as_u16(),
+        why = reason.trim_end(),
+        "turned away"
+    );
+    if let Some(class) = class_of(&node.named, headers) {
+        node.turned_away(class, End::Faulted);
+    }
+    turned_away(status, reason)
+}
+
+/// Two owners of one id would mix up their answers.
+pub(super) fn in_use() -> Reply {
+    turned_away(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n")
+}
+
+/// The answer that a request's end stands for.
+pub(super) fn reply(answer: Answer) -> Reply {
+    match answer {
+        Answer::Served(Payload::Body(body)) => Response::new(body.into()),
+        Answer::Served(Payload::Passing(passing)) => Response::new((*passing).into()),
+        Answer::Served(Payload::Passed(status, body)) => {
+            let mut reply = Response::new(body.into());
+            *reply.status_mut() = status;
+            reply
+        }
+        Answer::Refused(retry_in) => refused(retry_in),
+        // Who asked for no socket gets none.
+        Answer::Served(Payload::Switched(_)) | Answer::Failed => plain(StatusCode::BAD_GATEWAY, ""),
+    }
+}
+
+/// Its time was up before it was read: it is refused at once, and nothing of it is sent on.
+pub(super) fn too_late(node: &Node, class: ClassId) -> Reply {
+    node.turned_away(class, End::Throttled);
+    refused(None)
+}
+
+/// Trying again is harmless, and may help after so long.
+pub(super) fn refused(retry_in: Option<Duration>) -> Reply {
+    let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "");
+    let seconds = retry_in.map(|span| format!("{:.3}", span.as_secs_f64()));
+    if let Some(value) = seconds.and_then(|seconds| HeaderValue::try_from(seconds).ok()) {
+        reply.headers_mut().insert(RETRY_AFTER, value);
+    }
+    reply
+}
+
+/// A status and a line.
+pub(super) fn plain(status: StatusCode, words: &'static str) -> Reply {
+    let mut reply = Response::new(words.into());
+    *reply.status_mut() = status;
+    reply
+}
--- /dev/null
+++ b/crates/node/src/clients/request.rs
@@ -0,0 +1,194 @@
+//! The head of a client's request: what it says, all of it within the settings.
+
+use crate::seats::Seat;
+use crate::upstream::{Forward, Going};
+use bytes::Bytes;
+use hyper::header::HeaderMap;
+use hyper::{Method, StatusCode};
+use saffronpaddle_decision::interface::{
+    ClassId, CustomerId, Effect, Event, GatewayId, PlanId, RequestId, Settings,
+};
+use saffronpaddle_decision::setup::Named;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time kept back for an answer's way to the client.
+pub(super) const DELIVERY: Duration = Duration::from_millis(5);
+
+/// What a request's head says, all of it within the settings.
+pub(super) struct RequestHead {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub plan: PlanId,
+    pub customer: CustomerId,
+    pub terms: Terms,
+    pub patience: Duration,
+    pub effect: Effect,
+}
+
+/// Why a request is turned away before it is taken.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rejected {
+    pub status: StatusCode,
+    /// A line for whoever sent it.
+    pub reason: &'static str,
+}
+
+/// The class that a request's head names.
+pub(super) fn class_of(named: &Named, headers: &HeaderMap) -> Option<ClassId> {
+    let class = text(headers, "x-class")?;
+    named.classes.iter().position(|known| known == class).map(ClassId)
+}
+
+/// Reads the head of a client's request. Nothing has been touched by then: what is wrong with it is told, and that
+/// is all.
+pub(super) fn read(named: &Named, head: &hyper::http::request::Parts) -> Result<RequestHead, Rejected> {
+    let bad = |reason| Rejected { status: StatusCode::BAD_REQUEST, reason };
+    let headers = &head.headers;
+    // Guards against a header that two readers take in two ways.
+    if READ_ONCE.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
+        return Err(bad("a header is repeated\n"));
+    }
+    let id = text(headers, "x-request-id").filter(|id| (1..=64).contains(&id.len()));
+    let id = RequestId(id.ok_or(bad("X-Request-Id: missing, or no word of 1 to 64 bytes\n"))?.into());
+    let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+    let class = text(headers, "x-class").ok_or(bad("X-Class: missing\n"))?;
+    let number = class_of(named, headers).ok_or(bad("X-Class: unknown\n"))?.0;
+    let plan = text(headers, "x-tier").and_then(|plan| place(&named.plans, plan));
+    let plan = PlanId(plan.ok_or(bad("X-Tier: missing or unknown\n"))?);
+    let mut path = head.uri.path().trim_start_matches('/').split('/');
+    if path.next() != Some(class) {
+        return Err(bad("the path does not begin with the class\n"));
+    }
+    let customer =
+        path.next_back().and_then(customer).ok_or(bad("the path does not end with a customer\n"))?;
+    let longest = Duration::from_micros(named.longest_deadline);
+    let patience = text(headers, "x-deadline").and_then(span).filter(|span| *span <= longest);
+    let patience = patience.ok_or(bad("X-Deadline: missing or bad\n"))?;
+    let terms = text(headers, "x-call-terms").and_then(|text| Terms::read(text, &named.settings));
+    let terms = terms.ok_or(bad("X-Call-Terms: missing or bad\n"))?;
+    let effect = named.settings.classes[number].effect;
+    match (effect, &head.method) {
+        (Effect::Safe, &Method::GET) | (Effect::Unsafe, &Method::POST) => {}
+        (Effect::Keyed { .. }, &Method::POST) if headers.contains_key(KEY) => {}
+        (Effect::Keyed { .. }, &Method::POST) => return Err(bad("Idempotency-Key: missing\n")),
+        _ => return Err(bad("this class takes another method\n")),
+    }
+    Ok(RequestHead { id, class: ClassId(number), plan, customer, terms, patience, effect })
+}
+
+impl RequestHead {
+    /// Its client's time began so long ago; `false` where nothing is left of it. Danger: a request that has waited in the machine
+    /// while this node was late to take it. Its server would be told time that its client no longer has.
+    pub(super) fn has_waited(&mut self, rested: Duration) -> bool {
+        self.patience = self.patience.saturating_sub(rested);
+        rested.is_zero() || self.patience > DELIVERY
+    }
+
+    /// The request is whole; its client's time runs.
+    pub(super) fn arrived(
+        self, head: hyper::http::request::Parts, body: Bytes, seat: &Arc<Seat>,
+    ) -> (Event, Forward) {
+        let patience = self.patience.saturating_sub(DELIVERY);
+        let deadline = Instant::now() + patience;
+        let event = Event::Request {
+            id: self.id.clone(),
+            class: self.class,
+            plan: self.plan,
+            customer: self.customer,
+            units: self.terms.units,
+            first: self.terms.first,
+            spread: self.terms.spread,
+            patience: patience.as_micros() as u64,
+            whole: true,
+        };
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
+        let key = head.headers.get(KEY).cloned();
+        (
+            event,
+            Forward {
+                id: self.id,
+                effect: self.effect,
+                method: head.method,
+                target,
+                key,
+                body: Going::Whole(body),
+                offer: None,
+                deadline,
+                client: Arc::clone(seat),
+            },
+        )
+    }
+}
+
+const KEY: &str = "idempotency-key";
+/// Headers that a request may have once at the most.
+const READ_ONCE: [&str; 8] =
+    ["x-request-id", "x-class", "x-tier", "x-deadline", "x-call-terms", KEY, "content-length", "host"];
+
+pub(super) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// A customer: 16 hex digits and no sign, a number below 2^33.
+pub(super) fn customer(text: &str) -> Option<CustomerId> {
+    let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let number = digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()?;
+    (number < 1 << 33).then_some(CustomerId(number))
+}
+
+/// A plain decimal number; no sign, no exponent, no word that stands for one.
+fn number(text: &str) -> Option<f64> {
+    let plain = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    plain.then(|| text.parse().ok()).flatten()
+}
+
+/// A number with its unit, `m` or `u`; an hour at the most.
+pub(super) fn span(text: &str) -> Option<Duration> {
+    let (digits, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let number = number(digits)?;
+    let seconds = match unit {
+        "m" => number / 1e3,
+        "u" => number / 1e6,
+        _ => return None,
+    };
+    (seconds > 0.0 && seconds <= 3600.0).then(|| Duration::from_secs_f64(seconds))
+}
+
+/// What a request takes from its customer's quota, and the customer's set of nodes.
+#[derive(Debug)]
+pub(super) struct Terms {
+    pub units: f64,
+    pub spread: u32,
+    pub first: GatewayId,
+}
+
+impl Terms {
+    /// Units and a set that the settings have room for. Names that are unknown are passed over; a term that is no
+    /// term, or stands twice, spoils all.
+    fn read(text: &str, settings: &Settings) -> Option<Terms> {
+        let (mut units, mut spread, mut first) = (None, None, None);
+        let whole =
+            |value: &str| value.bytes().all(|byte| byte.is_ascii_digit()).then(|| value.parse().ok())?;
+        let most = if settings.most_units > 0.0 { settings.most_units } else { f64::MAX };
+        for term in text.split(',') {
+            let (name, value) = term.trim().split_once('=')?;
+            let again = match name {
+                "units" => {
+                    units.replace(number(value).filter(|units| *units > 0.0 && *units <= most)?).is_some()
+                }
+                "spread" => {
+                    let fits = |spread: &u32| (1..=settings.gateways).contains(spread);
+                    spread.replace(whole(value).filter(fits)?).is_some()
+                }
+                "first" => first.replace(whole(value).filter(|first| *first < settings.gateways)?).is_some(),
+                _ => false,
+            };
+            if again {
+                return None;
+            }
+        }
+        Some(Terms { units: units?, spread: spread?, first: GatewayId(first?) })
+    }
+}
--- /dev/null
+++ b/crates/node/src/clients/respond.rs
@@ -0,0 +1,204 @@
+//! What is done with one request: its body is read, it goes through the node, and its answer is made.
+
+use super::reply::{
+    in_use, not_upgraded, plain, refused, reply, too_late, turned_away, unread, Reply, CLOSE,
+};
+use super::request::{read, Rejected, RequestHead, DELIVERY};
+use super::Standing;
+use crate::bodies::{joined, Gathered, Pipe, BODY_MOST, LARGEST};
+use crate::node::{Answer, Node, Payload};
+use crate::seats::{Seat, Watched};
+use crate::sockets;
+use crate::upstream::{Forward, Going};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING, UPGRADE};
+use hyper::upgrade::OnUpgrade;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use saffronpaddle_admin::End;
+use saffronpaddle_decision::interface::{Effect, Event, RequestId};
+use saffronpaddle_exchange::Ticket;
+use saffronpaddle_sockets::upgrade::{self, Offer};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// How long the part of a body that is kept may take from its head on, before any of it has come. Guards against bodies that
+/// stop half-way.
+const BODY_WITHIN: Duration = Duration::from_millis(2500);
+/// How long so many bytes of it take a slow client that means well; twice what one at 64 kB a second needs.
+const BODY_PACE: (Duration, u32) = (Duration::from_secs(1), 32_000);
+/// How long a body that goes by may take, where its client goes on: the largest at the slowest. What is out for it draws on
+/// nothing meanwhile.
+const COMING_WITHIN: Duration = Duration::from_secs(1200);
+
+/// Answers a request.
+pub(super) async fn respond(
+    node: &Rc<Node>, request: Request<Incoming>, phase: &watch::Receiver<Standing>, seat: &Arc<Seat>,
+) -> Reply {
+    // Guards against a request that hides another in its body: of a length and an encoding, hyper drops one unseen.
+    let coding = request.headers().get(TRANSFER_ENCODING);
+    if coding.is_some_and(|coding| seat.hides() || !coding.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+        let reason = "a body has a Content-Length or is chunked, not both\n";
+        let rejected = Rejected { status: StatusCode::BAD_REQUEST, reason };
+        return unread(node, request.headers(), rejected);
+    }
+    if request.method() == Method::GET && request.uri().path() == "/-/ready" {
+        let standing = phase.borrow().clone();
+        let status = if standing.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let mut reply = Response::new(standing.why.to_string().into());
+        *reply.status_mut() = status;
+        return reply;
+    }
+    let (mut request, offer) = match node.front {
+        Some(_) => match upgrade::read(request.method(), request.version(), request.headers()) {
+            Ok(offer) => (request, offer),
+            Err((status, what)) => return not_upgraded(status, what),
+        },
+        None => (request, None),
+    };
+    let upgrades = offer.as_ref().map(|_| hyper::upgrade::on(&mut request));
+    let (head, body) = request.into_parts();
+    let mut asked = match read(&node.named, &head) {
+        Ok(asked) => asked,
+        Err(rejected) => return unread(node, &head.headers, rejected),
+    };
+    let class = asked.class;
+    let turned_away = |status, what| {
+        node.turned_away(class, End::Faulted);
+        turned_away(status, what)
+    };
+    if let (Some(offer), Some(upgrades)) = (offer, upgrades) {
+        return socket(node, asked, head, offer, upgrades, seat).await;
+    }
+    if body.size_hint().lower() > LARGEST {
+        return turned_away(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
+    }
+    let size = body.size_hint().exact();
+    let (body, pipe) = match gather(body).await {
+        Some(Ok(body)) => (body, None),
+        Some(Err((first, rest))) => (Bytes::new(), Some((first, rest))),
+        None => return turned_away(StatusCode::BAD_REQUEST, "the body did not come whole\n"),
+    };
+    if asked.effect == Effect::Safe && (pipe.is_some() || !body.is_empty()) {
+        return turned_away(StatusCode::BAD_REQUEST, "this class takes no body\n");
+    }
+    // The time of one whose body goes by has not begun.
+    if pipe.is_none() && !asked.has_waited(seat.rested()) {
+        return too_late(node, class);
+    }
+    let patience = asked.patience.saturating_sub(DELIVERY);
+    let (mut event, mut forward) = asked.arrived(head, body, seat);
+    let pipe = pipe.map(|(first, rest)| {
+        Rc::new(Pipe::new(node.number(), forward.id.clone(), patience, size, first, rest))
+    });
+    if let Some(pipe) = &pipe {
+        // Its client's time begins with its last byte.
+        forward.body = Going::Coming(Rc::clone(pipe));
+        forward.deadline = Instant::now() + COMING_WITHIN;
+        if let Event::Request { patience, whole, .. } = &mut event {
+            (*patience, *whole) = (COMING_WITHIN.as_micros() as u64, false);
+        }
+    }
+    let answer = ask(node, event, forward).await;
+    if let Some(pipe) = &pipe {
+        // Guards against an answer that is lost as its client still writes.
+        pipe.drain().await;
+    }
+    match answer {
+        Some(answer) => reply(answer),
+        None => {
+            node.turned_away(class, End::Faulted);
+            in_use()
+        }
+    }
+}
+
+/// Reads a body that is kept; of one that is too large for that, what had come when that was clear. `None` if it broke off, or
+/// came too slowly.
+async fn gather(mut body: Incoming) -> Option<Gathered> {
+    let (mut pieces, mut size) = (VecDeque::new(), 0);
+    if body.size_hint().lower() > BODY_MOST as u64 {
+        return Some(Err((pieces, body)));
+    }
+    if body.is_end_stream() {
+        return Some(Ok(Bytes::new()));
+    }
+    let began = Instant::now();
+    loop {
+        let until = began + BODY_WITHIN + BODY_PACE.0.mul_f64(size as f64 / f64::from(BODY_PACE.1));
+        let Some(frame) = tokio::time::timeout_at(until, body.frame()).await.ok()? else { break };
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        size += data.len();
+        pieces.push_back(data);
+        if size > BODY_MOST {
+            return Some(Err((pieces, body)));
+        }
+    }
+    Some(Ok(joined(pieces)))
+}
+
+/// Has a socket opened: a request like any other, whose answer is the socket.
+async fn socket(
+    node: &Rc<Node>, mut asked: RequestHead, head: hyper::http::request::Parts, offer: Offer,
+    upgrades: OnUpgrade, seat: &Arc<Seat>,
+) -> Reply {
+    let Some(front) = node.front.as_ref().filter(|front| front.class == asked.class) else {
+        return not_upgraded(StatusCode::BAD_REQUEST, "this class is not that of sockets\n");
+    };
+    if !asked.has_waited(seat.rested()) {
+        return too_late(node, asked.class);
+    }
+    let place = match front.admit(node, asked.customer, asked.terms.spread) {
+        Ok(place) => place,
+        Err(shut) => {
+            let mut reply = refused(Some(Duration::from_micros(shut.retry_in)));
+            *reply.body_mut() = shut.why.into();
+            return reply;
+        }
+    };
+    let (event, mut forward) = asked.arrived(head, Bytes::new(), seat);
+    forward.offer = Some(offer);
+    let Some(answer) = ask(node, event, forward).await else { return in_use() };
+    let Answer::Served(Payload::Switched(switched)) = answer else { return reply(answer) };
+    let mut answer = plain(StatusCode::SWITCHING_PROTOCOLS, "");
+    let headers = answer.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
+    headers.insert(UPGRADE, HeaderValue::from_static("websocket"));
+    headers.extend(switched.accepted());
+    tokio::task::spawn_local(async move {
+        // It fails where the client has gone before its answer.
+        let Ok(upgraded) = upgrades.await else { return };
+        let Ok(parts) = upgraded.downcast::<TokioIo<Watched>>() else { return };
+        if let Some(stream) = parts.io.into_inner().into_inner() {
+            sockets::relay(place, stream, parts.read_buf, *switched).await;
+        }
+    });
+    answer
+}
+
+/// Tells the node when the client goes away: the answer's future is dropped then.
+struct Waiting<'a> {
+    node: &'a Rc<Node>,
+    id: RequestId,
+    ticket: Ticket,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.node.abandon(&self.id, self.ticket);
+    }
+}
+
+/// Waits for a request's final answer; `None` if its id is in use.
+async fn ask(node: &Rc<Node>, event: Event, forward: Forward) -> Option<Answer> {
+    let id = forward.id.clone();
+    let (answered, ticket) = node.take(event, forward)?;
+    let _waiting = Waiting { node, id, ticket };
+    Some(answered.await.unwrap_or(Answer::Failed))
+}
--- a/crates/node/src/clients/tests.rs
+++ b/crates/node/src/clients/tests.rs
@@ -1,10 +1,13 @@
+use super::request::{customer, span};
 use super::*;
 use crate::config::Config;
 use crate::handover::Links;
 use crate::upstream::Upstream;
+use saffronpaddle_decision::interface::CustomerId;
 use saffronpaddle_standins::settings::{configuration, Fleet, Places};
 use std::io::Write;
 use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 
 fn node() -> Rc<Node> {
     let [nowhere, free] = ["127.0.0.1:9", "127.0.0.1:0"].map(|text| text.parse().expect("an address"));
@@ -33,19 +36,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (half, rest) = ("GET /-/ready HTTP/1.1\r\nHo", "st: n0\r\n\r\n");
         for (first, then, status) in [(half, rest, "HTTP/1.1 503"), (half, "", ""), ("", "", "")] {
-            let mut crowd = Crowd::new();
+            let mut connections = Connections::new();
             let address = listener.local_addr().expect("an address");
             let mut client = std::net::TcpStream::connect(address).expect("it listens");
             let (stream, _) = listener.accept().await.expect("one has come");
-            crowd.seat((stream, Instant::now()), &node, &seen);
+            connections.admit(Accepted { stream, came_after: Instant::now() }, &node, &seen);
             client.write_all(first.as_bytes()).expect("written");
-            while crowd.seats[0].seat.seen().head.is_some() == first.is_empty() {
+            while connections.entries[0].seat.seen().head.is_some() == first.is_empty() {
                 tokio::task::yield_now().await;
             }
             // The machine has the rest, and this node's loop has not looked yet.
             client.write_all(then.as_bytes()).expect("written");
-            crowd.make_way(1);
-            crowd.tasks.join_next().await;
+            connections.make_way(1);
+            connections.tasks.join_next().await;
             client.set_nonblocking(true).expect("it can be");
             let mut got = String::new();
             let mut client = TcpStream::from_std(client).expect("it is open");
