--- a/crates/exchange/src/exchange/requests.rs
+++ b/crates/exchange/src/exchange/requests.rs
@@ -4,7 +4,7 @@
 use crate::table::Row;
 use crate::{Bug, Bugs, Command, Invariant, Module, Ticket, Verdict};
 use saffronpaddle_admin::End;
-use saffronpaddle_decision::interface::{Effect, Event as ModuleEvent, Micros, RequestId};
+use saffronpaddle_decision::interface::{Effect, Event as ModuleEvent, Group, Micros, RequestId};
 use std::hash::Hash;
 
 impl<A: Copy + Eq + Hash, M: Module, B: Bugs> Exchange<A, M, B> {
@@ -122,7 +122,7 @@
 
 impl Row {
     /// Whether trying again is harmless, as a refusal promises.
-    fn may_be_refused(&self) -> bool {
+    pub(super) fn may_be_refused(&self) -> bool {
         let began = self.out.as_ref().is_some_and(|out| out.began.is_some());
         let may_have_run = self.ran.is_some() || (began && self.whole);
         match self.effect {
--- a/crates/node/src/clients/respond.rs
+++ b/crates/node/src/clients/respond.rs
@@ -1,8 +1,6 @@
 //! What is done with one request: its body is read, it goes through the node, and its answer is made.
 
-use super::reply::{
-    in_use, not_upgraded, plain, refused, reply, too_late, turned_away, unread, Reply, CLOSE,
-};
+use super::reply::{in_use, not_upgraded, plain, refused, reply, too_late, turned_away, unread, Reply};
 use super::request::{read, Rejected, RequestHead, DELIVERY};
 use super::Standing;
 use crate::bodies::{joined, Gathered, Pipe, BODY_MOST, LARGEST};
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -26,6 +26,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tracing::debug;
 
 /// A watch says something every 2 s; one that is this late is taken for dead. Guards drains: what discovery
 /// has to tell counts as told 6 s later, also on a watch that nobody serves any more.
@@ -125,6 +126,7 @@
     }
 
     fn take(&mut self, list: &List) {
+        debug!(seq = list.seq, whole = list.whole, hosts = list.hosts.len(), "discovery: a list");
         if !self.believes(list) {
             return;
         }
@@ -318,6 +320,7 @@
     let mut told = false;
     loop {
         let begun = Instant::now();
+        debug!(%address, "discovery: a call begins");
         calls.spawn_local(call(Rc::clone(word), address, path.to_owned(), answers));
         let next = sleep(beside);
         tokio::pin!(next);
@@ -329,6 +332,7 @@
                     Ok(Err(NoWatch::Failed(error))) => error,
                     Ok(Err(NoWatch::ComeBack(status, after))) => {
                         let pause = pace.told_beside(after, begun.elapsed(), fastrand::f64());
+                        debug!(%status, ?after, ?pause, "discovery: told to come back");
                         if let Some(pause) = pause {
                             next.as_mut().reset(Instant::now() + pause);
                         }
@@ -337,6 +341,7 @@
                     Err(_) => continue,
                 },
             };
+            debug!(error = format!("{error:#}"), "discovery: a call failed");
             if !std::mem::replace(&mut told, true) {
                 eprintln!("discovery: {error:#}");
             }
