Say what the guard does not hold yet, and write its checks once

Corrected: choices, repeats, connections that come up and first bytes pass it; admission, a wait for a place, last pieces and closes have checks of their own, and are listed as open. Beside that, without a change of behaviour: the count of denials and the look at an answer's time stand once each, a method that nobody called is gone.

--- a/crates/exchange/src/exchange/choice.rs
+++ b/crates/exchange/src/exchange/choice.rs
@@ -24,8 +24,7 @@
             return self.end(now, id, Verdict::Failed, commands);
         }
         let facts = Facts { attempt_out, body_gone, ..self.facts(now, until, id, server, true) };
-        if let Err(denial) = guard::check(&facts) {
-            *self.denials.entry(denial).or_default() += 1;
+        if !self.passes(&facts) {
             return self.tell_end(id, number, Outcome::NotSent, false);
         }
         let stage = Stage::Waiting(LinkId(u64::MAX));
@@ -141,7 +140,12 @@
             repeat_allowed: facts.repeat_allowed || (unchecked && row.ran.is_none()),
             ..facts
         };
-        let checked = guard::check(&facts);
+        self.passes(&facts)
+    }
+
+    /// Whether the guard lets a step through; a denial is counted.
+    fn passes(&mut self, facts: &Facts) -> bool {
+        let checked = guard::check(facts);
         if let Err(denial) = checked {
             *self.denials.entry(denial).or_default() += 1;
         }
--- a/crates/exchange/src/exchange/requests.rs
+++ b/crates/exchange/src/exchange/requests.rs
@@ -76,8 +76,7 @@
         &mut self, now: Micros, id: &RequestId, verdict: Verdict, commands: &mut Commands<A>,
     ) {
         let Some(row) = self.rows.get_mut(id).filter(|row| row.open) else { return };
-        let in_time = now <= row.answered_by(self.bounds.overdue).saturating_add(LATE);
-        self.violations.check(in_time, Invariant::AnsweredInTime, id);
+        self.violations.check(row.is_in_time(now, self.bounds.overdue), Invariant::AnsweredInTime, id);
         row.open = false;
         self.tally.ended(row.class, end_of(verdict));
         commands.push(Command::Answer { id: id.clone(), verdict });
@@ -87,8 +86,7 @@
     /// Ends a request, whatever the module says, which hears of it.
     pub(super) fn end(&mut self, now: Micros, id: &RequestId, verdict: Verdict, commands: &mut Commands<A>) {
         if let Some(row) = self.rows.get(id).filter(|row| row.open) {
-            let in_time = now <= row.answered_by(self.bounds.overdue).saturating_add(LATE);
-            self.violations.check(in_time, Invariant::AnsweredInTime, id);
+            self.violations.check(row.is_in_time(now, self.bounds.overdue), Invariant::AnsweredInTime, id);
             self.tally.ended(row.class, end_of(verdict));
         }
         commands.push(Command::Answer { id: id.clone(), verdict });
@@ -121,6 +119,11 @@
 }
 
 impl Row {
+    /// Whether an answer of now is in time, or late by no more than a process may be held up.
+    fn is_in_time(&self, now: Micros, overdue: Micros) -> bool {
+        now <= self.answered_by(overdue).saturating_add(LATE)
+    }
+
     /// Whether trying again is harmless, as a refusal promises.
     pub(super) fn may_be_refused(&self) -> bool {
         let began = self.out.as_ref().is_some_and(|out| out.began.is_some());
--- a/crates/exchange/src/guard.rs
+++ b/crates/exchange/src/guard.rs
@@ -1,7 +1,8 @@
 //! The one place that says whether a request may go on to its next step, and if not, why.
 //!
-//! Each step that does something which can't be taken back passes here, with the same facts: an attempt is chosen (also a
-//! repeat), its first byte is written, the last piece of its body is let go. What carries the work may have less time than
+//! An attempt that is chosen (also a repeat), its connection that has come up and its first byte pass here, with the same facts.
+//! Not yet here, each with a check of its own: a request that is taken, a wait for a connection that is over, the last piece of a
+//! body, and closes. What carries the work may have less time than
 //! the work: a request's time is never longer than its process has, and an attempt's never longer than its request has.
 
 use saffronpaddle_decision::interface::Micros;
--- a/crates/netio/src/uninterrupted.rs
+++ b/crates/netio/src/uninterrupted.rs
@@ -32,11 +32,6 @@
     pub fn get_ref(&self) -> &S {
         &self.0
     }
-
-    /// The stream, no longer wrapped.
-    pub fn into_inner(self) -> S {
-        self.0
-    }
 }
 
 /// Polls again for as long as signals interrupt the call.
