Read what has arrived before a timeout counts a peer as silent

What callers saw: a node that was kept from running past a timeout (0.96 s for a call to an agent, 3 s for a watch) sent requests to a server whose drain had arrived meanwhile.

Cause: to a process that continues after SIGCONT, epoll_wait returns EINTR and no readable sockets; the runtime fires due timers before it asks again. The call or watch was dropped with the list unread, so the check before a first byte found nothing unread.

That a watch is lost in the same way was not known.

A node logs a gap of 0.5 s or more.

--- a/crates/connection-eviction/src/receive_time_bound.rs
+++ b/crates/connection-eviction/src/receive_time_bound.rs
@@ -36,6 +36,14 @@
         self.asleep_since = Some(now);
     }
 
+    /// Returns by how much the present sleep exceeds `max_sleep`, the longest sleep that the loop ever requests.
+    pub fn overslept(&self, now: Time, max_sleep: Duration) -> Duration {
+        let slept = self
+            .asleep_since
+            .map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        slept.saturating_sub(max_sleep)
+    }
+
     /// Records that the loop wakes up. `max_sleep` is the longest sleep that the loop ever requests.
     pub fn on_wake(&mut self, now: Time, max_sleep: Duration) {
         let Some(asleep_since) = self.asleep_since.take() else {
--- a/crates/connection-eviction/tests/receive_time_bound.rs
+++ b/crates/connection-eviction/tests/receive_time_bound.rs
@@ -59,3 +59,15 @@
         }
     }
 }
+
+/// Guards against a log that leaves out the time for which a suspended process did not run.
+#[test]
+fn a_sleep_that_is_longer_than_requested_is_reported_until_the_loop_wakes() {
+    let mut bound = ReceiveTimeBound::NEW;
+    assert_eq!(bound.overslept(5 * MS, LONGEST_SLEEP), Duration::ZERO);
+    bound.on_sleep(10 * MS);
+    let wakes_at = 10 * MS + LONGEST_SLEEP + 700 * MS;
+    assert_eq!(bound.overslept(wakes_at, LONGEST_SLEEP), 700 * MS);
+    bound.on_wake(wakes_at, LONGEST_SLEEP);
+    assert_eq!(bound.overslept(wakes_at, LONGEST_SLEEP), Duration::ZERO);
+}
--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -9,6 +9,7 @@
 use crate::member::Member;
 use crate::settings::Settings;
 use saffronpaddle_endpoints::{EndpointUpdate, Follower, WatchStep};
+use saffronpaddle_netio::timeout;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
@@ -184,11 +185,17 @@
                 }
                 () = &mut silence => {
                     let deadline = last_heard_at + timing.silent_after;
-                    if deadline <= Instant::now() {
-                        return Err(MemberError::Silent);
+                    if deadline > Instant::now() {
+                        silence.as_mut().reset(deadline.into());
+                        continue;
+                    }
+                    match timeout(Duration::ZERO, stream.next()).await {
+                        Ok(response) => {
+                            silence.as_mut().reset((Instant::now() + timing.silent_after).into());
+                            response?
+                        }
+                        Err(_) => return Err(MemberError::Silent),
                     }
-                    silence.as_mut().reset(deadline.into());
-                    continue;
                 }
                 () = &mut closed => return Ok(WatchEnd::Closed),
             };
--- a/crates/etcd/tests/client.rs
+++ b/crates/etcd/tests/client.rs
@@ -3,11 +3,11 @@
 
 use saffronpaddle_endpoints::{EmptyListRules, EndpointStatus};
 use saffronpaddle_etcd::{follow, ClientEvent, Settings, Timing};
+use saffronpaddle_netio::timeout;
 use saffronpaddle_test_doubles::etcd::Etcd;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
 
 /// Timeout of each wait, which only a failing test reaches.
 const TEST_TIMEOUT: Duration = Duration::from_mins(1);
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -6,7 +6,7 @@
 use saffronpaddle_admin::{
     failure, success, AdminCommand, CallerId, CallerTable, CommandError, Line,
 };
-use saffronpaddle_netio::{retry_shortage, AcceptFailure, Socket};
+use saffronpaddle_netio::{retry_shortage, timeout, AcceptFailure, Socket};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
 
 /// Maximum number of calls queued for the life cycle. Each caller makes one.
 pub const MAX_QUEUED_CALLS: usize = CallerTable::MAX_CALLERS;
--- a/crates/node/src/bodies/request.rs
+++ b/crates/node/src/bodies/request.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
 use saffronpaddle_exchange::Ticket;
+use saffronpaddle_netio::timeout;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
@@ -164,10 +165,7 @@
     pub async fn drain(&self) {
         let next = || std::future::poll_fn(|context| self.state.borrow_mut().poll_next(context));
         while !self.state.borrow().ended {
-            if !matches!(
-                tokio::time::timeout(STALL_TIMEOUT, next()).await,
-                Ok(Some(Ok(_)))
-            ) {
+            if !matches!(timeout(STALL_TIMEOUT, next()).await, Ok(Some(Ok(_)))) {
                 self.state.borrow_mut().ended = true;
             }
         }
--- a/crates/node/src/bodies/response.rs
+++ b/crates/node/src/bodies/response.rs
@@ -3,6 +3,7 @@
 use super::{PolledFrame, STALL_TIMEOUT};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
+use saffronpaddle_netio::SilenceTimer;
 use std::collections::VecDeque;
 use std::fmt;
 use std::future::Future;
@@ -22,7 +23,7 @@
     /// Chunks that were buffered before streaming began.
     received: VecDeque<Bytes>,
     rest: Incoming,
-    stall_timer: Pin<Box<tokio::time::Sleep>>,
+    stall_timer: SilenceTimer,
 }
 
 impl fmt::Debug for StreamedResponseBody {
@@ -43,7 +44,7 @@
     ) -> StreamedResponseBody {
         let received_bytes: u64 = received.iter().map(|chunk| chunk.len() as u64).sum();
         let size = rest.size_hint().exact().map(|rest| received_bytes + rest);
-        let stall_timer = Box::pin(tokio::time::sleep(STALL_TIMEOUT));
+        let stall_timer = SilenceTimer::new(Instant::now() + STALL_TIMEOUT);
         StreamedResponseBody {
             on_end: Some(on_end),
             on_abandoned,
@@ -79,9 +80,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    self.stall_timer
-                        .as_mut()
-                        .reset(Instant::now() + STALL_TIMEOUT);
+                    self.stall_timer.reset(Instant::now() + STALL_TIMEOUT);
                     // hyper does not poll again after the last byte of a body of known length.
                     if self.rest.is_end_stream() {
                         self.report_end(true);
@@ -97,7 +96,7 @@
                     return Poll::Ready(Some(Err(io::Error::other(error))));
                 }
                 Poll::Pending => {
-                    ready!(self.stall_timer.as_mut().poll(context));
+                    ready!(Pin::new(&mut self.stall_timer).poll(context));
                     self.report_end(false);
                     return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
                 }
--- a/crates/node/src/clients/backlog.rs
+++ b/crates/node/src/clients/backlog.rs
@@ -1,7 +1,7 @@
 //! The connections that the kernel holds until they are accepted.
 
 use crate::event_loop;
-use saffronpaddle_netio::AcceptFailure;
+use saffronpaddle_netio::{timeout, AcceptFailure};
 use std::future::poll_fn;
 use std::io;
 use std::task::Poll;
@@ -77,8 +77,7 @@
     /// is closed. Temporary failures are retried.
     pub(super) async fn accept_queued(&self) -> Vec<Accepted> {
         let (mut queued, mut pauses) = (Vec::new(), 0);
-        while let Ok(accepted) = tokio::time::timeout(Duration::ZERO, self.listener.accept()).await
-        {
+        while let Ok(accepted) = timeout(Duration::ZERO, self.listener.accept()).await {
             match accepted {
                 Ok((stream, _)) => queued.push(Accepted {
                     stream,
--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -10,6 +10,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use saffronpaddle_connection_eviction::Limits;
+use saffronpaddle_netio::timeout;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::rc::Rc;
@@ -116,9 +117,11 @@
         () = phase_reached(status.clone(), Phase::CloseIdle) => {}
     }
     // Bytes held by the kernel are read before the connection counts as idle.
-    tokio::task::yield_now().await;
+    if timeout(Duration::ZERO, &mut connection).await.is_ok() {
+        return;
+    }
     let wait = last_request_timeout(&downstream, &status.borrow());
-    if tokio::time::timeout(wait, &mut connection).await.is_ok() {
+    if !wait.is_zero() && timeout(wait, &mut connection).await.is_ok() {
         return;
     }
     debug!(
--- a/crates/node/src/clients/respond.rs
+++ b/crates/node/src/clients/respond.rs
@@ -23,6 +23,7 @@
 use hyper_util::rt::TokioIo;
 use saffronpaddle_admin::RequestEnd;
 use saffronpaddle_exchange::Ticket;
+use saffronpaddle_netio::timeout_at;
 use saffronpaddle_policy::interface::{Event, Idempotency, RequestId};
 use saffronpaddle_websocket::upgrade::{self, Offer};
 use std::collections::VecDeque;
@@ -196,7 +197,7 @@
         let deadline = started_at
             + BODY_TIMEOUT
             + Duration::from_secs(1).mul_f64(size as f64 / f64::from(MIN_BODY_BYTES_PER_SECOND));
-        let Some(frame) = tokio::time::timeout_at(deadline, body.frame()).await.ok()? else {
+        let Some(frame) = timeout_at(deadline, body.frame()).await.ok()? else {
             break;
         };
         let Ok(data) = frame.ok()?.into_data() else {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -12,6 +12,7 @@
 use call::{call, call_hedged, Watch, WatchError};
 use error::DiscoveryError;
 use saffronpaddle_endpoints::{EmptyListProtection, JsonObjects, PollBackoff, PollLimits};
+use saffronpaddle_netio::timeout;
 use saffronpaddle_policy::interface::DiscoveryMode;
 use std::future::{pending, poll_fn, Future};
 use std::net::SocketAddr;
@@ -19,7 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{timeout, Instant};
+use tokio::time::Instant;
 use tracing::{debug, warn};
 
 /// A watch without data for this time is considered failed; the service sends something every 2 s. A drain counts as
--- a/crates/node/src/discovery/call.rs
+++ b/crates/node/src/discovery/call.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use saffronpaddle_endpoints::PollBackoff;
-use saffronpaddle_netio::Socket;
+use saffronpaddle_netio::{timeout, timeout_at, Socket};
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
@@ -22,7 +22,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, Instant};
 use tracing::{debug, warn};
 
 /// Drives the connection of a call until it ends. This is not a separate task: a task could read a change from the
--- a/crates/node/src/discovery/error.rs
+++ b/crates/node/src/discovery/error.rs
@@ -3,9 +3,9 @@
 use super::WATCH_TIMEOUT;
 use hyper::StatusCode;
 use saffronpaddle_endpoints::JsonStreamError;
+use saffronpaddle_netio::Elapsed;
 use std::io;
 use thiserror::Error;
-use tokio::time::error::Elapsed;
 
 /// Why a watch on the endpoint list failed or ended.
 #[derive(Debug, Error)]
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -8,12 +8,15 @@
 use tokio::runtime::Builder;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tracing::warn;
 
 /// Interval of the sweep of clients' connections, and so the longest sleep that the event loop asks for.
 pub const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
 /// A longer sleep than this means that the loop was kept from running, because it always asks to be woken for its next
 /// sweep.
 const MAX_SLEEP: Duration = SWEEP_INTERVAL.saturating_add(Duration::from_millis(10));
+/// Time for which the process was kept from running from which on the log reports it.
+const MIN_REPORTED_GAP: Duration = Duration::from_millis(500);
 
 thread_local! {
     /// When the observation of the loop's sleeps began; `None` for a loop that is not observed.
@@ -24,21 +27,37 @@
     static MEASUREMENT_REQUESTED: Rc<Notify> = Rc::default();
 }
 
-fn update_bound(update: impl FnOnce(&mut ReceiveTimeBound, Duration)) {
+fn update_bound<T>(update: impl FnOnce(&mut ReceiveTimeBound, Duration) -> T) -> T {
     let observed_since = OBSERVED_SINCE.get().unwrap_or_else(|| {
         let now = Instant::now();
         OBSERVED_SINCE.set(Some(now));
         now
     });
     let mut bound = RECEIVE_TIME_BOUND.get();
-    update(&mut bound, observed_since.elapsed());
+    let result = update(&mut bound, observed_since.elapsed());
     RECEIVE_TIME_BOUND.set(bound);
+    result
+}
+
+/// Records that the loop wakes up, and logs a gap in which the process did not run.
+fn on_wake() {
+    let gap = update_bound(|bound, now| {
+        let gap = bound.overslept(now, MAX_SLEEP);
+        bound.on_wake(now, MAX_SLEEP);
+        gap
+    });
+    if gap >= MIN_REPORTED_GAP {
+        warn!(
+            gap_ms = gap.as_millis() as u64,
+            "event loop: the process was kept from running"
+        );
+    }
 }
 
 /// Observes the sleeps of a runtime's event loop, at the cost of two reads of the clock per sleep.
 pub fn observe_parking(runtime: &mut Builder) -> &mut Builder {
     runtime.on_thread_park(|| update_bound(ReceiveTimeBound::on_sleep));
-    runtime.on_thread_unpark(|| update_bound(|bound, now| bound.on_wake(now, MAX_SLEEP)))
+    runtime.on_thread_unpark(on_wake)
 }
 
 /// Returns a time after which the kernel received everything that this loop reads now; `None` for a loop that is not
--- a/crates/node/src/hot_restart.rs
+++ b/crates/node/src/hot_restart.rs
@@ -9,7 +9,7 @@
 use saffronpaddle_hot_restart::{
     encode, LinkAction, LinkId, Message, Role, TransferredState, MAX_LINE_BYTES, VERSION,
 };
-use saffronpaddle_netio::Uninterrupted;
+use saffronpaddle_netio::{timeout, timeout_at, Uninterrupted};
 use saffronpaddle_policy::interface::Event as PolicyEvent;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -20,7 +20,7 @@
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, Instant};
 use tracing::{error, info, warn};
 
 /// How long connecting to a parent may take.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,7 @@
 use saffronpaddle_admin::RequestEnd;
 use saffronpaddle_endpoints::MergedList;
 use saffronpaddle_exchange::{ConnectionId, Event, Exchange, Limits, OpenRequest, Violation};
+use saffronpaddle_netio::read_received;
 use saffronpaddle_operator_config::Sockets;
 use saffronpaddle_policy::interface::{ClassId, Event as PolicyEvent, Micros, NodeId, RequestId};
 use saffronpaddle_policy::setup::PlatformSettings;
@@ -34,10 +35,6 @@
 use tokio::time::Instant;
 use tracing::{debug, error};
 
-/// Number of scheduler yields before a timeout is handled, so that data already in the kernel is read first: one each
-/// for tokio's I/O driver, the connection's task and the exchange.
-const LATE_TIMER_YIELDS: usize = 3;
-
 /// The parts from which [`Node::new`] builds a node.
 pub struct NodeParts {
     /// Seed of the policy's random number generator.
@@ -208,9 +205,7 @@
                 .await;
             // Reads what the kernel has already received first, so that a timeout is not charged to a server whose
             // response this node was late to read.
-            for _ in 0..LATE_TIMER_YIELDS {
-                tokio::task::yield_now().await;
-            }
+            read_received().await;
             self.handle(Event::TimerFired, None);
         }
     }
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -16,13 +16,14 @@
     SEC_WEBSOCKET_PROTOCOL, SEC_WEBSOCKET_VERSION, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Request, Response, StatusCode, Version};
+use saffronpaddle_netio::timeout_at;
 use saffronpaddle_policy::interface::{Outcome, ServerId};
 use saffronpaddle_websocket::upgrade::{verify, Offer, VERSION};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 
 /// The app server that an attempt is sent to.
 pub(super) struct Target {
--- a/crates/saffronpaddle/tests/crossings.rs
+++ b/crates/saffronpaddle/tests/crossings.rs
@@ -4,11 +4,15 @@
 //! The tests order events by waiting for each one. Where only the kernel can tell when bytes have arrived, the node is
 //! suspended, so that it finds all of them at once when it resumes.
 
+#[path = "common/two_servers.rs"]
+mod two_servers;
+
 use saffronpaddle_test_doubles::scripted::*;
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::thread;
 use std::time::Duration;
+use two_servers::{list_draining_first, start_with_two_servers};
 
 /// Consecutive requests that one server must answer before a change of the list counts as applied.
 const CONSECUTIVE_ANSWERS: usize = 10;
@@ -39,30 +43,6 @@
     }
 }
 
-/// Starts two servers, and a node whose list holds only the first.
-fn start_with_two_servers(tag: &str) -> (Servers, Discovery, Node, [SocketAddr; 2]) {
-    let (servers, discovery) = (Servers::new(), Discovery::start());
-    let dials = ["s-1", "s-2"].map(|name| servers.start(name, &[REPLY_OK]));
-    let node = Node::start(
-        tag,
-        discovery.address,
-        &[host_json("s-1", dials[0], 1, "ready")],
-    );
-    (servers, discovery, node, dials)
-}
-
-/// A list on which the first server is draining and the second is ready.
-fn list_draining_first(seq: u64, whole: bool, dials: [SocketAddr; 2]) -> String {
-    list_json(
-        seq,
-        whole,
-        &[
-            host_json("s-1", dials[0], 1, "draining"),
-            host_json("s-2", dials[1], 1, "ready"),
-        ],
-    )
-}
-
 // ---- Watches ----
 
 /// Guards against a parser that reads line by line: each line of an indented list would fail, on every new watch again.
