Give all calls of a node on the list service one budget

What callers saw: nothing yet; the list service saw up to 44 calls a second for a limit of 25 where an outage fell into a fleet's start, and nodes then get lists late.

Cause: first calls use the whole rate, spread by the nodes' numbers; calls that an outage had failed were repeated at random beside them.

It exceeds only where first calls are still due when the service is back, or where a fleet's random retries meet.

Change: CallSlots, a module without I/O. Every node has one slot in each round of n / calls_per_s, counted in Unix time, and starts all of its calls there; the backoff decides how long it waits at most, as before. A node and virtual time use it.

--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -37,7 +37,7 @@
 };
 pub use json_objects::{JsonObjects, JsonStreamError};
 pub use merge::{MergedList, Source};
-pub use poll::{EmptyListProtection, HedgedPolls, PollBackoff, PollLimits};
+pub use poll::{CallSlots, EmptyListProtection, HedgedPolls, PollBackoff, PollLimits};
 pub use record::{EndpointRecord, EndpointStatus};
 pub use time::Time;
 pub use update::EndpointUpdate;
--- a/crates/fleet-harness/src/virtually/lists.rs
+++ b/crates/fleet-harness/src/virtually/lists.rs
@@ -3,7 +3,7 @@
 
 use super::{Simulation, NETWORK_DELAY_US, START_US};
 use crate::scenario::{Scenario, SERVERS_PER_DEDUPLICATION_DOMAIN};
-use saffronpaddle_endpoints::{EmptyListProtection, PollBackoff, PollLimits};
+use saffronpaddle_endpoints::{CallSlots, EmptyListProtection, PollBackoff, PollLimits};
 use saffronpaddle_policy::interface::{
     DeduplicationDomainId, Endpoint, EndpointStatus, EndpointUpdate, Micros, ServerId, ZoneId,
 };
@@ -180,21 +180,25 @@
     call: u64,
     watching: bool,
     backoff: PollBackoff,
+    /// When the node may call a service for which limits are set.
+    pub call_slots: Option<CallSlots>,
     empty_list_protection: EmptyListProtection,
 }
 
 impl ListClient {
-    /// Creates the client of one of `nodes` nodes, without a list. `list_limits` is `None` if none are configured.
-    pub fn new(nodes: u32, list_limits: Option<&PollLimits>) -> ListClient {
+    /// Creates the client of a node, given by its number and the number of all nodes, without a list. `list_limits` is
+    /// `None` if none are configured.
+    pub fn new(position: (u32, u32), list_limits: Option<&PollLimits>) -> ListClient {
         // Without configured limits, the address is that of the agent on the node's machine.
         let backoff = list_limits.map_or_else(PollBackoff::for_agent, |list_limits| {
-            PollBackoff::with_limits(nodes, list_limits)
+            PollBackoff::with_limits(position.1, list_limits)
         });
         ListClient {
             version: None,
             call: 0,
             watching: false,
             backoff,
+            call_slots: list_limits.map(|list_limits| CallSlots::new(position, list_limits)),
             empty_list_protection: EmptyListProtection::default(),
         }
     }
@@ -338,11 +342,15 @@
                 self.close_watch(node_index);
                 let list_client = &mut self.nodes[node_index].list_client;
                 list_client.call += 1;
-                let delay = match after {
+                let pause = match after {
                     Some(after) => list_client.backoff.after_response(after, random_share),
                     None if was_watching => list_client.backoff.after_watch_end(random_share),
                     None => list_client.backoff.after_failure(random_share),
                 };
+                let delay = list_client.call_slots.as_ref().map_or(pause, |call_slots| {
+                    let least = after.unwrap_or_default().min(pause);
+                    call_slots.align(Duration::from_micros(self.now), least, pause, random_share)
+                });
                 self.schedule_list_event(node_index, delay.as_micros() as Micros, ListEvent::Poll);
             }
             ListEvent::Response(_)
--- a/crates/fleet-harness/src/virtually/mod.rs
+++ b/crates/fleet-harness/src/virtually/mod.rs
@@ -287,7 +287,7 @@
                 simulation.now,
             )?;
             let list_client = ListClient::new(
-                simulation.scenario.instances as u32,
+                (node_index as u32, simulation.scenario.instances as u32),
                 simulation.list_limits.as_ref(),
             );
             simulation.nodes.push(Node {
@@ -483,7 +483,7 @@
         if let Ok(engine) = PolicyEngine::new(seed, node.platform_settings.settings.clone(), now) {
             node.engine = engine;
         }
-        node.list_client = ListClient::new(nodes, list_limits.as_ref());
+        node.list_client = ListClient::new((node_index as u32, nodes), list_limits.as_ref());
         (node.running, node.inbound_budget) = (true, (0, 0.0));
         node.idle_connections.clear();
         let incarnation = node.incarnation;
@@ -494,8 +494,9 @@
             InitialList::Stale => self.load_initial_list(node_index, true),
         }
         let random_share = self.random.f64();
-        let first_call = list_limits.map_or(Duration::ZERO, |list_limits| {
-            list_limits.first_call((node_index as u32, nodes), random_share)
+        let call_slots = &self.nodes[node_index].list_client.call_slots;
+        let first_call = call_slots.as_ref().map_or(Duration::ZERO, |call_slots| {
+            call_slots.first_call(Duration::from_micros(now), random_share)
         });
         self.schedule(
             first_call.as_micros() as Micros,
--- a/crates/fleet-harness/tests/virtual_time.rs
+++ b/crates/fleet-harness/tests/virtual_time.rs
@@ -187,6 +187,35 @@
     }
 }
 
+/// Guards against calls that an outage has failed and that are repeated while other nodes still make their first ones:
+/// both together exceeded the capacity of the service.
+#[test]
+fn list_service_calls_stay_within_its_capacity_after_outages_during_a_start() {
+    let down = |at_ms: u32, for_ms: u32| {
+        format!("[[step]]\ndo = \"list-down\"\nat_ms = {at_ms}\nfor_ms = {for_ms}\n")
+    };
+    let outages = [
+        down(5_000, 1_000),
+        down(5_000, 5_000),
+        down(5_000, 30_000),
+        down(3_000, 5_000) + &down(12_000, 5_000),
+    ];
+    let limits = "[list]\ncalls_per_s = 25\nfirst_within_ms = 60000\n";
+    for nodes in [30, 300, 1000] {
+        for (outage, seed) in outages.iter().flat_map(|outage| [(outage, 1), (outage, 2)]) {
+            let text = format!(
+                "name = \"outage\"\ninstances = {nodes}\nservers = 4\ncustomers = 4\nrate = 1\nduration_ms = 60000\n\
+                 list_calls_per_s = 30\n{outage}"
+            );
+            let report = play(&text, seed, limits);
+            assert!(
+                report.max_list_calls_per_second() <= 30,
+                "{nodes} nodes, {outage}: {report}"
+            );
+        }
+    }
+}
+
 /// Cold servers are not overloaded while they warm up, and do more than half of the work that they could do or that
 /// clients ask for.
 #[test]
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use call::{call, call_hedged, Watch, WatchError};
 use error::DiscoveryError;
-use saffronpaddle_endpoints::{EmptyListProtection, JsonObjects, PollBackoff, PollLimits};
+use saffronpaddle_endpoints::{
+    CallSlots, EmptyListProtection, JsonObjects, PollBackoff, PollLimits,
+};
 use saffronpaddle_netio::timeout;
 use saffronpaddle_policy::interface::DiscoveryMode;
 use std::future::{pending, poll_fn, Future};
@@ -45,6 +47,8 @@
     opened: bool,
     /// The installation's limits for calls to its list service, if any.
     poll_limits: Option<PollLimits>,
+    /// When this node may call a service for which limits are set.
+    call_slots: Option<CallSlots>,
     /// The delay before the next call that the service asked for.
     retry_after: Option<Duration>,
     /// Decides whether an empty list is applied or ignored for now.
@@ -88,6 +92,14 @@
         accepted
     }
 
+    /// Moves the start of the next call to a slot of this node, not earlier than the service has asked for.
+    fn align(&self, pause: Duration, retry_after: Option<Duration>) -> Duration {
+        self.call_slots.as_ref().map_or(pause, |call_slots| {
+            let least = retry_after.unwrap_or_default().min(pause);
+            call_slots.align(unix_time(&self.node), least, pause, fastrand::f64())
+        })
+    }
+
     /// Applies a list unless it is rejected or older than the last one.
     fn apply(&mut self, list: &List) {
         debug!(
@@ -122,12 +134,16 @@
     let settings = &node.platform.settings;
     let node_position = (settings.node.0, settings.node_count);
     let started_at = Instant::now();
+    let call_slots = poll_limits
+        .as_ref()
+        .map(|poll_limits| CallSlots::new(node_position, poll_limits));
     let follower = || Follower {
         node: Rc::clone(&node),
         status: Rc::default(),
         seq: None,
         opened: false,
         poll_limits: poll_limits.clone(),
+        call_slots: call_slots.clone(),
         retry_after: None,
         empty_list: EmptyListProtection::default(),
         started_at,
@@ -142,11 +158,8 @@
     }
     // If all nodes of a fleet start together, their simultaneous first calls would overload the service for its other
     // callers, so they are spread over time.
-    if let Some(delay) = poll_limits
-        .as_ref()
-        .map(|poll_limits| poll_limits.first_call(node_position, fastrand::f64()))
-    {
-        tokio::time::sleep(delay).await;
+    if let Some(call_slots) = &call_slots {
+        tokio::time::sleep(call_slots.first_call(unix_time(&node), fastrand::f64())).await;
     }
     let mut next = Some(first_follower);
     let mut previous: Option<WatchTask> = None;
@@ -174,6 +187,11 @@
     }
 }
 
+/// The node's Unix time.
+fn unix_time(node: &Node) -> Duration {
+    Duration::from_micros(node.now())
+}
+
 /// The status of an address, and the task that follows it.
 type WatchTask = (Rc<WatchStatus>, Pin<Box<dyn Future<Output = ()>>>);
 
@@ -208,11 +226,13 @@
                 warn!("discovery: list service at {address}: {}", chain(&error));
             }
         }
-        let pause = match follower.retry_after.take() {
+        let retry_after = follower.retry_after.take();
+        let pause = match retry_after {
             Some(after) => backoff.after_response(after, fastrand::f64()),
             None if follower.opened => backoff.after_watch_end(fastrand::f64()),
             None => backoff.after_failure(fastrand::f64()),
         };
+        let pause = follower.align(pause, retry_after);
         logged &= !follower.opened;
         tokio::time::sleep(pause).await;
     }
