Discount what was observed with a short list when the list grows

What callers saw: after a list that was short by mistake for 5 s, a tenth of all requests was refused for 20 s more, with the servers busy to a quarter.

Cause: two pieces of state outlive the list. Load shedding goes by latencies of servers that were overloaded only while the others were not listed, and a node that sheds all has no new ones. The concurrency limit of the lowest class, created by the overload, never ended; a fraction of an attempt for each of 300 nodes, it refused bursts for more than 30 s.

Evidence: a trial print of each node's inputs and refusals by second, in the postmortem: shed 1,331 to 70 in seconds 11 to 16 at a latency of up to 2.54 of the objective, then 70 a second granted and not sent in time until second 30.

Change: capacity_growth. If the listed capacity grows from a to b, latencies keep a / b of their weight and the limit grows by b / a; after a growth by a half, requests queued before are no samples. The limit ends after 2 s with room.

--- a/crates/fleet-harness/tests/virtual_at_size.rs
+++ b/crates/fleet-harness/tests/virtual_at_size.rs
@@ -145,6 +145,33 @@
     );
 }
 
+/// Guards against the same after a list with half of the servers, with one server, and after two mistakes in a row.
+#[test]
+fn a_fleet_serves_as_before_after_a_list_of_any_size_and_after_a_second_mistake() {
+    let mistake = |count: usize, at_ms: u32| {
+        format!("[[step]]\ndo = \"flip\"\ncount = {count}\nat_ms = {at_ms}\nfor_ms = 3000\n")
+    };
+    // The last mistake is over 7 s after the start of each run, or 13 s with a second one.
+    let cases = [
+        (mistake(37, 4_000), 9),
+        (mistake(74, 4_000), 9),
+        (mistake(68, 4_000) + &mistake(68, 10_000), 15),
+    ];
+    for ((steps, from), seed) in cases.iter().flat_map(|case| [(case, 1), (case, 2)]) {
+        let report = play(&(fleet(300, 0.7, from + 4, "") + steps), seed, "");
+        let (before, after) = (
+            report.totals_between("all", 0, 4),
+            report.totals_between("all", *from, from + 4),
+        );
+        assert!(
+            after.served as f64 >= 0.95 * before.served as f64,
+            "seed {seed}, {steps}: {} before, {} after\n{report}",
+            before.served,
+            after.served
+        );
+    }
+}
+
 /// `[servers] working_set` of the operator file applies in virtual time as in a node: decisions examine only a
 /// part of a long list.
 #[test]
--- a/crates/policy/src/concurrency_limit.rs
+++ b/crates/policy/src/concurrency_limit.rs
@@ -7,7 +7,7 @@
 //!
 //! Inputs: normalized latency (multiple of the objective), attempts in flight. Result: a limit on attempts in flight of
 //! the lowest class at this node. A limit below one is enforced on average. There is no limit until an objective is
-//! missed for the first time.
+//! missed, and it ends after some periods in which the back end has room for more than it allows.
 
 mod inference;
 
@@ -27,6 +27,10 @@
 const MIN_LIMIT: f64 = 6.0;
 /// The limit's upper bound exceeds twice the peak number in flight by at least this many attempts, over all nodes.
 const MIN_HEADROOM: f64 = 12.0;
+/// Normalized latency below which the back end has room for more than the limit allows.
+const ROOM_LATENCY: f64 = 0.5;
+/// Number of controller periods in a row with room, and with a limit of twice what is in flight, after which it ends.
+const RELEASE_PERIODS: u32 = 4;
 /// Maximum output of [`change_rule`].
 const LARGEST_CHANGE: f64 = 3.0;
 /// Maximum output of [`gain_rule`].
@@ -116,7 +120,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct FuzzyConcurrencyLimit {
-    /// `None` until an objective is missed for the first time.
+    /// `None` until an objective is missed, and again once the back end has had room for some periods.
     #[serde(rename = "cap")]
     limit: Option<f64>,
     #[serde(rename = "error")]
@@ -128,6 +132,9 @@
     attempt_credit: f64,
     #[serde(rename = "paced_at")]
     credit_updated_at: Micros,
+    /// Controller periods in a row in which the back end had room and the limit was twice what is in flight.
+    #[serde(skip)]
+    periods_with_room: u32,
     /// Latency samples by class since the last controller period.
     #[serde(rename = "seen")]
     samples: Vec<LatencySamples>,
@@ -154,11 +161,16 @@
         })
     }
 
-    /// Current limit on attempts in flight at this node; `None` until an objective is missed.
+    /// Current limit on attempts in flight at this node; `None` while there is none.
     pub fn limit(&self) -> Option<f64> {
         self.limit
     }
 
+    /// Multiplies the limit, as the capacity of the servers has grown by this factor.
+    pub fn scale(&mut self, factor: f64) {
+        self.limit = self.limit.map(|limit| limit * factor);
+    }
+
     /// Adds a latency sample, as a multiple of the class's objective.
     pub fn record(&mut self, class: ClassId, normalized_latency: f64) {
         self.samples[class.0].add(normalized_latency);
@@ -218,7 +230,15 @@
         // Anti-windup: a limit far above the attempts in flight would take many periods to become effective again.
         let floor = MIN_LIMIT * node_share;
         let headroom = (MIN_HEADROOM * node_share).max(total / 2.0);
-        let ceiling = (self.peak_in_flight.max(lowest_class) * 2.0 + headroom).max(floor);
-        self.limit = Some((limit - step * total.max(floor / 2.0)).clamp(floor, ceiling));
+        let twice_in_flight = self.peak_in_flight.max(lowest_class) * 2.0;
+        let ceiling = (twice_in_flight + headroom).max(floor);
+        let next = (limit - step * total.max(floor / 2.0)).clamp(floor, ceiling);
+        let has_room = next >= twice_in_flight && worst_latency < ROOM_LATENCY;
+        self.periods_with_room = if has_room {
+            self.periods_with_room + 1
+        } else {
+            0
+        };
+        self.limit = (self.periods_with_room < RELEASE_PERIODS).then_some(next);
     }
 }
--- a/crates/policy/src/controller_period.rs
+++ b/crates/policy/src/controller_period.rs
@@ -73,7 +73,9 @@
 
     /// Returns whether only the back end delays a request, as far as this node knows.
     fn waits_for_back_end(&self, request: &Request) -> bool {
-        let waiting = !request.body_incomplete && request.deadline < Micros::MAX;
+        let waiting = !request.body_incomplete
+            && request.deadline < Micros::MAX
+            && request.queued_since >= self.load.latencies_count_from;
         waiting && (!self.large_fleet || request.grant.granted.is_some())
     }
 
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -116,10 +116,7 @@
     fn on_event(&mut self, now: Micros, event: Event, actions: &mut Actions) {
         match event {
             Event::EndpointsChanged { update, endpoints } => {
-                let recent = self.recent_start_window();
-                let rules = self.settings.slow_start;
-                self.endpoints.apply(now, update, endpoints, &rules, recent);
-                self.measure_capacity(now);
+                self.on_endpoints_changed(now, update, endpoints);
             }
             Event::EndpointsUnavailable => self.subscribe(actions),
             Event::RequestArrived {
--- a/crates/policy/src/gossip_average.rs
+++ b/crates/policy/src/gossip_average.rs
@@ -44,9 +44,13 @@
 
     /// Decays the samples by a number of time constants.
     pub fn decay(&mut self, time_constants: f64) {
-        let remaining = (-time_constants).exp();
-        self.sum *= remaining;
-        self.count *= remaining;
+        self.discount((-time_constants).exp());
+    }
+
+    /// Leaves a share of their weight to the samples so far.
+    pub fn discount(&mut self, share: f64) {
+        self.sum *= share;
+        self.count *= share;
     }
 
     /// Adds `count` samples of this node with the given sum.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod admission;
 mod attempt_results;
+mod capacity_growth;
 pub mod concurrency_limit;
 mod controller_period;
 pub mod counters;
--- a/crates/policy/src/load_statistics.rs
+++ b/crates/policy/src/load_statistics.rs
@@ -2,7 +2,7 @@
 
 use crate::decaying_mean::DecayingMean;
 use crate::gossip_average::GossipAverage;
-use crate::interface::ClassId;
+use crate::interface::{ClassId, Micros};
 use crate::utilization::Utilization;
 
 /// Expected wait before the first sample, as a share of the shortest latency objective.
@@ -28,6 +28,8 @@
     /// Normalized latencies by class across the fleet, as gossip averages.
     pub fleet_latencies: Vec<GossipAverage>,
     pub utilization: Utilization,
+    /// Requests that were queued before this time are no samples of latency.
+    pub latencies_count_from: Micros,
     /// Responses per second at one node.
     pub service_rate: DecayingMean,
     /// Responses since the last controller period.
@@ -46,6 +48,7 @@
             normalized_latencies: vec![UNKNOWN_LATENCY; classes],
             fleet_latencies: vec![GossipAverage::default(); classes],
             utilization: Utilization::default(),
+            latencies_count_from: 0,
             service_rate: DecayingMean::default(),
             responses: 0.0,
         }
@@ -57,6 +60,13 @@
         self.mean_latency += (latency - self.mean_latency) * LATENCY_WEIGHT;
     }
 
+    /// Leaves a share of their weight to the latencies observed so far.
+    pub fn discount_latencies(&mut self, share: f64) {
+        self.fleet_latencies
+            .iter_mut()
+            .for_each(|average| average.discount(share));
+    }
+
     /// Returns the highest normalized latency of all classes but the lowest, which counts only if there is no other;
     /// `None` while unknown.
     pub fn worst_normalized_latency(&self, lowest: ClassId) -> Option<f64> {
