Record a ready server before its line is written, in all doubles

No caller was affected: the nodes were right.

Cause: the double recorded `ready` after it had written the list. Held up between the two, it counted a node's first request to the server as sent to one that drains.

Change: HealthReport records ready servers before the first byte, the others after the last, and takes the record back if the write fails. The same order in the size tests' list (which also recorded the state of a later version), for etcd, and for a restart, which freed the old process of its drains.

--- a/crates/bench/tests/size/list.rs
+++ b/crates/bench/tests/size/list.rs
@@ -1,6 +1,7 @@
 //! The list service of a fleet of hundreds of nodes, in the platform's protocol. It formats each text once for all
 //! watches with the same version, and reports to the oracle what it has sent to each process of the program.
 
+use saffronpaddle_test_doubles::health_report::HealthReport;
 use saffronpaddle_test_doubles::wire::HttpConnection;
 use saffronpaddle_test_doubles::World;
 use std::collections::BTreeSet;
@@ -81,6 +82,14 @@
         self.servers[at].health == "ready" && self.truncated_at.is_none_or(|length| at < length)
     }
 
+    /// Whether each of these servers that runs is ready, by name.
+    fn health_of_running(&self, servers: &[usize]) -> Vec<(String, bool)> {
+        let running = servers.iter().filter(|at| self.servers[**at].is_running);
+        running
+            .map(|at| (format!("s-{at}"), self.is_ready(*at)))
+            .collect()
+    }
+
     /// The version and the text for a watch that has version `from`.
     fn text_since(&mut self, from: Option<u64>) -> (u64, Text) {
         let from = from.filter(|from| (self.full_list_before.max(1)..=self.seq).contains(from));
@@ -243,12 +252,20 @@
         loop {
             let version = *seq.borrow_and_update();
             if std::mem::take(&mut first) || from != Some(version) {
-                let (version, Text { body, servers, .. }) = lock(&self.list).text_since(from);
-                stream
-                    .write_all(format!("{:x}\r\n{body}\n\r\n", body.len() + 1).as_bytes())
-                    .await?;
+                let (version, body, health) = {
+                    let mut list = lock(&self.list);
+                    let (version, Text { body, servers, .. }) = list.text_since(from);
+                    (version, body, list.health_of_running(&servers))
+                };
+                let report = node.map(|node| HealthReport::begin(&self.world, node, health));
+                let line = format!("{:x}\r\n{body}\n\r\n", body.len() + 1);
+                let written = stream.write_all(line.as_bytes()).await;
+                if let Some(report) = report {
+                    report.end(written.is_ok());
+                }
+                written?;
                 if let Some(node) = node {
-                    self.report_sent(node, version, &servers);
+                    lock(&self.sent_versions)[node] = version;
                 }
                 from = Some(version);
             }
@@ -260,20 +277,4 @@
             }
         }
     }
-
-    /// Reports to the oracle what was sent to a process of the program.
-    fn report_sent(&self, node: usize, version: u64, servers: &[usize]) {
-        let sent: Vec<(usize, bool)> = {
-            let list = lock(&self.list);
-            servers
-                .iter()
-                .filter(|at| list.servers[**at].is_running)
-                .map(|at| (*at, list.is_ready(*at)))
-                .collect()
-        };
-        let (now, mut oracle) = (self.world.now(), self.world.oracle());
-        sent.into_iter()
-            .for_each(|(at, ready)| oracle.health_delivered(now, node, &format!("s-{at}"), ready));
-        lock(&self.sent_versions)[node] = version;
-    }
 }
--- a/crates/fleet-harness/src/harness.rs
+++ b/crates/fleet-harness/src/harness.rs
@@ -101,22 +101,30 @@
     fn change(&self, entry: Entry) {
         if let Some(etcd) = &self.etcd {
             let key = format!("{KEY_PREFIX}{}", entry.host);
-            // Every node counts as informed once the change is written, even if its etcd connection is down.
-            for node in 0..self.instances {
-                self.world.oracle().health_delivered(
-                    self.world.now(),
-                    node,
-                    &entry.host,
-                    entry.health == "ready",
-                );
+            // Every node counts as informed once the change is written, even if its etcd connection is down: of a ready
+            // server before, of another one after.
+            let ready = entry.health == "ready";
+            if ready {
+                self.record_health(&entry.host, ready);
             }
             match entry.health {
                 "gone" => _ = etcd.delete(&key),
                 _ => _ = etcd.put(&key, &entry.value()),
             }
+            if !ready {
+                self.record_health(&entry.host, ready);
+            }
         }
         self.discovery.change(vec![entry]);
     }
+
+    /// Records that all nodes are informed of a server's health.
+    fn record_health(&self, host: &str, ready: bool) {
+        let (now, mut oracle) = (self.world.now(), self.world.oracle());
+        for node in 0..self.instances {
+            oracle.health_delivered(now, node, host, ready);
+        }
+    }
 }
 
 /// Plays a scenario on a new runtime. Creates the folder of `options`, and removes it at the end unless `keep`
@@ -556,8 +564,8 @@
                 }
                 StepAction::Restart(target) if instances[target].is_running() => {
                     let old = Arc::clone(&instances[target]);
-                    world.oracle().node_restarted(target);
                     old.stop().await;
+                    world.oracle().node_restarted(target);
                     start_instance(&old, ready_timeout).await;
                 }
                 StepAction::Restart(_) => {}
--- a/crates/test-doubles/src/discovery.rs
+++ b/crates/test-doubles/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: one list of app servers, and one agent per edge node that serves it as a watch. What an agent has
 //! written counts as delivered to the node, and the oracle records when.
 
+use crate::health_report::HealthReport;
 use crate::wire::HttpConnection;
 use crate::{lock, World};
 use serde_json::json;
@@ -149,6 +150,12 @@
     dials: Mutex<Dials>,
 }
 
+/// Whether each of these servers is ready, by name.
+fn health_by_host(entries: &[Entry]) -> Vec<(String, bool)> {
+    let health = |entry: &Entry| (entry.host.clone(), entry.health == "ready");
+    entries.iter().map(health).collect()
+}
+
 /// Addresses by node and host.
 type Dials = BTreeMap<(usize, String), SocketAddr>;
 
@@ -354,17 +361,14 @@
             };
             if std::mem::take(&mut first) || from != Some(version) {
                 let line = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
-                stream.write_all(line.as_bytes()).await?;
+                let report = HealthReport::begin(&self.world, node, health_by_host(&entries));
+                let written = stream.write_all(line.as_bytes()).await;
+                report.end(written.is_ok());
+                written?;
                 let now = self.world.now();
-                {
-                    let mut calls = lock(&self.call_stats);
-                    calls.list_bytes += text.len() as u64;
-                    calls.first_answers.entry(node).or_insert(now);
-                }
-                let mut oracle = self.world.oracle();
-                entries.iter().for_each(|entry| {
-                    oracle.health_delivered(now, node, &entry.host, entry.health == "ready");
-                });
+                let mut calls = lock(&self.call_stats);
+                calls.list_bytes += text.len() as u64;
+                calls.first_answers.entry(node).or_insert(now);
                 from = Some(version);
             }
             let changed = tokio::time::timeout(HEARTBEAT_INTERVAL, seq.changed())
--- a/crates/test-doubles/src/lib.rs
+++ b/crates/test-doubles/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod discovery;
 pub mod etcd;
+pub mod health_report;
 pub mod links;
 pub mod load;
 pub mod oracle;
--- a/crates/test-doubles/src/oracle.rs
+++ b/crates/test-doubles/src/oracle.rs
@@ -292,6 +292,17 @@
 /// Number of attempts after their clients disconnected up to which a run breaks no rule.
 const MAX_ATTEMPTS_AFTER_DISCONNECT: usize = 2;
 
+/// The time in which a node must not send new work to a server that is draining or gone.
+#[derive(Debug)]
+struct Drain {
+    /// When the node was informed of it.
+    informed_at: Duration,
+    /// When the node may have been informed that the server is ready again; `None` if it was not.
+    ended_at: Option<Duration>,
+    /// Largest delay with which new work reached the server.
+    max_delay: Duration,
+}
+
 /// Idempotency keys that each group has executed, with the time of the first execution.
 type ExecutedKeys = HashMap<(u64, String), Duration>;
 
@@ -306,11 +317,10 @@
     executed_keys: ExecutedKeys,
     /// By idempotency key: effects that took place, over all groups.
     effects_by_key: HashMap<String, u32>,
-    /// By node and server: when the node was last informed that the server is draining or gone, and the largest delay
-    /// after that with which new work reached the server.
-    unhealthy_since: HashMap<(usize, String), (Duration, Duration)>,
-    /// The largest delays of drains that have ended.
-    ended_drains: Vec<Duration>,
+    /// The last drain of each server, by the node that was informed of it and the server.
+    drains: HashMap<(usize, String), Drain>,
+    /// The largest delays of drains that are no longer in `drains`.
+    earlier_drains: Vec<Duration>,
     ceilings: BTreeMap<u64, TokenBucket>,
     quotas: BTreeMap<u64, TokenBucket>,
     cold_servers: BTreeMap<String, ColdServer>,
@@ -399,8 +409,8 @@
             open_count: 0,
             executed_keys: HashMap::new(),
             effects_by_key: HashMap::new(),
-            unhealthy_since: HashMap::new(),
-            ended_drains: Vec::new(),
+            drains: HashMap::new(),
+            earlier_drains: Vec::new(),
             ceilings: BTreeMap::new(),
             quotas: BTreeMap::new(),
             cold_servers: BTreeMap::new(),
@@ -523,25 +533,52 @@
         }
     }
 
-    /// Records that a node was informed of a server's health: ready, or else draining or gone.
+    /// Records that a node was informed of a server's health: ready, or else draining or gone. What a node may do from
+    /// then on is recorded before the first byte is written to it (ready), what it may not do after the last one.
     pub fn health_delivered(&mut self, now: Duration, node: usize, server: &str, ready: bool) {
         let node_and_server = (node, server.to_owned());
+        let stands = |drain: &Drain| drain.ended_at.is_none();
         if ready {
-            self.ended_drains.extend(
-                self.unhealthy_since
-                    .remove(&node_and_server)
-                    .map(|(_, max_delay)| max_delay),
-            );
-        } else {
-            self.unhealthy_since
-                .entry(node_and_server)
-                .or_insert((now, Duration::ZERO));
+            let drain = self.drains.get_mut(&node_and_server);
+            if let Some(drain) = drain.filter(|drain| stands(drain)) {
+                drain.ended_at = Some(now);
+            }
+            return;
+        }
+        if self.drains.get(&node_and_server).is_some_and(stands) {
+            return;
+        }
+        let drain = Drain {
+            informed_at: now,
+            ended_at: None,
+            max_delay: Duration::ZERO,
+        };
+        let earlier = self.drains.insert(node_and_server, drain);
+        self.earlier_drains
+            .extend(earlier.map(|earlier| earlier.max_delay));
+    }
+
+    /// Records that a node was not informed that a server is ready: writing to the node failed. `recorded_at` is the time
+    /// for which that was recorded.
+    pub fn ready_not_delivered(&mut self, recorded_at: Duration, node: usize, server: &str) {
+        if let Some(drain) = self.drains.get_mut(&(node, server.to_owned())) {
+            drain.ended_at = drain.ended_at.filter(|at| *at != recorded_at);
         }
     }
 
     /// Records that a node's process was restarted. The new process has not received the notifications of the old one.
     pub fn node_restarted(&mut self, node: usize) {
-        self.unhealthy_since.retain(|(other, _), _| *other != node);
+        let drains = std::mem::take(&mut self.drains);
+        let (of_node, of_others) = drains
+            .into_iter()
+            .partition(|((other, _), _)| *other == node);
+        self.drains = of_others;
+        let of_node: HashMap<_, Drain> = of_node;
+        let ended = of_node
+            .into_values()
+            .filter(|drain| drain.ended_at.is_some());
+        self.earlier_drains
+            .extend(ended.map(|drain| drain.max_delay));
         let record = self.node_records.entry(node).or_default();
         (
             record.processes_never_serving,
@@ -619,12 +656,13 @@
                     .push(Breach::SentAfterLeave(line));
             }
         }
-        if let Some((informed_at, max_delay)) = self
-            .unhealthy_since
+        let drain = self
+            .drains
             .get_mut(&(entry.request.node, server.to_owned()))
-        {
-            if let Some(delay) = first.checked_sub(*informed_at) {
-                *max_delay = delay.max(*max_delay);
+            .filter(|drain| drain.ended_at.is_none_or(|ended_at| first < ended_at));
+        if let Some(drain) = drain {
+            if let Some(delay) = first.checked_sub(drain.informed_at) {
+                drain.max_delay = delay.max(drain.max_delay);
                 self.attempts_after_drain += 1;
                 self.delays_after_drain.push(delay);
                 if delay > bounds.drain_grace + bounds.transit_slack {
@@ -747,10 +785,10 @@
     /// Records that a suspended node was resumed: what was written to it meanwhile counts as received now.
     pub fn node_resumed(&mut self, now: Duration, node: usize, paused_at: Duration) {
         let informed = self
-            .unhealthy_since
+            .drains
             .iter_mut()
-            .filter(|((other, _), (at, _))| *other == node && *at >= paused_at);
-        informed.for_each(|(_, (at, _))| *at = now);
+            .filter(|((other, _), drain)| *other == node && drain.informed_at >= paused_at);
+        informed.for_each(|(_, drain)| drain.informed_at = now);
         // The same holds for a client's close.
         let node_requests = self
             .requests
@@ -832,12 +870,8 @@
             breaches.extend_from_slice(&self.attempts_after_disconnect);
         }
         breaches.sort();
-        let mut drains: Vec<Duration> = self
-            .unhealthy_since
-            .values()
-            .map(|(_, max_delay)| *max_delay)
-            .collect();
-        drains.extend(&self.ended_drains);
+        let mut drains: Vec<Duration> = self.drains.values().map(|drain| drain.max_delay).collect();
+        drains.extend(&self.earlier_drains);
         drains.sort();
         let sent: f64 = self
             .requests
--- a/crates/test-doubles/src/oracle/tests.rs
+++ b/crates/test-doubles/src/oracle/tests.rs
@@ -183,6 +183,32 @@
     );
 }
 
+/// Guards against an attempt that is judged after its server is ready again although its first byte came before, and
+/// against a ready server that counts although the node could not be informed of it.
+#[test]
+fn an_attempt_counts_by_its_first_byte_and_a_ready_server_only_if_it_was_delivered() {
+    for (first, not_delivered, breach) in
+        [(499, false, true), (500, false, false), (500, true, true)]
+    {
+        let mut oracle = oracle_with_request(RepeatSafety::Safe);
+        oracle.health_delivered(ms(0), 0, "s", false);
+        oracle.health_delivered(ms(500), 0, "s", true);
+        if not_delivered {
+            oracle.ready_not_delivered(ms(500), 0, "s");
+        }
+        oracle.attempt_received(ms(700), ms(first), "s", "a", 0.1);
+        oracle.response_received(ms(999), "a", Answer::Served);
+        let verdict = oracle.verdict();
+        assert_eq!(!verdict.breaches.is_empty(), breach, "{verdict:?}");
+        // A later drain is another one; a restart forgets the last one only.
+        oracle.health_delivered(ms(800), 0, "s", false);
+        let drains = if not_delivered { 1 } else { 2 };
+        assert_eq!(oracle.verdict().drains, drains);
+        oracle.node_restarted(0);
+        assert_eq!(oracle.verdict().drains, drains - 1);
+    }
+}
+
 #[test]
 fn the_load_of_a_cold_server_is_summed_over_all_nodes() {
     // Whether this many attempts overload the server, and its highest load.
