Ask the kernel whether a node ended one attempt before it sent the next

Cause that fits: the oracle noted an overlap when a second attempt arrived and forgot it when the first one's server saw its close within 50 ms. A server that is held up for longer blames a node that is right; a node that is wrong and closes within 50 ms is let off.

Change: when a second attempt arrives, the double looks whether the node has closed the connection of the first: the end of the stream, or the state of the node's socket in /proc/net/tcp, which changes in close itself. Tests that run a fleet keep its logs when a rule is broken and print the folder and the load of the machine.

No fault of a node was found.

--- a/crates/fleet-harness/src/harness.rs
+++ b/crates/fleet-harness/src/harness.rs
@@ -266,7 +266,13 @@
     /// Starts the test doubles and writes the configurations of the instances, without starting them.
     async fn set_up(scenario: Scenario, options: &Options) -> Result<Harness> {
         let fleet = scenario.fleet();
-        let world = World::start(fleet.bounds.clone());
+        let relay_plan = RelayPlan::for_scenario(&scenario);
+        let relays = relay_plan.server_relays();
+        let mut bounds = fleet.bounds.clone();
+        if relays.is_empty() {
+            bounds.close_slack = Duration::ZERO;
+        }
+        let world = World::start(bounds);
         let discovery = Discovery::new(Arc::clone(&world));
         let servers = start_servers(&scenario, &fleet, &world, &discovery)?;
         let peer_addresses = (0..scenario.instances).map(|_| reserve_address());
@@ -280,8 +286,6 @@
             (limits.calls_per_s, limits.bytes_per_s) = scenario.list_service_limits;
             limits.sheds_load = scenario.list_service_sheds_load;
         });
-        let relay_plan = RelayPlan::for_scenario(&scenario);
-        let relays = relay_plan.server_relays();
         anyhow::ensure!(
             relays.is_empty() || scenario.endpoint_source == EndpointSource::Discovery,
             "faults on links to app servers need roster = \"discovery\""
--- a/crates/saffronpaddle/tests/common/mod.rs
+++ b/crates/saffronpaddle/tests/common/mod.rs
@@ -109,5 +109,17 @@
         preload,
     };
     let _permit = FleetPermit::acquire();
-    saffronpaddle_fleet_harness::run(scenario, &options, false).expect("the fleet runs")
+    let report =
+        saffronpaddle_fleet_harness::run(scenario, &options, true).expect("the fleet runs");
+    // A failed run keeps its logs for the search for the cause.
+    if report.passed() {
+        std::fs::remove_dir_all(&options.folder).expect("its folder is removed");
+    } else {
+        let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+        eprintln!(
+            "logs in {}; load of the machine: {load}",
+            options.folder.display()
+        );
+    }
+    report
 }
--- a/crates/test-doubles/src/lib.rs
+++ b/crates/test-doubles/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod attempts;
 pub mod discovery;
 pub mod etcd;
 pub mod health_report;
@@ -19,6 +20,7 @@
 pub mod settings;
 pub mod wire;
 
+use attempts::HeldAttempts;
 use oracle::{Bounds, Oracle};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -29,6 +31,7 @@
     started: Instant,
     unix: Duration,
     oracle: Mutex<Oracle>,
+    held_attempts: HeldAttempts,
 }
 
 impl World {
@@ -41,6 +44,7 @@
             started: Instant::now(),
             unix,
             oracle: Mutex::new(Oracle::new(bounds)),
+            held_attempts: HeldAttempts::default(),
         })
     }
 
--- a/crates/test-doubles/src/oracle.rs
+++ b/crates/test-doubles/src/oracle.rs
@@ -14,6 +14,9 @@
     pub drain_grace: Duration,
     /// Added to each time limit for the transit from one process to another.
     pub transit_slack: Duration,
+    /// How long after the arrival of an attempt the close of an earlier one, which its node has ended before, may be
+    /// recorded. Zero where servers record closes in the order in which the node made them.
+    pub close_slack: Duration,
     /// How long after its client's timeout a response may still arrive before it counts as late.
     pub answer_slack: Duration,
     /// How long a group of servers drops repeats of an idempotency key.
@@ -42,6 +45,7 @@
         Bounds {
             drain_grace: Duration::from_millis(250),
             transit_slack: Duration::from_millis(50),
+            close_slack: Duration::from_millis(50),
             answer_slack: Duration::from_millis(50),
             idempotency_window: Duration::from_secs(2),
             cold_start_share: 0.21,
@@ -767,10 +771,10 @@
     }
 
     /// Records that the node closed the connection of an attempt, which is then no longer in flight. Ends of
-    /// connections are observed with a delay, so one within the transit tolerance after the arrival of another
+    /// connections may be observed with a delay, so one within [`Bounds::close_slack`] after the arrival of another
     /// attempt counts as an end before that arrival.
     pub fn attempt_canceled(&mut self, now: Duration, id: &str) {
-        let slack = self.bounds.transit_slack;
+        let slack = self.bounds.close_slack;
         if let Some(entry) = self.requests.get_mut(id) {
             entry.in_flight = entry.in_flight.saturating_sub(1);
             entry.overlapped_at = entry.overlapped_at.filter(|at| now > *at + slack);
--- a/crates/test-doubles/src/servers.rs
+++ b/crates/test-doubles/src/servers.rs
@@ -1,5 +1,6 @@
 //! App servers: each has cores, a queue and a behavior that a script may change, and starts cold after a kill.
 
+use crate::attempts::{Attempt, ReceivedAttempt};
 use crate::wire::{response, HttpConnection};
 use crate::{lock, World};
 use std::net::SocketAddr;
@@ -212,16 +213,18 @@
             shared.requests.fetch_add(1, Ordering::Relaxed);
             let work = shared.work(&class);
             let world = &shared.world;
-            world.oracle().attempt_received(
-                world.now(),
-                message.first_byte_at,
-                &shared.spec.name,
-                &id,
+            let received = ReceivedAttempt {
+                id: &id,
+                first_byte_at: message.first_byte_at,
+                server: &shared.spec.name,
                 work,
-            );
+            };
+            let Ok(attempt) = Attempt::begin(world, &connection.stream, &received) else {
+                break;
+            };
             let held = HeldRequest::take(Arc::clone(&shared));
             if held.count > shared.spec.slots || world.oracle().is_overloaded(&shared.spec.name) {
-                world.oracle().attempt_finished(&id);
+                attempt.finished();
                 if connection
                     .write(&response("503 Full", "X-Not-Run: 1\r\n", ""))
                     .await
@@ -243,7 +246,7 @@
             let outcome = tokio::select! {
                 outcome = &mut job => outcome.ok(),
                 () = connection.wait_until_closed() => {
-                    world.oracle().attempt_canceled(world.now(), &id);
+                    attempt.canceled();
                     return;
                 }
                 () = &mut process_ended => None,
@@ -251,13 +254,13 @@
             match outcome {
                 Some(Outcome::Answer(bytes)) => {
                     // Finished as soon as the response is written: the node may send elsewhere from then on.
-                    world.oracle().attempt_finished(&id);
+                    attempt.finished();
                     if connection.write(&bytes).await.is_err() {
                         break;
                     }
                 }
                 Some(Outcome::Reset) | None => {
-                    world.oracle().attempt_finished(&id);
+                    attempt.finished();
                     break;
                 }
             }
