Carry signals to stop and to reload by flags, not by their wake-up alone

What callers would see: a process that does not hear SIGTERM works on until it is killed, and all requests open then have no answer.

Cause: the runtime's handler wakes its reader by one byte through a socket pair and passes over an error of that write; nothing else told the reader.

The preloaded library has an option for Unix sockets for this; without it nothing in it changes.

Change: a flag that the handler sets (signal-hook, on the registry that the runtime uses) carries the request, the wake-up makes it prompt, and the flags are looked at every 250 ms. No signal is blocked, so child processes and upgrades see no change.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -37,6 +37,7 @@
 mod reload;
 pub mod serve;
 mod shutdown;
+mod signals;
 mod upstream;
 mod upstream_events;
 mod websocket;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -5,12 +5,10 @@
 use crate::error::NodeError;
 use crate::event_loop;
 use crate::inherited_listener;
-use crate::lifecycle_runner::ProcessSignal;
 use crate::manager::Manager;
 use crate::reload::OperatorFile;
+use crate::signals;
 use std::path::PathBuf;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::mpsc;
 use tracing::warn;
 
 /// Runs one edge node until it is asked to stop. `operator` is the path of the operator file; the environment gives all
@@ -27,7 +25,7 @@
     tokio::task::LocalSet::new().block_on(&runtime, async {
         // Installs signal handlers before reading the files: without a handler, a SIGHUP sent meanwhile would end the
         // process.
-        let signals = signals()?;
+        let signals = signals::install()?;
         let edge = Edge::bind(options(operator)?).await?;
         edge.run(signals).await;
         Ok(())
@@ -75,21 +73,3 @@
         Manager::none()
     })
 }
-
-/// Installs the signal handlers and returns the requests that signals stand for.
-fn signals() -> Result<mpsc::UnboundedReceiver<ProcessSignal>, NodeError> {
-    let (sender, signals) = mpsc::unbounded_channel();
-    // Without a handler, SIGHUP ends the process.
-    let kinds = [
-        (SignalKind::terminate(), ProcessSignal::Stop),
-        (SignalKind::hangup(), ProcessSignal::Reload),
-    ];
-    for (kind, meaning) in kinds {
-        let mut received = signal(kind).map_err(NodeError::Signals)?;
-        let sender = sender.clone();
-        tokio::task::spawn_local(async move {
-            while received.recv().await.is_some() && sender.send(meaning).is_ok() {}
-        });
-    }
-    Ok(signals)
-}
--- a/crates/saffronpaddle/tests/failing_calls.rs
+++ b/crates/saffronpaddle/tests/failing_calls.rs
@@ -159,3 +159,45 @@
         assert!(node.is_running(), "seed {seed}");
     }
 }
+
+/// Starts processes whose writes are interrupted, also those through which a signal handler wakes its reader.
+fn start_interrupted(tag: &str, count: u64, discovery: &Discovery) -> Vec<Node> {
+    let start = |seed: u64| {
+        let tag = format!("{tag}-{seed}");
+        Node::start_with_command(&tag, discovery.address, &[], 1024, |command| {
+            command
+                .env("LD_PRELOAD", failing_calls_library())
+                .env("FAILING_CALLS", "send=30")
+                .env("FAILING_UNIX", "1")
+                .env("FAILING_SEED", seed.to_string());
+        })
+    };
+    (1..=count).map(start).collect()
+}
+
+/// Guards against a SIGTERM that is lost because the call that wakes its reader is interrupted: the process works on
+/// until it is killed, and all requests that are open then have no answer.
+#[test]
+fn no_signal_to_stop_is_lost_while_sends_are_interrupted() {
+    const STOP_TIMEOUT: Duration = Duration::from_secs(20);
+    let discovery = Discovery::start();
+    let mut nodes = start_interrupted("failing-stop", 100, &discovery);
+    nodes.iter().for_each(Node::terminate);
+    let deadline = Instant::now() + STOP_TIMEOUT;
+    while nodes.iter_mut().any(Node::is_running) && Instant::now() < deadline {
+        thread::sleep(Duration::from_millis(50));
+    }
+    let count = nodes.len();
+    let running = nodes.iter_mut().map(Node::is_running);
+    let running = running.filter(|is_running| *is_running).count();
+    assert_eq!(running, 0, "processes that did not stop, of {count}");
+}
+
+/// Guards against a SIGHUP that is lost in the same way: a drain that the new configuration leads to is not heard.
+#[test]
+fn no_signal_to_reload_is_lost_while_sends_are_interrupted() {
+    let discovery = Discovery::start();
+    for node in start_interrupted("failing-reload", 50, &discovery) {
+        node.reload(|text| text);
+    }
+}
--- a/crates/saffronpaddle/tests/shim/failing_calls.c
+++ b/crates/saffronpaddle/tests/shim/failing_calls.c
@@ -3,7 +3,8 @@
  * FAILING_CALLS holds comma-separated pairs NAME=PERCENT, with the names accept, connect, socket, recv, send and
  * short. A call that fails returns an error that its manual page documents as temporary; `short` shortens reads and
  * writes to 1 to 7 bytes. FAILING_SEED seeds the random draws. FAILING_AFTER_MS is the time after the start of the
- * process before which no call fails. Only calls on IPv4 and IPv6 sockets fail, not those on Unix sockets. */
+ * process before which no call fails. Only calls on IPv4 and IPv6 sockets fail, not those on Unix sockets, unless
+ * FAILING_UNIX is set: then `send` on a Unix socket is interrupted, too. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -19,6 +20,7 @@
 static uint64_t state = 88172645463325252ULL;
 static int percent[6];
 static int64_t begins_ms;
+static int unix_too;
 enum { ACCEPT, CONNECT, SOCKET, RECV, SEND, SHORT };
 static const char *names[6] = {"accept", "connect", "socket", "recv", "send", "short"};
 
@@ -32,6 +34,7 @@
     const char *seed = getenv("FAILING_SEED"), *plan = getenv("FAILING_CALLS"), *after = getenv("FAILING_AFTER_MS");
     if (seed) state ^= strtoull(seed, NULL, 10) * 0x9e3779b97f4a7c15ULL;
     begins_ms = now_ms() + (after ? atoll(after) : 0);
+    unix_too = getenv("FAILING_UNIX") != NULL;
     for (int call = 0; plan && call < 6; call++) {
         const char *found = strstr(plan, names[call]);
         if (found) percent[call] = atoi(found + strlen(names[call]) + 1);
@@ -102,7 +105,7 @@
 }
 
 static int interrupted(int fd, int call) {
-    if (!is_internet(fd) || !fails(call)) return 0;
+    if (!(is_internet(fd) || (unix_too && call == SEND)) || !fails(call)) return 0;
     errno = EINTR;
     return 1;
 }
