Record the end of an attempt and note it under one lock

No caller was affected.

Cause: let a server note the end of an attempt before it recorded it in the oracle, without a lock over both. An attempt that arrived between the two found the end noted and not recorded, and counted as an overlap.

Evidence: the node's log has `Closed` of the first attempt's connection at 22.438834 and `Write` of the second at 22.438944; the node was right.

--- a/crates/test-doubles/src/attempts.rs
+++ b/crates/test-doubles/src/attempts.rs
@@ -124,6 +124,7 @@
 
     /// Records that the server has ended the attempt.
     pub fn finished(&self) {
+        let _all = lock(&self.world.held_attempts.0);
         if !self.held.ended.swap(true, Ordering::Relaxed) {
             self.world.oracle().attempt_finished(self.id);
         }
@@ -131,11 +132,13 @@
 
     /// Records that the node has closed the connection.
     pub fn canceled(&self) {
+        let _all = lock(&self.world.held_attempts.0);
         cancel(self.world, self.id, &self.held);
     }
 }
 
-/// Records that the node has closed the connection of an attempt, unless its end is known.
+/// Records that the node has closed the connection of an attempt, unless its end is known. The caller holds the lock of
+/// all attempts, so that no other attempt is recorded between the look at the end and the record of it.
 fn cancel(world: &World, id: &str, held: &Held) {
     if !held.ended.swap(true, Ordering::Relaxed) {
         world.oracle().attempt_canceled(world.now(), id);
