Show the reasons of rejections and the lag of the fleets of the size tests by second

Need: size::a_list_that_wrongly_shrinks_to_a_tenth_... fails on a busy machine with most requests refused, and nothing told which decision refuses or whether the processes run.

--- a/crates/bench/tests/size/fixture.rs
+++ b/crates/bench/tests/size/fixture.rs
@@ -6,10 +6,12 @@
 //! oracle checks ceilings and cold servers against the sum.
 
 use crate::list::{ListService, Server};
+use crate::second_log::SecondLog;
 use nix::sys::resource::{getrlimit, setrlimit, Resource};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use saffronpaddle_hollow::audit::{AuditEvent, AuditReport, Faults};
+use saffronpaddle_hollow::figures::Snapshot;
 use saffronpaddle_hollow::tenants::{plans, Tenants};
 use saffronpaddle_hollow::{server_id, Spec};
 use saffronpaddle_subsetting::{Subset, FULL_LIST_MAX_SERVERS, TARGET_SUBSET_SIZE};
@@ -62,6 +64,8 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
 /// Interval between checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval of the samples of [`SecondLog`].
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which the events of hollow nodes are read.
 const AUDIT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -152,7 +156,7 @@
     tenants: HashMap<u64, (u64, u64)>,
     /// Tenant of each unanswered request.
     open: HashMap<String, u64>,
-    _process: ChildGuard,
+    process: ChildGuard,
 }
 
 impl HollowProcess {
@@ -178,7 +182,7 @@
             clock_offset: 0,
             tenants,
             open,
-            _process: ChildGuard(child),
+            process: ChildGuard(child),
         };
         let _: serde_json::Value = process.request(&line.to_string());
         let before = world.now();
@@ -270,6 +274,17 @@
     audit
 }
 
+/// Adds a sample of all processes to the log.
+fn record_second(second_log: &Mutex<SecondLog>, processes: &[Mutex<HollowProcess>], real: &[u32]) {
+    let ask = |process: &Mutex<HollowProcess>| {
+        let mut process = lock(process);
+        let snapshot: Snapshot = process.request("look");
+        (snapshot, process.process.0.id())
+    };
+    let (snapshots, hollow): (Vec<Snapshot>, Vec<u32>) = processes.iter().map(ask).unzip();
+    lock(second_log).record(&snapshots, &hollow, real);
+}
+
 /// A process of the program.
 struct RealNode {
     address: SocketAddr,
@@ -339,6 +354,7 @@
     /// Stops the thread that reads the events of hollow nodes.
     stop_audit: Arc<AtomicBool>,
     audit_thread: Option<std::thread::JoinHandle<()>>,
+    second_log: Arc<Mutex<SecondLog>>,
     clients: JoinSet<()>,
     /// Whether the clients of real nodes are to stop.
     stop_clients: watch::Sender<bool>,
@@ -599,6 +615,7 @@
             faults: Mutex::default(),
             stop_audit: Arc::default(),
             audit_thread: None,
+            second_log: Arc::default(),
             clients: JoinSet::new(),
             stop_clients: watch::channel(false).0,
             folder,
@@ -681,17 +698,29 @@
             Arc::clone(&self.hollow_processes),
             Arc::clone(&self.stop_audit),
         );
+        let (second_log, real) = (Arc::clone(&self.second_log), self.real_process_ids());
         self.audit_thread = Some(std::thread::spawn(move || {
+            let mut next_sample = Instant::now();
             while !stop.load(Ordering::Relaxed) {
                 std::thread::sleep(AUDIT_INTERVAL);
                 processes
                     .iter()
                     .for_each(|process| _ = report_events(&world, &fleet, &mut lock(process)));
+                if next_sample <= Instant::now() {
+                    next_sample += SAMPLE_INTERVAL;
+                    record_second(&second_log, &processes, &real);
+                }
             }
         }));
         let _: Vec<()> = self.request("load");
     }
 
+    /// Ids of the processes of the real nodes that run now.
+    fn real_process_ids(&self) -> Vec<u32> {
+        let id = |node: &RealNode| lock(&node.process).as_ref().map(|process| process.0.id());
+        self.nodes.iter().filter_map(id).collect()
+    }
+
     /// Changes the faults injected into hollow nodes.
     pub fn change_hollow_faults(&self, change: impl FnOnce(&mut Faults)) {
         let command = {
@@ -866,6 +895,7 @@
         }
         let verdict = self.world.oracle().verdict();
         println!("{verdict:?}\n{totals:?}");
+        lock(&self.second_log).print();
         (verdict, totals)
     }
 }
--- a/crates/bench/tests/size/main.rs
+++ b/crates/bench/tests/size/main.rs
@@ -3,6 +3,7 @@
 
 mod fixture;
 mod list;
+mod second_log;
 
 use fixture::{
     assert_rules_kept, lock, nodes_in, wait_until, FleetParameters, TestFleet, NODES, REAL_NODES,
--- a/crates/hollow/src/figures.rs
+++ b/crates/hollow/src/figures.rs
@@ -3,6 +3,7 @@
 
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Longest duration that the histogram distinguishes, µs. Longer ones are recorded as this one.
 const MAX_DURATION_US: u64 = 600_000_000;
@@ -176,4 +177,7 @@
     /// since the last snapshot.
     #[serde(rename = "added")]
     pub added_latency: Vec<(u64, u64)>,
+    /// Counters of the policy engines' decisions by their exported names, summed over the nodes that run.
+    #[serde(rename = "decisions", default)]
+    pub decisions: BTreeMap<String, u64>,
 }
--- a/crates/hollow/src/shard.rs
+++ b/crates/hollow/src/shard.rs
@@ -38,7 +38,7 @@
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -859,6 +859,7 @@
         }
         let mut delays = DurationHistogram::default();
         let mut last_delays = Vec::with_capacity(changes.len());
+            decisions: decision_counters(&nodes),
         let mut next = vec![0; by_node.len()];
         for (seq, published) in changes {
             let mut last_delay = Some(0);
@@ -898,6 +899,18 @@
                     &node,
                     Event::PolicyEvent(ModuleEvent::PeerMessage { from, bytes }),
                     EventKind::PeerMessage,
+/// Sums the counters of the policy engines' decisions over nodes.
+fn decision_counters(nodes: &[Rc<Node>]) -> BTreeMap<String, u64> {
+    let mut sums = BTreeMap::new();
+    for node in nodes {
+        let exchange = node.exchange.borrow();
+        for (name, count) in exchange.policy().counters().by_name() {
+            *sums.entry(name.to_owned()).or_default() += count;
+        }
+    }
+    sums
+}
+
                 );
             }
         }
