Count only capacity that was not listed a moment ago as growth of the list

What callers saw: where health checks flap, overloaded servers got all requests of the lowest class, as the limit on that class never started, and requests of the other classes missed their objectives. Found by a trial in the policy tests, not in production.

Cause: capacity_growth compared a list with the one right before it. Each return of half of the servers discarded the latencies of all requests queued before it, so none that is older than one change was ever a sample; and each return widened the limit, though nothing narrowed it when the servers left.

Fix: growth is compared with the highest capacity that was listed in the last two longest latency objectives, so flaps faster than that discount nothing, and slower ones leave each late request time to count. The limit is multiplied by the change of the listed capacity in both directions, so that leaving and returning cancel out, also through an empty list.

--- a/crates/policy/src/concurrency_limit.rs
+++ b/crates/policy/src/concurrency_limit.rs
@@ -166,7 +166,7 @@
         self.limit
     }
 
-    /// Multiplies the limit, as the capacity of the servers has grown by this factor.
+    /// Multiplies the limit, as the capacity of the listed servers has changed by this factor.
     pub fn scale(&mut self, factor: f64) {
         self.limit = self.limit.map(|limit| limit * factor);
     }
--- a/crates/policy/src/load_statistics.rs
+++ b/crates/policy/src/load_statistics.rs
@@ -1,5 +1,6 @@
 //! Load statistics that several rules use: latency, attempts in flight, responses per second.
 
+use crate::capacity_growth::CapacityHistory;
 use crate::decaying_mean::DecayingMean;
 use crate::gossip_average::GossipAverage;
 use crate::interface::{ClassId, Micros};
@@ -28,6 +29,8 @@
     /// Normalized latencies by class across the fleet, as gossip averages.
     pub fleet_latencies: Vec<GossipAverage>,
     pub utilization: Utilization,
+    /// Recent capacities of the endpoint list.
+    pub capacities: CapacityHistory,
     /// Requests that were queued before this time are no samples of latency.
     pub latencies_count_from: Micros,
     /// Responses per second at one node.
@@ -48,6 +51,7 @@
             normalized_latencies: vec![UNKNOWN_LATENCY; classes],
             fleet_latencies: vec![GossipAverage::default(); classes],
             utilization: Utilization::default(),
+            capacities: CapacityHistory::default(),
             latencies_count_from: 0,
             service_rate: DecayingMean::default(),
             responses: 0.0,
