Tell the sleep of the event loop from time in which it cannot run

Cause: the loop takes what it reads after a sleep of 1 to 110 ms for new. The time between the hooks around epoll_wait counted as a sleep although epoll_wait had returned at once, where the thread was preempted, or stopped, for 1 ms or more in between.

Evidence: new tests stop a node in the middle of an iteration, let two requests wait for 700 ms, and hold it for 20 ms as epoll_wait returns (by a spinning shim, and by SIGSTOP).

Fix: a sleep counts only if the thread has given up its core since (voluntary context switches, getrusage) and was not stopped since (a flag set by SIGCONT). The count is read only where the loop may be late, so an idle or prompt loop pays nothing for it. What remains: a loop that waits and is then preempted before it runs dates bytes up to 110 ms late, within the 150 ms that a deadline may be off.

--- a/crates/connection-eviction/src/receive_time_bound.rs
+++ b/crates/connection-eviction/src/receive_time_bound.rs
@@ -1,7 +1,8 @@
 //! A lower bound for the time at which bytes were received from the network.
 //!
 //! The kernel does not report when bytes were received, but the event loop can bound that time in two ways. Before it
-//! sleeps, it has read all available bytes, so bytes read after an event wakes it were received at the wake-up. And by
+//! sleeps, it has read all available bytes, so bytes read after an event wakes it were received at the wake-up. This holds
+//! for a sleep in which the loop waited, not for time in which it could not run while bytes were there already. And by
 //! the end of an iteration (one poll and the handling of its events) it has read all bytes that were available when the
 //! iteration started, so bytes read later were received after that start.
 
@@ -36,6 +37,12 @@
         self.asleep_since = Some(now);
     }
 
+    /// Returns whether bytes that are available now may have been received so long ago that the sleep that begins now
+    /// has to be told from time in which the loop cannot run.
+    pub fn may_be_late(&self, now: Time) -> bool {
+        !time_unread(self.earliest, now).is_zero()
+    }
+
     /// Returns by how much the present sleep exceeds `max_sleep`, the longest sleep that the loop ever requests.
     pub fn overslept(&self, now: Time, max_sleep: Duration) -> Duration {
         let slept = self
@@ -55,6 +62,12 @@
         }
     }
 
+    /// Records that the loop wakes up without having waited for an event: bytes may have been available before, and the
+    /// time that has passed is time in which the loop could not run.
+    pub fn on_wake_without_wait(&mut self) {
+        self.asleep_since = None;
+    }
+
     /// Records that the loop has completed an iteration that started at `iteration_start`.
     pub fn on_iteration_completed(&mut self, iteration_start: Time) {
         self.earliest = self.earliest.max(iteration_start);
--- a/crates/connection-eviction/tests/receive_time_bound.rs
+++ b/crates/connection-eviction/tests/receive_time_bound.rs
@@ -71,3 +71,20 @@
     bound.on_wake(wakes_at, LONGEST_SLEEP);
     assert_eq!(bound.overslept(wakes_at, LONGEST_SLEEP), Duration::ZERO);
 }
+
+/// Guards against time in which the loop could not run that counts as a sleep: bytes that were there before would count as
+/// new.
+#[test]
+fn time_without_a_wait_is_no_sleep() {
+    let mut bound = ReceiveTimeBound::NEW;
+    bound.on_sleep(10 * MS);
+    bound.on_wake(60 * MS, LONGEST_SLEEP);
+    assert!(!bound.may_be_late(64 * MS), "the delay is usual");
+    assert!(bound.may_be_late(700 * MS));
+    bound.on_sleep(700 * MS);
+    bound.on_wake_without_wait();
+    assert_eq!(bound.earliest(), 60 * MS);
+    // A wake-up without a sleep before it changes nothing.
+    bound.on_wake(720 * MS, LONGEST_SLEEP);
+    assert_eq!(bound.earliest(), 60 * MS);
+}
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -1,9 +1,20 @@
 //! Bounds how late this thread's event loop reads data that the kernel has received, from the loop's sleeps and
 //! completed iterations.
+//!
+//! A thread that is preempted, or stopped by SIGSTOP, between the call that polls the kernel and the hook that runs after
+//! it seems to have slept. Its bytes may have been there before, so such a time does not count as a sleep: a sleep blocks
+//! the thread, which the kernel counts as a voluntary context switch, and the end of a stop raises SIGCONT.
 
+use nix::sys::resource::{getrusage, UsageWho};
 use saffronpaddle_connection_eviction::{time_unread, ReceiveTimeBound};
+use signal_hook::consts::SIGCONT;
+use signal_hook::flag;
 use std::cell::Cell;
+use std::io;
+use std::os::raw::c_long;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 use tokio::runtime::Builder;
 use tokio::sync::Notify;
@@ -18,11 +29,16 @@
 /// Time for which the process was kept from running from which on the log reports it.
 const MIN_REPORTED_GAP: Duration = Duration::from_millis(500);
 
+/// Set by the handler of SIGCONT: the process was stopped since the flag was last cleared.
+static WAS_STOPPED: LazyLock<Arc<AtomicBool>> = LazyLock::new(Arc::default);
+
 thread_local! {
     /// When the observation of the loop's sleeps began; `None` for a loop that is not observed.
     static OBSERVED_SINCE: Cell<Option<Instant>> = const { Cell::new(None) };
     /// The bound that follows from the sleeps and iterations observed so far.
     static RECEIVE_TIME_BOUND: Cell<ReceiveTimeBound> = const { Cell::new(ReceiveTimeBound::NEW) };
+    /// Voluntary context switches of the thread before its present sleep; `None` unless the loop may be late.
+    static SWITCHES_BEFORE_SLEEP: Cell<Option<c_long>> = const { Cell::new(None) };
     /// Notified when the loop may be late and an iteration is to be measured.
     static MEASUREMENT_REQUESTED: Rc<Notify> = Rc::default();
 }
@@ -39,11 +55,42 @@
     result
 }
 
+/// Number of times that this thread has given up its core to wait; `None` if the kernel does not tell.
+fn voluntary_switches() -> Option<c_long> {
+    let usage = getrusage(UsageWho::RUSAGE_THREAD).ok()?;
+    Some(usage.voluntary_context_switches())
+}
+
+/// Records that the loop goes to sleep. Only a loop that may be late pays for the count of its context switches.
+fn on_sleep() {
+    let may_be_late = update_bound(|bound, now| {
+        bound.on_sleep(now);
+        bound.may_be_late(now)
+    });
+    let switches = may_be_late.then(voluntary_switches);
+    SWITCHES_BEFORE_SLEEP.set(switches.flatten());
+}
+
+/// Whether the thread has waited for an event since it went to sleep, as far as the kernel tells.
+fn has_waited() -> bool {
+    let was_stopped = WAS_STOPPED.swap(false, Ordering::Relaxed);
+    let blocked = SWITCHES_BEFORE_SLEEP
+        .get()
+        .zip(voluntary_switches())
+        .is_none_or(|(before, now)| now > before);
+    blocked && !was_stopped
+}
+
 /// Records that the loop wakes up, and logs a gap in which the process did not run.
 fn on_wake() {
+    let has_waited = has_waited();
     let gap = update_bound(|bound, now| {
         let gap = bound.overslept(now, MAX_SLEEP);
-        bound.on_wake(now, MAX_SLEEP);
+        if has_waited {
+            bound.on_wake(now, MAX_SLEEP);
+        } else {
+            bound.on_wake_without_wait();
+        }
         gap
     });
     if gap >= MIN_REPORTED_GAP {
@@ -56,10 +103,18 @@
 
 /// Observes the sleeps of a runtime's event loop, at the cost of two reads of the clock per sleep.
 pub fn observe_parking(runtime: &mut Builder) -> &mut Builder {
-    runtime.on_thread_park(|| update_bound(ReceiveTimeBound::on_sleep));
+    runtime.on_thread_park(on_sleep);
     runtime.on_thread_unpark(on_wake)
 }
 
+/// Installs a handler of SIGCONT, by which the loop learns that the process was stopped.
+///
+/// # Errors
+/// The handler cannot be installed.
+pub fn observe_stops() -> io::Result<()> {
+    flag::register(SIGCONT, Arc::clone(&WAS_STOPPED)).map(drop)
+}
+
 /// Returns a time after which the kernel received everything that this loop reads now; `None` for a loop that is not
 /// observed. Requests the measurement of an iteration if the loop may be late.
 pub fn arrived_after() -> Option<Instant> {
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -5,6 +5,7 @@
 //! request whose wake-up is lost is found late, but is found.
 
 use crate::error::NodeError;
+use crate::event_loop;
 use crate::lifecycle_runner::ProcessSignal;
 use signal_hook::flag;
 use std::os::raw::c_int;
@@ -49,6 +50,7 @@
 /// A handler cannot be installed.
 pub fn install() -> Result<mpsc::UnboundedReceiver<ProcessSignal>, NodeError> {
     let (sender, receiver) = mpsc::unbounded_channel();
+    event_loop::observe_stops().map_err(NodeError::Signals)?;
     let mut stop = Source::install(SignalKind::terminate(), ProcessSignal::Stop)?;
     // Without a handler, SIGHUP ends the process.
     let mut reload = Source::install(SignalKind::hangup(), ProcessSignal::Reload)?;
--- a/crates/saffronpaddle/tests/delayed_requests.rs
+++ b/crates/saffronpaddle/tests/delayed_requests.rs
@@ -4,6 +4,9 @@
 //!
 //! Tests that need a least waiting time suspend the node: a slow machine makes the wait longer, never shorter.
 
+mod common;
+
+use common::failing_calls_library;
 use saffronpaddle_test_doubles::scripted::*;
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
@@ -22,6 +25,11 @@
 /// Sends SIGSTOP to a node's process, and returns once the process has stopped.
 fn suspend(node: &Node) {
     node.signal("-STOP");
+    wait_until_stopped(node);
+}
+
+/// Returns once a node's process has stopped.
+fn wait_until_stopped(node: &Node) {
     let stat = format!("/proc/{}/stat", node.id());
     while !std::fs::read_to_string(&stat)
         .expect("the process exists")
@@ -182,6 +190,107 @@
     servers.assert_no_more_requests();
 }
 
+/// A node that is stopped in the middle of an iteration of its event loop, with a library that holds or stops it again
+/// as it polls the kernel next.
+struct StoppedNode {
+    servers: Servers,
+    node: Node,
+    kept: Client,
+    long: Client,
+    short: Client,
+    _discovery: Discovery,
+}
+
+impl StoppedNode {
+    /// Starts a node in front of one server, stops it as it sends a request on, and sends it two more: `long`, and `short`
+    /// whose deadline passes before the node is resumed.
+    fn start(tag: &str, variable: (&str, &str)) -> StoppedNode {
+        let (servers, discovery) = (Servers::new(), Discovery::start());
+        let dial = servers.start("s-1", &[REPLY_OK]);
+        let file = std::env::temp_dir().join(format!("saffronpaddle-{}-{tag}", std::process::id()));
+        let hosts = [host_json("s-1", dial, 1, "ready")];
+        let node = Node::start_with_command(tag, discovery.address, &hosts, 1024, |command| {
+            command
+                .env("LD_PRELOAD", failing_calls_library())
+                .env("STOPPED_SEND", &file)
+                .env(variable.0, variable.1);
+        });
+        let mut kept = node.connect();
+        let warm_up = request("warm-up", "read", LONG_DEADLINE.0);
+        assert_eq!(kept.exchange(&warm_up).status(), 200);
+        servers.next_request();
+        std::fs::write(&file, "").expect("the file can be written");
+        kept.write(&request("kept", "read", LONG_DEADLINE.0));
+        wait_until_stopped(&node);
+        std::fs::remove_file(&file).expect("the file can be removed");
+        let (mut long, mut short) = (node.connect(), node.connect());
+        long.write(&request("long", "read", LONG_DEADLINE.0));
+        short.write(&request("short", "read", SHORT_DEADLINE));
+        StoppedNode {
+            servers,
+            node,
+            kept,
+            long,
+            short,
+            _discovery: discovery,
+        }
+    }
+
+    /// Asserts that the request whose deadline has passed is refused, and that the other one is sent on with at most the
+    /// time that is left to its client.
+    fn assert_wait_is_deducted(&mut self, waited: u128) {
+        for client in [&mut self.kept, &mut self.long] {
+            let response = client.read_response().expect("the node answers");
+            assert_eq!(response.status(), 200);
+        }
+        assert_eq!(
+            self.servers.next_request().message.header("x-request-id"),
+            "kept"
+        );
+        let upstream_request = self.servers.next_request();
+        let forwarded = received_deadline_ms(&upstream_request);
+        assert!(
+            forwarded <= LONG_DEADLINE.1 - waited,
+            "{forwarded} ms forwarded after {waited} ms"
+        );
+        assert_eq!(
+            upstream_request.message.header("x-request-id"),
+            "long",
+            "the request whose deadline has passed is not sent on"
+        );
+        let response = self.short.read_response().expect("the node answers");
+        assert_eq!(response.status(), 503);
+        self.servers.assert_no_more_requests();
+    }
+}
+
+/// Guards against a node that is preempted as `epoll_wait` returns, takes that time for a sleep after which all bytes are
+/// new, and sends on a request whose client has given up.
+#[test]
+fn a_node_that_is_preempted_after_polling_does_not_take_waiting_requests_for_new_ones() {
+    for round in 0..3 {
+        let tag = format!("preempted-{round}");
+        let mut stopped = StoppedNode::start(&tag, ("HELD_EPOLL_MS", "20"));
+        let waited = resume_after_suspension(&stopped.node, Instant::now());
+        stopped.assert_wait_is_deducted(waited);
+    }
+}
+
+/// Guards against a node that is stopped as `epoll_wait` returns, takes that time for a sleep after which all bytes are
+/// new, and sends on a request whose client has given up.
+#[test]
+fn a_node_that_is_stopped_after_polling_does_not_take_waiting_requests_for_new_ones() {
+    for round in 0..3 {
+        let tag = format!("stopped-{round}");
+        let mut stopped = StoppedNode::start(&tag, ("STOPPED_EPOLL", "1"));
+        let waited = resume_after_suspension(&stopped.node, Instant::now());
+        wait_until_stopped(&stopped.node);
+        thread::sleep(Duration::from_millis(20));
+        stopped.node.signal("-CONT");
+        stopped.assert_wait_is_deducted(waited);
+    }
+}
+
 /// Requests arrive on a hundred kept connections while the node is suspended: the last one that the event loop
 /// handles has waited as long as the first.
 #[test]
--- a/crates/saffronpaddle/tests/shim/failing_calls.c
+++ b/crates/saffronpaddle/tests/shim/failing_calls.c
@@ -4,14 +4,21 @@
  * short. A call that fails returns an error that its manual page documents as temporary; `short` shortens reads and
  * writes to 1 to 7 bytes. FAILING_SEED seeds the random draws. FAILING_AFTER_MS is the time after the start of the
  * process before which no call fails. Only calls on IPv4 and IPv6 sockets fail, not those on Unix sockets, unless
- * FAILING_UNIX is set: then `send` on a Unix socket is interrupted, too. */
+ * FAILING_UNIX is set: then `send` on a Unix socket is interrupted, too.
+ *
+ * HELD_EPOLL_MS holds the process for that long each time that `epoll_wait` returns, without a wait, as a thread that is
+ * preempted then. STOPPED_SEND is the path of a file: once it exists, the process stops itself
+ * by SIGSTOP after the next `send`, in the middle of an iteration of its event loop. With STOPPED_EPOLL, it does so once
+ * more as the next call of `epoll_wait` returns. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <time.h>
@@ -21,6 +28,9 @@
 static int percent[6];
 static int64_t begins_ms;
 static int unix_too;
+static int64_t held_epoll_ms;
+static const char *stop_file;
+static int stops_epoll, was_stopped;
 enum { ACCEPT, CONNECT, SOCKET, RECV, SEND, SHORT };
 static const char *names[6] = {"accept", "connect", "socket", "recv", "send", "short"};
 
@@ -35,6 +45,9 @@
     if (seed) state ^= strtoull(seed, NULL, 10) * 0x9e3779b97f4a7c15ULL;
     begins_ms = now_ms() + (after ? atoll(after) : 0);
     unix_too = getenv("FAILING_UNIX") != NULL;
+    held_epoll_ms = getenv("HELD_EPOLL_MS") ? atoll(getenv("HELD_EPOLL_MS")) : 0;
+    stop_file = getenv("STOPPED_SEND");
+    stops_epoll = getenv("STOPPED_EPOLL") != NULL;
     for (int call = 0; plan && call < 6; call++) {
         const char *found = strstr(plan, names[call]);
         if (found) percent[call] = atoi(found + strlen(names[call]) + 1);
@@ -122,10 +135,20 @@
     return real(fd, bytes, length, flags, address, size);
 }
 
+static ssize_t stop_after(ssize_t sent) {
+    int error = errno;
+    if (stop_file && !was_stopped && access(stop_file, F_OK) == 0) {
+        was_stopped = 1;
+        raise(SIGSTOP);
+    }
+    errno = error;
+    return sent;
+}
+
 ssize_t send(int fd, const void *bytes, size_t length, int flags) {
     REAL(ssize_t, "send", int, const void *, size_t, int);
     if (interrupted(fd, SEND)) return -1;
-    return real(fd, bytes, cut(fd, length), flags);
+    return stop_after(real(fd, bytes, cut(fd, length), flags));
 }
 
 ssize_t sendto(int fd, const void *bytes, size_t length, int flags, const struct sockaddr *address, socklen_t size) {
@@ -139,9 +162,9 @@
     if (interrupted(fd, SEND)) return -1;
     if (count > 0 && cut(fd, parts[0].iov_len) < parts[0].iov_len) {
         struct iovec first = {parts[0].iov_base, 1 + parts[0].iov_len % 7 % parts[0].iov_len};
-        return real(fd, &first, 1);
+        return stop_after(real(fd, &first, 1));
     }
-    return real(fd, parts, count);
+    return stop_after(real(fd, parts, count));
 }
 
 ssize_t readv(int fd, const struct iovec *parts, int count) {
@@ -155,3 +178,16 @@
     if (interrupted(fd, SEND)) return -1;
     return real(fd, message, flags);
 }
+
+int epoll_wait(int fd, struct epoll_event *events, int count, int timeout) {
+    REAL(int, "epoll_wait", int, struct epoll_event *, int, int);
+    int result = real(fd, events, count, timeout), error = errno;
+    int64_t until = now_ms() + held_epoll_ms;
+    while (held_epoll_ms > 0 && now_ms() < until) {}
+    if (stops_epoll && was_stopped) {
+        stops_epoll = 0;
+        raise(SIGSTOP);
+    }
+    errno = error;
+    return result;
+}
