Do not take the lateness of a node's own event loop for latency of the servers

Cause: the latency of an attempt ran until the node handled its answer. A loop that was late, because the machine was busy or because it parsed a list of 8,000 servers for each of 125 nodes, counted its own delay at the connection and at the answer as the server's, and load shedding took the servers for overloaded, by gossip on other nodes as well.

Evidence: by second, beside 4 busy processes and builds (load 10), on the code before, loops were up to 1.4 s late and refused_shed alone followed them: 1,141 of 2,467 requests, and for 3 to 5 s after the loops were in time again. All other reasons stayed below 166 a second. The simulated servers answer after a fixed time, so none of it was theirs. The hypothesis that servers and clients of the test were starved is ruled out by the run after the fix: with loops as late (915 ms), no request was shed.

Fix: the I/O layer says for each event how long it may have been ready before (the bound of the event loop; in hollow nodes the time since it was due). The policy engine takes latencies, ages of open requests and of stalled attempts up to what the node has seen, and does not count the delay between a connection and the write of its request. Deadlines, windows and quotas go by the real time, as before.

What it lets through: only the delays at the events of an attempt itself are taken off, at most one at its connection and one at its answer.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -57,6 +57,8 @@
     violations: Violations,
     /// Events that the policy has not handled yet.
     pending_events: VecDeque<PolicyEvent>,
+    /// How long the event that is handled may have been ready before, µs.
+    event_delay: Micros,
 }
 
 /// Commands in the order in which the I/O layer has to carry them out.
@@ -90,6 +92,7 @@
             denials: HashMap::new(),
             violations: Violations::default(),
             pending_events: VecDeque::new(),
+            event_delay: 0,
         }
     }
 
@@ -138,6 +141,25 @@
         self.run_policy(now, commands);
     }
 
+    /// Handles an event that may have been ready for up to `delay` µs before `now`, as the event loop was late. The policy
+    /// does not count this time as latency of a server.
+    pub fn handle_delayed(
+        &mut self,
+        now: Micros,
+        delay: Micros,
+        event: Event<A>,
+        commands: &mut Commands<A>,
+    ) {
+        self.set_event_delay(delay);
+        self.handle(now, event, commands);
+        self.set_event_delay(0);
+    }
+
+    fn set_event_delay(&mut self, delay: Micros) {
+        self.event_delay = delay;
+        self.policy.set_event_delay(delay);
+    }
+
     /// Applies an action as if the policy had requested it, for the model checker.
     pub fn inject_action(&mut self, now: Micros, action: Action, commands: &mut Commands<A>) {
         self.answer_overdue(now, commands);
--- a/crates/exchange/src/exchange/first_byte.rs
+++ b/crates/exchange/src/exchange/first_byte.rs
@@ -5,7 +5,7 @@
 use crate::{Bug, Bugs, Command, ConnectionId, Invariant, Policy};
 use saffronpaddle_policy::idempotency::{retry_allowed, DispatchedAttempt, ServerLocation};
 use saffronpaddle_policy::interface::{
-    DeduplicationDomainId, Idempotency, Micros, Outcome, RequestId, ServerId, ZoneId,
+    AttemptNumber, DeduplicationDomainId, Idempotency, Micros, Outcome, RequestId, ServerId, ZoneId,
 };
 use std::hash::Hash;
 
@@ -28,6 +28,7 @@
         };
         connected.state = ConnectionState::Assigned;
         let server = connected.server;
+        self.report_own_delay(&id);
         if !self.still_eligible(now, &id, connection) {
             // No byte was written: the request has not run, and the connection can be used by another one.
             self.keep_idle(now, connection, commands);
@@ -45,6 +46,18 @@
         }
     }
 
+    /// Reports to the policy for how long an attempt may have waited for this node although its connection was up.
+    fn report_own_delay(&mut self, id: &RequestId) {
+        let attempt = self
+            .requests
+            .get(id)
+            .and_then(|request| request.outstanding.as_ref());
+        if let Some(attempt) = attempt.filter(|_| self.event_delay > 0) {
+            let number = AttemptNumber(attempt.number);
+            self.policy.attempt_delayed(id, number, self.event_delay);
+        }
+    }
+
     /// Removes the timer of a request instead of updating it, as [`Bug::AlarmForgotten`] does.
     fn drop_timer(&mut self, id: &RequestId) {
         let Some(request) = self.requests.get_mut(id) else {
--- a/crates/hollow/src/shard.rs
+++ b/crates/hollow/src/shard.rs
@@ -510,10 +510,12 @@
         let Some(node) = node.filter(|node| node.incarnation == due.incarnation) else {
             return;
         };
+        let delay = self.now().saturating_sub(due.at);
         match due.event {
             TimedEvent::PolicyTimer(token) => {
-                self.handle(
+                self.handle_delayed(
                     &node,
+                    delay,
                     Event::PolicyEvent(ModuleEvent::TimerFired { token }),
                     EventKind::Timer,
                 );
@@ -524,12 +526,12 @@
                         .borrow_mut()
                         .attempt_finished(self.now(), node.id.0, *connection);
                 }
-                self.handle(&node, event, EventKind::Request);
+                self.handle_delayed(&node, delay, event, EventKind::Request);
             }
             TimedEvent::ExchangeTimer => {
                 if node.next_alarm.get() == due.at {
                     node.next_alarm.set(Micros::MAX);
-                    self.handle(&node, Event::TimerFired, EventKind::Request);
+                    self.handle_delayed(&node, delay, Event::TimerFired, EventKind::Request);
                 }
             }
             TimedEvent::Request => self.send_request(&node, due.at),
@@ -538,11 +540,26 @@
 
     /// Passes an event to a node's exchange and executes the commands that it returns.
     pub fn handle(&self, node: &Rc<Node>, event: Event<SocketAddr>, kind: EventKind) {
+        self.handle_delayed(node, 0, event, kind);
+    }
+
+    /// Like [`Shard::handle`], for an event that was due `delay` µs ago.
+    fn handle_delayed(
+        &self,
+        node: &Rc<Node>,
+        mut delay: Micros,
+        event: Event<SocketAddr>,
+        kind: EventKind,
+    ) {
         let (mut events, mut commands) = (VecDeque::from([event]), Vec::new());
         while let Some(event) = events.pop_front() {
             let now = self.now();
             let before = cpu_time_ns(ClockId::CLOCK_THREAD_CPUTIME_ID);
-            node.exchange.borrow_mut().handle(now, event, &mut commands);
+            // Further events are caused by this one, and follow at once.
+            let delay = std::mem::take(&mut delay);
+            node.exchange
+                .borrow_mut()
+                .handle_delayed(now, delay, event, &mut commands);
             let cpu_ns = cpu_time_ns(ClockId::CLOCK_THREAD_CPUTIME_ID).saturating_sub(before);
             {
                 let mut totals = self.totals.borrow_mut();
@@ -842,6 +859,7 @@
             totals: *self.totals.borrow(),
             loop_lag: self.loop_lag.borrow().buckets(),
             added_latency: self.added_latency.borrow().buckets(),
+            decisions: decision_counters(&nodes),
         };
         self.loop_lag.borrow_mut().reset();
         self.added_latency.borrow_mut().reset();
@@ -859,7 +877,6 @@
         }
         let mut delays = DurationHistogram::default();
         let mut last_delays = Vec::with_capacity(changes.len());
-            decisions: decision_counters(&nodes),
         let mut next = vec![0; by_node.len()];
         for (seq, published) in changes {
             let mut last_delay = Some(0);
@@ -882,6 +899,18 @@
     }
 }
 
+/// Sums the counters of the policy engines' decisions over nodes.
+fn decision_counters(nodes: &[Rc<Node>]) -> BTreeMap<String, u64> {
+    let mut sums = BTreeMap::new();
+    for node in nodes {
+        let exchange = node.exchange.borrow();
+        for (name, count) in exchange.policy().counters().by_name() {
+            *sums.entry(name.to_owned()).or_default() += count;
+        }
+    }
+    sums
+}
+
 /// Receives peers' datagrams; never returns.
 async fn receive_peer_messages(shard: Rc<Shard>, node: Rc<Node>) {
     let Some(peers) = node.peers.borrow().clone() else {
@@ -899,18 +928,6 @@
                     &node,
                     Event::PolicyEvent(ModuleEvent::PeerMessage { from, bytes }),
                     EventKind::PeerMessage,
-/// Sums the counters of the policy engines' decisions over nodes.
-fn decision_counters(nodes: &[Rc<Node>]) -> BTreeMap<String, u64> {
-    let mut sums = BTreeMap::new();
-    for node in nodes {
-        let exchange = node.exchange.borrow();
-        for (name, count) in exchange.policy().counters().by_name() {
-            *sums.entry(name.to_owned()).or_default() += count;
-        }
-    }
-    sums
-}
-
                 );
             }
         }
--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -131,6 +131,14 @@
     Some(earliest)
 }
 
+/// Returns how long what this loop reads now may have been in the kernel; zero if that is negligible, or for a loop that
+/// is not observed.
+pub fn unread_time() -> Duration {
+    arrived_after().map_or(Duration::ZERO, |earliest| {
+        time_unread(Duration::ZERO, earliest.elapsed())
+    })
+}
+
 /// Measures an iteration of the loop whenever one is requested. Runs until it is dropped. Without it, a busy loop,
 /// which seldom sleeps, would treat everything that it reads as old. Tasks run in the order in which they are woken, and a
 /// task that yields is woken after every task for which the kernel had reported an event by then.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::discovery_status::WatchStatuses;
 use crate::error::NodeError;
+use crate::event_loop;
 use crate::forward::Forward;
 use crate::peers::Peers;
 use crate::process_links::ProcessLinks;
@@ -176,9 +177,10 @@
     pub fn handle(self: &Rc<Self>, event: Event<SocketAddr>, payload: Option<Payload>) {
         let mut commands = Vec::new();
         debug!(?event, "handling exchange event");
+        let delay = event_loop::unread_time().as_micros() as Micros;
         self.exchange
             .borrow_mut()
-            .handle(self.clock.now(), event, &mut commands);
+            .handle_delayed(self.clock.now(), delay, event, &mut commands);
         self.log_violations();
         self.alarm.set(self.exchange.borrow().next_alarm());
         let mut payload = payload;
--- a/crates/policy/src/attempt_results.rs
+++ b/crates/policy/src/attempt_results.rs
@@ -90,7 +90,8 @@
         }
     }
 
-    /// Records a response and its latency, measured from the time at which only the back end delayed the request.
+    /// Records a response and its latency, measured from the time at which only the back end delayed the request until the
+    /// response may have arrived.
     pub(crate) fn record_response(&mut self, now: Micros, attempt: &Attempt) {
         self.load.responses += 1.0;
         if attempt.queued_since < self.load.latencies_count_from {
@@ -98,7 +99,7 @@
         }
         let class = &self.settings.classes[attempt.class.0];
         let objective = class.latency_objective.max(1) as f64;
-        let latency = now.saturating_sub(attempt.queued_since) as f64;
+        let latency = self.seen_until(now).saturating_sub(attempt.queued_since) as f64;
         self.concurrency_limit
             .record(attempt.class, latency / objective);
     }
--- a/crates/policy/src/controller_period.rs
+++ b/crates/policy/src/controller_period.rs
@@ -41,12 +41,13 @@
     /// Updates the normalized latencies by class with the samples of the period. Open requests count once they are
     /// late, as a back end that hangs sends no responses and would otherwise look fast.
     fn update_normalized_latencies(&mut self, now: Micros) {
+        let seen_until = self.seen_until(now);
         let mut samples = self.concurrency_limit.take_samples();
         for request in self.requests.open.values() {
             if self.waits_for_back_end(request) {
                 let class = &self.settings.classes[request.class.0];
                 let objective = class.latency_objective.max(1) as f64;
-                let age = now.saturating_sub(request.queued_since) as f64 / objective;
+                let age = seen_until.saturating_sub(request.queued_since) as f64 / objective;
                 let samples = &mut samples[request.class.0];
                 if age > 1.0 || samples.is_exceeded_by(age) {
                     samples.add(age);
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -4,7 +4,8 @@
 use crate::counters::Counters;
 use crate::endpoint_table::EndpointTable;
 use crate::interface::{
-    Action, ClassId, CustomerId, DiscoveryMode, Event, Micros, Plan, Settings, SettingsError,
+    Action, AttemptNumber, ClassId, CustomerId, DiscoveryMode, Event, Micros, Plan, RequestId,
+    Settings, SettingsError,
 };
 use crate::load_statistics::LoadStatistics;
 use crate::request::{Request, RequestTable, RequestTerms};
@@ -53,6 +54,8 @@
     pub(crate) slow_start: SlowStartState,
     pub(crate) timers: Timers,
     pub(crate) counters: Counters,
+    /// How long the event that is handled may have been ready before, µs.
+    pub(crate) event_delay: Micros,
 }
 
 impl PolicyEngine {
@@ -87,6 +90,7 @@
             slow_start: SlowStartState::new(now),
             timers: Timers::new(now),
             counters: Counters::default(),
+            event_delay: 0,
             settings,
         })
     }
@@ -113,6 +117,28 @@
         self.set_timer(now, actions);
     }
 
+    /// Sets how long the events that are handled from now on may have been ready before, µs: for so long the event loop
+    /// was late, and what it waited for is no latency of a server.
+    pub fn set_event_delay(&mut self, delay: Micros) {
+        self.event_delay = delay;
+    }
+
+    /// Returns the time up to which this node has handled all that servers have sent.
+    pub(crate) fn seen_until(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.event_delay)
+    }
+
+    /// Records that an attempt was held up by this node for `delay` µs before its request was written.
+    pub fn attempt_delayed(&mut self, id: &RequestId, attempt: AttemptNumber, delay: Micros) {
+        if let Some(request) = self.requests.open.get_mut(id) {
+            request.queued_since = request.queued_since.saturating_add(delay);
+        }
+        if let Some(attempt) = self.requests.attempts.get_mut(&(id.clone(), attempt)) {
+            attempt.queued_since = attempt.queued_since.saturating_add(delay);
+            attempt.own_delay = attempt.own_delay.saturating_add(delay);
+        }
+    }
+
     fn on_event(&mut self, now: Micros, event: Event, actions: &mut Actions) {
         match event {
             Event::EndpointsChanged { update, endpoints } => {
--- a/crates/policy/src/outlier_ejection.rs
+++ b/crates/policy/src/outlier_ejection.rs
@@ -144,7 +144,7 @@
         outcome: Outcome,
         stalled: bool,
     ) {
-        let duration = now.saturating_sub(attempt.sent_at) as f64;
+        let duration = attempt.time_at_server(self.seen_until(now)) as f64;
         self.counters.attempt_ended(outcome, stalled);
         self.record_slow_start_result(now, attempt, outcome);
         let Some(mut server) = self.endpoints.edit(attempt.server) else {
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -30,7 +30,7 @@
     pub units: f64,
     pub arrived_at: Micros,
     /// Time from which only the back end delays the request: it has been admitted, and its customer's own limits no
-    /// longer hold it back.
+    /// longer hold it back. Delays at this node before an attempt was written move it forward.
     pub queued_since: Micros,
     pub deadline: Micros,
     /// Number of attempts started.
@@ -102,6 +102,7 @@
             queued_since: self.queued_since,
             sent_at,
             in_flight_at_server,
+            own_delay: 0,
             stage,
         }
     }
@@ -192,10 +193,17 @@
     pub sent_at: Micros,
     /// Attempts in flight at the server when this one was sent, itself included.
     pub in_flight_at_server: f64,
+    /// How long this node held up the attempt before its request was written, µs.
+    pub own_delay: Micros,
     pub stage: AttemptStage,
 }
 
 impl Attempt {
+    /// Returns how long the server has taken until `seen_until`, µs, without the delays at this node.
+    pub(crate) fn time_at_server(&self, seen_until: Micros) -> Micros {
+        seen_until.saturating_sub(self.sent_at.saturating_add(self.own_delay))
+    }
+
     /// Converts the attempt for a message to sibling processes, without a charge. The caller adds the charge of a first
     /// attempt.
     pub(crate) fn to_sibling(&self, request: &RequestId, number: AttemptNumber) -> SiblingAttempt {
@@ -221,6 +229,7 @@
             queued_since: sibling.queued_since,
             sent_at: sibling.sent_at,
             in_flight_at_server: sibling.in_flight,
+            own_delay: 0,
             stage: AttemptStage::AtServer,
         };
         ((sibling.request, sibling.attempt), attempt)
--- a/crates/policy/src/stalled_attempts.rs
+++ b/crates/policy/src/stalled_attempts.rs
@@ -74,7 +74,7 @@
             1.0
         };
         let responded_since = server.last_response_for_class(attempt.class.0) >= attempt.sent_at;
-        let age = now.saturating_sub(attempt.sent_at) as f64;
+        let age = attempt.time_at_server(self.seen_until(now)) as f64;
         !responded_since && age > limit * only_attempt_factor
     }
 
