Ask the kernel for the end of an attempt behind a relay, too, and drop the tolerance

Cause, in the test's instrument: a relay that is stalled or held up passes on an attempt after the node has ended it and has sent the next one, and passes on its end later still. The oracle took the late attempt for one in flight, and forgave that for 50 ms only. On the other side it let a node off whose second attempt the relay passed on after the end of the first.

Change: a relay to an app server finds the requests in the bytes that it reads from the node, and asks the kernel then whether the node has closed the earlier attempt. The tolerance (close_slack) is zero for all fleets of real processes. A breach names the servers of both attempts.

What it lets through: an attempt that a relay reads only after the node has closed it is not judged against those that came meanwhile.

--- a/crates/fleet-harness/src/harness.rs
+++ b/crates/fleet-harness/src/harness.rs
@@ -215,6 +215,12 @@
             .flat_map(|instance| instance.violations()),
     );
     faults.extend(harness.find_interference());
+    let overlaps = harness.world.oracle().overlaps().to_vec();
+    faults.extend(
+        overlaps
+            .iter()
+            .map(|overlap| format!("two attempts at once: {overlap}")),
+    );
     let capacities: Vec<(String, f64)> = harness
         .servers
         .iter()
@@ -269,9 +275,7 @@
         let relay_plan = RelayPlan::for_scenario(&scenario);
         let relays = relay_plan.server_relays();
         let mut bounds = fleet.bounds.clone();
-        if relays.is_empty() {
-            bounds.close_slack = Duration::ZERO;
-        }
+        bounds.close_slack = Duration::ZERO;
         let world = World::start(bounds);
         let discovery = Discovery::new(Arc::clone(&world));
         let servers = start_servers(&scenario, &fleet, &world, &discovery)?;
@@ -293,7 +297,7 @@
         for (nodes, server) in relays {
             let (listen, target) = (reserve_address()?, &servers[server]);
             let ends = (End::Node(nodes[0]), End::Server(server));
-            Relay::start(&links, ends, listen, target.address())
+            Relay::start_to_server(&world, &links, ends, listen, target.address())
                 .await
                 .context("starting a relay to an app server")?;
             nodes
--- a/crates/test-doubles/src/links.rs
+++ b/crates/test-doubles/src/links.rs
@@ -5,7 +5,8 @@
 //! rules that name it. Datagrams pass through [`crate::peers`]. A connection passes through a [`Relay`] where a rule
 //! of the run may affect it, and is made directly elsewhere.
 
-use crate::lock;
+use crate::attempts::RelayedConnection;
+use crate::{lock, World};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -198,6 +199,8 @@
     near: End,
     far: End,
     target: SocketAddr,
+    /// The run whose attempts pass through the relay; `None` if it does not lead to an app server.
+    world: Option<Arc<World>>,
 }
 
 /// How a relayed connection ended.
@@ -215,6 +218,31 @@
     /// # Errors
     /// The address can't be bound.
     pub async fn start(
+        links: &Arc<Links>,
+        ends: (End, End),
+        listen: SocketAddr,
+        target: SocketAddr,
+    ) -> std::io::Result<()> {
+        Relay::start_observed(None, links, ends, listen, target).await
+    }
+
+    /// Starts a relay to an app server. It records the attempts that it reads, so that the run can tell whether a node
+    /// has two of one request open at once.
+    ///
+    /// # Errors
+    /// The address can't be bound.
+    pub async fn start_to_server(
+        world: &Arc<World>,
+        links: &Arc<Links>,
+        ends: (End, End),
+        listen: SocketAddr,
+        server: SocketAddr,
+    ) -> std::io::Result<()> {
+        Relay::start_observed(Some(Arc::clone(world)), links, ends, listen, server).await
+    }
+
+    async fn start_observed(
+        world: Option<Arc<World>>,
         links: &Arc<Links>,
         (near, far): (End, End),
         listen: SocketAddr,
@@ -226,6 +254,7 @@
             near,
             far,
             target,
+            world,
         };
         tokio::spawn(async move {
             let mut changed = relay.links.changed.subscribe();
@@ -298,10 +327,20 @@
         for stream in [&near, &far] {
             let _ = stream.set_nodelay(true);
         }
+        let observed = self.world.as_ref();
+        let observed = observed.map(|world| RelayedConnection::new(world, &near, &far));
+        let Ok(mut observed) = observed.transpose() else {
+            return;
+        };
         let ended = {
             let ((from_near, to_near), (from_far, to_far)) = (near.split(), far.split());
-            let forward = self.copy_one_way((self.near, self.far), from_near, to_far);
-            let back = self.copy_one_way((self.far, self.near), from_far, to_near);
+            let on_bytes = |bytes: &[u8]| {
+                if let Some(observed) = &mut observed {
+                    observed.on_bytes(bytes);
+                }
+            };
+            let forward = self.copy_one_way((self.near, self.far), from_near, to_far, on_bytes);
+            let back = self.copy_one_way((self.far, self.near), from_far, to_near, |_| ());
             tokio::pin!(forward, back);
             // A half-closed connection goes on in the other direction; a reset one ends in both.
             tokio::select! {
@@ -345,12 +384,14 @@
         }
     }
 
-    /// Copies data in one direction, with the faults of that link, until the connection ends.
+    /// Copies data in one direction, with the faults of that link, until the connection ends. `on_bytes` is called with
+    /// bytes before they are written.
     async fn copy_one_way(
         &self,
         (from, to): (End, End),
         mut read: ReadHalf<'_>,
         mut write: WriteHalf<'_>,
+        mut on_bytes: impl FnMut(&[u8]),
     ) -> RelayEnd {
         let mut buffer = vec![0; COPY_BUFFER_BYTES];
         loop {
@@ -361,6 +402,7 @@
             let Ok(length) = length else {
                 return RelayEnd::Reset;
             };
+            on_bytes(&buffer[..length]);
             let Ok(fault) = self.wait_until_passable(from, to).await else {
                 return RelayEnd::Reset;
             };
--- a/crates/test-doubles/src/oracle.rs
+++ b/crates/test-doubles/src/oracle.rs
@@ -156,6 +156,8 @@
     in_flight: u32,
     /// When an attempt arrived while another one was in flight.
     overlapped_at: Option<Duration>,
+    /// Whether the node had two attempts open at once, by the state of its own connections.
+    overlapped: bool,
     effects: u32,
     /// When its first attempt was received in full, and its units beyond the quota at that time.
     first_attempt: Option<(Duration, f64)>,
@@ -335,6 +337,8 @@
     delays_after_drain: Vec<Duration>,
     attempts_after_drain: u64,
     unsolicited_attempts: u64,
+    /// Pairs of attempts that a node had open at once.
+    overlaps: Vec<String>,
     breaches: Vec<Breach>,
 }
 
@@ -424,6 +428,7 @@
             delays_after_drain: Vec::new(),
             attempts_after_drain: 0,
             unsolicited_attempts: 0,
+            overlaps: Vec::new(),
             breaches: Vec::new(),
         }
     }
@@ -451,6 +456,7 @@
             attempts: 0,
             in_flight: 0,
             overlapped_at: None,
+            overlapped: false,
             effects: 0,
             first_attempt: None,
             work: 0.0,
@@ -770,6 +776,20 @@
         }
     }
 
+    /// Records that a node had two attempts of a request open at once, by the state of its own connections; `line` names
+    /// both.
+    pub fn attempts_overlapped(&mut self, id: &str, line: String) {
+        if let Some(entry) = self.requests.get_mut(id) {
+            entry.overlapped = true;
+            self.overlaps.push(line);
+        }
+    }
+
+    /// A line on each pair of attempts that a node had open at once.
+    pub fn overlaps(&self) -> &[String] {
+        &self.overlaps
+    }
+
     /// Records that the node closed the connection of an attempt, which is then no longer in flight. Ends of
     /// connections may be observed with a delay, so one within [`Bounds::close_slack`] after the arrival of another
     /// attempt counts as an end before that arrival.
@@ -850,7 +870,8 @@
         let mut answered = [0_u64; 3];
         let mut unanswered = [0_u64; 5];
         for (id, entry) in &self.requests {
-            breaches.extend(entry.overlapped_at.map(|_| Breach::TwoAttempts(id.clone())));
+            let overlapped = entry.overlapped || entry.overlapped_at.is_some();
+            breaches.extend(overlapped.then(|| Breach::TwoAttempts(id.clone())));
             match (entry.answer, entry.unanswered) {
                 (Some((answer, _)), _) => {
                     answered[answer as usize] += 1;
