Judge an idempotency key in virtual time by the receipt of its attempt, not by its execution

Cause, in the test's instrument: the virtual servers gave the time at which the work was done as the time of receipt. A repeat that came within the window of its key and waited in an overloaded server's queue until the window was over counted as a second effect. The oracle's rule is the time of receipt, and the HTTP servers give that.

Fix: the work of an attempt carries the time at which the server received it.

--- a/crates/fleet-harness/src/virtually/mod.rs
+++ b/crates/fleet-harness/src/virtually/mod.rs
@@ -25,7 +25,7 @@
 use saffronpaddle_test_doubles::load::{class_of, Customer, LoadCounts, RetryState};
 use saffronpaddle_test_doubles::oracle::{Answer, Oracle, RepeatSafety, SentRequest, Unanswered};
 use saffronpaddle_test_doubles::settings::Fleet;
-use servers::{InFlightAttempt, Server};
+use servers::{InFlightAttempt, Server, Work};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -77,8 +77,8 @@
     PeerMessage(usize, NodeId, Vec<u8>),
     /// A server has received the complete request of an attempt.
     AttemptReceived(InFlightAttempt),
-    /// A server's process, given by its number, has done the work of an attempt.
-    WorkDone(InFlightAttempt, u32),
+    /// A server's process has done the work of an attempt.
+    WorkDone(Work),
     /// The outcome of an attempt reaches its node.
     AttemptEnded(InFlightAttempt, Outcome),
     /// An event between a node's process, given by its number, and the list service.
@@ -382,9 +382,7 @@
                 }
             }
             ScheduledEvent::AttemptReceived(in_flight) => self.attempt_received(in_flight),
-            ScheduledEvent::WorkDone(in_flight, incarnation) => {
-                self.work_done(in_flight, incarnation);
-            }
+            ScheduledEvent::WorkDone(work) => self.work_done(work),
             ScheduledEvent::AttemptEnded(in_flight, outcome) => {
                 self.reply_received(&in_flight, outcome);
             }
--- a/crates/fleet-harness/src/virtually/servers.rs
+++ b/crates/fleet-harness/src/virtually/servers.rs
@@ -51,6 +51,16 @@
     pub first_byte_at: Micros,
 }
 
+/// An attempt that a server has received and works on, or will.
+#[derive(Clone, Debug)]
+pub(super) struct Work {
+    pub in_flight: InFlightAttempt,
+    /// Number of the server's process.
+    pub incarnation: u32,
+    /// When the server received the attempt, since the start of the run: an idempotency key is judged by that time.
+    pub received_at: Duration,
+}
+
 impl Simulation {
     /// Starts the app servers of the scenario.
     pub(super) fn start_servers(&mut self) {
@@ -174,12 +184,22 @@
             .oracle
             .capacity_share(Duration::from_micros(work_start - START_US), &server.name);
         *core = work_start + (work * self.work_time_factor / capacity_share * 1e6) as Micros;
-        let (after, incarnation) = (*core - self.now, server.incarnation);
-        self.schedule(after, ScheduledEvent::WorkDone(in_flight, incarnation));
+        let after = *core - self.now;
+        let queued = Work {
+            in_flight,
+            incarnation: server.incarnation,
+            received_at: elapsed,
+        };
+        self.schedule(after, ScheduledEvent::WorkDone(queued));
     }
 
     /// Records that a server has done the work of an attempt, and sends the response if the node still waits for it.
-    pub(super) fn work_done(&mut self, in_flight: InFlightAttempt, incarnation: u32) {
+    pub(super) fn work_done(&mut self, work: Work) {
+        let Work {
+            in_flight,
+            incarnation,
+            received_at,
+        } = work;
         let (elapsed, network_delay) = (self.elapsed(), self.draw_network_delay());
         let server = &mut self.servers[in_flight.server];
         if server.incarnation != incarnation {
@@ -188,7 +208,7 @@
         server.requests_held = server.requests_held.saturating_sub(1);
         let deduplication_domain = server.deduplication_domain;
         self.oracle
-            .attempt_executed(elapsed, elapsed, deduplication_domain, &in_flight.id.0);
+            .attempt_executed(elapsed, received_at, deduplication_domain, &in_flight.id.0);
         if !self.is_outstanding(&in_flight) {
             return;
         }
