Give tests' nodes addresses that no other process is assigned

Cause: free_address bound an ephemeral port and released it before the node started. Meanwhile the kernel may assign the port to any client or listener on the machine.

Change: free_address returns a reserved address, below the range of ephemeral ports and in a block of this process. So do the node, datagrams and relay of the bench, the demo's peer address, and the refusing server of a test of edge.rs, which chose their addresses in the same way.

--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -3,10 +3,11 @@
 use anyhow::{Context, Result};
 use nix::sched::{sched_setaffinity, CpuSet};
 use nix::unistd::Pid;
+use saffronpaddle_test_doubles::ports::reserve_address;
 use saffronpaddle_test_doubles::process::{cpu_seconds, memory_bytes};
 use saffronpaddle_test_doubles::settings::{configuration, Fleet, NodeConfig, Plan};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -160,8 +161,7 @@
     operator: Option<&Path>,
     sockets: usize,
 ) -> Result<MeasuredProcess> {
-    let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-    let datagrams = UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
+    let (address, datagrams) = (reserve_address()?, reserve_address()?);
     let config = NodeConfig {
         name: "n0".to_owned(),
         listen: address,
@@ -172,7 +172,7 @@
         memory_mb: 192,
     };
     let text = configuration(&config, &fleet.settings(0), known, 1);
-    let path = std::env::temp_dir().join(format!("saffronpaddle-bench-{}.json", address.port()));
+    let path = std::env::temp_dir().join(format!("saffronpaddle-bench-{}.json", address.ip()));
     std::fs::write(&path, text)?;
     let mut command = Command::new(program);
     operator
@@ -222,7 +222,7 @@
 
 /// Starts a bare relay to these servers by a subcommand of this program.
 pub fn start_relay(subcommand: &str, servers: &[SocketAddr]) -> Result<MeasuredProcess> {
-    let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let address = reserve_address()?;
     let mut command = Command::new(std::env::current_exe()?);
     command
         .arg(subcommand)
--- a/crates/saffronpaddle/src/demo.rs
+++ b/crates/saffronpaddle/src/demo.rs
@@ -3,10 +3,11 @@
 use anyhow::{Context, Result};
 use saffronpaddle_node::{Config, Edge, Manager, Options, ProcessSignal};
 use saffronpaddle_test_doubles::discovery::{Discovery, Entry};
+use saffronpaddle_test_doubles::ports::reserve_address;
 use saffronpaddle_test_doubles::servers::{AppServer, Spec};
 use saffronpaddle_test_doubles::settings::{configuration, Fleet, NodeConfig};
 use saffronpaddle_test_doubles::World;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -102,7 +103,7 @@
     fleet: &Fleet,
     discovery: &Arc<Discovery>,
 ) -> Result<Config> {
-    let peer_address = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr())?;
+    let peer_address = reserve_address()?;
     let node_config = NodeConfig {
         name: "demo".to_owned(),
         listen,
--- a/crates/saffronpaddle/tests/edge.rs
+++ b/crates/saffronpaddle/tests/edge.rs
@@ -332,9 +332,7 @@
 #[test]
 fn an_unsafe_request_is_retried_after_a_refused_connection() {
     let (servers, discovery) = (Servers::new(), Discovery::start());
-    let closed =
-        std::net::TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-    let refusing = closed.expect("a loopback port is free");
+    let refusing = free_address();
     let dial = servers.start("s-2", &[REPLY_OK]);
     let hosts = [
         host_json("s-1", refusing, 1, "ready"),
--- a/crates/test-doubles/src/scripted.rs
+++ b/crates/test-doubles/src/scripted.rs
@@ -700,10 +700,10 @@
     }
 }
 
-/// A free address for a node that gets its address from the configuration.
+/// A free address for a node that gets its address from the configuration. No client of this machine is assigned it
+/// before the node binds it.
 pub fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the socket has an address")
+    reserve_address().expect("an address is free")
 }
 
 /// Sends a command to a node's admin address and returns the complete answer.
