Let app servers of the test doubles bind addresses of an ended process

Seen: one of three soaks that were started together ended at once: starting an app server: Address already in use. No caller is affected.

Cause: processes share 235 blocks of loopback addresses by process id, so a block is soon used again. Connections that the earlier process closed stay in TIME_WAIT for a minute, and the kernel allows their address to a socket with the same option only. Listeners set SO_REUSEADDR, the app server's sockets only SO_REUSEPORT.

Change: the app server's sockets set both.

Evidence: servers::tests::an_address_with_recently_closed_connections_can_be_bound, which has both orders, fails before the change with AddrInUse and passes with it.

--- a/crates/test-doubles/src/servers.rs
+++ b/crates/test-doubles/src/servers.rs
@@ -16,6 +16,8 @@
 /// Binds a socket to an address that further sockets may bind, too.
 fn bind_reusable(address: SocketAddr) -> std::io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
+    // Connections that an earlier process closed may remain in TIME_WAIT.
+    socket.set_reuseaddr(true)?;
     socket.set_reuseport(true)?;
     socket.bind(address)?;
     Ok(socket)
@@ -352,3 +354,6 @@
         self.shared.held_requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+#[cfg(test)]
+mod tests;
