Move the history of listed capacities into a module of its own

Cause: load_statistics imported it from capacity_growth, which imports the engine: a circle of modules. Three tests of the policy looked for the start of a limit by the same lines.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod admission;
 mod attempt_results;
 mod capacity_growth;
+mod capacity_history;
 pub mod concurrency_limit;
 mod controller_period;
 pub mod counters;
--- a/crates/policy/src/load_statistics.rs
+++ b/crates/policy/src/load_statistics.rs
@@ -1,6 +1,6 @@
 //! Load statistics that several rules use: latency, attempts in flight, responses per second.
 
-use crate::capacity_growth::CapacityHistory;
+use crate::capacity_history::CapacityHistory;
 use crate::decaying_mean::DecayingMean;
 use crate::gossip_average::GossipAverage;
 use crate::interface::ClassId;
--- a/crates/policy/tests/capacity_growth.rs
+++ b/crates/policy/tests/capacity_growth.rs
@@ -22,13 +22,7 @@
     for _ in 0..16 {
         node.advance(150 * MILLISECOND);
     }
-    let is_limited = node.actions.iter().any(|action| {
-        matches!(
-            action,
-            Action::Report(Diagnostic::ConcurrencyLimitStarted { .. })
-        )
-    });
-    assert!(is_limited, "the overload creates a limit");
+    assert!(node.has_started_limit(), "the overload creates a limit");
     node.answer_all();
     node
 }
@@ -116,12 +110,7 @@
         }
         sent.retain(|(at, _)| !is_due(*at));
     }
-    node.actions.iter().any(|action| {
-        matches!(
-            action,
-            Action::Report(Diagnostic::ConcurrencyLimitStarted { .. })
-        )
-    })
+    node.has_started_limit()
 }
 
 /// Guards against a list that changes often and so discards each latency before it counts: overloaded servers are then
--- a/crates/policy/tests/common/test_node.rs
+++ b/crates/policy/tests/common/test_node.rs
@@ -197,6 +197,16 @@
         in_flight
     }
 
+    /// Returns whether the node has reported that it limits the attempts of the lowest class.
+    pub fn has_started_limit(&self) -> bool {
+        self.actions.iter().any(|action| {
+            matches!(
+                action,
+                Action::Report(Diagnostic::ConcurrencyLimitStarted { .. })
+            )
+        })
+    }
+
     /// Ends all attempts in flight with a response, and returns their number.
     pub fn answer_all(&mut self) -> usize {
         let answered = self.in_flight.clone();
--- a/crates/policy/tests/concurrency_limit.rs
+++ b/crates/policy/tests/concurrency_limit.rs
@@ -82,13 +82,7 @@
                 node.answer_all();
             }
         }
-        let reports_start = |action: &Action| {
-            matches!(
-                action,
-                Action::Report(Diagnostic::ConcurrencyLimitStarted { .. })
-            )
-        };
-        node.actions.iter().any(reports_start)
+        node.has_started_limit()
     };
     assert!(limit_starts(UNLIMITED), "hanging requests create no limit");
     assert!(
--- a/crates/policy/tests/event_loop_delay.rs
+++ b/crates/policy/tests/event_loop_delay.rs
@@ -37,12 +37,7 @@
         }
         node.advance(REQUEST_INTERVAL);
     }
-    node.actions.iter().any(|action| {
-        matches!(
-            action,
-            Action::Report(Diagnostic::ConcurrencyLimitStarted { .. })
-        )
-    })
+    node.has_started_limit()
 }
 
 /// Guards against a node that is late itself, takes that for an overload of idle servers, and rejects requests.
