Let the soak's clients use open connections until the kill, and send signals in series

What was missing: of the clients with an open connection to a terminated process, six sent one request within 1.3 s of SIGTERM; none came up to the kill. A process got one SIGTERM, no signal beside it. No run had a crowd of idle clients or a list that flaps.

Change: `terminate` steps take open_clients, until_kill, reload_before_ms, reload_after_ms and repeated_after_ms. The soak draws 6 to 24 clients that send until the kill, which comes at the earliest time that the platform may choose, a SIGHUP before and after SIGTERM and a second SIGTERM in half of the cases each. One run in three has a crowd of more connections than an instance may hold, half of them at an instance that is terminated; one in four a list that flaps each 0.1 to 0.4 s.

--- a/crates/fleet-harness/src/harness.rs
+++ b/crates/fleet-harness/src/harness.rs
@@ -6,23 +6,20 @@
 use crate::relays::RelayPlan;
 use crate::report::{InstanceReport, Report};
 use crate::room;
-use crate::scenario::{
-    EndpointSource, InitialList, Scenario, Step, StepAction, SERVERS_PER_DEDUPLICATION_DOMAIN,
-    SLOTS_PER_CORE,
-};
+use crate::scenario::{EndpointSource, InitialList, Scenario, StepAction};
+use crate::server_list::{stale_list, start_servers, ServerList, KEY_PREFIX};
+use crate::step_runner::{StepRunner, StepTimes};
 use crate::windows;
 use anyhow::{Context, Result};
-use nix::sys::signal::Signal;
-use saffronpaddle_test_doubles::discovery::{Discovery, Entry};
+use saffronpaddle_test_doubles::discovery::Discovery;
 use saffronpaddle_test_doubles::etcd::Etcd;
 use saffronpaddle_test_doubles::links::{End, Links, Relay};
 use saffronpaddle_test_doubles::load::{Customer, LoadGenerator};
 use saffronpaddle_test_doubles::peers::Network;
 use saffronpaddle_test_doubles::ports::reserve_address;
-use saffronpaddle_test_doubles::servers::{AppServer, Spec};
-use saffronpaddle_test_doubles::settings::{configuration, Fleet, NodeConfig};
+use saffronpaddle_test_doubles::servers::AppServer;
+use saffronpaddle_test_doubles::settings::{configuration, NodeConfig};
 use saffronpaddle_test_doubles::World;
-use std::collections::BTreeSet;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -49,24 +46,10 @@
     pub preload: Option<PathBuf>,
 }
 
-/// How long a drained server's process runs on after discovery has reported the drain.
-pub(crate) const DRAIN_TIME: Duration = Duration::from_millis(1500);
 /// Time after the load within which all clients must end. It covers the longest deadline and its retries.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(20);
 /// Memory limit of an instance, MB, as on the platform's scored days.
 const MEMORY_MB: usize = 192;
-/// The platform kills a terminated process this long after the longest deadline, which counts at most as
-/// [`MAX_DEADLINE_BEFORE_KILL`].
-const KILL_GRACE: Duration = Duration::from_millis(700);
-/// Upper limit on the longest deadline when the time of the kill is computed.
-const MAX_DEADLINE_BEFORE_KILL: Duration = Duration::from_secs(3);
-/// How long the platform may stall a process.
-const STALL_TIME: Duration = Duration::from_millis(150);
-/// Number of clients that connect before an instance is terminated and send their request after that.
-const DELAYED_CLIENTS: usize = 6;
-/// Time within which the delayed clients send their requests.
-const DELAYED_CLIENT_SPAN: Duration = Duration::from_millis(1300);
-
 /// Number of runs that this process has started; keeps the names of their notify sockets apart.
 static RUN_COUNT: AtomicU64 = AtomicU64::new(0);
 
@@ -84,49 +67,6 @@
     scenario: Scenario,
 }
 
-/// Writes changes of the list of app servers to discovery and etcd.
-#[derive(Clone)]
-struct ServerList {
-    world: Arc<World>,
-    discovery: Arc<Discovery>,
-    etcd: Option<Etcd>,
-    instances: usize,
-}
-
-/// Prefix of the servers' keys in etcd.
-const KEY_PREFIX: &str = "/saffronpaddle/servers/";
-
-impl ServerList {
-    /// Writes a changed entry to discovery and, if the scenario uses it, to etcd.
-    fn change(&self, entry: Entry) {
-        if let Some(etcd) = &self.etcd {
-            let key = format!("{KEY_PREFIX}{}", entry.host);
-            // Every node counts as informed once the change is written, even if its etcd connection is down: of a ready
-            // server before, of another one after.
-            let ready = entry.health == "ready";
-            if ready {
-                self.record_health(&entry.host, ready);
-            }
-            match entry.health {
-                "gone" => _ = etcd.delete(&key),
-                _ => _ = etcd.put(&key, &entry.value()),
-            }
-            if !ready {
-                self.record_health(&entry.host, ready);
-            }
-        }
-        self.discovery.change(vec![entry]);
-    }
-
-    /// Records that all nodes are informed of a server's health.
-    fn record_health(&self, host: &str, ready: bool) {
-        let (now, mut oracle) = (self.world.now(), self.world.oracle());
-        for node in 0..self.instances {
-            oracle.health_delivered(now, node, host, ready);
-        }
-    }
-}
-
 /// Plays a scenario on a new runtime. Creates the folder of `options`, and removes it at the end unless `keep`
 /// is set.
 ///
@@ -500,6 +440,21 @@
         while clients.join_next().await.is_some() {}
     }
 
+    /// Returns what runs one step without borrowing the harness.
+    fn step_runner(&self) -> StepRunner {
+        StepRunner {
+            world: Arc::clone(&self.world),
+            discovery: Arc::clone(&self.discovery),
+            links: Arc::clone(&self.links),
+            load_generator: Arc::clone(&self.load_generator),
+            server_list: self.server_list.clone(),
+            instances: self.instances.clone(),
+            servers: self.servers.clone(),
+            customers: self.customers.clone(),
+            times: StepTimes::of_scenario(&self.scenario),
+        }
+    }
+
     /// Starts each step at its time and returns when all have ended.
     async fn run_steps(&self, print_steps: bool) {
         let load_start = self.world.now();
@@ -517,349 +472,9 @@
                     step.action
                 );
             }
-            tasks.spawn(self.run_step(step));
+            tasks.spawn(self.step_runner().run(step.action.clone()));
             while tasks.try_join_next().is_some() {}
         }
         while tasks.join_next().await.is_some() {}
     }
-
-    /// Returns a future that runs one step and does not borrow the harness.
-    fn run_step(&self, step: &Step) -> impl std::future::Future<Output = ()> + Send + 'static {
-        let (world, discovery) = (Arc::clone(&self.world), Arc::clone(&self.discovery));
-        let (links, load_generator, server_list) = (
-            Arc::clone(&self.links),
-            Arc::clone(&self.load_generator),
-            self.server_list.clone(),
-        );
-        let (instances, servers) = (self.instances.clone(), self.servers.clone());
-        let customers = self.customers.clone();
-        let (ready_timeout, discovery_delay) =
-            (self.scenario.ready_timeout, self.scenario.discovery_delay);
-        let longest_deadline = self
-            .scenario
-            .fleet()
-            .classes
-            .iter()
-            .map(|class| class.deadline)
-            .max();
-        let killed_after = longest_deadline
-            .unwrap_or_default()
-            .min(MAX_DEADLINE_BEFORE_KILL)
-            + KILL_GRACE;
-        let action = step.action.clone();
-        async move {
-            let locked_instance = match action {
-                StepAction::Start(target)
-                | StepAction::Restart(target)
-                | StepAction::Terminate(target, _) => Some(target),
-                StepAction::Kill(target, _)
-                | StepAction::KillDuringStart(target, _)
-                | StepAction::Pause(target, _) => Some(target),
-                _ => None,
-            };
-            // Guards against an instance that is killed while it restarts and then runs twice.
-            let _lifecycle_guard = match locked_instance {
-                Some(target) => Some(instances[target].lifecycle_lock.lock().await),
-                None => None,
-            };
-            match action {
-                StepAction::Start(target) if !instances[target].is_running() => {
-                    start_instance(&instances[target], ready_timeout).await;
-                }
-                StepAction::Start(_) => {}
-                StepAction::Reload(target) => {
-                    instances[target].wait_for_first_log_line().await;
-                    instances[target].signal(Signal::SIGHUP);
-                }
-                StepAction::Restart(target) if instances[target].is_running() => {
-                    let old = Arc::clone(&instances[target]);
-                    old.stop().await;
-                    world.oracle().node_restarted(target);
-                    start_instance(&old, ready_timeout).await;
-                }
-                StepAction::Restart(_) => {}
-                StepAction::Terminate(target, termination) if instances[target].is_running() => {
-                    let delayed_clients = load_generator
-                        .open_delayed_clients(
-                            target,
-                            &customers,
-                            DELAYED_CLIENTS,
-                            DELAYED_CLIENT_SPAN,
-                        )
-                        .await;
-                    instances[target]
-                        .terminate(killed_after, termination.stall_at, STALL_TIME)
-                        .await;
-                    world.oracle().node_restarted(target);
-                    delayed_clients.join_all().await;
-                    sleep(termination.restart_delay).await;
-                    start_instance(&instances[target], ready_timeout).await;
-                }
-                StepAction::Terminate(..) => {}
-                StepAction::Kill(target, duration) if instances[target].is_running() => {
-                    load_generator.node_killed_or_restarted(target);
-                    instances[target].signal(Signal::SIGKILL);
-                    sleep(duration).await;
-                    world.oracle().node_restarted(target);
-                    load_generator.node_killed_or_restarted(target);
-                    if !instances[target].is_running() {
-                        start_instance(&instances[target], ready_timeout).await;
-                    }
-                }
-                StepAction::Kill(..) => {}
-                StepAction::KillDuringStart(target, duration) if instances[target].is_running() => {
-                    for during_start in [true, false] {
-                        load_generator.node_killed_or_restarted(target);
-                        instances[target].signal(Signal::SIGKILL);
-                        while instances[target].is_running() {
-                            sleep(Duration::from_millis(5)).await;
-                        }
-                        world.oracle().node_restarted(target);
-                        load_generator.node_killed_or_restarted(target);
-                        if during_start {
-                            // The process is killed whether or not it is ready by then.
-                            let _ = tokio::join!(
-                                sleep(duration),
-                                timeout(
-                                    duration,
-                                    start_instance(&instances[target], ready_timeout)
-                                )
-                            );
-                        } else {
-                            start_instance(&instances[target], ready_timeout).await;
-                        }
-                    }
-                }
-                StepAction::KillDuringStart(..) => {}
-                StepAction::Pause(target, duration) => {
-                    let stopped = world.now();
-                    load_generator.node_paused_or_resumed(target);
-                    instances[target].was_paused.store(true, Ordering::Relaxed);
-                    if instances[target].signal(Signal::SIGSTOP) {
-                        sleep(duration).await;
-                        instances[target].signal(Signal::SIGCONT);
-                        world.oracle().node_resumed(world.now(), target, stopped);
-                    }
-                    load_generator.node_paused_or_resumed(target);
-                }
-                StepAction::LinkFault(link_set, fault, duration, heal_gap) => {
-                    let mut fault_id = links.add_fault(link_set.clone(), fault);
-                    let Some(duration) = duration else { return };
-                    sleep(duration).await;
-                    let mut healed = BTreeSet::new();
-                    for end in link_set.ends().into_iter().filter(|_| !heal_gap.is_zero()) {
-                        healed.insert(end);
-                        let rest = links.add_fault(link_set.without(&healed), fault);
-                        links.remove_fault(std::mem::replace(&mut fault_id, rest));
-                        sleep(heal_gap).await;
-                    }
-                    links.remove_fault(fault_id);
-                }
-                StepAction::ListServiceDown(duration) => {
-                    discovery.set_limits(|limits| limits.down = true);
-                    sleep(duration).await;
-                    discovery.set_limits(|limits| limits.down = false);
-                }
-                StepAction::RestoreList(mode) => discovery.restore(mode),
-                StepAction::AddServer(target) => {
-                    start_server(&world, &server_list, &servers[target]);
-                }
-                StepAction::LoadBurst(factor, duration) => {
-                    let mut clients = tokio::task::JoinSet::new();
-                    for customer in customers {
-                        let rate = customer.rate * (factor - 1.0).max(0.0);
-                        clients.spawn(
-                            Arc::clone(&load_generator)
-                                .run_customer(Customer { rate, ..customer }, duration),
-                        );
-                    }
-                    while clients.join_next().await.is_some() {}
-                }
-                StepAction::HoldIdleConnections(target, duration) => {
-                    load_generator.hold_idle_connections(target, duration).await;
-                }
-                StepAction::DrainServer(target, duration) => {
-                    update_entry(&server_list, &servers[target], "draining", None);
-                    sleep(discovery_delay + DRAIN_TIME).await;
-                    crash_server(&world, &server_list, &servers[target], duration).await;
-                }
-                StepAction::ToggleDraining(target, duration) => {
-                    update_entry(&server_list, &servers[target], "draining", None);
-                    sleep(duration).await;
-                    update_entry(&server_list, &servers[target], "ready", None);
-                }
-                StepAction::CrashServer(target, duration) => {
-                    crash_server(&world, &server_list, &servers[target], duration).await;
-                }
-                StepAction::CutEtcdConnections(target) => server_list
-                    .etcd
-                    .iter()
-                    .for_each(|etcd| etcd.members[target].cut_connections()),
-                StepAction::FreezeEtcdMember(target, duration) => {
-                    let members = server_list
-                        .etcd
-                        .iter()
-                        .map(|etcd| etcd.members[target].clone());
-                    let members: Vec<_> = members.collect();
-                    members
-                        .iter()
-                        .for_each(|member| member.set_faults(|faults| faults.frozen = true));
-                    sleep(duration).await;
-                    members
-                        .iter()
-                        .for_each(|member| member.set_faults(|faults| faults.frozen = false));
-                }
-                StepAction::CompactEtcd => server_list
-                    .etcd
-                    .iter()
-                    .for_each(|etcd| etcd.compact(etcd.revision())),
-                StepAction::SilenceServer(target, duration) => {
-                    servers[target].set_behavior(|behavior| behavior.silent = true);
-                    sleep(duration).await;
-                    servers[target].set_behavior(|behavior| behavior.silent = false);
-                }
-                StepAction::ServerResets(target, share, duration) => {
-                    servers[target].set_behavior(|behavior| behavior.reset_share = share);
-                    sleep(duration).await;
-                    servers[target].set_behavior(|behavior| behavior.reset_share = 0.0);
-                }
-                StepAction::ServerErrors(target, share, duration) => {
-                    servers[target].set_behavior(|behavior| behavior.error_share = share);
-                    sleep(duration).await;
-                    servers[target].set_behavior(|behavior| behavior.error_share = 0.0);
-                }
-                StepAction::SlowServers(factor, duration) => {
-                    servers.iter().for_each(|server| {
-                        server.set_behavior(|behavior| behavior.work_multiplier = factor);
-                    });
-                    sleep(duration).await;
-                    servers.iter().for_each(|server| {
-                        server.set_behavior(|behavior| behavior.work_multiplier = 1.0);
-                    });
-                }
-                StepAction::SilenceDiscovery(duration) => {
-                    discovery.set_silent(true);
-                    sleep(duration).await;
-                    discovery.set_silent(false);
-                }
-            }
-        }
-    }
-}
-
-/// Returns the list as an outdated one: every second server gets the name of one that does not exist, and every third
-/// gets another server's address.
-fn stale_list(current: &str) -> Result<String> {
-    let mut list: serde_json::Value = serde_json::from_str(current)?;
-    let hosts = list["hosts"]
-        .as_array_mut()
-        .context("the list has no hosts")?;
-    let addresses: Vec<_> = hosts.iter().map(|host| host["dial"].clone()).collect();
-    for (index, host) in hosts.iter_mut().enumerate() {
-        host["born_ms"] = 0.into();
-        if index % 2 == 1 {
-            host["host"] = format!("gone-{index}").into();
-        }
-        if index % 3 == 0 {
-            host["dial"] = addresses[(index + 1) % addresses.len()].clone();
-        }
-    }
-    list["seq"] = 0.into();
-    Ok(list.to_string())
-}
-
-/// Starts an instance. A failure to start its process is recorded as a fault of the instance.
-async fn start_instance(instance: &Arc<Instance>, ready_timeout: Duration) {
-    if let Err(error) = instance.start(ready_timeout).await {
-        instance
-            .costs()
-            .faults
-            .push(format!("instance {}: {error:#}", instance.number));
-    }
-}
-
-/// Changes the health of a server's list entry, and its start time if `born_ms` is given.
-fn update_entry(
-    server_list: &ServerList,
-    server: &AppServer,
-    health: &'static str,
-    born_ms: Option<u64>,
-) {
-    if let Some(entry) = server_list.discovery.entry(server.name()) {
-        let born_ms = born_ms.unwrap_or(entry.born_ms);
-        server_list.change(Entry {
-            health,
-            born_ms,
-            ..entry
-        });
-    }
-}
-
-/// Kills a server's process and lists it as gone; starts it again, cold, after `duration`.
-async fn crash_server(
-    world: &World,
-    server_list: &ServerList,
-    server: &AppServer,
-    duration: Duration,
-) {
-    server.kill();
-    update_entry(server_list, server, "gone", None);
-    sleep(duration).await;
-    start_server(world, server_list, server);
-}
-
-/// Starts a server's process cold and lists it as ready.
-fn start_server(world: &World, server_list: &ServerList, server: &AppServer) {
-    match server.start_cold() {
-        Ok(()) => update_entry(server_list, server, "ready", Some(world.unix_ms())),
-        Err(error) => eprintln!("app server {} could not be started: {error}", server.name()),
-    }
-}
-
-/// Starts the app servers of a scenario and lists them in discovery.
-fn start_servers(
-    scenario: &Scenario,
-    fleet: &Fleet,
-    world: &Arc<World>,
-    discovery: &Discovery,
-) -> Result<Vec<AppServer>> {
-    let cores = scenario.cores_per_server(fleet);
-    let mut servers = Vec::new();
-    let mut entries = Vec::new();
-    for number in 0..scenario.servers {
-        let spec = Spec {
-            name: format!("s-{number}"),
-            block: (number / SERVERS_PER_DEDUPLICATION_DOMAIN) as u64,
-            cores,
-            slots: cores * SLOTS_PER_CORE,
-            work: fleet
-                .classes
-                .iter()
-                .map(|class| (class.name.to_owned(), class.work))
-                .collect(),
-        };
-        let block = spec.block;
-        let server = AppServer::start(Arc::clone(world), spec).context("starting an app server")?;
-        let born_ms = if scenario.cold { world.unix_ms() } else { 0 };
-        let absent = scenario.absent_servers.contains(&number);
-        if absent {
-            server.kill();
-        } else if scenario.cold {
-            world
-                .oracle()
-                .server_started_cold(world.now(), server.name(), server.capacity());
-        }
-        entries.push(Entry {
-            host: server.name().to_owned(),
-            dial: server.address(),
-            site: fleet.sites[number % fleet.sites.len()].to_owned(),
-            block,
-            health: if absent { "gone" } else { "ready" },
-            born_ms,
-        });
-        servers.push(server);
-    }
-    discovery.change(entries);
-    discovery.set_delay(scenario.discovery_delay);
-    Ok(servers)
 }
--- a/crates/fleet-harness/src/instance.rs
+++ b/crates/fleet-harness/src/instance.rs
@@ -67,6 +67,15 @@
     costs: Mutex<ProcessCosts>,
 }
 
+/// A signal that follows a SIGTERM.
+#[derive(Clone, Copy, Debug)]
+pub struct TimedSignal {
+    /// Time since the SIGTERM.
+    pub at: Duration,
+    /// The signal.
+    pub signal: Signal,
+}
+
 /// A process of an instance.
 struct Process {
     pid: Pid,
@@ -392,14 +401,9 @@
         }
     }
 
-    /// Sends SIGTERM to the running process, and SIGKILL after `killed_after`. With `stall_at`, stops the process for
-    /// `stall` that long after SIGTERM.
-    pub async fn terminate(
-        &self,
-        killed_after: Duration,
-        stall_at: Option<Duration>,
-        stall: Duration,
-    ) {
+    /// Sends SIGTERM to the running process, then the further signals at their times, and SIGKILL after
+    /// `killed_after`.
+    pub async fn terminate(&self, killed_after: Duration, signals: &[TimedSignal]) {
         let Some(process) = self.process() else {
             return;
         };
@@ -407,13 +411,12 @@
         let ends = wait_until_ended(&process);
         tokio::pin!(ends);
         self.signal(Signal::SIGTERM);
-        if let Some(at) = stall_at {
-            if timeout(at, &mut ends).await.is_ok() {
+        for timed in signals {
+            let wait = timed.at.saturating_sub(started.elapsed());
+            if timeout(wait, &mut ends).await.is_ok() {
                 return;
             }
-            self.signal(Signal::SIGSTOP);
-            tokio::time::sleep(stall).await;
-            self.signal(Signal::SIGCONT);
+            self.signal(timed.signal);
         }
         if timeout(killed_after.saturating_sub(started.elapsed()), &mut ends)
             .await
--- a/crates/fleet-harness/src/lib.rs
+++ b/crates/fleet-harness/src/lib.rs
@@ -14,7 +14,9 @@
 pub mod report;
 pub mod room;
 pub mod scenario;
+mod server_list;
 pub mod soak;
+mod step_runner;
 pub mod virtually;
 pub mod windows;
 
--- a/crates/fleet-harness/src/soak.rs
+++ b/crates/fleet-harness/src/soak.rs
@@ -59,6 +59,16 @@
     "recv=3,send=3,short=20",
     "accept=3,connect=3,socket=3,recv=3,send=3,short=10",
 ];
+/// One run in this many has a crowd of idle clients at one instance.
+const RUNS_PER_CROWD: u32 = 3;
+/// One run in this many has a list whose servers change between ready and draining again and again.
+const RUNS_PER_FLAPPING_LIST: u32 = 4;
+/// Changes of a flapping list.
+const FLAPS: u64 = 10;
+/// Intervals between the changes of a flapping list, ms.
+const FLAP_INTERVALS_MS: [u64; 3] = [100, 200, 400];
+/// Fewest and most clients that connect to an instance before SIGTERM and send their request until the kill.
+const OPEN_CLIENTS: std::ops::RangeInclusive<usize> = 6..=24;
 /// Most runs that [`shrink`] makes.
 const MAX_SHRINK_RUNS: usize = 24;
 
@@ -91,6 +101,15 @@
             let at_ms = random.u64(from..to);
             draw_fault(&mut random, at_ms, (instances, servers), &mut steps);
         }
+        if random.u32(0..RUNS_PER_CROWD) == 0 {
+            let at_ms = random.u64(from..to);
+            draw_crowd(&mut random, at_ms, instances, &mut steps);
+        }
+        if random.u32(0..RUNS_PER_FLAPPING_LIST) == 0 {
+            let longest_ms = FLAPS * FLAP_INTERVALS_MS[FLAP_INTERVALS_MS.len() - 1];
+            let at_ms = random.u64(from..to - longest_ms);
+            draw_flapping_list(&mut random, at_ms, servers, &mut steps);
+        }
         Plan { header, steps }
     }
 
@@ -133,13 +152,8 @@
     let on_server = |extra: &str| format!("who = {server}\nfor_ms = {duration_ms}\n{extra}");
     match random.u32(0..21) {
         0..=4 => {
-            let restart_delay = random.u64(0..1_500);
-            let mut extra = on_instance(&format!("for_ms = {restart_delay}\n"));
-            if random.bool() {
-                // Writing to a string does not fail.
-                let _ = writeln!(extra, "held_up_at_ms = {}", random.u64(0..3_600));
-            }
-            steps.push(step("terminate", &extra));
+            let termination = draw_termination(random);
+            steps.push(step("terminate", &on_instance(&termination)));
             if random.bool() {
                 let count = random.usize(servers.div_ceil(4)..=servers.div_ceil(2));
                 let silent_servers =
@@ -206,6 +220,63 @@
     }
 }
 
+/// Draws how an instance is terminated: its clients use their open connections until the kill, further signals come
+/// before and after SIGTERM, and the platform may stall the process.
+fn draw_termination(random: &mut fastrand::Rng) -> String {
+    let restart_delay = random.u64(0..1_500);
+    let open_clients = random.usize(OPEN_CLIENTS);
+    let mut lines =
+        format!("for_ms = {restart_delay}\nopen_clients = {open_clients}\nuntil_kill = true\n");
+    let signals = [
+        ("held_up_at_ms", 3_600),
+        ("reload_before_ms", 150),
+        ("reload_after_ms", 1_000),
+        ("repeated_after_ms", 1_500),
+    ];
+    for (key, latest_ms) in signals {
+        if random.bool() {
+            // Writing to a string does not fail.
+            let _ = writeln!(lines, "{key} = {}", random.u64(0..latest_ms));
+        }
+    }
+    lines
+}
+
+/// Draws a crowd: idle clients that hold more connections to an instance than it may. In half of the cases the instance
+/// is terminated meanwhile.
+fn draw_crowd(random: &mut fastrand::Rng, at_ms: u64, instances: usize, steps: &mut Vec<String>) {
+    let instance = random.usize(..instances);
+    let duration_ms = random.u64(3_000..8_000);
+    steps.push(format!(
+        "do = \"crowd\"\nat_ms = {at_ms}\nwho = {instance}\nfor_ms = {duration_ms}\n"
+    ));
+    if random.bool() {
+        let at_ms = at_ms + random.u64(500..3_000);
+        let termination = draw_termination(random);
+        steps.push(format!(
+            "do = \"terminate\"\nat_ms = {at_ms}\nwho = {instance}\n{termination}"
+        ));
+    }
+}
+
+/// Draws a list that flaps: a part of the servers is listed as draining for half of each interval.
+fn draw_flapping_list(
+    random: &mut fastrand::Rng,
+    at_ms: u64,
+    servers: usize,
+    steps: &mut Vec<String>,
+) {
+    let count = random.usize(servers.div_ceil(4)..=(3 * servers).div_ceil(4));
+    let interval_ms = FLAP_INTERVALS_MS[random.usize(..FLAP_INTERVALS_MS.len())];
+    for flap in 0..FLAPS {
+        let at_ms = at_ms + flap * interval_ms;
+        let duration_ms = interval_ms / 2;
+        steps.push(format!(
+            "do = \"flip\"\nat_ms = {at_ms}\ncount = {count}\nfor_ms = {duration_ms}\n"
+        ));
+    }
+}
+
 /// Plays a plan and keeps the folder of `options` with the logs.
 ///
 /// # Errors
--- a/crates/fleet-harness/src/virtually/mod.rs
+++ b/crates/fleet-harness/src/virtually/mod.rs
@@ -7,9 +7,9 @@
 mod servers;
 
 use crate::customers::customers;
-use crate::harness::DRAIN_TIME;
 use crate::report::{percentiles, InstanceReport, Report};
 use crate::scenario::{EndpointSource, InitialList, Scenario, StepAction};
+use crate::step_runner::DRAIN_TIME;
 use crate::windows;
 use anyhow::{ensure, Result};
 use lists::{ListClient, ListEvent, ListService};
--- a/crates/policy/src/capacity_history.rs
+++ b/crates/policy/src/capacity_history.rs
@@ -1,6 +1,6 @@
 //! The recent capacities of the endpoint list, and the periods in which it was short.
 //!
-//! [`capacity_growth`](crate::capacity_growth) decides by it which latencies are samples and by how much the limit on the
+//! `capacity_growth` decides by it which latencies are samples and by how much the limit on the
 //! lowest class changes.
 //!
 //! Inputs: the listed capacity before and after each change. Result: whether the latency of a request counts; no action.
--- a/crates/saffronpaddle/src/soak.rs
+++ b/crates/saffronpaddle/src/soak.rs
@@ -18,6 +18,10 @@
     program: PathBuf,
     /// Folder in which the logs of failed seeds are kept.
     folder: PathBuf,
+    /// Whether to keep the logs of seeds that pass, too.
+    keep_passed: bool,
+    /// Whether to print the plans of the seeds without playing them.
+    only_plan: bool,
     /// Library that is preloaded into the instances and makes system calls fail. If `None`, no library is preloaded.
     preload: Option<PathBuf>,
 }
@@ -29,8 +33,15 @@
 pub fn soak(arguments: lexopt::Parser) -> Result<ExitCode> {
     let arguments = SoakArguments::parse(arguments)?;
     let runs = arguments.runs;
+    let seeds = arguments.first_seed..arguments.first_seed + runs;
+    if arguments.only_plan {
+        for seed in seeds {
+            println!("# Seed {seed}\n{}", Plan::draw(seed, arguments.size).text());
+        }
+        return Ok(ExitCode::SUCCESS);
+    }
     let mut failed = 0;
-    for seed in arguments.first_seed..arguments.first_seed + runs {
+    for seed in seeds {
         if !arguments.run_seed(seed)? {
             failed += 1;
         }
@@ -43,6 +54,7 @@
     fn parse(mut arguments: lexopt::Parser) -> Result<Self> {
         let (mut first_seed, mut runs, mut size, mut shrink) = (1, 1, Size::LONG, true);
         let (mut program, mut preload) = (None, None);
+        let (mut keep_passed, mut only_plan) = (false, false);
         let mut folder =
             std::env::temp_dir().join(format!("saffronpaddle-soak-{}", std::process::id()));
         while let Some(argument) = arguments.next()? {
@@ -52,6 +64,8 @@
                 Long("short") => size = Size::SHORT,
                 Long("program") => program = Some(PathBuf::from(arguments.value()?)),
                 Long("keep") => folder = PathBuf::from(arguments.value()?),
+                Long("keep-passed") => keep_passed = true,
+                Long("plan") => only_plan = true,
                 Long("no-shrink") => shrink = false,
                 Long("preload") => preload = Some(PathBuf::from(arguments.value()?)),
                 other => return Err(other.unexpected().into()),
@@ -64,6 +78,8 @@
             shrink,
             program: crate::instance_program(program)?,
             folder,
+            keep_passed,
+            only_plan,
             preload,
         })
     }
@@ -87,7 +103,9 @@
         let report = soak::play(&plan, &self.options(seed, &folder))?;
         println!("{report}");
         if report.passed() {
-            std::fs::remove_dir_all(&folder)?;
+            if !self.keep_passed {
+                std::fs::remove_dir_all(&folder)?;
+            }
             return Ok(true);
         }
         println!("seed {seed} failed; its logs are in {}", folder.display());
--- a/crates/saffronpaddle/src/usage.rs
+++ b/crates/saffronpaddle/src/usage.rs
@@ -23,7 +23,8 @@
         [--csv]                           or CSV with one line per node; LOGS are files or folders
   saffronpaddle fleet soak                runs fleets of 10 to 40 processes with random faults that overlap, and checks the
         [--seed N] [--runs N] [--short]   rules; for a seed that fails, prints the path of its requests through all logs and
-        [--keep FOLDER] [--no-shrink]     shrinks the plan by leaving out faults
+        [--keep FOLDER] [--no-shrink]     shrinks the plan by leaving out faults; --keep-passed keeps the logs of seeds that
+        [--keep-passed] [--plan]          pass, too; --plan prints the plans and plays none
         [--program P] [--preload LIBRARY] LIBRARY is preloaded and makes system calls fail, like tests/shim/failing_calls.c
   saffronpaddle --help | --version
 ";
--- a/crates/saffronpaddle/tests/command_line.rs
+++ b/crates/saffronpaddle/tests/command_line.rs
@@ -106,6 +106,8 @@
         ["fleet", "--virtual"],
         ["fleet soak", "--short"],
         ["fleet soak", "--no-shrink"],
+        ["fleet soak", "--keep-passed"],
+        ["fleet soak", "--plan"],
     ] {
         let arguments: Vec<&str> = flags[0].split(' ').chain([flags[1], "--none"]).collect();
         let stderr = error_output(&arguments);
--- a/crates/saffronpaddle/tests/soak.rs
+++ b/crates/saffronpaddle/tests/soak.rs
@@ -6,11 +6,25 @@
 
 use common::{soak_options, FleetPermit};
 use saffronpaddle_fleet_harness::soak::{self, Plan, Size};
+use saffronpaddle_fleet_harness::Scenario;
 
+/// A seed whose plan has many terminations with further signals.
+const SEED_WITH_SIGNALS: u64 = 29;
+/// A seed whose plan has a crowd at an instance that is terminated, and a list that flaps.
+const SEED_WITH_CROWD: u64 = 9;
+
+/// Plays the plan that a seed draws.
 fn assert_rules_hold(seed: u64) {
+    assert_rules_hold_in(&Plan::draw(seed, Size::SHORT).text(), seed);
+}
+
+/// Plays a plan.
+fn assert_rules_hold_in(plan: &str, seed: u64) {
     let options = soak_options(seed);
+    let scenario = Scenario::parse(plan, seed).expect("the plan is valid");
     let _permit = FleetPermit::acquire();
-    let report = soak::play(&Plan::draw(seed, Size::SHORT), &options).expect("the fleet runs");
+    let report =
+        saffronpaddle_fleet_harness::run(scenario, &options, true).expect("the fleet runs");
     let timeline = soak::timeline(&report, &options.folder);
     // A failed run keeps its logs for the search for the cause.
     if report.passed() {
@@ -26,12 +40,32 @@
 
 #[test]
 fn a_fleet_keeps_the_rules_while_processes_are_terminated_and_servers_hang() {
-    assert_rules_hold(1);
+    assert_rules_hold_in(
+        include_str!("fixtures/soak-terminations-and-hung-servers.toml"),
+        1,
+    );
 }
 
 #[test]
 fn a_fleet_keeps_the_rules_while_clients_disconnect_and_wait_long() {
-    assert_rules_hold(3);
+    assert_rules_hold_in(
+        include_str!("fixtures/soak-disconnections-and-long-waits.toml"),
+        3,
+    );
+}
+
+/// Guards against requests that are lost where clients use their open connections until the platform kills a process
+/// that got several signals.
+#[test]
+fn a_fleet_keeps_the_rules_while_clients_use_open_connections_until_the_kill() {
+    assert_rules_hold(SEED_WITH_SIGNALS);
+}
+
+/// Guards against requests that are lost, or wait too long, where idle clients take all connections of a process that
+/// is terminated, and the list flaps.
+#[test]
+fn a_fleet_keeps_the_rules_while_a_crowd_holds_connections_and_the_list_flaps() {
+    assert_rules_hold(SEED_WITH_CROWD);
 }
 
 /// A seed that fails can only be run again if its plan is the same each time and is a valid scenario.
