Let clients of the load generator state the time that is left when they send again

No caller is affected.

Cause: a client whose reused connection was closed sends its request again, after up to 1 s in which it tries to connect to a crowded node. It then stated its whole deadline once more, while the oracle counts from the first time. The last node had more time than its client.

Change: X-Deadline is what is left; a client without time gives up. The oracle's check is unchanged.

--- a/crates/test-doubles/src/load.rs
+++ b/crates/test-doubles/src/load.rs
@@ -7,7 +7,7 @@
 
 use crate::oracle::{Answer, RepeatSafety, SentRequest, Unanswered};
 use crate::servers::response_body;
-use crate::settings::{Class, Fleet};
+use crate::settings::Fleet;
 use crate::wire::HttpConnection;
 use crate::{lock, World};
 use std::io::ErrorKind;
@@ -347,6 +347,7 @@
     /// Sends one request to a node of the customer's subset; `None` where no connection could be opened.
     async fn send(&self, request: &Request) -> Option<RequestEnd> {
         let mut unreachable = Vec::new();
+        let mut first_sent = None;
         loop {
             let Some(node) = self.pick_node(&request.customer, &unreachable) else {
                 self.counters.no_ready_node.fetch_add(1, Ordering::Relaxed);
@@ -365,7 +366,19 @@
                     }
                 }
             };
-            let end = self.exchange(request, node, connection, is_new).await;
+            let now = self.world.now();
+            let elapsed = now.saturating_sub(*first_sent.get_or_insert(now));
+            let remaining = self.fleet.classes[request.class]
+                .deadline
+                .saturating_sub(elapsed);
+            if remaining.is_zero() {
+                let end = RequestEnd::Unanswered(Unanswered::NotAccepted);
+                self.record_end(&request.id, &end);
+                return Some(end);
+            }
+            let end = self
+                .exchange(request, node, connection, is_new, remaining)
+                .await;
             // The connection closed before the node read the request: the client sends it again on a new one.
             if matches!(end, RequestEnd::Unanswered(Unanswered::NotAccepted)) && !is_new {
                 self.counters.resent.fetch_add(1, Ordering::Relaxed);
@@ -414,7 +427,10 @@
         let class = class_of(&self.fleet, fastrand::f64());
         let request = self.request(customer, class, None);
         // The node may close a connection without requests; a request that it has not read is sent again elsewhere.
-        let end = self.exchange(&request, node, connection, false).await;
+        let deadline = self.fleet.classes[class].deadline;
+        let end = self
+            .exchange(&request, node, connection, false, deadline)
+            .await;
         self.record_end(&request.id, &end);
     }
 
@@ -488,14 +504,15 @@
         })
     }
 
-    /// Sends a request on a connection and waits until it ends. Unless `is_new`, the request counts as not accepted if the
-    /// connection closes before the node has read it.
+    /// Sends a request on a connection and waits until it ends; `remaining` is what is left of the client's time. Unless
+    /// `is_new`, the request counts as not accepted if the connection closes before the node has read it.
     async fn exchange(
         &self,
         request: &Request,
         node: usize,
         mut connection: HttpConnection,
         is_new: bool,
+        remaining: Duration,
     ) -> RequestEnd {
         let (world, target) = (&self.world, &self.targets[node]);
         let class = &self.fleet.classes[request.class];
@@ -519,13 +536,13 @@
         // oracle.
         world.oracle().request_sent(world.now(), sent_request);
         let sent = world.now();
-        let wait_limit = class.deadline + self.fleet.bounds.answer_slack * 2;
+        let wait_limit = remaining + self.fleet.bounds.answer_slack * 2;
         let cancel_after = self
             .cancellations
             .draw()
             .filter(|after| *after < wait_limit);
         let pending_response = match connection
-            .write(self.request_text(request, class).as_bytes())
+            .write(self.request_text(request, remaining).as_bytes())
             .await
         {
             // The node may have responded and closed the connection before it had read everything.
@@ -570,7 +587,7 @@
                         idle.push(connection);
                     }
                 }
-                if world.now() > sent + class.deadline + self.fleet.bounds.answer_slack {
+                if world.now() > sent + remaining + self.fleet.bounds.answer_slack {
                     if let Some(reason) = node_outage() {
                         return RequestEnd::Unanswered(reason);
                     }
@@ -604,8 +621,9 @@
         }
     }
 
-    /// The complete text of a request.
-    fn request_text(&self, request: &Request, class: &Class) -> String {
+    /// The complete text of a request whose client waits for this long.
+    fn request_text(&self, request: &Request, remaining: Duration) -> String {
+        let class = &self.fleet.classes[request.class];
         let Customer {
             id,
             plan,
@@ -622,7 +640,7 @@
             ),
             None => ("GET", String::new(), ""),
         };
-        let deadline = class.deadline.as_millis();
+        let deadline = remaining.as_millis().max(1);
         format!(
             "{method} /{0}/{id:016x} HTTP/1.1\r\nHost: fleet\r\nX-Request-Id: {1}\r\nX-Class: {0}\r\nX-Tier: {plan}\r\n\
              X-Deadline: {deadline}m\r\nX-Call-Terms: units=1,spread={spread},first={first}\r\n{extra_headers}\r\n{body}",
