Count a drain that a silent link holds back from when it arrives

No caller is affected.

Cause: the link from the list service to the node was stalled. The double's write into the relay succeeded and counted as received; the bytes reached the node 1.3 s after the attempt. The rule allows it: what a silent watch misses counts as told at the latest 6 s after it fell silent.

Change: the harness records which links from the list service are silent. A drain that was written meanwhile counts from the recovery, at the latest six seconds after the silence began. All others are judged as before.

Evidence: by the trace of the node, no list arrives between 02:32:59.85 and 02:33:07.06, the watch is reported silent at 02:33:04.86, and the attempt is made at 02:33:06.04. The new test has both sides of each bound; before the change the record it needs does not exist.

--- a/crates/fleet-harness/src/step_runner.rs
+++ b/crates/fleet-harness/src/step_runner.rs
@@ -6,7 +6,7 @@
 use nix::sys::signal::Signal;
 use saffronpaddle_test_doubles::discovery::Discovery;
 use saffronpaddle_test_doubles::etcd::Member;
-use saffronpaddle_test_doubles::links::{Fault, LinkSet, Links};
+use saffronpaddle_test_doubles::links::{End, Fault, LinkSet, Links};
 use saffronpaddle_test_doubles::load::{Customer, LoadGenerator};
 use saffronpaddle_test_doubles::servers::{AppServer, Behavior};
 use saffronpaddle_test_doubles::World;
@@ -297,6 +297,7 @@
         heal_gap: Duration,
     ) {
         let mut fault_id = self.links.add_fault(link_set.clone(), fault);
+        self.record_silent_links();
         let Some(duration) = duration else { return };
         sleep(duration).await;
         let mut healed = BTreeSet::new();
@@ -305,9 +306,20 @@
             let rest = self.links.add_fault(link_set.without(&healed), fault);
             self.links
                 .remove_fault(std::mem::replace(&mut fault_id, rest));
+            self.record_silent_links();
             sleep(heal_gap).await;
         }
         self.links.remove_fault(fault_id);
+        self.record_silent_links();
+    }
+
+    /// Records to which nodes the list service's data does not get through now.
+    fn record_silent_links(&self) {
+        let (now, mut oracle) = (self.world.now(), self.world.oracle());
+        for node in 0..self.instances.len() {
+            let fault = self.links.fault_between(End::List, End::Node(node));
+            oracle.list_link_silent(now, node, fault.stalled);
+        }
     }
 
     async fn burst(&self, factor: f64, duration: Duration) {
--- a/crates/test-doubles/src/oracle/tests.rs
+++ b/crates/test-doubles/src/oracle/tests.rs
@@ -209,6 +209,35 @@
     }
 }
 
+/// Guards against a node that is blamed for a drain that was written to it while its link from the list service let
+/// nothing through, and against a drain that never counts because of it.
+#[test]
+fn a_drain_that_a_silent_link_holds_back_counts_when_it_arrives_or_after_six_seconds() {
+    let is_breach = |drained: u64, recovered: Option<u64>, first: u64| {
+        let mut oracle = oracle_with_request(RepeatSafety::Safe);
+        if drained < 1_000 {
+            oracle.health_delivered(ms(drained), 0, "s", false);
+        }
+        oracle.list_link_silent(ms(1_000), 0, true);
+        oracle.list_link_silent(ms(1_500), 0, true);
+        oracle.health_delivered(ms(drained), 0, "s", false);
+        if let Some(recovered) = recovered {
+            oracle.list_link_silent(ms(recovered), 0, false);
+        }
+        oracle.attempt_received(ms(first), ms(first), "s", "a", 0.1);
+        oracle.response_received(ms(999), "a", Answer::Served);
+        !oracle.verdict().breaches.is_empty()
+    };
+    assert!(!is_breach(2_000, None, 7_299), "it has not arrived");
+    assert!(is_breach(2_000, None, 7_301), "six seconds are over");
+    assert!(!is_breach(2_000, Some(3_000), 3_299), "it has just arrived");
+    assert!(is_breach(2_000, Some(3_000), 3_301), "it has arrived");
+    assert!(is_breach(2_000, Some(9_000), 7_301), "it arrives too late");
+    assert!(is_breach(900, None, 1_201), "it came before the silence");
+    assert!(is_breach(900, Some(3_000), 1_201), "likewise");
+    assert!(is_breach(8_000, None, 8_301), "the silence is too long");
+}
+
 #[test]
 fn the_load_of_a_cold_server_is_summed_over_all_nodes() {
     // Whether this many attempts overload the server, and its highest load.
--- a/crates/test-doubles/src/servers/tests.rs
+++ b/crates/test-doubles/src/servers/tests.rs
@@ -1,7 +1,8 @@
 use super::*;
 use std::net::{TcpListener, TcpStream};
 
-/// Opens a connection through a listener that closes it first, so that its side is in TIME_WAIT, and closes the listener.
+/// Opens a connection through a listener that closes it first, so that its side is in `TIME_WAIT`, and closes the
+/// listener.
 fn leave_closed_connection(listener: &TcpListener) {
     let address = listener.local_addr().expect("the listener has an address");
     let client = TcpStream::connect(address).expect("the listener accepts");
