Blame nodes for the overload of a cold server only if they were informed of its start

Cause: the oracle counted all nodes. The rule is broken by an overload of which more than two thirds come from nodes that were told of the start or count as told.

Evidence: the server starts at 02:27:43.579, the list service goes down before the start is listed, all nodes receive it from 02:27:47.615 on, and the overload is at 02:27:44.6. Until then nodes saw an entry without a start time, and connections that were refused.

Change: once written, lists record of which starts they inform a node; it counts as informed at the latest six seconds after the start. Fell needs an informed share of over two thirds. The load itself is counted over all nodes as before, also for the figures that tests bound; starts with the fleet and changes in etcd count as told at once, as before.

Two tests of the oracle give both sides of the share, of the six seconds and of a silent link, and one of discovery the order.

--- a/crates/fleet-harness/src/server_list.rs
+++ b/crates/fleet-harness/src/server_list.rs
@@ -75,10 +75,22 @@
         self.start(server);
     }
 
+    /// Lists a server whose process has just started. Where only discovery reports it, each node is informed with its next
+    /// list; a change in etcd informs all nodes at once.
+    fn list_start(&self, server: &AppServer) {
+        let start = self.world.unix_ms();
+        if self.etcd.is_none() {
+            self.world
+                .oracle()
+                .cold_start_listed(server.name(), start, self.instances);
+        }
+        self.update(server, "ready", Some(start));
+    }
+
     /// Starts a server's process cold and lists it as ready.
     pub fn start(&self, server: &AppServer) {
         match server.start_cold() {
-            Ok(()) => self.update(server, "ready", Some(self.world.unix_ms())),
+            Ok(()) => self.list_start(server),
             Err(error) => eprintln!("app server {} could not be started: {error}", server.name()),
         }
     }
--- a/crates/test-doubles/src/discovery.rs
+++ b/crates/test-doubles/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: one list of app servers, and one agent per edge node that serves it as a watch. What an agent has
 //! written counts as delivered to the node, and the oracle records when.
 
-use crate::health_report::HealthReport;
+use crate::health_report::{HealthReport, ListedServer};
 use crate::wire::HttpConnection;
 use crate::{lock, World};
 use serde_json::json;
@@ -150,10 +150,14 @@
     dials: Mutex<Dials>,
 }
 
-/// Whether each of these servers is ready, by name.
-fn health_by_host(entries: &[Entry]) -> Vec<(String, bool)> {
-    let health = |entry: &Entry| (entry.host.clone(), entry.health == "ready");
-    entries.iter().map(health).collect()
+/// These entries as they inform a node.
+fn listed_servers(entries: &[Entry]) -> Vec<ListedServer> {
+    let listed = |entry: &Entry| ListedServer {
+        name: entry.host.clone(),
+        ready: entry.health == "ready",
+        start: Some(entry.born_ms),
+    };
+    entries.iter().map(listed).collect()
 }
 
 /// Addresses by node and host.
@@ -361,7 +365,7 @@
             };
             if std::mem::take(&mut first) || from != Some(version) {
                 let line = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
-                let report = HealthReport::begin(&self.world, node, health_by_host(&entries));
+                let report = HealthReport::begin(&self.world, node, listed_servers(&entries));
                 let written = stream.write_all(line.as_bytes()).await;
                 report.end(written.is_ok());
                 written?;
--- a/crates/test-doubles/src/health_report.rs
+++ b/crates/test-doubles/src/health_report.rs
@@ -3,23 +3,35 @@
 use crate::World;
 use std::time::Duration;
 
+/// A server as a list shows it.
+#[derive(Clone, Debug)]
+pub struct ListedServer {
+    /// Its name.
+    pub name: String,
+    /// Whether it is ready.
+    pub ready: bool,
+    /// When its process started, in Unix ms, if the list says so.
+    pub start: Option<u64>,
+}
+
 /// A list that is being written to a node. A node may act on a list once it has read the first bytes, and has to act on
 /// it once it could read the last one. So the servers that it may send to are recorded before the first byte is written,
-/// and those that it must not send to after the last.
+/// and those that it must not send to, and the starts of servers, after the last.
 pub struct HealthReport<'a> {
     world: &'a World,
     node: usize,
-    /// Names of the servers on the list, and whether each is ready.
-    servers: Vec<(String, bool)>,
+    servers: Vec<ListedServer>,
     began_at: Duration,
 }
 
 impl<'a> HealthReport<'a> {
     /// Records the ready servers. Called before the list is written.
-    pub fn begin(world: &'a World, node: usize, servers: Vec<(String, bool)>) -> Self {
+    pub fn begin(world: &'a World, node: usize, servers: Vec<ListedServer>) -> Self {
         let began_at = world.now();
-        for (name, _) in servers.iter().filter(|(_, ready)| *ready) {
-            world.oracle().health_delivered(began_at, node, name, true);
+        for server in servers.iter().filter(|server| server.ready) {
+            world
+                .oracle()
+                .health_delivered(began_at, node, &server.name, true);
         }
         HealthReport {
             world,
@@ -29,14 +41,17 @@
         }
     }
 
-    /// Records the other servers, or, if writing the list failed, that the node was not informed of the ready ones.
+    /// Records the other servers and the starts, or, if writing the list failed, that the node was not informed of the ready ones.
     pub fn end(self, written: bool) {
         let (now, mut oracle) = (self.world.now(), self.world.oracle());
-        for (name, ready) in &self.servers {
-            if written && !ready {
-                oracle.health_delivered(now, self.node, name, false);
-            } else if !written && *ready {
-                oracle.ready_not_delivered(self.began_at, self.node, name);
+        for server in &self.servers {
+            if written && !server.ready {
+                oracle.health_delivered(now, self.node, &server.name, false);
+            } else if !written && server.ready {
+                oracle.ready_not_delivered(self.began_at, self.node, &server.name);
+            }
+            if let Some(start) = server.start.filter(|_| written) {
+                oracle.start_reported(now, self.node, &server.name, start);
             }
         }
     }
--- a/crates/test-doubles/src/oracle/tests.rs
+++ b/crates/test-doubles/src/oracle/tests.rs
@@ -209,6 +209,43 @@
     }
 }
 
+/// Guards against nodes that are blamed for the overload of a cold server of whose start they could not know, and against
+/// an overload by informed nodes that is not counted because others sent to the server, too.
+#[test]
+fn an_overload_counts_if_informed_nodes_sent_over_two_thirds_of_it() {
+    const LISTED_START: u64 = 7;
+    // 15 nodes send one attempt each, those that were informed last. Together they overload the server.
+    let overloads = |informed_nodes: usize, age: u64, listed_start: u64| {
+        let mut oracle = Oracle::new(Bounds::default());
+        oracle.server_started_cold(ms(0), "s", 2.0);
+        oracle.cold_start_listed("s", LISTED_START, 15);
+        for node in 15 - informed_nodes..15 {
+            oracle.start_reported(ms(0), node, "s", listed_start);
+        }
+        for node in 0..15 {
+            let mut request = request(&node.to_string(), RepeatSafety::Safe);
+            request.node = node;
+            oracle.request_sent(ms(age), request);
+            oracle.attempt_received(ms(age), ms(age), "s", &node.to_string(), 0.25);
+        }
+        assert!(oracle.is_overloaded("s"));
+        let is_fall = |breach: &Breach| matches!(breach, Breach::Fell(_));
+        oracle.verdict().breaches.iter().any(is_fall)
+    };
+    assert!(!overloads(0, 10, LISTED_START), "no node was informed");
+    assert!(overloads(15, 10, LISTED_START), "all nodes were informed");
+    assert!(overloads(11, 10, LISTED_START), "11 of 15 were informed");
+    assert!(!overloads(5, 10, LISTED_START), "5 of 15 were informed");
+    assert!(
+        !overloads(15, 10, LISTED_START - 1),
+        "they were informed of an earlier process"
+    );
+    assert!(
+        overloads(0, 6_000, LISTED_START),
+        "all nodes count as informed after six seconds"
+    );
+}
+
 /// Guards against a node that is blamed for a drain that was written to it while its link from the list service let
 /// nothing through, and against a drain that never counts because of it.
 #[test]
@@ -238,6 +275,32 @@
     assert!(is_breach(8_000, None, 8_301), "the silence is too long");
 }
 
+/// Guards against a node that is blamed for the overload of a cold server whose start a silent link held back, and
+/// against one that is excused after the link has recovered.
+#[test]
+fn a_start_that_a_silent_link_holds_back_counts_when_it_arrives() {
+    let overloads_at = |age: u64, recovered: Option<u64>| {
+        let mut oracle = Oracle::new(Bounds::default());
+        oracle.list_link_silent(ms(0), 0, true);
+        oracle.server_started_cold(ms(100), "s", 2.0);
+        oracle.cold_start_listed("s", 7, 1);
+        oracle.start_reported(ms(200), 0, "s", 7);
+        if let Some(recovered) = recovered {
+            oracle.list_link_silent(ms(recovered), 0, false);
+        }
+        for number in 0..15 {
+            let id = number.to_string();
+            oracle.request_sent(ms(0), request(&id, RepeatSafety::Safe));
+            oracle.attempt_received(ms(age), ms(age), "s", &id, 0.25);
+        }
+        let is_fall = |breach: &Breach| matches!(breach, Breach::Fell(_));
+        oracle.verdict().breaches.iter().any(is_fall)
+    };
+    assert!(!overloads_at(1_000, None), "it has not arrived");
+    assert!(overloads_at(1_000, Some(900)), "it has arrived");
+    assert!(overloads_at(6_001, None), "six seconds are over");
+}
+
 #[test]
 fn the_load_of_a_cold_server_is_summed_over_all_nodes() {
     // Whether this many attempts overload the server, and its highest load.
--- a/crates/test-doubles/tests/discovery.rs
+++ b/crates/test-doubles/tests/discovery.rs
@@ -92,3 +92,19 @@
     );
     drop(oracle);
 }
+
+/// Guards against a node that counts as informed of a start before the line was written to it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_start_is_written_before_it_is_recorded() {
+    let (world, discovery, mut watch) = open_watch("draining").await;
+    let oracle = world.oracle();
+    discovery.change(vec![Entry {
+        born_ms: 7_777,
+        ..entry("gone")
+    }]);
+    assert!(
+        reads(&mut watch, "7777", PRESENCE),
+        "the start waits until it is recorded"
+    );
+    drop(oracle);
+}
