Write no list to a process that has ended, so that its successor is not blamed

No caller is affected.

Cause: the agent of the discovery double writes a change after a delay. This one was made while the node's old process ran. It was written into the old connection 10 ms after the new process had received its first list, and a first write to a closed connection succeeds.

Evidence: the new process's log has both servers ready at 10.944 and draining at 11.354 only; other nodes were informed of the earlier drain at 10.954. The new test counts one drain before the change and none with it.

Change: before it writes, the agent asks the kernel whether the other side has closed; so does the list of the size tests. Two tests of the agent locked the oracle before the first list was recorded, which stops the agent: they failed beside a build, once in two runs. They now wait for the record.

--- a/crates/bench/tests/size/list.rs
+++ b/crates/bench/tests/size/list.rs
@@ -8,7 +8,6 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -248,13 +247,16 @@
             .find_map(|part| part.strip_prefix("from="));
         let mut from: Option<u64> = from.and_then(|from| from.parse().ok());
         let mut seq = self.seq.subscribe();
-        let stream = &mut connection.stream;
-        stream
-            .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        connection
+            .write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             .await?;
         let mut first = true;
         loop {
             let version = *seq.borrow_and_update();
+            // A first write to a process that has ended would succeed, and its successor count as informed.
+            if connection.is_closed() {
+                return Ok(());
+            }
             if std::mem::take(&mut first) || from != Some(version) {
                 let (version, body, health) = {
                     let mut list = lock(&self.list);
@@ -263,7 +265,7 @@
                 };
                 let report = node.map(|node| HealthReport::begin(&self.world, node, health));
                 let line = format!("{:x}\r\n{body}\n\r\n", body.len() + 1);
-                let written = stream.write_all(line.as_bytes()).await;
+                let written = connection.write(line.as_bytes()).await;
                 if let Some(report) = report {
                     report.end(written.is_ok());
                 }
@@ -277,7 +279,7 @@
                 .await
                 .is_err()
             {
-                stream.write_all(b"1\r\n\n\r\n").await?;
+                connection.write(b"1\r\n\n\r\n").await?;
             }
         }
     }
--- a/crates/test-doubles/src/discovery.rs
+++ b/crates/test-doubles/src/discovery.rs
@@ -9,7 +9,6 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -327,7 +326,6 @@
             .find_map(|part| part.strip_prefix("from="));
         let mut from: Option<u64> = from.take().and_then(|from| from.parse().ok());
         let (mut seq, mut silent) = (self.seq.subscribe(), self.silent.subscribe());
-        // The client sends nothing more; a closed connection shows at the next write.
         silent
             .wait_for(|silent| !silent)
             .await
@@ -346,9 +344,8 @@
                 .await;
         }
         let _open = OpenWatch::begin(&self.call_stats);
-        let stream = &mut connection.stream;
-        stream
-            .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        connection
+            .write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             .await?;
         // The first line is always written: if the list is unchanged, it confirms that to the node.
         let mut first = true;
@@ -363,10 +360,14 @@
                 let (text, entries) = list.changes_since(from, node, &lock(&self.dials));
                 (text, entries, list.seq)
             };
+            // A first write to a process that has ended would succeed, and its successor count as informed.
+            if connection.is_closed() {
+                return Ok(());
+            }
             if std::mem::take(&mut first) || from != Some(version) {
                 let line = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
                 let report = HealthReport::begin(&self.world, node, listed_servers(&entries));
-                let written = stream.write_all(line.as_bytes()).await;
+                let written = connection.write(line.as_bytes()).await;
                 report.end(written.is_ok());
                 written?;
                 let now = self.world.now();
@@ -386,7 +387,7 @@
                 let delay = *lock(&self.delay);
                 tokio::time::sleep(delay).await;
             } else {
-                stream.write_all(b"1\r\n\n\r\n").await?;
+                connection.write(b"1\r\n\n\r\n").await?;
             }
         }
     }
--- a/crates/test-doubles/src/wire.rs
+++ b/crates/test-doubles/src/wire.rs
@@ -2,7 +2,9 @@
 //! byte.
 
 use crate::World;
+use socket2::SockRef;
 use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -129,6 +131,14 @@
         }))
     }
 
+    /// Whether the other side has closed the connection. Asks the kernel, so it is known before the next write fails.
+    pub fn is_closed(&self) -> bool {
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(length) => length == 0,
+            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+
     /// Writes all bytes.
     ///
     /// # Errors
--- a/crates/test-doubles/tests/discovery.rs
+++ b/crates/test-doubles/tests/discovery.rs
@@ -62,6 +62,10 @@
         .write_all(b"GET /api/targets?watch=1 HTTP/1.1\r\nHost: a\r\n\r\n")
         .expect("the agent reads");
     assert!(reads(&mut watch, health, PRESENCE), "the first list");
+    // The agent records the first list only after it has written it, and needs the oracle for that.
+    while !discovery.call_stats().first_answers.contains_key(&NODE) {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
     (world, discovery, watch)
 }
 
@@ -108,3 +112,15 @@
     );
     drop(oracle);
 }
+
+/// Guards against a node that is blamed for a drain that was written to the connection of its ended process, whose
+/// successor has received a list without it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_drain_that_is_written_to_a_closed_connection_is_not_recorded() {
+    let (world, discovery, watch) = open_watch("ready").await;
+    discovery.set_delay(ABSENCE);
+    discovery.change(vec![entry("draining")]);
+    drop(watch);
+    tokio::time::sleep(2 * ABSENCE).await;
+    assert_eq!(world.oracle().verdict().drains, 0);
+}
