Interrupt the wake-ups of signal handlers in the soak

What was missing: the library that makes system calls fail leaves Unix sockets alone unless it is told, and the soak did not tell it. A signal handler wakes its process by a send on a Unix socket.

Change: where a run has failing calls, sends on Unix sockets fail with the same share.

--- a/crates/fleet-harness/src/instance.rs
+++ b/crates/fleet-harness/src/instance.rs
@@ -201,8 +201,10 @@
             let seed = (self.number as u64 + 1) * (self.costs().processes + 1);
             command
                 .env("LD_PRELOAD", library)
-                .env("FAILING_CALLS", failing_calls);
-            command.env("FAILING_SEED", seed.to_string());
+                .env("FAILING_CALLS", failing_calls)
+                .env("FAILING_SEED", seed.to_string())
+                // The wake-up of a signal handler is a `send` on a Unix socket.
+                .env("FAILING_UNIX", "1");
         }
         for key in [
             "LB_NAME",
