Report how late the harness of a fleet was itself

Nothing told whether the clients were late.

Change: a task of the harness measures by how much it runs later than planned, and the report shows the longest delay and when it ended. No check changes.

--- a/crates/fleet-harness/src/harness.rs
+++ b/crates/fleet-harness/src/harness.rs
@@ -8,6 +8,7 @@
 use crate::room;
 use crate::scenario::{EndpointSource, InitialList, Scenario, StepAction};
 use crate::server_list::{stale_list, start_servers, ServerList, KEY_PREFIX};
+use crate::stall_watch::StallWatch;
 use crate::step_runner::{StepRunner, StepTimes};
 use crate::windows;
 use anyhow::{Context, Result};
@@ -97,10 +98,12 @@
     let harness = Harness::set_up(scenario, options).await?;
     harness.start().await?;
     let (datagrams_before, load_start) = (harness.datagrams(), harness.world.now());
+    let stall_watch = StallWatch::start();
     let duration = harness.scenario.duration;
     let offered = harness.offer();
     let steps_done = harness.run_steps(options.print_steps);
     let (offered, ()) = tokio::join!(timeout(duration + CLIENT_TIMEOUT, offered), steps_done);
+    let longest_stall = stall_watch.longest();
     let mut faults = Vec::new();
     if offered.is_err() {
         faults.push(format!(
@@ -205,6 +208,7 @@
             .sum(),
         decision_counters: Vec::new(),
         served_by_class: Vec::new(),
+        longest_stall,
         faults,
     })
 }
--- a/crates/fleet-harness/src/lib.rs
+++ b/crates/fleet-harness/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod scenario;
 mod server_list;
 pub mod soak;
+pub mod stall_watch;
 mod step_runner;
 pub mod virtually;
 pub mod windows;
--- a/crates/fleet-harness/src/report.rs
+++ b/crates/fleet-harness/src/report.rs
@@ -1,5 +1,6 @@
 //! The result of a run, as text and as JSON.
 
+use crate::stall_watch::Stall;
 use crate::windows::{SideWindows, WindowCounts};
 use saffronpaddle_test_doubles::discovery::CallStats;
 use saffronpaddle_test_doubles::load::LoadCounts;
@@ -65,6 +66,8 @@
     pub decision_counters: Vec<(&'static str, u64)>,
     /// Served requests of each class. Only in virtual time; empty otherwise.
     pub served_by_class: Vec<u64>,
+    /// The longest delay of the harness itself, counted from the start of the load; none in virtual time.
+    pub longest_stall: Stall,
     /// Instances that crashed, did not become ready or did not end, one line each.
     pub faults: Vec<String>,
 }
@@ -311,6 +314,14 @@
             self.counts.refused_connections, self.counts.no_ready_node, self.counts.resent, self.counts.retries,
             self.counts.p50_ms, self.counts.p99_ms
         )?;
+        if self.longest_stall != Stall::default() {
+            writeln!(
+                f,
+                "harness: itself late by at most {:.0} ms, {:.2} s after the start of the load",
+                self.longest_stall.length.as_secs_f64() * 1e3,
+                self.longest_stall.ended_at.as_secs_f64()
+            )?;
+        }
         writeln!(
             f,
             "instances: ready in {:.0} to {:.0} ms, median {:.0} ms; memory {:.1} MB idle; CPU {:.0} µs per request, {:.4} of a core per instance",
