Look up one connection in the kernel, by both of its ends

Cause 1: attempts that relays have read were found by the relay's port. The kernel may give that port to a connection to another server, whose attempt then was not checked against earlier ones.

Change: the key is both ends; a breach by what servers saw names server and time. The kernel is asked for the one connection (sock_diag), and the table is read only where that fails.

Evidence: attempts::tests::a_connection_with_the_port_of_a_relay_... fails before the change; kernel_sockets::tests compares the answer with the table's while ends are open, shut down, closed.

--- a/crates/fleet-harness/src/harness.rs
+++ b/crates/fleet-harness/src/harness.rs
@@ -158,7 +158,7 @@
             .flat_map(|instance| instance.violations()),
     );
     faults.extend(harness.find_interference());
-    let overlaps = harness.world.oracle().overlaps().to_vec();
+    let overlaps = harness.world.oracle().overlaps();
     faults.extend(
         overlaps
             .iter()
--- a/crates/test-doubles/src/attempts.rs
+++ b/crates/test-doubles/src/attempts.rs
@@ -8,6 +8,7 @@
 //! An end is a call of `close`. A connection that the node has only shut down for writing is open: the node may still read
 //! the answer on it.
 
+use crate::kernel_sockets::is_open;
 use crate::{lock, World};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -16,11 +17,6 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// Index of the inode among the columns of `/proc/net/tcp`.
-const INODE_COLUMN: usize = 9;
-/// The inode that `/proc/net/tcp` shows for a socket that no process has open.
-const NO_INODE: &str = "0";
-
 /// The attempts of a run that have not ended.
 #[derive(Debug, Default)]
 pub(crate) struct HeldAttempts(Mutex<Tables>);
@@ -30,8 +26,9 @@
 struct Tables {
     /// By request id.
     by_request: HashMap<String, Vec<Arc<Held>>>,
-    /// The last attempt that a relay has read, by the address from which the relay connects to the server.
-    relayed: HashMap<SocketAddr, Arc<Held>>,
+    /// The last attempt that a relay has read, by the relay's end of its connection to the server and the server's end.
+    /// The kernel may give the same address to a node's connection to another server.
+    relayed: HashMap<(SocketAddr, SocketAddr), Arc<Held>>,
 }
 
 impl Tables {
@@ -91,7 +88,8 @@
 
     /// Whether the node has closed the connection.
     fn is_closed_by_node(&self) -> bool {
-        !is_open(self.addresses)
+        let (node_end, other_end) = self.addresses;
+        !is_open(node_end, other_end)
     }
 
     /// Records that the node has closed the connection, unless the end of the attempt is known. The caller holds the lock
@@ -104,27 +102,6 @@
     }
 }
 
-/// Whether a process has the end of a connection open, given by its own address and that of the other end. Its end shows
-/// here before it has arrived at the other end.
-fn is_open((own, other): (SocketAddr, SocketAddr)) -> bool {
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let (own, other) = (table_address(own), table_address(other));
-    table.lines().any(|line| {
-        let columns: Vec<&str> = line.split_ascii_whitespace().collect();
-        let is_connection = columns.get(1) == Some(&&*own) && columns.get(2) == Some(&&*other);
-        is_connection && columns.get(INODE_COLUMN) != Some(&NO_INODE)
-    })
-}
-
-/// An IPv4 address as `/proc/net/tcp` shows it.
-fn table_address(address: SocketAddr) -> String {
-    let SocketAddr::V4(address) = address else {
-        return String::new();
-    };
-    let ip = u32::from_ne_bytes(address.ip().octets());
-    format!("{ip:08X}:{:04X}", address.port())
-}
-
 /// An attempt at a server, until it is dropped.
 pub(crate) struct Attempt<'a> {
     world: &'a World,
@@ -154,7 +131,7 @@
     ) -> std::io::Result<Attempt<'a>> {
         let (peer, own) = (stream.peer_addr()?, stream.local_addr()?);
         let mut tables = world.held_attempts.lock();
-        let relayed = tables.relayed.get(&peer).cloned();
+        let relayed = tables.relayed.get(&(peer, own)).cloned();
         let held = relayed.unwrap_or_else(|| {
             let held = Held::new((peer, own), received.server.to_owned());
             tables.begin(world, received.id, &held);
@@ -210,10 +187,8 @@
     world: Arc<World>,
     /// Addresses of the node's end and of the relay's.
     addresses: (SocketAddr, SocketAddr),
-    /// Address from which the relay connects to the server.
-    relay: SocketAddr,
-    /// Where the relay connects to.
-    server: SocketAddr,
+    /// Addresses of the relay's end and of the server's.
+    far_addresses: (SocketAddr, SocketAddr),
     scanner: RequestScanner,
     /// The last attempt, and its request's id.
     last: Option<(String, Arc<Held>)>,
@@ -232,8 +207,7 @@
         Ok(RelayedConnection {
             world: Arc::clone(world),
             addresses: (near.peer_addr()?, near.local_addr()?),
-            relay: far.local_addr()?,
-            server: far.peer_addr()?,
+            far_addresses: (far.local_addr()?, far.peer_addr()?),
             scanner: RequestScanner::default(),
             last: None,
         })
@@ -242,13 +216,14 @@
     /// Records the attempts that begin in bytes from the node, before they are passed on.
     pub fn on_bytes(&mut self, bytes: &[u8]) {
         for id in self.scanner.request_ids(bytes) {
-            let held = Held::new(self.addresses, format!("{} by a relay", self.server));
+            let (_, server) = self.far_addresses;
+            let held = Held::new(self.addresses, format!("{server} by a relay"));
             let mut tables = self.world.held_attempts.lock();
             if let Some((earlier, attempt)) = self.last.take() {
                 tables.remove(&earlier, &attempt);
             }
             tables.begin(&self.world, &id, &held);
-            tables.relayed.insert(self.relay, Arc::clone(&held));
+            tables.relayed.insert(self.far_addresses, Arc::clone(&held));
             self.last = Some((id, held));
         }
     }
@@ -257,7 +232,7 @@
 impl Drop for RelayedConnection {
     fn drop(&mut self) {
         let mut tables = self.world.held_attempts.lock();
-        tables.relayed.remove(&self.relay);
+        tables.relayed.remove(&self.far_addresses);
         // An attempt that the server holds is removed by the server.
         if let Some((id, attempt)) = self.last.take() {
             if !attempt.received.load(Ordering::Relaxed) {
@@ -309,3 +284,6 @@
         .find(|(other, _)| other.eq_ignore_ascii_case(name))
         .map_or("", |(_, value)| value.trim())
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/test-doubles/src/lib.rs
+++ b/crates/test-doubles/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod etcd;
 pub mod health_report;
+mod kernel_sockets;
 pub mod links;
 pub mod load;
 pub mod oracle;
--- a/crates/test-doubles/src/oracle.rs
+++ b/crates/test-doubles/src/oracle.rs
@@ -148,6 +148,13 @@
     ForeignAnswer(String),
 }
 
+/// The arrival of an attempt at a server.
+#[derive(Clone, Debug)]
+struct Arrival {
+    at: Duration,
+    server: String,
+}
+
 /// A request with all that was observed of it.
 #[derive(Debug)]
 struct TrackedRequest {
@@ -159,8 +166,8 @@
     disconnected: Option<(Duration, u32)>,
     attempts: u32,
     in_flight: u32,
-    /// When an attempt arrived while another one was in flight.
-    overlapped_at: Option<Duration>,
+    /// The last attempt that arrived while another one was in flight, by what the servers saw.
+    overlapping_arrival: Option<Arrival>,
     /// Whether the node had two attempts open at once, by the state of its own connections.
     overlapped: bool,
     effects: u32,
@@ -446,7 +453,7 @@
             disconnected: None,
             attempts: 0,
             in_flight: 0,
-            overlapped_at: None,
+            overlapping_arrival: None,
             overlapped: false,
             effects: 0,
             first_attempt: None,
@@ -672,7 +679,10 @@
         if entry.in_flight > 1 {
             // The end of the earlier attempt may still be in transit; `attempt_canceled` clears this if it comes
             // soon.
-            entry.overlapped_at = Some(now);
+            entry.overlapping_arrival = Some(Arrival {
+                at: now,
+                server: server.to_owned(),
+            });
         }
         let record = self.node_records.entry(entry.request.node).or_default();
         (record.rejections_in_row, record.rejecting_since) = (0, None);
@@ -779,9 +789,16 @@
         }
     }
 
-    /// A line on each pair of attempts that a node had open at once.
-    pub fn overlaps(&self) -> &[String] {
-        &self.overlaps
+    /// A line on each pair of attempts that a node had open at once, by its own connections or by what servers saw.
+    pub fn overlaps(&self) -> Vec<String> {
+        let by_servers = self.requests.iter().filter_map(|(id, entry)| {
+            let Arrival { at, server } = entry.overlapping_arrival.as_ref()?;
+            let seconds = at.as_secs_f64();
+            Some(format!(
+                "{id} at {server} after {seconds:.3} s, while a server held another"
+            ))
+        });
+        self.overlaps.iter().cloned().chain(by_servers).collect()
     }
 
     /// Records that the node closed the connection of an attempt, which is then no longer in flight. Ends of
@@ -791,7 +808,8 @@
         let slack = self.bounds.close_slack;
         if let Some(entry) = self.requests.get_mut(id) {
             entry.in_flight = entry.in_flight.saturating_sub(1);
-            entry.overlapped_at = entry.overlapped_at.filter(|at| now > *at + slack);
+            let arrival = entry.overlapping_arrival.take();
+            entry.overlapping_arrival = arrival.filter(|arrival| now > arrival.at + slack);
         }
     }
 
@@ -864,7 +882,7 @@
         let mut answered = [0_u64; 3];
         let mut unanswered = [0_u64; 5];
         for (id, entry) in &self.requests {
-            let overlapped = entry.overlapped || entry.overlapped_at.is_some();
+            let overlapped = entry.overlapped || entry.overlapping_arrival.is_some();
             breaches.extend(overlapped.then(|| Breach::TwoAttempts(id.clone())));
             match (entry.answer, entry.unanswered) {
                 (Some((answer, _)), _) => {
