--- a/crates/fleet-harness/src/scenario/steps.rs
+++ b/crates/fleet-harness/src/scenario/steps.rs
@@ -416,7 +416,7 @@
     fixed: Option<usize>,
     /// The instances of a side, if the section names one.
     side: Option<Vec<usize>>,
-    /// Most targets, if the section says so.
+    /// Most targets, if the section limits them.
     limit: Option<usize>,
 }
 
--- a/crates/fleet-harness/src/soak.rs
+++ b/crates/fleet-harness/src/soak.rs
@@ -59,8 +59,8 @@
     "recv=3,send=3,short=20",
     "accept=3,connect=3,socket=3,recv=3,send=3,short=10",
 ];
-/// One run in this many has a crowd of idle clients at one instance.
-const RUNS_PER_CROWD: u32 = 3;
+/// One run in this many has idle clients that use up the connections of one instance.
+const RUNS_PER_IDLE_CLIENTS: u32 = 3;
 /// One run in this many has a list whose servers change between ready and draining again and again.
 const RUNS_PER_FLAPPING_LIST: u32 = 4;
 /// Changes of a flapping list.
@@ -101,9 +101,9 @@
             let at_ms = random.u64(from..to);
             draw_fault(&mut random, at_ms, (instances, servers), &mut steps);
         }
-        if random.u32(0..RUNS_PER_CROWD) == 0 {
+        if random.u32(0..RUNS_PER_IDLE_CLIENTS) == 0 {
             let at_ms = random.u64(from..to);
-            draw_crowd(&mut random, at_ms, instances, &mut steps);
+            draw_idle_clients(&mut random, at_ms, instances, &mut steps);
         }
         if random.u32(0..RUNS_PER_FLAPPING_LIST) == 0 {
             let longest_ms = FLAPS * FLAP_INTERVALS_MS[FLAP_INTERVALS_MS.len() - 1];
@@ -242,9 +242,14 @@
     lines
 }
 
-/// Draws a crowd: idle clients that hold more connections to an instance than it may. In half of the cases the instance
+/// Draws idle clients that hold more connections to an instance than it may. In half of the cases the instance
 /// is terminated meanwhile.
-fn draw_crowd(random: &mut fastrand::Rng, at_ms: u64, instances: usize, steps: &mut Vec<String>) {
+fn draw_idle_clients(
+    random: &mut fastrand::Rng,
+    at_ms: u64,
+    instances: usize,
+    steps: &mut Vec<String>,
+) {
     let instance = random.usize(..instances);
     let duration_ms = random.u64(3_000..8_000);
     steps.push(format!(
--- a/crates/fleet-harness/src/stall_watch.rs
+++ b/crates/fleet-harness/src/stall_watch.rs
@@ -1,5 +1,5 @@
 //! Measures how late the harness itself runs. On a busy machine a client may read an answer late that its node wrote in
-//! time; the longest delay tells that apart from a late node.
+//! time; the longest delay shows which of the two was late.
 
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
--- a/crates/saffronpaddle/tests/soak.rs
+++ b/crates/saffronpaddle/tests/soak.rs
@@ -10,8 +10,9 @@
 
 /// A seed whose plan has many terminations with further signals.
 const SEED_WITH_SIGNALS: u64 = 29;
-/// A seed whose plan has a crowd at an instance that is terminated, and a list that flaps.
-const SEED_WITH_CROWD: u64 = 9;
+/// A seed whose plan has idle clients that use up the connections of an instance that is terminated, and a list that
+/// flaps.
+const SEED_WITH_IDLE_CLIENTS: u64 = 9;
 
 /// Plays the plan that a seed draws.
 fn assert_rules_hold(seed: u64) {
@@ -64,8 +65,8 @@
 /// Guards against requests that are lost, or wait too long, where idle clients take all connections of a process that
 /// is terminated, and the list flaps.
 #[test]
-fn a_fleet_keeps_the_rules_while_a_crowd_holds_connections_and_the_list_flaps() {
-    assert_rules_hold(SEED_WITH_CROWD);
+fn a_fleet_keeps_the_rules_while_idle_clients_hold_connections_and_the_list_flaps() {
+    assert_rules_hold(SEED_WITH_IDLE_CLIENTS);
 }
 
 /// A seed that fails can only be run again if its plan is the same each time and is a valid scenario.
--- a/crates/test-doubles/src/health_report.rs
+++ b/crates/test-doubles/src/health_report.rs
@@ -6,11 +6,11 @@
 /// A server as a list shows it.
 #[derive(Clone, Debug)]
 pub struct ListedServer {
-    /// Its name.
+    /// Name on the list.
     pub name: String,
-    /// Whether it is ready.
+    /// Whether nodes may send to it.
     pub ready: bool,
-    /// When its process started, in Unix ms, if the list says so.
+    /// When its process started, in Unix ms, if it is listed.
     pub start: Option<u64>,
 }
 
--- a/crates/test-doubles/tests/load.rs
+++ b/crates/test-doubles/tests/load.rs
@@ -1,4 +1,4 @@
-//! Clients of the load generator, with a node that answers or closes as a test says.
+//! Clients of the load generator, with a node that answers or closes its connections.
 
 use saffronpaddle_test_doubles::load::{Cancellations, Customer, LoadGenerator};
 use saffronpaddle_test_doubles::ports::reserve_address;
@@ -40,7 +40,7 @@
 }
 
 /// Guards against a node that is blamed for a late answer although its client spent a part of the time on another
-/// connection and did not say so.
+/// connection and did not state it.
 #[tokio::test]
 async fn a_request_that_is_sent_again_states_the_time_that_is_left() {
     let fleet = Fleet::typical(1);
