Look up an attempt's own delay only where the event loop was late

Cause: each first byte looked its request up to report a delay of the node, and then dropped the result where there was none, which is the usual case.

Change: the check comes first. Behaviour is the same.

--- a/crates/exchange/src/exchange/first_byte.rs
+++ b/crates/exchange/src/exchange/first_byte.rs
@@ -48,11 +48,11 @@
 
     /// Reports to the policy for how long an attempt may have waited for this node although its connection was up.
     fn report_own_delay(&mut self, id: &RequestId) {
-        let attempt = self
-            .requests
-            .get(id)
-            .and_then(|request| request.outstanding.as_ref());
-        if let Some(attempt) = attempt.filter(|_| self.event_delay > 0) {
+        if self.event_delay == 0 {
+            return;
+        }
+        let request = self.requests.get(id);
+        if let Some(attempt) = request.and_then(|request| request.outstanding.as_ref()) {
             let number = AttemptNumber(attempt.number);
             self.policy.attempt_delayed(id, number, self.event_delay);
         }
