Write and record a list in one place, and share the runner of a scenario's steps

Cause, found by reading the change again: the two list services repeated the steps around a list that is written to a node (closed, record, write, record). Each step of a scenario copied all instances, servers and customers. A stall of zero length stood for none. Two tests of the agent differed in their data only.

--- a/crates/bench/tests/size/list.rs
+++ b/crates/bench/tests/size/list.rs
@@ -1,7 +1,7 @@
 //! The list service of a fleet of hundreds of nodes, in the platform's protocol. It formats each text once for all
 //! watches with the same version, and reports to the oracle what it has sent to each process of the program.
 
-use saffronpaddle_test_doubles::health_report::{HealthReport, ListedServer};
+use saffronpaddle_test_doubles::health_report::{write_list, ListedServer};
 use saffronpaddle_test_doubles::wire::HttpConnection;
 use saffronpaddle_test_doubles::World;
 use std::collections::BTreeSet;
@@ -81,8 +81,8 @@
         self.servers[at].health == "ready" && self.truncated_at.is_none_or(|length| at < length)
     }
 
-    /// Whether each of these servers that runs is ready, by name.
-    fn health_of_running(&self, servers: &[usize]) -> Vec<ListedServer> {
+    /// Those of these servers that run, as the list shows them.
+    fn running_servers(&self, servers: &[usize]) -> Vec<ListedServer> {
         let running = servers.iter().filter(|at| self.servers[**at].is_running);
         running
             .map(|at| ListedServer {
@@ -253,25 +253,19 @@
         let mut first = true;
         loop {
             let version = *seq.borrow_and_update();
-            // A first write to a process that has ended would succeed, and its successor count as informed.
-            if connection.is_closed() {
-                return Ok(());
-            }
             if std::mem::take(&mut first) || from != Some(version) {
-                let (version, body, health) = {
+                let (version, body, running) = {
                     let mut list = lock(&self.list);
                     let (version, Text { body, servers, .. }) = list.text_since(from);
-                    (version, body, list.health_of_running(&servers))
+                    (version, body, list.running_servers(&servers))
                 };
-                let report = node.map(|node| HealthReport::begin(&self.world, node, health));
                 let line = format!("{:x}\r\n{body}\n\r\n", body.len() + 1);
-                let written = connection.write(line.as_bytes()).await;
-                if let Some(report) = report {
-                    report.end(written.is_ok());
-                }
-                written?;
+                let line = line.as_bytes();
                 if let Some(node) = node {
+                    write_list(&self.world, node, running, &mut connection, line).await?;
                     lock(&self.sent_versions)[node] = version;
+                } else {
+                    connection.write(line).await?;
                 }
                 from = Some(version);
             }
--- a/crates/fleet-harness/src/harness.rs
+++ b/crates/fleet-harness/src/harness.rs
@@ -208,7 +208,7 @@
             .sum(),
         decision_counters: Vec::new(),
         served_by_class: Vec::new(),
-        longest_stall,
+        longest_stall: Some(longest_stall),
         faults,
     })
 }
@@ -444,9 +444,9 @@
         while clients.join_next().await.is_some() {}
     }
 
-    /// Returns what runs one step without borrowing the harness.
-    fn step_runner(&self) -> StepRunner {
-        StepRunner {
+    /// Returns what runs the steps without borrowing the harness.
+    fn step_runner(&self) -> Arc<StepRunner> {
+        Arc::new(StepRunner {
             world: Arc::clone(&self.world),
             discovery: Arc::clone(&self.discovery),
             links: Arc::clone(&self.links),
@@ -456,12 +456,13 @@
             servers: self.servers.clone(),
             customers: self.customers.clone(),
             times: StepTimes::of_scenario(&self.scenario),
-        }
+        })
     }
 
     /// Starts each step at its time and returns when all have ended.
     async fn run_steps(&self, print_steps: bool) {
         let load_start = self.world.now();
+        let step_runner = self.step_runner();
         let mut tasks = tokio::task::JoinSet::new();
         for step in &self.scenario.steps {
             sleep((load_start + step.at).saturating_sub(self.world.now())).await;
@@ -476,7 +477,7 @@
                     step.action
                 );
             }
-            tasks.spawn(self.step_runner().run(step.action.clone()));
+            tasks.spawn(Arc::clone(&step_runner).run(step.action.clone()));
             while tasks.try_join_next().is_some() {}
         }
         while tasks.join_next().await.is_some() {}
--- a/crates/fleet-harness/src/report.rs
+++ b/crates/fleet-harness/src/report.rs
@@ -66,8 +66,8 @@
     pub decision_counters: Vec<(&'static str, u64)>,
     /// Served requests of each class. Only in virtual time; empty otherwise.
     pub served_by_class: Vec<u64>,
-    /// The longest delay of the harness itself, counted from the start of the load; none in virtual time.
-    pub longest_stall: Stall,
+    /// The longest delay of the harness itself, counted from the start of the load; `None` in virtual time.
+    pub longest_stall: Option<Stall>,
     /// Instances that crashed, did not become ready or did not end, one line each.
     pub faults: Vec<String>,
 }
@@ -314,12 +314,12 @@
             self.counts.refused_connections, self.counts.no_ready_node, self.counts.resent, self.counts.retries,
             self.counts.p50_ms, self.counts.p99_ms
         )?;
-        if self.longest_stall != Stall::default() {
+        if let Some(stall) = self.longest_stall {
             writeln!(
                 f,
                 "harness: itself late by at most {:.0} ms, {:.2} s after the start of the load",
-                self.longest_stall.length.as_secs_f64() * 1e3,
-                self.longest_stall.ended_at.as_secs_f64()
+                stall.length.as_secs_f64() * 1e3,
+                stall.ended_at.as_secs_f64()
             )?;
         }
         writeln!(
--- a/crates/fleet-harness/src/step_runner.rs
+++ b/crates/fleet-harness/src/step_runner.rs
@@ -73,7 +73,7 @@
 
 impl StepRunner {
     /// Runs one step and returns when it has ended.
-    pub async fn run(self, action: StepAction) {
+    pub async fn run(self: Arc<Self>, action: StepAction) {
         let _lifecycle_guard = self.lock_instance(&action).await;
         match action {
             StepAction::Start(target) => self.start_if_ended(target).await,
--- a/crates/fleet-harness/src/virtually/mod.rs
+++ b/crates/fleet-harness/src/virtually/mod.rs
@@ -986,7 +986,7 @@
             reloads: 0,
             decision_counters: self.decision_counters.into_iter().collect(),
             served_by_class: self.served_by_class,
-            longest_stall: crate::stall_watch::Stall::default(),
+            longest_stall: None,
             faults: Vec::new(),
         }
     }
--- a/crates/test-doubles/src/discovery.rs
+++ b/crates/test-doubles/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: one list of app servers, and one agent per edge node that serves it as a watch. What an agent has
 //! written counts as delivered to the node, and the oracle records when.
 
-use crate::health_report::{HealthReport, ListedServer};
+use crate::health_report::{write_list, ListedServer};
 use crate::wire::HttpConnection;
 use crate::{lock, World};
 use serde_json::json;
@@ -360,16 +360,10 @@
                 let (text, entries) = list.changes_since(from, node, &lock(&self.dials));
                 (text, entries, list.seq)
             };
-            // A first write to a process that has ended would succeed, and its successor count as informed.
-            if connection.is_closed() {
-                return Ok(());
-            }
             if std::mem::take(&mut first) || from != Some(version) {
                 let line = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
-                let report = HealthReport::begin(&self.world, node, listed_servers(&entries));
-                let written = connection.write(line.as_bytes()).await;
-                report.end(written.is_ok());
-                written?;
+                let servers = listed_servers(&entries);
+                write_list(&self.world, node, servers, &mut connection, line.as_bytes()).await?;
                 let now = self.world.now();
                 let mut calls = lock(&self.call_stats);
                 calls.list_bytes += text.len() as u64;
--- a/crates/test-doubles/src/health_report.rs
+++ b/crates/test-doubles/src/health_report.rs
@@ -1,6 +1,8 @@
 //! Records in the oracle what a list tells a node.
 
+use crate::wire::HttpConnection;
 use crate::World;
+use std::io::{self, ErrorKind};
 use std::time::Duration;
 
 /// A server as a list shows it.
@@ -14,10 +16,31 @@
     pub start: Option<u64>,
 }
 
+/// Writes a list that shows these servers to a node, and records in the oracle what it tells the node.
+///
+/// # Errors
+/// The connection has ended.
+pub async fn write_list(
+    world: &World,
+    node: usize,
+    servers: Vec<ListedServer>,
+    connection: &mut HttpConnection,
+    text: &[u8],
+) -> io::Result<()> {
+    // A first write to a process that has ended would succeed, and its successor count as informed.
+    if connection.is_closed() {
+        return Err(ErrorKind::BrokenPipe.into());
+    }
+    let report = HealthReport::begin(world, node, servers);
+    let written = connection.write(text).await;
+    report.end(written.is_ok());
+    written
+}
+
 /// A list that is being written to a node. A node may act on a list once it has read the first bytes, and has to act on
 /// it once it could read the last one. So the servers that it may send to are recorded before the first byte is written,
 /// and those that it must not send to, and the starts of servers, after the last.
-pub struct HealthReport<'a> {
+struct HealthReport<'a> {
     world: &'a World,
     node: usize,
     servers: Vec<ListedServer>,
@@ -26,7 +49,7 @@
 
 impl<'a> HealthReport<'a> {
     /// Records the ready servers. Called before the list is written.
-    pub fn begin(world: &'a World, node: usize, servers: Vec<ListedServer>) -> Self {
+    fn begin(world: &'a World, node: usize, servers: Vec<ListedServer>) -> Self {
         let began_at = world.now();
         for server in servers.iter().filter(|server| server.ready) {
             world
@@ -42,7 +65,7 @@
     }
 
     /// Records the other servers and the starts, or, if writing the list failed, that the node was not informed of the ready ones.
-    pub fn end(self, written: bool) {
+    fn end(self, written: bool) {
         let (now, mut oracle) = (self.world.now(), self.world.oracle());
         for server in &self.servers {
             if written && !server.ready {
--- a/crates/test-doubles/tests/discovery.rs
+++ b/crates/test-doubles/tests/discovery.rs
@@ -84,33 +84,32 @@
     assert!(reads(&mut watch, "ready", PRESENCE));
 }
 
-/// Guards against a drain that is recorded before its line was written, for which a node would be blamed too early.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_drain_is_written_before_it_is_recorded() {
-    let (world, discovery, mut watch) = open_watch("ready").await;
+/// Asserts that the agent writes a change, of which its line contains this text, before it records it.
+async fn assert_written_before_recorded(health: &'static str, change: Entry, text: &str) {
+    let (world, discovery, mut watch) = open_watch(health).await;
     let oracle = world.oracle();
-    discovery.change(vec![entry("draining")]);
+    discovery.change(vec![change]);
     assert!(
-        reads(&mut watch, "draining", PRESENCE),
+        reads(&mut watch, text, PRESENCE),
         "the change waits until it is recorded"
     );
     drop(oracle);
 }
 
+/// Guards against a drain that is recorded before its line was written, for which a node would be blamed too early.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_drain_is_written_before_it_is_recorded() {
+    assert_written_before_recorded("ready", entry("draining"), "draining").await;
+}
+
 /// Guards against a node that counts as informed of a start before the line was written to it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_start_is_written_before_it_is_recorded() {
-    let (world, discovery, mut watch) = open_watch("draining").await;
-    let oracle = world.oracle();
-    discovery.change(vec![Entry {
+    let change = Entry {
         born_ms: 7_777,
         ..entry("gone")
-    }]);
-    assert!(
-        reads(&mut watch, "7777", PRESENCE),
-        "the start waits until it is recorded"
-    );
-    drop(oracle);
+    };
+    assert_written_before_recorded("draining", change, "7777").await;
 }
 
 /// Guards against a node that is blamed for a drain that was written to the connection of its ended process, whose
