--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -11,6 +11,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Edge nodes.
+const NODES: usize = 2;
 const SERVERS: usize = 4;
 const CLIENTS: u64 = 8;
 const DURATION: Duration = Duration::from_secs(60);
@@ -100,29 +102,15 @@
         window_ms: 2000,
         worth: 2.0,
     }];
-    let start = Start {
-        root: &root,
-        folder: &temporary,
-        name: "n0",
-        settings: settings(1, 0, &classes),
-        discovery: discovery.address,
-        known: list_json(1, true, &hosts),
-        peers: Vec::new(),
-        me: 0,
-        operator: None,
-    };
-    let listen = format!("127.0.0.1:{}", free_port()).parse().unwrap();
-    let mut node = Node::start(&start, listen);
-    if !node.wait_ready() {
-        record.say("the node was not ready in 15 s");
-        std::process::exit(COULD_NOT_RUN);
-    }
+    let mut fleet = start_fleet(NODES, &root, &temporary, &classes, &discovery, &hosts, &record);
+    let listen: Vec<SocketAddr> = fleet.iter().map(|node| node.listen).collect();
     let sent: Arc<Mutex<HashMap<String, (usize, u64)>>> = Arc::default();
     let statuses: Arc<Mutex<HashMap<u16, u64>>> = Arc::default();
     let number = Arc::new(AtomicU64::new(0));
     let until = Instant::now() + DURATION;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
+            let listen = listen.clone();
             let (sent, statuses, number, record) = (
                 Arc::clone(&sent),
                 Arc::clone(&statuses),
@@ -132,6 +120,7 @@
             thread::spawn(move || {
                 let mut random = Random(0x5eed + client);
                 let mut connection: Option<TcpStream> = None;
+                let listen = listen[client as usize % NODES];
                 while Instant::now() < until {
                     sleep_ms(random.between(20, 80));
                     let id = format!("{:016x}", 0x9b1f_0000_0000_0000u64 + number.fetch_add(1, Ordering::Relaxed));
@@ -145,8 +134,8 @@
     for client in clients {
         let _ = client.join();
     }
-    let alive = node.runs();
-    drop(node);
+    let alive = fleet.iter_mut().all(Node::runs);
+    drop(fleet);
     let (sent, runs) = (sent.lock().unwrap(), runs.lock().unwrap());
     let mut wrong = 0;
     for (id, server, length, hash) in runs.iter() {
@@ -164,7 +153,7 @@
     let mut statuses: Vec<_> = statuses.lock().unwrap().clone().into_iter().collect();
     statuses.sort_unstable();
     record.say(&format!(
-        "{} requests sent, {} run, {wrong} with another body than sent; answers {statuses:?}; node alive {alive}",
+        "{} requests sent, {} run, {wrong} with another body than sent; answers {statuses:?}; nodes alive {alive}",
         sent.len(),
         runs.len()
     ));
@@ -199,7 +188,7 @@
         hash(&body)
     ));
     let mut bytes = format!(
-        "POST /run-submit/{:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Class: run-submit\r\nX-Tier: cosecha\r\nX-Deadline: 2000m\r\nIdempotency-Key: {id}{id}\r\nX-Call-Terms: units=1,spread=1,first=0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST /run-submit/{:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Class: run-submit\r\nX-Tier: cosecha\r\nX-Deadline: 2000m\r\nIdempotency-Key: {id}{id}\r\nX-Call-Terms: units=1,spread=2,first=0\r\nTransfer-Encoding: chunked\r\n\r\n",
         0xb4d6_5500u64 + client
     )
     .into_bytes();
--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -11,7 +11,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The deployment of the brief: 10 board servers of 2 cores, 160 requests a second, 62% `board-read`.
+/// The deployment of the brief: 2 edge nodes, 10 board servers of 2 cores, 160 requests a second, 62% `board-read`.
+const NODES: usize = 2;
 const SERVERS: usize = 10;
 const CORES: usize = 2;
 const REQUESTS_PER_S: u64 = 160;
@@ -181,23 +182,8 @@
             worth: 2.0,
         },
     ];
-    let start = Start {
-        root: &root,
-        folder: &temporary,
-        name: "n0",
-        settings: settings(1, 0, &classes),
-        discovery: discovery.address,
-        known: list_json(1, true, &hosts),
-        peers: Vec::new(),
-        me: 0,
-        operator: None,
-    };
-    let listen = format!("127.0.0.1:{}", free_port()).parse().unwrap();
-    let mut node = Node::start(&start, listen);
-    if !node.wait_ready() {
-        record.say("the node was not ready in 15 s");
-        std::process::exit(COULD_NOT_RUN);
-    }
+    let mut fleet = start_fleet(NODES, &root, &temporary, &classes, &discovery, &hosts, &record);
+    let listen: Vec<SocketAddr> = fleet.iter().map(|node| node.listen).collect();
     let ends: Arc<Mutex<BTreeMap<(&str, End), usize>>> = Arc::default();
     let mut clients = Vec::new();
     let mut random = Random(0x5eed);
@@ -218,7 +204,7 @@
             (_, false) => ("run-submit", 2000),
             (_, true) => ("run-submit, long body", 2000),
         };
-        let terms = format!("Host: origin.svc\r\nX-Request-Id: {id}\r\nX-Tier: cosecha\r\nX-Deadline: {deadline}m\r\nX-Call-Terms: units=1,spread=1,first=0\r\n");
+        let terms = format!("Host: origin.svc\r\nX-Request-Id: {id}\r\nX-Tier: cosecha\r\nX-Deadline: {deadline}m\r\nX-Call-Terms: units=1,spread=2,first=0\r\n");
         let mut bytes = if read {
             format!("GET /board-read/{customer:016x} HTTP/1.1\r\nX-Class: board-read\r\n{terms}\r\n").into_bytes()
         } else {
@@ -229,6 +215,7 @@
             bytes.resize(bytes.len() + if long { LONG_BYTES } else { SHORT_BYTES }, b'x');
         }
         let (ends, record) = (Arc::clone(&ends), record.clone());
+        let listen = listen[random.next() as usize % NODES];
         clients.push(thread::spawn(move || {
             record.line(&format!("client sends {id}: {kind}, {} bytes, deadline {deadline} ms", bytes.len()));
             match request(listen, &bytes, Duration::from_millis(deadline)) {
@@ -244,15 +231,15 @@
         thread::sleep(Duration::from_secs_f64(-(1.0 - uniform).ln() / REQUESTS_PER_S as f64));
     }
     clients.into_iter().for_each(|client| drop(client.join()));
-    let alive = node.runs();
-    drop(node);
+    let alive = fleet.iter_mut().all(Node::runs);
+    drop(fleet);
     let ends = ends.lock().unwrap();
     for ((kind, end), count) in ends.iter() {
         record.say(&format!("{kind}: {end:?}: {count}"));
     }
     let lost: usize = ends.iter().filter(|((_, end), _)| *end == End::Lost).map(|(_, count)| count).sum();
     let served: usize = ends.iter().filter(|((_, end), _)| *end == End::Answered(200)).map(|(_, count)| count).sum();
-    record.say(&format!("{number} requests, {served} served, {lost} lost; node alive {alive}"));
+    record.say(&format!("{number} requests, {served} served, {lost} lost; nodes alive {alive}"));
     if lost > 0 {
         record.say(&format!("BROKEN: {lost} requests had no final answer by their time and half a second"));
     }
--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -10,9 +10,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Edge nodes.
+const NODES: usize = 2;
 const SERVERS: usize = 4;
 /// Clients that stop in the middle of a request and stay.
 const STOPPED_CLIENTS: usize = 690;
+/// One of them comes after the other.
+const STOPPED_EVERY: Duration = Duration::from_millis(5);
 const SENT_BYTES: usize = 70_000;
 const LENGTH: usize = 200_000;
 /// Requests of the other clients: one each 50 ms, each on a new connection.
@@ -66,7 +70,7 @@
     let exchange = || -> io::Result<End> {
         let mut stream = TcpStream::connect_timeout(&listen, DEADLINE)?;
         let text = format!(
-            "GET /board-read/{customer:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Class: board-read\r\nX-Tier: cosecha\r\nX-Deadline: 3000m\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n"
+            "GET /board-read/{customer:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Class: board-read\r\nX-Tier: cosecha\r\nX-Deadline: 3000m\r\nX-Call-Terms: units=1,spread=2,first=0\r\n\r\n"
         );
         stream.write_all(text.as_bytes())?;
         let sent = Instant::now();
@@ -100,7 +104,7 @@
 fn stopped_client(listen: SocketAddr, number: usize) -> Option<Duration> {
     let mut stream = TcpStream::connect(listen).ok()?;
     let mut bytes = format!(
-        "POST /run-submit/{:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: stopped{number}\r\nX-Class: run-submit\r\nX-Tier: cosecha\r\nX-Deadline: 2000m\r\nIdempotency-Key: stopped{number}\r\nX-Call-Terms: units=1,spread=1,first=0\r\nContent-Length: {LENGTH}\r\n\r\n",
+        "POST /run-submit/{:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: stopped{number}\r\nX-Class: run-submit\r\nX-Tier: cosecha\r\nX-Deadline: 2000m\r\nIdempotency-Key: stopped{number}\r\nX-Call-Terms: units=1,spread=2,first=0\r\nContent-Length: {LENGTH}\r\n\r\n",
         0x1000 + number % 50
     )
     .into_bytes();
@@ -141,23 +145,9 @@
         class("board-read", 3000, "read_like", "all"),
         class("run-submit", 2000, "idempotency_key", "cell"),
     ];
-    let start = Start {
-        root: &root,
-        folder: &temporary,
-        name: "n0",
-        settings: settings(1, 0, &classes),
-        discovery: discovery.address,
-        known: list_json(1, true, &hosts),
-        peers: Vec::new(),
-        me: 0,
-        operator: None,
-    };
-    let listen = format!("127.0.0.1:{}", free_port()).parse().unwrap();
-    let mut node = Node::start(&start, listen);
-    if !node.wait_ready() {
-        record.say("the node was not ready in 15 s");
-        std::process::exit(COULD_NOT_RUN);
-    }
+    let mut fleet = start_fleet(NODES, &root, &temporary, &classes, &discovery, &hosts, &record);
+    // All clients of this case come through the first node.
+    let listen = fleet[0].listen;
     let ends: Arc<Mutex<BTreeMap<End, usize>>> = Arc::default();
     let stopped: Arc<Mutex<Vec<Option<Duration>>>> = Arc::default();
     let mut stopped_clients = Vec::new();
@@ -166,13 +156,20 @@
         // After 2 s of service the clients come that stop.
         if number == 40 && trouble() {
             record.line(&format!("{STOPPED_CLIENTS} clients begin to come, each sends {SENT_BYTES} of {LENGTH} bytes and stays"));
-            for client in 0..STOPPED_CLIENTS {
-                let stopped = Arc::clone(&stopped);
-                stopped_clients.push(thread::spawn(move || {
-                    let end = stopped_client(listen, client);
-                    stopped.lock().unwrap().push(end);
-                }));
-            }
+            let stopped = Arc::clone(&stopped);
+            stopped_clients.push(thread::spawn(move || {
+                let clients: Vec<_> = (0..STOPPED_CLIENTS)
+                    .map(|client| {
+                        thread::sleep(STOPPED_EVERY);
+                        let stopped = Arc::clone(&stopped);
+                        thread::spawn(move || {
+                            let end = stopped_client(listen, client);
+                            stopped.lock().unwrap().push(end);
+                        })
+                    })
+                    .collect();
+                clients.into_iter().for_each(|client| drop(client.join()));
+            }));
         }
         let (ends, record) = (Arc::clone(&ends), record.clone());
         clients.push(thread::spawn(move || {
@@ -186,8 +183,8 @@
     }
     clients.into_iter().for_each(|client| drop(client.join()));
     stopped_clients.into_iter().for_each(|client| drop(client.join()));
-    let alive = node.runs();
-    drop(node);
+    let alive = fleet.iter_mut().all(Node::runs);
+    drop(fleet);
     let stopped = stopped.lock().unwrap();
     let in_time = stopped.iter().flatten().filter(|after| **after <= Duration::from_millis(3050)).count();
     let stayed = stopped.iter().filter(|end| end.is_none()).count();
@@ -200,7 +197,7 @@
     let ends = ends.lock().unwrap();
     let lost = ends.get(&End::Lost).copied().unwrap_or(0);
     let served = ends.get(&End::Answered(200)).copied().unwrap_or(0);
-    record.say(&format!("{REQUESTS} requests: {ends:?}; node alive {alive}"));
+    record.say(&format!("{REQUESTS} requests: {ends:?}; nodes alive {alive}"));
     if lost > 0 {
         record.say(&format!("BROKEN: {lost} requests had neither an answer nor the end of their connection by their deadline and half a second"));
     }
--- a/review/common.rs
+++ b/review/common.rs
@@ -543,3 +543,50 @@
 pub fn trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
+
+/// Ports for datagrams that were free a moment ago, as addresses.
+pub fn peer_addresses(nodes: usize) -> Vec<SocketAddr> {
+    let sockets: Vec<_> = (0..nodes)
+        .map(|_| std::net::UdpSocket::bind("127.0.0.1:0").expect("a free port for datagrams"))
+        .collect();
+    sockets
+        .iter()
+        .map(|socket| socket.local_addr().expect("its address"))
+        .collect()
+}
+
+/// Starts a fleet of nodes that may send each other datagrams, and waits until all are ready.
+pub fn start_fleet(
+    nodes: usize,
+    root: &Path,
+    temporary: &Path,
+    classes: &[Class],
+    discovery: &Discovery,
+    hosts: &[Host],
+    record: &Record,
+) -> Vec<Node> {
+    let peers = peer_addresses(nodes);
+    let mut fleet: Vec<Node> = (0..nodes)
+        .map(|me| {
+            let name = format!("n{me}");
+            let start = Start {
+                root,
+                folder: temporary,
+                name: &name,
+                settings: settings(nodes, me, classes),
+                discovery: discovery.address,
+                known: list_json(1, true, hosts),
+                peers: peers.clone(),
+                me,
+                operator: None,
+            };
+            Node::start(&start, SocketAddr::from(([127, 0, 0, 1], free_port())))
+        })
+        .collect();
+    if !fleet.iter_mut().all(Node::wait_ready) {
+        record.say("a node was not ready in 15 s");
+        drop(fleet);
+        std::process::exit(COULD_NOT_RUN);
+    }
+    fleet
+}
