--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -23,7 +23,7 @@
 type Runs = Arc<Mutex<Vec<(String, usize, usize, u64)>>>;
 
 /// An app server that answers each complete request. With `closes` it closes each connection that has been idle for a
-/// time drawn between 20 and 60 ms; otherwise it keeps them.
+/// time drawn between 20 and 60 ms after an answer; otherwise once it has been idle for the time in the settings.
 fn app_server(number: usize, closes: bool, runs: Runs, record: Record) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("an app server binds");
     let address = listener.local_addr().expect("its address");
@@ -50,11 +50,11 @@
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::with_capacity(64 * 1024, stream);
+    let mut idle = CONNECTION_IDLE;
     loop {
-        let Some(head) = read_head(&mut reader)? else {
+        let Some(head) = next_request(&mut reader, Some(idle))? else {
             return Ok(());
         };
-        reader.get_ref().set_read_timeout(None)?;
         let id = head.header("x-request-id").to_owned();
         if head.path().starts_with("/-/") {
             write_response(&mut writer, "200 OK", "", b"inflight=0,queue=0")?;
@@ -71,8 +71,7 @@
             write_response(&mut writer, "200 OK", "", format!("done {id}").as_bytes())?;
         }
         if closes {
-            let idle = Duration::from_micros(random.between(20_000, 60_000));
-            reader.get_ref().set_read_timeout(Some(idle))?;
+            idle = Duration::from_micros(random.between(20_000, 60_000));
         }
     }
 }
@@ -217,13 +216,21 @@
                 }
                 return status;
             }
-            _ if reused => {}
+            // Ended before the first byte of an answer.
+            Ok(None) if reused => {}
+            Err(error) if reused && is_end(&error) => {}
             _ => return 0,
         }
     }
     0
 }
 
+/// Whether the error says that the connection has ended. A time-out does not.
+fn is_end(error: &io::Error) -> bool {
+    use io::ErrorKind::{BrokenPipe, ConnectionAborted, ConnectionReset};
+    matches!(error.kind(), BrokenPipe | ConnectionAborted | ConnectionReset)
+}
+
 fn exchange(mut stream: &TcpStream, bytes: &[u8]) -> io::Result<Option<(u16, bool)>> {
     stream.write_all(bytes)?;
     let mut reader = BufReader::new(stream);
--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -16,7 +16,9 @@
 const SERVERS: usize = 10;
 const CORES: usize = 2;
 const REQUESTS_PER_S: u64 = 160;
-/// Requests that an app server holds beside those that its cores work on; it turns further ones away.
+/// Requests that an app server works on at once: 4 for each core, of the site's 4 to 12.
+const SLOTS: usize = 4 * CORES;
+/// Requests that wait at an app server: 20 for each core, of the site's 8.1 to 40. It turns further ones away.
 const QUEUE: usize = 40;
 const READ_WORK_MS: u64 = 110;
 const SUBMIT_WORK_MS: u64 = 66;
@@ -33,11 +35,11 @@
 /// time limit is longer on sockets.
 const GRACE: Duration = Duration::from_millis(550);
 
-/// An app server: its cores work on one request each, others wait in their order.
+/// An app server: works on up to `SLOTS` requests at once, which share its cores; others wait.
 struct AppServer {
     number: usize,
     held: AtomicUsize,
-    free: Mutex<usize>,
+    active: Mutex<usize>,
     freed: Condvar,
     slow: Arc<AtomicBool>,
 }
@@ -45,19 +47,28 @@
 impl AppServer {
     /// Works on a request; `false` if it is turned away.
     fn work(&self, ms: u64) -> bool {
-        if self.held.fetch_add(1, Ordering::SeqCst) >= CORES + QUEUE {
+        if self.held.fetch_add(1, Ordering::SeqCst) >= SLOTS + QUEUE {
             self.held.fetch_sub(1, Ordering::SeqCst);
             return false;
         }
-        let mut free = self.free.lock().unwrap();
-        while *free == 0 {
-            free = self.freed.wait(free).unwrap();
+        let mut active = self.active.lock().unwrap();
+        while *active >= SLOTS {
+            active = self.freed.wait(active).unwrap();
         }
-        *free -= 1;
-        drop(free);
-        let factor = if self.slow.load(Ordering::Relaxed) { SLOWER } else { 1.0 };
-        thread::sleep(Duration::from_millis(ms).mul_f64(factor));
-        *self.free.lock().unwrap() += 1;
+        *active += 1;
+        drop(active);
+        let mut left = ms as f64 / 1e3;
+        let mut last = Instant::now();
+        while left > 0.0 {
+            thread::sleep(Duration::from_millis(4));
+            let now = Instant::now();
+            let active = *self.active.lock().unwrap();
+            let share = (CORES as f64 / active as f64).min(1.0);
+            let factor = if self.slow.load(Ordering::Relaxed) { SLOWER } else { 1.0 };
+            left -= now.duration_since(last).as_secs_f64() * share / factor;
+            last = now;
+        }
+        *self.active.lock().unwrap() -= 1;
         self.freed.notify_one();
         self.held.fetch_sub(1, Ordering::SeqCst);
         true
@@ -70,7 +81,7 @@
     let server = Arc::new(AppServer {
         number,
         held: AtomicUsize::new(0),
-        free: Mutex::new(CORES),
+        active: Mutex::new(0),
         freed: Condvar::new(),
         slow,
     });
@@ -89,11 +100,11 @@
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
-    while let Some(head) = read_head(&mut reader)? {
+    while let Some(head) = next_request(&mut reader, Some(CONNECTION_IDLE))? {
         read_body(&mut reader, &head)?;
         if head.path().starts_with("/-/") {
             let held = server.held.load(Ordering::SeqCst);
-            let report = format!("inflight={held},queue={}", held.saturating_sub(CORES));
+            let report = format!("inflight={held},queue={}", held.saturating_sub(SLOTS));
             write_response(&mut writer, "200 OK", "", report.as_bytes())?;
             continue;
         }
--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -42,10 +42,9 @@
 
 fn serve(number: usize, stream: TcpStream, record: &Record) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(Duration::from_secs(60)))?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
-    while let Some(head) = read_head(&mut reader)? {
+    while let Some(head) = next_request(&mut reader, Some(CONNECTION_IDLE))? {
         read_body(&mut reader, &head)?;
         if !head.path().starts_with("/-/") {
             record.line(&format!("server {number} runs {}", head.header("x-request-id")));
--- a/review/common.rs
+++ b/review/common.rs
@@ -146,6 +146,28 @@
     }
 }
 
+/// The time in the settings (`ceilings.connIdleUs`) after which an app server closes an idle connection at the latest.
+pub const CONNECTION_IDLE: Duration = Duration::from_secs(15);
+
+/// Waits for the next request on an app server's connection. The connection counts as idle until the first byte of the
+/// request, and is closed (`None`) once it has been so for `idle`; `None` sets no limit. From the first byte on there is none.
+pub fn next_request(
+    reader: &mut BufReader<TcpStream>,
+    idle: Option<Duration>,
+) -> io::Result<Option<Head>> {
+    reader.get_ref().set_read_timeout(idle)?;
+    match reader.fill_buf() {
+        Ok([]) => return Ok(None),
+        Ok(_) => {}
+        Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+            return Ok(None);
+        }
+        Err(error) => return Err(error),
+    }
+    reader.get_ref().set_read_timeout(None)?;
+    read_head(reader)
+}
+
 /// Reads a body as its head frames it. An error means that the body did not come whole.
 pub fn read_body(reader: &mut impl BufRead, head: &Head) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
