Send a streamed body from its first byte when an attempt starts again

Cause: the HTTP client takes parts of a body before it writes the first byte. When the kept connection had ended by then, the exchange started the attempt again on another one, and the body gave each part away only once.

Change: crates/request-body, without I/O, owns the state of a streamed body: what was received and what an attempt has taken. What was taken is kept until the exchange permits the first byte. The client's connection fills it, up to 64 KiB; an attempt takes from it. The last part is released only after the first byte was permitted.

--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -4,25 +4,24 @@
 mod request;
 mod response;
 
-pub use request::StreamedRequestBody;
+pub use request::{AttemptBody, StreamedRequestBody};
 pub use response::StreamedResponseBody;
+pub use saffronpaddle_request_body::MAX_BODY_BYTES;
 
 use crate::downstream::BusyGuard;
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use saffronpaddle_request_body::MAX_BUFFERED_BYTES;
 use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// Maximum number of bytes of a request or response body that is buffered completely. Up to this size a request can be
 /// retried, and a response is forwarded only once it is complete.
-pub const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
-/// Maximum number of bytes of a streamed body. Stops bodies without an end.
-pub const MAX_BODY_BYTES: u64 = 40 << 20;
+pub const MAX_BUFFERED_BODY_BYTES: usize = MAX_BUFFERED_BYTES;
 /// How long a streamed body may make no progress. A peer that vanished without closing would otherwise hold a
 /// connection on either side forever.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -49,7 +48,17 @@
     /// Buffered completely.
     Buffered(Full<Bytes>),
     /// Streamed as it is received.
-    Streamed(Rc<StreamedRequestBody>),
+    Streamed(AttemptBody),
+}
+
+impl UpstreamRequestBody {
+    /// The body if it is streamed.
+    pub fn streamed(&self) -> Option<&AttemptBody> {
+        match self {
+            UpstreamRequestBody::Buffered(_) => None,
+            UpstreamRequestBody::Streamed(body) => Some(body),
+        }
+    }
 }
 
 impl Body for UpstreamRequestBody {
@@ -76,7 +85,7 @@
         match self {
             UpstreamRequestBody::Buffered(full) => full.size_hint(),
             UpstreamRequestBody::Streamed(body) => {
-                body.size.map_or_else(SizeHint::new, SizeHint::with_exact)
+                body.size().map_or_else(SizeHint::new, SizeHint::with_exact)
             }
         }
     }
--- a/crates/node/src/bodies/request.rs
+++ b/crates/node/src/bodies/request.rs
@@ -1,20 +1,23 @@
 //! A request body that is streamed from its client to a server.
 
-use super::{PolledFrame, MAX_BODY_BYTES, STALL_TIMEOUT};
+use super::{PolledFrame, STALL_TIMEOUT};
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
 use saffronpaddle_exchange::Ticket;
 use saffronpaddle_netio::timeout;
+use saffronpaddle_request_body::{AttemptNumber, Next, RequestBody};
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::io;
-use std::pin::Pin;
-use std::task::{ready, Context, Poll, Waker};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::sync::Notify;
+use tracing::debug;
 
-/// A request body that is forwarded while it is being received. Its last chunk is held back until the exchange releases
+/// A request body that is forwarded while it is being received. Its last part is held back until the exchange releases
 /// it.
 pub struct StreamedRequestBody {
-    /// Called once, when the body has been received completely and its last chunk is held back. The body may outlive
+    /// Called once, when the body has been received completely and its last part is held back. The body may outlive
     /// the event loop of its node.
     on_complete: Box<dyn Fn(Ticket)>,
     /// The exchange's ticket of the request.
@@ -22,81 +25,30 @@
     /// Size in bytes, if the client declared it.
     pub(super) size: Option<u64>,
     completion_reported: Cell<bool>,
-    released: Cell<bool>,
-    /// Wakes the task that waits for the release of the last chunk.
-    release_waker: RefCell<Option<Waker>>,
-    state: RefCell<RequestBodyState>,
-}
-
-struct RequestBodyState {
-    /// Chunks that were buffered before streaming began.
-    received: VecDeque<Bytes>,
-    rest: Incoming,
-    /// The latest chunk, held back because it may be the last.
-    held_back: Option<Bytes>,
-    /// Nothing more is read; the body is complete, failed or was drained.
-    ended: bool,
-    failed: bool,
-    /// Bytes received so far.
-    bytes: u64,
-}
-
-impl RequestBodyState {
-    /// Returns the next chunk; `None` at the end.
-    fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
-        if let Some(chunk) = self.received.pop_front() {
-            return Poll::Ready(Some(Ok(chunk)));
-        }
-        loop {
-            let frame = match ready!(Pin::new(&mut self.rest).poll_frame(context)) {
-                Some(Ok(frame)) => frame,
-                Some(Err(error)) => return Poll::Ready(Some(Err(io::Error::other(error)))),
-                None => return Poll::Ready(None),
-            };
-            // Trailers are not forwarded.
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            self.bytes += data.len() as u64;
-            if self.bytes > MAX_BODY_BYTES {
-                return Poll::Ready(Some(Err(io::Error::other("the body is too large"))));
-            }
-            if !data.is_empty() {
-                return Poll::Ready(Some(Ok(data)));
-            }
-        }
-    }
-
-    fn fail(&mut self) {
-        (self.ended, self.failed, self.held_back) = (true, true, None);
-        self.received.clear();
-    }
+    state: RefCell<RequestBody>,
+    /// Wakes the connection of the current attempt.
+    attempt_waker: RefCell<Option<Waker>>,
+    /// Notified when an attempt may have made room, or when the rest is not needed.
+    room: Notify,
 }
 
 impl StreamedRequestBody {
     /// Creates a body of `size` bytes (`None` if unknown), of which the chunks in `received` have arrived.
-    pub fn new(
+    pub fn new<'a>(
         on_complete: Box<dyn Fn(Ticket)>,
         size: Option<u64>,
-        received: VecDeque<Bytes>,
-        rest: Incoming,
+        received: impl IntoIterator<Item = &'a Bytes>,
     ) -> StreamedRequestBody {
-        let bytes = received.iter().map(|chunk| chunk.len() as u64).sum();
+        let mut state = RequestBody::default();
+        received.into_iter().for_each(|chunk| state.push(chunk));
         StreamedRequestBody {
             on_complete,
             ticket: Cell::new(None),
             size,
             completion_reported: Cell::new(false),
-            released: Cell::new(false),
-            release_waker: RefCell::default(),
-            state: RefCell::new(RequestBodyState {
-                received,
-                rest,
-                held_back: None,
-                ended: false,
-                failed: false,
-                bytes,
-            }),
+            state: RefCell::new(state),
+            attempt_waker: RefCell::default(),
+            room: Notify::new(),
         }
     }
 
@@ -105,69 +57,144 @@
         self.ticket.set(Some(ticket));
     }
 
-    /// Allows the last chunk to be sent.
+    /// Receives the body until its end, as attempts make room or the answer makes the rest superfluous. If the future
+    /// is dropped before the end, the body fails.
+    pub async fn receive(&self, mut rest: Incoming) {
+        let _fail_guard = FailGuard(self);
+        while self.state.borrow().is_receiving() {
+            if !self.state.borrow().has_room() {
+                self.room.notified().await;
+                continue;
+            }
+            match Self::next_frame(&mut rest).await {
+                // Trailers are not forwarded.
+                Some(Ok(frame)) => self.push(frame.data_ref()),
+                Some(Err(_)) => self.state.borrow_mut().fail(),
+                None => self.state.borrow_mut().complete(),
+            }
+            self.wake_attempt();
+        }
+    }
+
+    /// The next frame from the client; an error if it doesn't come, and `None` at the end.
+    async fn next_frame(rest: &mut Incoming) -> Option<Result<Frame<Bytes>, io::Error>> {
+        match timeout(STALL_TIMEOUT, rest.frame()).await {
+            Ok(frame) => frame.map(|frame| frame.map_err(io::Error::other)),
+            Err(elapsed) => Some(Err(io::Error::other(elapsed))),
+        }
+    }
+
+    fn push(&self, data: Option<&Bytes>) {
+        let Some(data) = data else { return };
+        self.state.borrow_mut().push(data);
+        if !self.state.borrow().is_receiving() {
+            debug!("the body is too large");
+        }
+    }
+
+    /// Ends the forwarding: the request has its answer. The rest is received, so that the client has written everything
+    /// before it gets the answer.
+    pub fn discard_rest(&self) {
+        self.state.borrow_mut().discard();
+        self.room.notify_one();
+        self.wake_attempt();
+    }
+
+    fn wake_attempt(&self) {
+        let waker = self.attempt_waker.borrow_mut().take();
+        waker.into_iter().for_each(Waker::wake);
+    }
+
+    /// Starts an attempt, which gets the body from its first byte.
+    pub fn start_attempt(self: &Rc<Self>) -> AttemptBody {
+        let pieces_kept = self.state.borrow().pieces_kept();
+        if pieces_kept > 0 {
+            debug!(
+                pieces = pieces_kept,
+                "streamed body starts again: an attempt ended before its first byte"
+            );
+        }
+        let number = self.state.borrow_mut().start_attempt();
+        let body = Rc::clone(self);
+        AttemptBody { body, number }
+    }
+
+    /// Reports to the exchange, once, that the body is complete.
+    fn report_completion(&self) {
+        if self.completion_reported.replace(true) {
+            return;
+        }
+        if let Some(ticket) = self.ticket.get() {
+            (self.on_complete)(ticket);
+        }
+    }
+}
+
+/// Fails a body that its client is no longer able to complete.
+struct FailGuard<'a>(&'a StreamedRequestBody);
+
+impl Drop for FailGuard<'_> {
+    fn drop(&mut self) {
+        if self.0.state.borrow().is_receiving() {
+            self.0.state.borrow_mut().fail();
+            self.0.wake_attempt();
+        }
+    }
+}
+
+/// A streamed body as one attempt sends it.
+#[derive(Clone)]
+pub struct AttemptBody {
+    body: Rc<StreamedRequestBody>,
+    number: AttemptNumber,
+}
+
+impl AttemptBody {
+    /// Size in bytes, if the client declared it.
+    pub(super) fn size(&self) -> Option<u64> {
+        self.body.size
+    }
+
+    /// Records that the first byte of the attempt may be written. From then on no other attempt gets the body.
+    pub fn commit(&self) {
+        self.body.state.borrow_mut().commit(self.number);
+        self.body.room.notify_one();
+        self.body.wake_attempt();
+    }
+
+    /// Allows the last part to be sent.
     pub fn release(&self) {
-        self.released.set(true);
-        self.release_waker
-            .borrow_mut()
-            .take()
-            .into_iter()
-            .for_each(Waker::wake);
+        self.body.state.borrow_mut().release(self.number);
+        self.body.wake_attempt();
     }
 
     pub(super) fn is_end_stream(&self) -> bool {
-        let state = self.state.borrow();
-        state.ended && state.held_back.is_none() && !state.failed
+        self.body.state.borrow().is_taken(self.number)
     }
 
-    /// Polls for the next frame. Is pending before the last chunk until that is released.
+    /// Polls for the next frame. Is pending before the last part until that is released.
     pub(super) fn poll(&self, context: &mut Context<'_>) -> PolledFrame {
-        loop {
-            let mut state = self.state.borrow_mut();
-            if state.failed {
-                return Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())));
-            }
-            if state.ended {
-                if state.held_back.is_none() {
-                    return Poll::Ready(None);
-                }
-                if self.released.get() {
-                    return Poll::Ready(state.held_back.take().map(|chunk| Ok(Frame::data(chunk))));
-                }
-                *self.release_waker.borrow_mut() = Some(context.waker().clone());
-                drop(state);
-                if self.completion_reported.replace(true) {
-                    return Poll::Pending;
-                }
-                let Some(ticket) = self.ticket.get() else {
-                    return Poll::Pending;
-                };
-                (self.on_complete)(ticket);
-                if !self.released.get() {
-                    return Poll::Pending;
-                }
-                continue;
+        let mut next = self.next();
+        if next == Next::HeldBack {
+            // The exchange may release the last part at once.
+            self.body.report_completion();
+            next = self.next();
+        }
+        match next {
+            Next::Piece(piece) => {
+                self.body.room.notify_one();
+                Poll::Ready(Some(Ok(Frame::data(piece))))
             }
-            match ready!(state.poll_next(context)) {
-                Some(Ok(chunk)) => {
-                    if let Some(previous) = state.held_back.replace(chunk) {
-                        return Poll::Ready(Some(Ok(Frame::data(previous))));
-                    }
-                }
-                Some(Err(_)) => state.fail(),
-                None => state.ended = true,
+            Next::Pending | Next::HeldBack => {
+                *self.body.attempt_waker.borrow_mut() = Some(context.waker().clone());
+                Poll::Pending
             }
+            Next::End => Poll::Ready(None),
+            Next::Failed => Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into()))),
         }
     }
 
-    /// Reads and discards the rest, so that the client has written everything before it gets the response. From then on
-    /// the rest is not forwarded.
-    pub async fn drain(&self) {
-        let next = || std::future::poll_fn(|context| self.state.borrow_mut().poll_next(context));
-        while !self.state.borrow().ended {
-            if !matches!(timeout(STALL_TIMEOUT, next()).await, Ok(Some(Ok(_)))) {
-                self.state.borrow_mut().ended = true;
-            }
-        }
+    fn next(&self) -> Next {
+        self.body.state.borrow_mut().next(self.number)
     }
 }
--- a/crates/node/src/clients/respond.rs
+++ b/crates/node/src/clients/respond.rs
@@ -145,24 +145,25 @@
         request_head.class,
         request_head.timeout.saturating_sub(DELIVERY_MARGIN),
     );
-    let (body, streamed) = match body {
+    let (body, rest) = match body {
         (Ok(body), _) => (body, None),
         (Err((received, rest)), size) => (Bytes::new(), Some((received, rest, size))),
     };
     let (mut event, mut forward) = request_head.into_arrival(head, body, downstream);
-    let streamed = streamed.map(|(received, rest, size)| {
-        let on_complete = node.report_body_complete(forward.id.clone(), timeout);
-        let body = StreamedRequestBody::new(Box::new(on_complete), size, received, rest);
-        Rc::new(body)
-    });
-    if let Some(body) = &streamed {
-        stream_body(&mut event, &mut forward, Rc::clone(body));
-    }
-    let answer = submit(node, event, forward).await;
-    if let Some(body) = &streamed {
-        // A client that is still writing when the connection closes would lose its response, so the rest is read first.
-        body.drain().await;
-    }
+    let answer = match rest {
+        None => submit(node, event, forward).await,
+        Some((received, rest, size)) => {
+            let on_complete = node.report_body_complete(forward.id.clone(), timeout);
+            let body = Rc::new(StreamedRequestBody::new(
+                Box::new(on_complete),
+                size,
+                &received,
+            ));
+            drop(received);
+            stream_body(&mut event, &mut forward, Rc::clone(&body));
+            submit_streamed(node, event, forward, &body, rest).await
+        }
+    };
     if let Some(answer) = answer {
         return reply(answer);
     }
@@ -170,6 +171,24 @@
     duplicate_id()
 }
 
+/// Submits a request whose body is being received, and waits for its final answer and the end of the body. A client that
+/// is still writing when the connection closes would lose its response.
+async fn submit_streamed(
+    node: &Rc<Node>,
+    event: Event,
+    forward: Forward,
+    body: &StreamedRequestBody,
+    rest: Incoming,
+) -> Option<Answer> {
+    let answered = async {
+        let answer = submit(node, event, forward).await;
+        body.discard_rest();
+        answer
+    };
+    let (answer, ()) = tokio::join!(answered, body.receive(rest));
+    answer
+}
+
 /// Has a request forwarded while its body is being received. The client's timeout starts with the last byte.
 fn stream_body(event: &mut Event, forward: &mut Forward, body: Rc<StreamedRequestBody>) {
     forward.body = ForwardBody::Streamed(body);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -37,7 +37,7 @@
 pub enum ForwardBody {
     /// Received completely; a retry can send it again.
     Buffered(Bytes),
-    /// Streamed while it is received; it can be sent only once.
+    /// Streamed while it is received; once a byte of it was written, no other attempt can send it.
     Streamed(Rc<StreamedRequestBody>),
 }
 
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -4,12 +4,13 @@
 mod gate;
 
 use crate::answer::Payload;
-use crate::bodies::{StreamedRequestBody, StreamedResponseBody, UpstreamRequestBody};
-use crate::forward::Forward;
+use crate::bodies::{AttemptBody, StreamedResponseBody, UpstreamRequestBody};
+use crate::forward::{Forward, ForwardBody};
 use crate::upstream_events::UpstreamEvents;
 use attempt::{AttemptOutcome, Target};
 use bytes::Bytes;
 use gate::{Gate, GatedStream};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -39,7 +40,7 @@
     /// Task that writes a request and reads its response.
     attempt: Option<AbortHandle>,
     /// The request body that is being streamed on the connection.
-    streamed_body: Option<Rc<StreamedRequestBody>>,
+    streamed_body: Option<AttemptBody>,
     /// The request that was last prepared on the connection.
     forward: Option<Rc<Forward>>,
     /// Whether bytes may be written. Reset for each request, because the exchange decides on its first byte.
@@ -88,7 +89,7 @@
             .borrow()
             .get(&connection)
             .and_then(|upstream| upstream.streamed_body.clone());
-        body.into_iter().for_each(|body| body.release());
+        body.iter().for_each(AttemptBody::release);
     }
 
     /// Opens a connection. `owner_number` is the registration number of `events`.
@@ -135,13 +136,17 @@
             return;
         };
         upstream.writes_allowed.store(false, Ordering::Relaxed);
-        upstream.streamed_body = forward.streamed_body().cloned();
+        let body = match &forward.body {
+            ForwardBody::Buffered(bytes) => UpstreamRequestBody::Buffered(Full::new(bytes.clone())),
+            ForwardBody::Streamed(body) => UpstreamRequestBody::Streamed(body.start_attempt()),
+        };
+        upstream.streamed_body = body.streamed().cloned();
         upstream.forward = Some(Rc::clone(&forward));
         let (this, address) = (Rc::clone(self), upstream.address);
         let task = tokio::task::spawn_local(async move {
             let time_left = events.time_left(&forward);
             let target = Target { server, address };
-            let outcome = attempt::run(&mut sender, &forward, time_left, target).await;
+            let outcome = attempt::run(&mut sender, &forward, body, time_left, target).await;
             this.finish(events, connection, sender, outcome);
         });
         upstream.attempt = Some(task.abort_handle());
@@ -232,9 +237,14 @@
 
     /// Allows bytes to be written on a connection.
     pub fn allow_writes(&self, connection: ConnectionId) {
-        if let Some(upstream) = self.connections.borrow().get(&connection) {
-            upstream.writes_allowed.store(true, Ordering::Relaxed);
-        }
+        let body = match self.connections.borrow().get(&connection) {
+            Some(upstream) => {
+                upstream.writes_allowed.store(true, Ordering::Relaxed);
+                upstream.streamed_body.clone()
+            }
+            None => None,
+        };
+        body.iter().for_each(AttemptBody::commit);
     }
 
     /// Closes a connection, even during an attempt, and reports [`Event::Closed`] once its socket is closed.
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -5,10 +5,10 @@
 use crate::bodies::{
     concatenate, ReadBody, UpstreamRequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES,
 };
-use crate::forward::{Forward, ForwardBody};
+use crate::forward::Forward;
 use crate::websocket::UpgradedConnection;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{
@@ -21,7 +21,6 @@
 use saffronpaddle_websocket::upgrade::{verify, Offer, VERSION};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -51,10 +50,12 @@
 pub(super) async fn run(
     sender: &mut SendRequest<UpstreamRequestBody>,
     forward: &Forward,
+    body: UpstreamRequestBody,
     time_left: Duration,
     target: Target,
 ) -> AttemptOutcome {
-    let Some(response) = send_request_head(sender, forward, time_left, target.address).await else {
+    let sent = send_request(sender, forward, body, time_left, target.address).await;
+    let Some(response) = sent else {
         return AttemptOutcome::Lost;
     };
     let (status, outcome) = (response.status(), outcome_of(&response));
@@ -147,9 +148,10 @@
 }
 
 /// Writes the request and reads the head of its response; `None` if either fails.
-async fn send_request_head(
+async fn send_request(
     sender: &mut SendRequest<UpstreamRequestBody>,
     forward: &Forward,
+    body: UpstreamRequestBody,
     time_left: Duration,
     address: SocketAddr,
 ) -> Option<Response<Incoming>> {
@@ -179,10 +181,6 @@
                 .fold(request, |request, value| request.header(&name, value));
         }
     }
-    let body = match &forward.body {
-        ForwardBody::Buffered(bytes) => UpstreamRequestBody::Buffered(Full::new(bytes.clone())),
-        ForwardBody::Streamed(body) => UpstreamRequestBody::Streamed(Rc::clone(body)),
-    };
     let request = request.body(body).ok()?;
     sender.ready().await.ok()?;
     sender.send_request(request).await.ok()
--- a/crates/saffronpaddle/tests/shim/failing_calls.c
+++ b/crates/saffronpaddle/tests/shim/failing_calls.c
@@ -9,7 +9,8 @@
  * HELD_EPOLL_MS holds the process for that long each time that `epoll_wait` returns, without a wait, as a thread that is
  * preempted then. STOPPED_SEND is the path of a file: once it exists, the process stops itself
  * by SIGSTOP after the next `send`, in the middle of an iteration of its event loop. With STOPPED_EPOLL, it does so once
- * more as the next call of `epoll_wait` returns. */
+ * more as the next call of `epoll_wait` returns. STOPPED_PEEK is such a file, too: the process stops itself before the
+ * next `recv` that only peeks, as between the choice of a connection and the last check of it. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -29,8 +30,8 @@
 static int64_t begins_ms;
 static int unix_too;
 static int64_t held_epoll_ms;
-static const char *stop_file;
-static int stops_epoll, was_stopped;
+static const char *stop_file, *peek_stop_file;
+static int stops_epoll, was_stopped, was_stopped_at_peek;
 enum { ACCEPT, CONNECT, SOCKET, RECV, SEND, SHORT };
 static const char *names[6] = {"accept", "connect", "socket", "recv", "send", "short"};
 
@@ -47,6 +48,7 @@
     unix_too = getenv("FAILING_UNIX") != NULL;
     held_epoll_ms = getenv("HELD_EPOLL_MS") ? atoll(getenv("HELD_EPOLL_MS")) : 0;
     stop_file = getenv("STOPPED_SEND");
+    peek_stop_file = getenv("STOPPED_PEEK");
     stops_epoll = getenv("STOPPED_EPOLL") != NULL;
     for (int call = 0; plan && call < 6; call++) {
         const char *found = strstr(plan, names[call]);
@@ -123,8 +125,16 @@
     return 1;
 }
 
+static void stop_before_peek(int flags) {
+    if (!(flags & MSG_PEEK) || !peek_stop_file || was_stopped_at_peek) return;
+    if (access(peek_stop_file, F_OK) != 0) return;
+    was_stopped_at_peek = 1;
+    raise(SIGSTOP);
+}
+
 ssize_t recv(int fd, void *bytes, size_t length, int flags) {
     REAL(ssize_t, "recv", int, void *, size_t, int);
+    stop_before_peek(flags);
     if (interrupted(fd, RECV)) return -1;
     return real(fd, bytes, cut(fd, length), flags);
 }
