Answer a long request that is held back by its client's deadline

Cause: such a request had 20 minutes until its last byte was read, and the policy engine took it that only the client delays it. But its body was read only as an attempt took it, so one that waited for its first attempt never completed. And the client's time began when the node read the last byte.

When nobody takes what is there for 50 ms, the owner of the body states since when the client may wait: bounds are the time at which the kernel got what was read last, and the 10 MiB that kernels hold at the most. The exchange and the policy engine get that deadline (BodyDeadlineChanged), and the rule of half of the time without an attempt holds for these requests, too. A client that is found to send on has its 20 minutes back.

--- a/crates/exchange/src/event.rs
+++ b/crates/exchange/src/event.rs
@@ -72,6 +72,15 @@
         /// When the client stops waiting for the answer; replaces the deadline given on receipt of the request.
         deadline: Micros,
     },
+    /// The time by which a request needs its answer has changed although its streaming body is incomplete: the I/O layer
+    /// has stopped or resumed the receipt, and while it does not read, the client may already have sent everything.
+    BodyDeadlineChanged {
+        id: RequestId,
+        /// Identifies the admission, as the id may already be in use by a later request.
+        ticket: Ticket,
+        /// When the client may stop waiting for the answer; replaces the deadline given before.
+        deadline: Micros,
+    },
     /// A response has upgraded the connection to another protocol. The connection is now owned by the tunnel to the
     /// client, and the exchange no longer tracks it.
     Upgraded { connection: ConnectionId },
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -201,6 +201,11 @@
                 ticket,
                 deadline,
             } => self.on_body_complete(now, &id, ticket, deadline),
+            Event::BodyDeadlineChanged {
+                id,
+                ticket,
+                deadline,
+            } => self.on_body_deadline_changed(now, id, ticket, deadline),
             Event::Upgraded { connection } => self.on_upgraded(now, connection, commands),
             Event::ConnectionLost { connection } => {
                 self.on_connection_lost(now, connection, commands);
--- a/crates/exchange/src/exchange/bodies.rs
+++ b/crates/exchange/src/exchange/bodies.rs
@@ -17,26 +17,52 @@
         ticket: Ticket,
         deadline: Micros,
     ) {
-        let Some(request) = self.requests.get_mut(id) else {
+        let Some(deadline) = self.change_body_deadline(id, ticket, deadline) else {
             return;
         };
+        self.pending_events.push_back(PolicyEvent::BodyComplete {
+            id: id.clone(),
+            timeout: deadline.saturating_sub(now),
+        });
+        self.unreleased_body = Some(id.clone());
+    }
+
+    /// Handles a change of the time by which a request with an incomplete body needs its answer.
+    pub(super) fn on_body_deadline_changed(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        ticket: Ticket,
+        deadline: Micros,
+    ) {
+        if let Some(deadline) = self.change_body_deadline(&id, ticket, deadline) {
+            let timeout = deadline.saturating_sub(now);
+            self.pending_events
+                .push_back(PolicyEvent::BodyDeadlineChanged { id, timeout });
+        }
+    }
+
+    /// Replaces the deadline of an open request whose body is incomplete, and of its attempt. Returns the deadline, not
+    /// later than the shutdown deadline; `None` if there is no such request.
+    fn change_body_deadline(
+        &mut self,
+        id: &RequestId,
+        ticket: Ticket,
+        deadline: Micros,
+    ) -> Option<Micros> {
+        let request = self.requests.get_mut(id)?;
         if request.ticket != ticket || !request.open || request.body_complete {
-            return;
+            return None;
         }
         request.deadline = deadline;
         request.shortened_by_shutdown = false;
         request.limit_to_shutdown(self.shutdown_deadline);
         let deadline = request.deadline;
         if let Some(attempt) = request.outstanding.as_mut() {
-            attempt.deadline = deadline;
-            attempt.step_deadline = attempt.step_deadline.min(deadline);
+            attempt.deadline = attempt.policy_deadline.min(deadline);
         }
         self.update_timer(id);
-        self.pending_events.push_back(PolicyEvent::BodyComplete {
-            id: id.clone(),
-            timeout: deadline.saturating_sub(now),
-        });
-        self.unreleased_body = Some(id.clone());
+        Some(deadline)
     }
 
     /// Releases the last part of a body unless the policy has ended the request.
--- a/crates/exchange/src/exchange/dispatch.rs
+++ b/crates/exchange/src/exchange/dispatch.rs
@@ -31,9 +31,8 @@
         if request.attempts > self.limits.max_attempts {
             return self.force_answer(now, id, FinalAnswer::Failed, commands);
         }
-        let deadline = timeout.map_or(request.deadline, |timeout| {
-            request.deadline.min(now.saturating_add(timeout))
-        });
+        let policy_deadline = timeout.map_or(Micros::MAX, |timeout| now.saturating_add(timeout));
+        let deadline = policy_deadline.min(request.deadline);
         let attempt_outstanding =
             request.outstanding.is_some() && !self.bugs.planted(Bug::TwoAttemptsOut);
         let body_consumed = request.body_consumed && !self.bugs.planted(Bug::GoneBodySentAgain);
@@ -49,8 +48,9 @@
             request.outstanding = Some(OutstandingAttempt {
                 number,
                 server,
+                policy_deadline,
                 deadline,
-                step_deadline: deadline,
+                stage_deadline: Micros::MAX,
                 dispatched: None,
                 stage: AttemptStage::AwaitingSlot(NO_CONNECTION),
             });
@@ -160,13 +160,13 @@
         self.set_stage(id, AttemptStage::AwaitingSlot(oldest), None);
     }
 
-    /// Sets the stage of the outstanding attempt. It times out at `step_deadline` or with the attempt, whichever is
+    /// Sets the stage of the outstanding attempt. It times out at `stage_deadline` or with the attempt, whichever is
     /// earlier; `None` sets no separate timeout.
     pub(super) fn set_stage(
         &mut self,
         id: &RequestId,
         stage: AttemptStage,
-        step_deadline: Option<Micros>,
+        stage_deadline: Option<Micros>,
     ) {
         let attempt = self
             .requests
@@ -174,8 +174,7 @@
             .and_then(|request| request.outstanding.as_mut());
         if let Some(attempt) = attempt {
             attempt.stage = stage;
-            attempt.step_deadline =
-                step_deadline.map_or(attempt.deadline, |deadline| deadline.min(attempt.deadline));
+            attempt.stage_deadline = stage_deadline.unwrap_or(Micros::MAX);
         }
         self.update_timer(id);
     }
--- a/crates/exchange/src/exchange/first_byte.rs
+++ b/crates/exchange/src/exchange/first_byte.rs
@@ -64,7 +64,7 @@
             return;
         };
         if let (Some(attempt), Some(at)) = (request.outstanding.as_mut(), request.timer_at.take()) {
-            attempt.step_deadline = attempt.deadline;
+            attempt.stage_deadline = Micros::MAX;
             self.timers.remove(&(at, id.clone()));
         }
     }
--- a/crates/exchange/src/exchange/inspection.rs
+++ b/crates/exchange/src/exchange/inspection.rs
@@ -142,7 +142,8 @@
     attempt.number.hash(hasher);
     attempt.server.hash(hasher);
     attempt.deadline.hash(hasher);
-    attempt.step_deadline.hash(hasher);
+    attempt.policy_deadline.hash(hasher);
+    attempt.stage_deadline.hash(hasher);
     attempt.dispatched.hash(hasher);
     match attempt.stage {
         AttemptStage::AwaitingSlot(id) => (0, rank_of(id), None::<Outcome>).hash(hasher),
--- a/crates/exchange/src/exchange/responses.rs
+++ b/crates/exchange/src/exchange/responses.rs
@@ -98,7 +98,7 @@
         self.counters.streaming += 1;
         if let Some(attempt) = request.outstanding.as_mut() {
             attempt.deadline = Micros::MAX;
-            attempt.step_deadline = Micros::MAX;
+            attempt.stage_deadline = Micros::MAX;
         }
         self.answer(now, &id, FinalAnswer::Served, commands);
         self.pending_events
--- a/crates/exchange/src/exchange/timers.rs
+++ b/crates/exchange/src/exchange/timers.rs
@@ -76,7 +76,7 @@
                 .requests
                 .get(&id)
                 .and_then(|request| request.outstanding.as_ref())
-                .is_some_and(|attempt| now >= attempt.step_deadline);
+                .is_some_and(|attempt| now >= attempt.step_deadline());
             if timed_out {
                 self.abort_attempt(&id, Outcome::TimedOut, commands);
             }
--- a/crates/exchange/src/tables.rs
+++ b/crates/exchange/src/tables.rs
@@ -40,15 +40,24 @@
 pub(crate) struct OutstandingAttempt {
     pub number: u32,
     pub server: ServerId,
-    /// When the attempt times out, µs.
+    /// When the policy wants the attempt to time out, µs; [`Micros::MAX`] if it sets no time of its own.
+    pub policy_deadline: Micros,
+    /// When the attempt times out, µs: with its request, or earlier if the policy wants it.
     pub deadline: Micros,
-    /// When the current stage times out, µs: the connect has a shorter timeout than the attempt.
-    pub step_deadline: Micros,
+    /// When the current stage times out, µs; [`Micros::MAX`] if it has no timeout of its own, as the connect has.
+    pub stage_deadline: Micros,
     /// Where and when the guard permitted the first byte; `None` before that.
     pub dispatched: Option<DispatchedAttempt>,
     pub stage: AttemptStage,
 }
 
+impl OutstandingAttempt {
+    /// Returns when the attempt or its current stage times out, whichever is earlier, µs.
+    pub fn step_deadline(&self) -> Micros {
+        self.stage_deadline.min(self.deadline)
+    }
+}
+
 /// The stage of an outstanding attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum AttemptStage {
@@ -106,7 +115,7 @@
             .outstanding
             .as_ref()
             .filter(|attempt| !matches!(attempt.stage, AttemptStage::Closing(..)))
-            .map(|attempt| attempt.step_deadline)
+            .map(OutstandingAttempt::step_deadline)
             .filter(|deadline| *deadline < Micros::MAX);
         let answer_deadline = self.open.then(|| self.answer_deadline(answer_grace));
         step_deadline.into_iter().chain(answer_deadline).min()
--- a/crates/model-checker/src/chart.rs
+++ b/crates/model-checker/src/chart.rs
@@ -69,6 +69,10 @@
         Step::RequestArrives(r) => format!("request {r} arrives"),
         Step::ClientLeaves(r) => format!("client {r} disconnects"),
         Step::BodyArrives(r) => format!("the last body byte of request {r} arrives"),
+        Step::BodyDeadlineChanges { request: r, short } => {
+            let change = if short { "pauses" } else { "goes on" };
+            format!("the receipt of the body of request {r} {change}")
+        }
         Step::ResponseDropped(c) => {
             format!("the client of the streaming response on connection {c} stops reading")
         }
--- a/crates/model-checker/src/world/apply_step.rs
+++ b/crates/model-checker/src/world/apply_step.rs
@@ -134,6 +134,9 @@
             Step::RequestArrives(request) => Some(self.request_arrives(setup, request).into()),
             Step::ClientLeaves(request) => Some(self.client_leaves(setup, request).into()),
             Step::BodyArrives(request) => Some(self.body_arrives(setup, request).into()),
+            Step::BodyDeadlineChanges { request, short } => {
+                Some(self.body_deadline_changes(setup, request, short).into())
+            }
             Step::EndpointsChange => Some(self.endpoints_change(setup).into()),
             Step::ShutdownAnnounced => Some(self.shutdown_announced(setup).into()),
             Step::NodeDrains => {
@@ -253,6 +256,7 @@
         client.body_arrived = true;
         if client.is_waiting() {
             client.arrived_at = Some(now);
+            client.changed_deadline = None;
         }
         Event::BodyComplete {
             id: setup.request_id(request),
@@ -261,6 +265,23 @@
         }
     }
 
+    fn body_deadline_changes(&mut self, setup: &Setup, request: u8, short: bool) -> Event<u8> {
+        let deadline = self.body_deadline(setup, short);
+        let client = self.client_mut(request);
+        client.changed_deadline = Some(deadline);
+        Event::BodyDeadlineChanged {
+            id: setup.request_id(request),
+            ticket: Ticket(client.ticket),
+            deadline,
+        }
+    }
+
+    /// Returns the deadline that a change gives to a request with an incomplete body, µs.
+    pub(super) fn body_deadline(&self, setup: &Setup, short: bool) -> Micros {
+        let timeout = if short { setup.tick } else { setup.timeout() };
+        self.now(setup) + timeout
+    }
+
     fn endpoints_change(&mut self, setup: &Setup) -> Event<u8> {
         let change = setup.endpoint_changes[self.changes_applied];
         self.changes_applied += 1;
--- a/crates/model-checker/src/world/client.rs
+++ b/crates/model-checker/src/world/client.rs
@@ -10,6 +10,8 @@
 pub(super) struct Client {
     /// When the request arrived or its streaming body was complete, µs; `None` before the request has arrived.
     pub arrived_at: Option<Micros>,
+    /// The deadline while the streaming body is incomplete, if it was changed, µs.
+    pub changed_deadline: Option<Micros>,
     /// The client has closed its connection.
     pub disconnected: bool,
     /// The ticket that the exchange gave to the request.
@@ -53,7 +55,10 @@
     /// Returns when the exchange answers the request at the latest, µs.
     pub fn answer_deadline(&self, setup: &Setup, shutdown_deadline: Option<Micros>) -> Micros {
         let arrived_at = self.arrived_at.unwrap_or(0);
-        let latest = arrived_at + setup.timeout() + setup.limits.answer_grace;
+        let deadline = self
+            .changed_deadline
+            .unwrap_or(arrived_at + setup.timeout());
+        let latest = deadline + setup.limits.answer_grace;
         shutdown_deadline.map_or(latest, |shutdown| latest.min(shutdown.max(arrived_at)))
     }
 
@@ -74,6 +79,7 @@
         hasher: &mut impl Hasher,
     ) {
         self.arrived_at.hash(hasher);
+        self.changed_deadline.hash(hasher);
         self.disconnected.hash(hasher);
         self.ticket.hash(hasher);
         self.answers.hash(hasher);
--- a/crates/model-checker/src/world/possible_steps.rs
+++ b/crates/model-checker/src/world/possible_steps.rs
@@ -91,6 +91,9 @@
         if !client.disconnected && may_leave {
             steps.push(Step::ClientLeaves(request));
         }
+        if setup.streaming_bodies && client.is_waiting() && !client.body_arrived {
+            self.add_deadline_changes(setup, request, client, steps);
+        }
         let next = self.clients.get(index + 1);
         let owns_id = !setup.shared_id || next.is_none_or(|next| next.arrived_at.is_none());
         if self.exchange.policy().model.is_arbitrary() && owns_id {
@@ -124,6 +127,23 @@
         add_reads(rank, connection, steps);
     }
 
+    fn add_deadline_changes(
+        &self,
+        setup: &Setup,
+        request: u8,
+        client: &Client,
+        steps: &mut Vec<Step>,
+    ) {
+        if !self.within_horizon(setup) {
+            return;
+        }
+        for short in [true, false] {
+            if client.changed_deadline != Some(self.body_deadline(setup, short)) {
+                steps.push(Step::BodyDeadlineChanges { request, short });
+            }
+        }
+    }
+
     fn add_body_arrival(&self, setup: &Setup, connection: &Connection, steps: &mut Vec<Step>) {
         let Some(request) = connection.written_request() else {
             return;
--- a/crates/model-checker/src/world/step.rs
+++ b/crates/model-checker/src/world/step.rs
@@ -13,6 +13,13 @@
     ClientLeaves(u8),
     /// The last byte of the streaming body of a request arrives from the client.
     BodyArrives(u8),
+    /// The node stops or resumes the receipt of the streaming body of a request, which changes its deadline.
+    BodyDeadlineChanges {
+        /// The number of the request.
+        request: u8,
+        /// The deadline is one tick away instead of the whole timeout.
+        short: bool,
+    },
     /// The rest of a streaming response arrives on a connection.
     ResponseFinishes(u8),
     /// The client stops reading the streaming response on a connection.
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -4,7 +4,7 @@
 mod request;
 mod response;
 
-pub use request::{AttemptBody, StreamedRequestBody};
+pub use request::{AttemptBody, BodyEvent, StreamedRequestBody};
 pub use response::StreamedResponseBody;
 pub use saffronpaddle_request_body::MAX_BODY_BYTES;
 
--- a/crates/node/src/bodies/request.rs
+++ b/crates/node/src/bodies/request.rs
@@ -1,58 +1,82 @@
 //! A request body that is streamed from its client to a server.
 
 use super::{PolledFrame, STALL_TIMEOUT};
+use crate::downstream::DownstreamConnection;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use saffronpaddle_exchange::Ticket;
 use saffronpaddle_netio::timeout;
-use saffronpaddle_request_body::{AttemptNumber, Next, RequestBody};
+use saffronpaddle_request_body::{AttemptNumber, ClientWait, Next, RequestBody};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 use tokio::sync::Notify;
 use tracing::debug;
 
+/// A pause or a silence of at least this much is reported. Shorter ones are usual while a body is forwarded.
+const MIN_REPORTED_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the exchange needs to know of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEvent {
+    /// The node has stopped reading, and the client may already have waited for its answer for this long.
+    ClientMayWait(Duration),
+    /// The node reads again, and the client is still sending.
+    ClientSends,
+    /// The body was received completely, and its last part is held back. The client may have waited for this long.
+    Complete(Duration),
+}
+
 /// A request body that is forwarded while it is being received. Its last part is held back until the exchange releases
 /// it.
 pub struct StreamedRequestBody {
-    /// Called once, when the body has been received completely and its last part is held back. The body may outlive
-    /// the event loop of its node.
-    on_complete: Box<dyn Fn(Ticket)>,
+    /// Called with each event. The body may outlive the event loop of its node.
+    on_event: Box<dyn Fn(Ticket, BodyEvent)>,
     /// The exchange's ticket of the request.
     ticket: Cell<Option<Ticket>>,
     /// Size in bytes, if the client declared it.
     pub(super) size: Option<u64>,
+    client: Arc<DownstreamConnection>,
+    client_wait: Cell<ClientWait>,
+    /// Since when the client may wait, if it was reported that it may.
+    reported_wait: Cell<Option<Duration>>,
     completion_reported: Cell<bool>,
     state: RefCell<RequestBody>,
     /// Wakes the connection of the current attempt.
     attempt_waker: RefCell<Option<Waker>>,
-    /// Notified when an attempt may have made room, or when the rest is not needed.
-    room: Notify,
+    /// Notified when an attempt may have made room or has taken all but the last part, and when the rest is not needed.
+    progress: Notify,
 }
 
 impl StreamedRequestBody {
     /// Creates a body of `size` bytes (`None` if unknown), of which the chunks in `received` have arrived.
     pub fn new<'a>(
-        on_complete: Box<dyn Fn(Ticket)>,
+        on_event: Box<dyn Fn(Ticket, BodyEvent)>,
+        client: Arc<DownstreamConnection>,
         size: Option<u64>,
         received: impl IntoIterator<Item = &'a Bytes>,
     ) -> StreamedRequestBody {
-        let mut state = RequestBody::default();
-        received.into_iter().for_each(|chunk| state.push(chunk));
-        StreamedRequestBody {
-            on_complete,
+        let body = StreamedRequestBody {
+            on_event,
             ticket: Cell::new(None),
             size,
+            client,
+            client_wait: Cell::default(),
+            reported_wait: Cell::new(None),
             completion_reported: Cell::new(false),
-            state: RefCell::new(state),
+            state: RefCell::default(),
             attempt_waker: RefCell::default(),
-            room: Notify::new(),
-        }
+            progress: Notify::new(),
+        };
+        received.into_iter().for_each(|chunk| body.push(chunk));
+        body
     }
 
-    /// Sets the ticket that is passed to `on_complete`.
+    /// Sets the ticket that is passed to `on_event`.
     pub fn set_ticket(&self, ticket: Ticket) {
         self.ticket.set(Some(ticket));
     }
@@ -63,29 +87,68 @@
         let _fail_guard = FailGuard(self);
         while self.state.borrow().is_receiving() {
             if !self.state.borrow().has_room() {
-                self.room.notified().await;
+                self.wait_for_progress().await;
                 continue;
             }
-            match Self::next_frame(&mut rest).await {
-                // Trailers are not forwarded.
-                Some(Ok(frame)) => self.push(frame.data_ref()),
+            match self.next_frame(&mut rest).await {
+                Some(Ok(frame)) => frame
+                    .data_ref()
+                    .into_iter()
+                    .for_each(|data| self.push(data)),
                 Some(Err(_)) => self.state.borrow_mut().fail(),
                 None => self.state.borrow_mut().complete(),
             }
             self.wake_attempt();
         }
+        while self.state.borrow().is_held() && !self.completion_reported.get() {
+            self.wait_for_progress().await;
+        }
+    }
+
+    /// Waits for an attempt to take a part. The node does not read meanwhile, so the client may wait for its answer.
+    async fn wait_for_progress(&self) {
+        let paused_at = self.client.now();
+        let progress = self.progress.notified();
+        if timeout(MIN_REPORTED_PAUSE, progress).await.is_ok() {
+            return;
+        }
+        let since = self.client_waits_since(paused_at);
+        self.reported_wait.set(Some(since));
+        let waited = self.client.now().saturating_sub(since);
+        self.report(BodyEvent::ClientMayWait(waited));
+        self.progress.notified().await;
+    }
+
+    fn client_waits_since(&self, paused_at: Duration) -> Duration {
+        let sent_after = self.client.sent_after();
+        self.client_wait
+            .get()
+            .since(self.size, sent_after, paused_at)
     }
 
     /// The next frame from the client; an error if it doesn't come, and `None` at the end.
-    async fn next_frame(rest: &mut Incoming) -> Option<Result<Frame<Bytes>, io::Error>> {
+    async fn next_frame(&self, rest: &mut Incoming) -> Option<Result<Frame<Bytes>, io::Error>> {
+        if let Some(waits_since) = self.reported_wait.get() {
+            let frame = timeout(MIN_REPORTED_PAUSE, rest.frame()).await;
+            // Otherwise the frame was in the kernel all the time.
+            if frame.is_err() || self.client.sent_after() > waits_since {
+                self.reported_wait.set(None);
+                self.report(BodyEvent::ClientSends);
+            }
+            if let Ok(frame) = frame {
+                return frame.map(|frame| frame.map_err(io::Error::other));
+            }
+        }
         match timeout(STALL_TIMEOUT, rest.frame()).await {
             Ok(frame) => frame.map(|frame| frame.map_err(io::Error::other)),
             Err(elapsed) => Some(Err(io::Error::other(elapsed))),
         }
     }
 
-    fn push(&self, data: Option<&Bytes>) {
-        let Some(data) = data else { return };
+    fn push(&self, data: &Bytes) {
+        let mut client_wait = self.client_wait.get();
+        client_wait.record_received(self.client.now(), data.len() as u64);
+        self.client_wait.set(client_wait);
         self.state.borrow_mut().push(data);
         if !self.state.borrow().is_receiving() {
             debug!("the body is too large");
@@ -96,7 +159,7 @@
     /// before it gets the answer.
     pub fn discard_rest(&self) {
         self.state.borrow_mut().discard();
-        self.room.notify_one();
+        self.progress.notify_one();
         self.wake_attempt();
     }
 
@@ -124,8 +187,16 @@
         if self.completion_reported.replace(true) {
             return;
         }
+        self.progress.notify_one();
+        let now = self.client.now();
+        let waited = now.saturating_sub(self.client_waits_since(now));
+        self.report(BodyEvent::Complete(waited));
+    }
+
+    fn report(&self, event: BodyEvent) {
+        debug!(?event, "streamed body");
         if let Some(ticket) = self.ticket.get() {
-            (self.on_complete)(ticket);
+            (self.on_event)(ticket, event);
         }
     }
 }
@@ -158,7 +229,7 @@
     /// Records that the first byte of the attempt may be written. From then on no other attempt gets the body.
     pub fn commit(&self) {
         self.body.state.borrow_mut().commit(self.number);
-        self.body.room.notify_one();
+        self.body.progress.notify_one();
         self.body.wake_attempt();
     }
 
@@ -182,7 +253,7 @@
         }
         match next {
             Next::Piece(piece) => {
-                self.body.room.notify_one();
+                self.body.progress.notify_one();
                 Poll::Ready(Some(Ok(Frame::data(piece))))
             }
             Next::Pending | Next::HeldBack => {
--- a/crates/node/src/clients/respond.rs
+++ b/crates/node/src/clients/respond.rs
@@ -153,9 +153,10 @@
     let answer = match rest {
         None => submit(node, event, forward).await,
         Some((received, rest, size)) => {
-            let on_complete = node.report_body_complete(forward.id.clone(), timeout);
+            let on_event = node.report_body(forward.id.clone(), timeout, STREAMED_BODY_TIMEOUT);
             let body = Rc::new(StreamedRequestBody::new(
-                Box::new(on_complete),
+                Box::new(on_event),
+                Arc::clone(downstream),
                 size,
                 &received,
             ));
--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -158,10 +158,17 @@
     /// response; zero if that is negligible. It is deducted from the request's timeout: a server would otherwise be
     /// promised time that its client no longer has.
     pub fn time_queued(&self) -> Duration {
-        time_unread(
-            Duration::from_micros(self.sent_after_us.load(Ordering::Relaxed)),
-            self.epoch.elapsed(),
-        )
+        time_unread(self.sent_after(), self.now())
+    }
+
+    /// The time on the clock of this connection.
+    pub fn now(&self) -> Duration {
+        self.epoch.elapsed()
+    }
+
+    /// The bytes that were read last, and all that the client has sent after them, reached the kernel after this time.
+    pub fn sent_after(&self) -> Duration {
+        Duration::from_micros(self.sent_after_us.load(Ordering::Relaxed))
     }
 
     /// Records a write that the kernel accepted or that has to wait.
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::answer::Answer;
+use crate::bodies::BodyEvent;
 use crate::forward::Forward;
 use saffronpaddle_exchange::{Event, Ticket};
 use saffronpaddle_policy::interface::{Event as PolicyEvent, Micros, RequestId};
@@ -103,26 +104,43 @@
         }
     }
 
-    /// Returns a callback that reports a streamed request body as complete. The client waits for `timeout` from then
-    /// on.
-    pub fn report_body_complete(
+    /// Returns a callback that passes the events of a streamed request body to the exchange. The client waits for
+    /// `timeout` from its last byte on, which it may take up to `body_timeout` to send.
+    pub fn report_body(
         self: &Rc<Self>,
         id: RequestId,
         timeout: Duration,
-    ) -> impl Fn(Ticket) + 'static {
+        body_timeout: Duration,
+    ) -> impl Fn(Ticket, BodyEvent) + 'static {
         let node = Rc::downgrade(self);
-        move |ticket| {
+        move |ticket, event| {
             let Some(node) = node.upgrade() else { return };
-            let deadline = node.now() + timeout.as_micros() as Micros;
+            let now = node.now();
+            let deadline_of = |waited| (now + micros(timeout)).saturating_sub(micros(waited));
             let id = id.clone();
-            node.handle(
-                Event::BodyComplete {
+            let event = match event {
+                BodyEvent::Complete(waited) => Event::BodyComplete {
                     id,
                     ticket,
-                    deadline,
+                    deadline: deadline_of(waited),
                 },
-                None,
-            );
+                BodyEvent::ClientMayWait(waited) => Event::BodyDeadlineChanged {
+                    id,
+                    ticket,
+                    deadline: deadline_of(waited),
+                },
+                BodyEvent::ClientSends => Event::BodyDeadlineChanged {
+                    id,
+                    ticket,
+                    deadline: now + micros(body_timeout),
+                },
+            };
+            node.handle(event, None);
         }
     }
 }
+
+/// A duration in µs.
+fn micros(duration: Duration) -> Micros {
+    duration.as_micros() as Micros
+}
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -171,6 +171,9 @@
                 self.on_request(now, id, Request::new(now, terms), subset, actions);
             }
             Event::BodyComplete { id, timeout } => self.on_body_complete(now, id, timeout, actions),
+            Event::BodyDeadlineChanged { id, timeout } => {
+                self.on_body_deadline_changed(now, &id, timeout, actions);
+            }
             Event::ResponseStarted { id } => self.on_response_started(now, &id),
             Event::AttemptEnded {
                 id,
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -78,6 +78,13 @@
         /// How long the client waits for an answer from now on, µs.
         timeout: Micros,
     },
+    /// The time by which a request needs its answer has changed although its body is incomplete: the node has stopped or
+    /// resumed the receipt. While it does not read, the client may already have sent the last byte.
+    BodyDeadlineChanged {
+        id: RequestId,
+        /// How long the client is sure to wait for an answer from now on, µs.
+        timeout: Micros,
+    },
     /// A streamed response has started. From now on the request has no deadline, and the engine does not cancel the
     /// attempt.
     ResponseStarted { id: RequestId },
--- a/crates/policy/src/streaming.rs
+++ b/crates/policy/src/streaming.rs
@@ -4,6 +4,7 @@
 use crate::engine::{Actions, PolicyEngine};
 use crate::interface::{Action, Micros, Outcome, RequestId, SiblingAttempt, SiblingMessage};
 use crate::request::AttemptStage;
+use crate::state::ANSWER_MARGIN;
 
 impl PolicyEngine {
     /// Handles the last byte of a request's body. From then on the attempt counts at the server and for the customer,
@@ -27,6 +28,9 @@
         let customer = request.customer;
         let units = request.units;
         let in_flight = request.in_flight;
+        if timeout <= ANSWER_MARGIN {
+            return self.finish(&id, Counter::RejectedNotSent, actions);
+        }
         // The customer's hard limit or its limit on attempts in flight may have been reached while the body was
         // received.
         let Some(number) = in_flight.filter(|_| self.may_start(customer, units, now)) else {
@@ -62,6 +66,28 @@
         }
     }
 
+    /// Handles a change of the time by which a request with an incomplete body needs its answer. If that time has passed
+    /// already, the request is rejected: no server can have executed it.
+    pub(crate) fn on_body_deadline_changed(
+        &mut self,
+        now: Micros,
+        id: &RequestId,
+        timeout: Micros,
+        actions: &mut Actions,
+    ) {
+        let Some(request) = self.requests.open.get_mut(id) else {
+            return;
+        };
+        if !request.body_incomplete {
+            return;
+        }
+        request.arrived_at = now;
+        request.deadline = now.saturating_add(timeout);
+        if timeout <= ANSWER_MARGIN {
+            self.finish(id, Counter::RejectedNotSent, actions);
+        }
+    }
+
     /// Handles the start of a streamed response. The time to its first bytes counts as its latency, and the attempt no
     /// longer counts at the server.
     pub(crate) fn on_response_started(&mut self, now: Micros, id: &RequestId) {
--- a/crates/policy/src/timer.rs
+++ b/crates/policy/src/timer.rs
@@ -1,7 +1,8 @@
 //! The timer: ends overdue requests, and runs the periodic work of other rules.
 //!
 //! Rule: a request of which no attempt has reached a server gets its final answer within half of its time, so that its
-//! client can still try another node; any other request by its deadline. In classes whose late responses have no value,
+//! client can still try another node; any other request by its deadline. The deadline of a request whose body is
+//! incomplete is that of its body while its client delays it, and the client's own while this node holds it up. In classes whose late responses have no value,
 //! a request without an attempt in flight is ended before its latency objective if it can no longer meet it, and an
 //! attempt in flight is cancelled after the objective.
 //!
@@ -37,14 +38,6 @@
 impl DueCheck {
     fn due_action(&self, request: &Request, class: &Class) -> DueAction {
         let now_with_margin = self.now + ANSWER_MARGIN;
-        if request.body_incomplete {
-            // Only the client delays the request, so only its deadline counts.
-            return if now_with_margin >= request.deadline {
-                DueAction::FinalAnswer
-            } else {
-                DueAction::Nothing
-            };
-        }
         let no_attempt_in_flight = request.in_flight.is_none();
         let reached_no_server = no_attempt_in_flight && !request.reached_server;
         let allowed_time = request.deadline.saturating_sub(request.arrived_at);
@@ -56,6 +49,10 @@
         if now_with_margin >= answer_by {
             return DueAction::FinalAnswer;
         }
+        // The latency of a request counts from its last byte.
+        if request.body_incomplete {
+            return DueAction::Nothing;
+        }
         if class.late_value > 0.0 {
             return DueAction::Nothing;
         }
--- /dev/null
+++ b/crates/policy/tests/streamed_bodies.rs
@@ -0,0 +1,81 @@
+//! Requests whose body is incomplete: how long they may be held back without an attempt.
+
+mod common;
+
+use common::settings::{settings, KEYED_IN_DOMAIN, UNLIMITED};
+use saffronpaddle_policy::interface::*;
+use saffronpaddle_policy::PolicyEngine;
+
+/// How long a body may be received.
+const BODY_TIMEOUT: Micros = 1200 * SECOND;
+/// How long the client waits for its answer once it has sent everything.
+const TIMEOUT: Micros = 2 * SECOND;
+
+/// An engine that knows no server and holds one request back, whose body is incomplete.
+struct HeldRequest {
+    engine: PolicyEngine,
+    id: RequestId,
+}
+
+impl HeldRequest {
+    fn new(now: Micros) -> HeldRequest {
+        let engine = PolicyEngine::new(1, settings(0, 2), now).expect("the settings are valid");
+        let id = RequestId("long".into());
+        let mut held = HeldRequest { engine, id };
+        let arrival = Event::RequestArrived {
+            id: held.id.clone(),
+            class: KEYED_IN_DOMAIN,
+            plan: PlanId(UNLIMITED),
+            customer: CustomerId(7),
+            units: 1.0,
+            subset_first: NodeId(0),
+            subset_size: 1,
+            timeout: BODY_TIMEOUT,
+            complete: false,
+        };
+        assert!(!held.is_rejected_by(now, arrival));
+        held
+    }
+
+    /// Passes an event to the engine, and returns whether it rejects the request.
+    fn is_rejected_by(&mut self, now: Micros, event: Event) -> bool {
+        let mut actions = Vec::new();
+        self.engine.handle(now, event, &mut actions);
+        actions
+            .iter()
+            .any(|action| matches!(action, Action::Reject { id, .. } if *id == self.id))
+    }
+
+    fn change_deadline(&mut self, now: Micros, timeout: Micros) -> bool {
+        let id = self.id.clone();
+        self.is_rejected_by(now, Event::BodyDeadlineChanged { id, timeout })
+    }
+
+    fn is_rejected_at(&mut self, now: Micros) -> bool {
+        self.is_rejected_by(now, Event::TimerFired { token: 0 })
+    }
+}
+
+/// Guards against a request that is held back for as long as its body may take, though its client has sent everything.
+#[test]
+fn a_held_request_whose_client_may_wait_is_rejected_within_half_of_its_time() {
+    let mut held = HeldRequest::new(SECOND);
+    assert!(!held.is_rejected_at(30 * SECOND));
+    assert!(!held.change_deadline(31 * SECOND, TIMEOUT));
+    assert!(!held.is_rejected_at(31 * SECOND + TIMEOUT / 2 - 100 * MILLISECOND));
+    assert!(held.is_rejected_at(31 * SECOND + TIMEOUT / 2));
+}
+
+#[test]
+fn a_held_request_whose_client_sends_again_is_not_rejected() {
+    let mut held = HeldRequest::new(SECOND);
+    assert!(!held.change_deadline(31 * SECOND, TIMEOUT));
+    assert!(!held.change_deadline(31 * SECOND + TIMEOUT / 4, BODY_TIMEOUT));
+    assert!(!held.is_rejected_at(31 * SECOND + 2 * TIMEOUT));
+}
+
+#[test]
+fn a_held_request_whose_client_may_have_stopped_waiting_is_rejected_immediately() {
+    let mut held = HeldRequest::new(SECOND);
+    assert!(held.change_deadline(31 * SECOND, 0));
+}
--- a/crates/request-body/src/body.rs
+++ b/crates/request-body/src/body.rs
@@ -65,6 +65,11 @@
         self.reception == Reception::Receiving
     }
 
+    /// Whether parts of the body are still held for an attempt.
+    pub fn is_held(&self) -> bool {
+        !self.pieces.is_empty()
+    }
+
     /// Whether bytes can be received now. If not, an attempt has to take some first.
     pub fn has_room(&self) -> bool {
         self.is_receiving() && (self.discards || self.pieces.len() < MAX_BUFFERED_BYTES)
--- /dev/null
+++ b/crates/request-body/src/client_wait.rs
@@ -0,0 +1,45 @@
+//! Since when a client may be waiting for the answer to its request.
+
+use crate::Time;
+
+/// By how many bytes a client can be ahead of the node: what the kernels of both ends hold at the most.
+pub const MAX_CLIENT_LEAD_BYTES: u64 = 10 << 20;
+
+/// Bounds when a client wrote the last byte of a body of which the node has not received everything.
+///
+/// While the node does not read, it does not learn whether its client has written the last byte. Two facts bound that time
+/// from below: the bytes that were read last reached the kernel after a known time, and a byte is written only once the
+/// node has read what is [`MAX_CLIENT_LEAD_BYTES`] before it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClientWait {
+    received: u64,
+    /// Number of bytes received at the latest step of the lead.
+    step_bytes: u64,
+    step_at: Time,
+    /// When the step before the latest was made: what follows was written later.
+    written_after: Time,
+}
+
+impl ClientWait {
+    /// Records that `bytes` more were received.
+    pub fn record_received(&mut self, now: Time, bytes: u64) {
+        self.received += bytes;
+        if self.received - self.step_bytes >= MAX_CLIENT_LEAD_BYTES {
+            self.written_after = self.step_at;
+            (self.step_bytes, self.step_at) = (self.received, now);
+        }
+    }
+
+    /// Returns since when the client of a body of `size` bytes (`None` if unknown) may be waiting. The node has not read
+    /// since `paused_at`, and what it read last reached the kernel after `sent_after`.
+    ///
+    /// A client that is sure to have more to write waits for the node, not for an answer, and does so since the pause
+    /// began.
+    pub fn since(&self, size: Option<u64>, sent_after: Time, paused_at: Time) -> Time {
+        let rest = size.map(|size| size.saturating_sub(self.received));
+        if rest.is_some_and(|rest| rest > MAX_CLIENT_LEAD_BYTES) {
+            return paused_at;
+        }
+        sent_after.max(self.written_after)
+    }
+}
--- a/crates/saffronpaddle/tests/delayed_requests.rs
+++ b/crates/saffronpaddle/tests/delayed_requests.rs
@@ -22,23 +22,6 @@
 /// The node's limit on sockets, and the idle connections that exceed it.
 const SOCKET_LIMIT_AND_IDLE_CONNECTIONS: (usize, usize) = (128, 500);
 
-/// Sends SIGSTOP to a node's process, and returns once the process has stopped.
-fn suspend(node: &Node) {
-    node.signal("-STOP");
-    wait_until_stopped(node);
-}
-
-/// Returns once a node's process has stopped.
-fn wait_until_stopped(node: &Node) {
-    let stat = format!("/proc/{}/stat", node.id());
-    while !std::fs::read_to_string(&stat)
-        .expect("the process exists")
-        .contains(") T ")
-    {
-        thread::sleep(Duration::from_millis(1));
-    }
-}
-
 /// Keeps a node suspended for a while after a request was sent to it, then resumes it. Returns the least number of ms
 /// that the request has waited.
 fn resume_after_suspension(node: &Node, sent: Instant) -> u128 {
@@ -129,7 +112,7 @@
         200
     );
     servers.next_request();
-    suspend(&node);
+    node.suspend();
     idle.extend(open_idle_connections(&node, 60));
     let mut clients = send_one_request_each(&node, 20, LONG_DEADLINE.0);
     let waited = resume_after_suspension(&node, Instant::now());
@@ -154,7 +137,7 @@
     let (servers, _discovery, node) = start_with_one_server("backlog", &[REPLY_OK]);
     for round in 0..3 {
         let before = Instant::now();
-        suspend(&node);
+        node.suspend();
         let (mut long, mut short) = (node.connect(), node.connect());
         long.write(&request(&format!("long{round}"), "read", LONG_DEADLINE.0));
         short.write(&request(&format!("short{round}"), "read", SHORT_DEADLINE));
@@ -221,7 +204,7 @@
         servers.next_request();
         std::fs::write(&file, "").expect("the file can be written");
         kept.write(&request("kept", "read", LONG_DEADLINE.0));
-        wait_until_stopped(&node);
+        node.wait_until_stopped();
         std::fs::remove_file(&file).expect("the file can be removed");
         let (mut long, mut short) = (node.connect(), node.connect());
         long.write(&request("long", "read", LONG_DEADLINE.0));
@@ -284,7 +267,7 @@
         let tag = format!("stopped-{round}");
         let mut stopped = StoppedNode::start(&tag, ("STOPPED_EPOLL", "1"));
         let waited = resume_after_suspension(&stopped.node, Instant::now());
-        wait_until_stopped(&stopped.node);
+        stopped.node.wait_until_stopped();
         thread::sleep(Duration::from_millis(20));
         stopped.node.signal("-CONT");
         stopped.assert_wait_is_deducted(waited);
@@ -306,7 +289,7 @@
         );
         servers.next_request();
     }
-    suspend(&node);
+    node.suspend();
     for (number, client) in clients.iter_mut().enumerate() {
         client.write(&request(
             &format!("b{number}"),
@@ -420,7 +403,7 @@
     );
     servers.next_request();
     for round in 0..5 {
-        suspend(&node);
+        node.suspend();
         for (name, trailing) in [("alone", ""), ("more", "GET /read/0 HTTP/1.1\r\nX-Junk: ")] {
             let mut client = node.connect();
             client.write(&(request(&format!("{name}{round}"), "read", LONG_DEADLINE.0) + trailing));
--- a/crates/saffronpaddle/tests/streamed_requests.rs
+++ b/crates/saffronpaddle/tests/streamed_requests.rs
@@ -5,9 +5,9 @@
 
 use common::failing_calls_library;
 use saffronpaddle_test_doubles::scripted::*;
-use std::net::Shutdown;
+use std::net::{Shutdown, TcpListener};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Length of a body that is streamed, in bytes.
 const STREAMED_BODY_BYTES: usize = 96 * 1024;
@@ -15,6 +15,17 @@
 const CHUNK_BYTES: usize = 8 * 1024;
 /// Time after a response in which its connection becomes reusable, with some to spare.
 const REUSE_DELAY: Duration = Duration::from_millis(30);
+/// Length of a body of which the node can't hold all, in bytes.
+const HELD_BODY_BYTES: usize = 100_000;
+/// Deadline of requests that wait at the node or at a server: as sent in the header, and with the margin in which the
+/// answer has to come.
+const SHORT_DEADLINE: (&str, Duration) = ("2000m", Duration::from_millis(2500));
+
+/// Length of a body of which the kernels can't hold all while a server reads nothing, in bytes.
+const UNREAD_BODY_BYTES: usize = 9 << 20;
+/// What a slow client writes at once, in bytes, and how often: 64 kB a second.
+const SLOW_PIECE_BYTES: usize = 5000;
+const SLOW_PIECE_INTERVAL: Duration = Duration::from_millis(78);
 
 /// Returns the head of a request whose body follows. `framing` is the header that gives the body's framing.
 fn request_head(id: &str, deadline: &str, framing: &str) -> String {
@@ -44,17 +55,6 @@
     text + "0\r\n\r\n"
 }
 
-/// Returns once a node's process has stopped.
-fn wait_until_stopped(node: &Node) {
-    let stat = format!("/proc/{}/stat", node.id());
-    while !std::fs::read_to_string(&stat)
-        .expect("the process exists")
-        .contains(") T ")
-    {
-        thread::sleep(Duration::from_millis(1));
-    }
-}
-
 /// Guards against a server that runs a request without the start of its body: the HTTP client has taken the first pieces
 /// when its kept connection turns out to be closed, and the attempt starts again on another connection.
 #[test]
@@ -78,7 +78,7 @@
     let body = numbered_body(STREAMED_BODY_BYTES);
     client.write(&chunked_request("long", &body));
     // The node has chosen the kept connection and is about to check it before the first byte.
-    wait_until_stopped(&node);
+    node.wait_until_stopped();
     std::fs::remove_file(&stop_file).expect("the file can be removed");
     kept.stream
         .shutdown(Shutdown::Both)
@@ -92,3 +92,62 @@
     assert!(received.message.body == body.as_bytes(), "the bytes differ");
     servers.assert_no_more_requests();
 }
+
+/// Writes a request whose length is declared, and asserts that it is refused before its client stops waiting.
+fn assert_refused_in_time(node: &Node, body_bytes: usize) {
+    let mut client = node.connect();
+    client
+        .stream
+        .set_write_timeout(Some(TEST_TIMEOUT))
+        .expect("the time-out can be set");
+    let framing = format!("Content-Length: {body_bytes}");
+    let head = request_head("held", SHORT_DEADLINE.0, &framing);
+    let began = Instant::now();
+    client.write(&(head + &"b".repeat(body_bytes)));
+    let response = client.read_response().expect("the node answers");
+    assert_eq!(response.status(), 503);
+    let waited = began.elapsed();
+    assert!(waited < SHORT_DEADLINE.1, "answered after {waited:?}");
+}
+
+/// Guards against a request that is never answered: it waits for its first attempt, nobody takes its body, and so the
+/// node does not learn that its client has sent everything.
+#[test]
+fn a_long_request_that_no_server_can_take_is_refused_in_time() {
+    let discovery = Discovery::start();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let dial = listener.local_addr().expect("the socket has an address");
+    let hosts = [host_json("s-1", dial, 1, "draining")];
+    let node = Node::start("held", discovery.address, &hosts);
+    assert_refused_in_time(&node, HELD_BODY_BYTES);
+}
+
+/// The same for a server that has the head of the request and takes nothing more: what its client has written is in the
+/// kernels.
+#[test]
+fn a_long_request_to_a_server_that_reads_nothing_is_refused_in_time() {
+    let discovery = Discovery::start();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let dial = listener.local_addr().expect("the socket has an address");
+    let hosts = [host_json("s-1", dial, 1, "ready")];
+    let node = Node::start("unread", discovery.address, &hosts);
+    let server = thread::spawn(move || listener.accept().expect("the node connects"));
+    assert_refused_in_time(&node, UNREAD_BODY_BYTES);
+    drop(server.join().expect("the server got a connection"));
+}
+
+/// A client that is slower than its deadline is not cut off: its time begins with its last byte.
+#[test]
+fn a_client_that_still_sends_after_its_deadline_is_served() {
+    let (servers, _discovery, node) = start_with_one_server("still-sends", &[REPLY_OK]);
+    let mut client = node.connect();
+    let framing = format!("Content-Length: {HELD_BODY_BYTES}");
+    client.write(&request_head("slow", "500m", &framing));
+    for _ in 0..HELD_BODY_BYTES / SLOW_PIECE_BYTES {
+        client.write(&"s".repeat(SLOW_PIECE_BYTES));
+        thread::sleep(SLOW_PIECE_INTERVAL);
+    }
+    let response = client.read_response().expect("the node answers");
+    assert_eq!(response.status(), 200);
+    assert_eq!(servers.next_request().message.body.len(), HELD_BODY_BYTES);
+}
--- a/crates/test-doubles/src/scripted.rs
+++ b/crates/test-doubles/src/scripted.rs
@@ -631,6 +631,11 @@
     /// sent.
     pub fn suspend(&self) {
         self.signal("-STOP");
+        self.wait_until_stopped();
+    }
+
+    /// Returns once all threads of the process have stopped, as after SIGSTOP.
+    pub fn wait_until_stopped(&self) {
         let tasks = format!("/proc/{}/task", self.child.id());
         let is_stopped = |task: std::fs::DirEntry| {
             let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
