Send clients away that stop in the middle of a body

Callers saw: clients that had sent a part of a body over 64 KiB stayed for as long as they liked, each with a connection to a server.

Cause: nothing watched whether the client of a streamed body goes on, and its connection counted as busy, so it was neither timed out nor evicted. A buffered body had the time that all bytes so far would need: 4.5 s after 64 kB at once.

Change: one rule for all bodies (ClientProgress): each byte earns the time that 32 kB a second allow for it, waiting uses it up, and no client has more than 2.5 s left. Time in which the node does not wait for the client is not counted. The request then fails in the exchange (BodyFailed), its attempt is closed, and the client gets 400 and a close; 413 where the body is too large. A connection whose client has to send more of a body is not busy: it may be evicted after 0.5 s of silence when others need its place. `busy` of the eviction package means what it meant, so its tests stand; the new state has a test of its own. respond.rs is split: upload.rs receives bodies.

--- a/crates/connection-eviction/src/connection.rs
+++ b/crates/connection-eviction/src/connection.rs
@@ -11,8 +11,10 @@
     pub last_active_at: Time,
     /// When the first byte of an incomplete request head was received; `None` between requests.
     pub head_started_at: Option<Time>,
-    /// A request is being read or answered on the connection.
+    /// A request is being read or answered on the connection, and not waiting for its client.
     pub busy: bool,
+    /// The client has to send more of the body of its request. The time for that is limited elsewhere.
+    pub awaits_body: bool,
     /// The client has sent at least one complete request head.
     pub has_requested: bool,
 }
--- a/crates/connection-eviction/src/lib.rs
+++ b/crates/connection-eviction/src/lib.rs
@@ -3,7 +3,7 @@
 //! Clients send a request as soon as they have connected, though perhaps slowly. The connections of a connection flood
 //! send nothing, stop within a request head, or send single bytes. Slow clients differ from a flood only in that they
 //! continue to send. So the connections that have been silent longest are evicted first, and a connection whose request
-//! is being answered is never evicted.
+//! is being answered is never evicted. One whose client has stopped in the middle of a request body may be.
 //!
 //! - [`Limits`] decides when a connection times out, and which connections are evicted.
 //! - [`EvictionPressure`] decides how many connections are evicted at once.
@@ -20,6 +20,7 @@
 //!     last_active_at: ms(0),
 //!     head_started_at: None,
 //!     busy: false,
+//!     awaits_body: false,
 //!     has_requested: false,
 //! };
 //! let sending = ConnectionState { last_active_at: ms(900), head_started_at: Some(ms(0)), ..silent };
--- a/crates/connection-eviction/src/limits.rs
+++ b/crates/connection-eviction/src/limits.rs
@@ -31,13 +31,13 @@
         slow_client_max_silence: Duration::from_millis(500),
     };
 
-    /// Whether a connection has timed out. A busy connection never has.
+    /// Whether a connection has timed out. A busy connection never has, nor one whose client sends a body.
     pub fn has_timed_out(&self, now: Time, connection: &ConnectionState) -> bool {
         let (since, timeout) = match connection.head_started_at {
             Some(head_started_at) => (head_started_at, self.head_timeout),
             None => (connection.last_active_at, self.idle_timeout),
         };
-        !connection.busy && now.saturating_sub(since) >= timeout
+        !connection.busy && !connection.awaits_body && now.saturating_sub(since) >= timeout
     }
 
     /// How long a connection counts as silent, including the penalty of an unused connection.
@@ -50,8 +50,17 @@
         }
     }
 
+    /// Whether a connection may be evicted. A client that has stopped in the middle of a request body loses nothing, as it
+    /// has not sent all of its request; one that goes on is kept.
+    fn is_candidate(&self, now: Time, connection: &ConnectionState) -> bool {
+        let silence = now.saturating_sub(connection.last_active_at);
+        let sends_body = connection.awaits_body && silence < self.slow_client_max_silence;
+        !connection.busy && !sends_body
+    }
+
     /// Returns the indexes in `connections` of the connections to evict, the longest silent first. Busy connections are
-    /// never chosen, and connections that may belong to slow clients only for the required evictions.
+    /// never chosen, and connections that may belong to slow clients only for the required evictions; if such a client
+    /// sends a body, not even for these.
     pub fn choose_evictions<'a>(
         &self,
         now: Time,
@@ -61,7 +70,7 @@
         let mut candidates: Vec<Candidate> = connections
             .into_iter()
             .enumerate()
-            .filter(|(_, connection)| !connection.busy)
+            .filter(|(_, connection)| self.is_candidate(now, connection))
             .map(|(index, connection)| Candidate {
                 index,
                 silence: self.silence(now, connection),
--- a/crates/connection-eviction/tests/choice.rs
+++ b/crates/connection-eviction/tests/choice.rs
@@ -15,6 +15,7 @@
     last_active_at: Duration::ZERO,
     head_started_at: None,
     busy: false,
+    awaits_body: false,
     has_requested: false,
 };
 /// The connection limit during a flood.
@@ -195,6 +196,29 @@
     }
 }
 
+/// Guards against clients that stop in the middle of a body and hold the connections that others wait for.
+#[test]
+fn a_client_that_has_stopped_in_a_body_is_evicted_and_one_that_sends_is_not() {
+    let body = ConnectionState {
+        awaits_body: true,
+        has_requested: true,
+        ..SILENT
+    };
+    let sent_lately = ConnectionState {
+        last_active_at: 4600 * MS,
+        ..body
+    };
+    let two = EvictionCount {
+        required: 2,
+        allowed: 0,
+    };
+    assert_eq!(
+        LIMITS.choose_evictions(5000 * MS, [&sent_lately, &body], two),
+        [1]
+    );
+    assert!(!LIMITS.has_timed_out(60_000 * MS, &body));
+}
+
 fn any_connection() -> impl Strategy<Value = ConnectionState> {
     let fields = (0u32..5000, any::<bool>(), any::<bool>(), any::<bool>());
     fields.prop_map(|(last_active, head_started, busy, has_requested)| {
@@ -204,6 +228,7 @@
             last_active_at,
             head_started_at: head_started.then_some(last_active_at),
             busy,
+            awaits_body: false,
             has_requested,
         }
     })
--- a/crates/exchange/src/event.rs
+++ b/crates/exchange/src/event.rs
@@ -81,6 +81,13 @@
         /// When the client may stop waiting for the answer; replaces the deadline given before.
         deadline: Micros,
     },
+    /// The rest of a streaming request body can't be received: the client has stopped in the middle of it, or has sent
+    /// what is not a body.
+    BodyFailed {
+        id: RequestId,
+        /// Identifies the admission, as the id may already be in use by a later request.
+        ticket: Ticket,
+    },
     /// A response has upgraded the connection to another protocol. The connection is now owned by the tunnel to the
     /// client, and the exchange no longer tracks it.
     Upgraded { connection: ConnectionId },
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -206,6 +206,7 @@
                 ticket,
                 deadline,
             } => self.on_body_deadline_changed(now, id, ticket, deadline),
+            Event::BodyFailed { id, ticket } => self.on_body_failed(now, &id, ticket, commands),
             Event::Upgraded { connection } => self.on_upgraded(now, connection, commands),
             Event::ConnectionLost { connection } => {
                 self.on_connection_lost(now, connection, commands);
--- a/crates/exchange/src/exchange/bodies.rs
+++ b/crates/exchange/src/exchange/bodies.rs
@@ -2,7 +2,7 @@
 
 use super::{Commands, Exchange};
 use crate::tables::{AttemptStage, ConnectionState};
-use crate::{Bugs, Command, Policy, Ticket};
+use crate::{Bugs, Command, FinalAnswer, Policy, Ticket};
 use saffronpaddle_policy::interface::{Event as PolicyEvent, Micros, RequestId};
 use std::hash::Hash;
 
@@ -42,6 +42,22 @@
         }
     }
 
+    /// Fails a request whose body can't be received completely. No server can have run it.
+    pub(super) fn on_body_failed(
+        &mut self,
+        now: Micros,
+        id: &RequestId,
+        ticket: Ticket,
+        commands: &mut Commands<A>,
+    ) {
+        let receiving = self.requests.get(id).is_some_and(|request| {
+            request.ticket == ticket && request.open && !request.body_complete
+        });
+        if receiving {
+            self.force_answer(now, id, FinalAnswer::Failed, commands);
+        }
+    }
+
     /// Replaces the deadline of an open request whose body is incomplete, and of its attempt. Returns the deadline, not
     /// later than the shutdown deadline; `None` if there is no such request.
     fn change_body_deadline(
--- a/crates/model-checker/src/chart.rs
+++ b/crates/model-checker/src/chart.rs
@@ -69,6 +69,7 @@
         Step::RequestArrives(r) => format!("request {r} arrives"),
         Step::ClientLeaves(r) => format!("client {r} disconnects"),
         Step::BodyArrives(r) => format!("the last body byte of request {r} arrives"),
+        Step::BodyFails(r) => format!("the client of request {r} stops in the middle of its body"),
         Step::BodyDeadlineChanges { request: r, short } => {
             let change = if short { "pauses" } else { "goes on" };
             format!("the receipt of the body of request {r} {change}")
--- a/crates/model-checker/src/walk.rs
+++ b/crates/model-checker/src/walk.rs
@@ -102,6 +102,7 @@
         step,
         Step::ClockTicks
             | Step::ClientLeaves(_)
+            | Step::BodyFails(_)
             | Step::PolicyRejects(_)
             | Step::PolicyFails(_)
             | Step::PolicyCancels(_)
--- a/crates/model-checker/src/world/apply_step.rs
+++ b/crates/model-checker/src/world/apply_step.rs
@@ -134,6 +134,7 @@
             Step::RequestArrives(request) => Some(self.request_arrives(setup, request).into()),
             Step::ClientLeaves(request) => Some(self.client_leaves(setup, request).into()),
             Step::BodyArrives(request) => Some(self.body_arrives(setup, request).into()),
+            Step::BodyFails(request) => Some(self.body_fails(setup, request).into()),
             Step::BodyDeadlineChanges { request, short } => {
                 Some(self.body_deadline_changes(setup, request, short).into())
             }
@@ -265,6 +266,13 @@
         }
     }
 
+    fn body_fails(&mut self, setup: &Setup, request: u8) -> Event<u8> {
+        Event::BodyFailed {
+            id: setup.request_id(request),
+            ticket: Ticket(self.client(request).ticket),
+        }
+    }
+
     fn body_deadline_changes(&mut self, setup: &Setup, request: u8, short: bool) -> Event<u8> {
         let deadline = self.body_deadline(setup, short);
         let client = self.client_mut(request);
--- a/crates/model-checker/src/world/possible_steps.rs
+++ b/crates/model-checker/src/world/possible_steps.rs
@@ -92,6 +92,7 @@
             steps.push(Step::ClientLeaves(request));
         }
         if setup.streaming_bodies && client.is_waiting() && !client.body_arrived {
+            steps.push(Step::BodyFails(request));
             self.add_deadline_changes(setup, request, client, steps);
         }
         let next = self.clients.get(index + 1);
--- a/crates/model-checker/src/world/step.rs
+++ b/crates/model-checker/src/world/step.rs
@@ -20,6 +20,8 @@
         /// The deadline is one tick away instead of the whole timeout.
         short: bool,
     },
+    /// The client of a request stops in the middle of its streaming body.
+    BodyFails(u8),
     /// The rest of a streaming response arrives on a connection.
     ResponseFinishes(u8),
     /// The client stops reading the streaming response on a connection.
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -1,9 +1,11 @@
 //! Bodies of requests forwarded to a server, and of responses forwarded to a client. A streamed body holds a few chunks
 //! at a time; the slower of its two peers sets the pace.
 
+mod reader;
 mod request;
 mod response;
 
+pub use reader::{BodyReader, ReceiveError};
 pub use request::{AttemptBody, BodyEvent, StreamedRequestBody};
 pub use response::StreamedResponseBody;
 pub use saffronpaddle_request_body::MAX_BODY_BYTES;
@@ -22,7 +24,7 @@
 /// Maximum number of bytes of a request or response body that is buffered completely. Up to this size a request can be
 /// retried, and a response is forwarded only once it is complete.
 pub const MAX_BUFFERED_BODY_BYTES: usize = MAX_BUFFERED_BYTES;
-/// How long a streamed body may make no progress. A peer that vanished without closing would otherwise hold a
+/// How long a streamed response may make no progress. A peer that vanished without closing would otherwise hold a
 /// connection on either side forever.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/crates/node/src/bodies/request.rs
+++ b/crates/node/src/bodies/request.rs
@@ -1,10 +1,9 @@
 //! A request body that is streamed from its client to a server.
 
-use super::{PolledFrame, STALL_TIMEOUT};
+use super::{BodyReader, PolledFrame, ReceiveError};
 use crate::downstream::DownstreamConnection;
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use saffronpaddle_exchange::Ticket;
 use saffronpaddle_netio::timeout;
 use saffronpaddle_request_body::{AttemptNumber, ClientWait, Next, RequestBody};
@@ -29,6 +28,8 @@
     ClientSends,
     /// The body was received completely, and its last part is held back. The client may have waited for this long.
     Complete(Duration),
+    /// The body can't be received completely.
+    Failed,
 }
 
 /// A request body that is forwarded while it is being received. Its last part is held back until the exchange releases
@@ -83,26 +84,30 @@
 
     /// Receives the body until its end, as attempts make room or the answer makes the rest superfluous. If the future
     /// is dropped before the end, the body fails.
-    pub async fn receive(&self, mut rest: Incoming) {
+    ///
+    /// # Errors
+    /// The body can't be received completely, and its request has no answer yet.
+    pub async fn receive(&self, reader: &mut BodyReader) -> Result<(), ReceiveError> {
         let _fail_guard = FailGuard(self);
         while self.state.borrow().is_receiving() {
             if !self.state.borrow().has_room() {
                 self.wait_for_progress().await;
                 continue;
             }
-            match self.next_frame(&mut rest).await {
-                Some(Ok(frame)) => frame
-                    .data_ref()
-                    .into_iter()
-                    .for_each(|data| self.push(data)),
-                Some(Err(_)) => self.state.borrow_mut().fail(),
-                None => self.state.borrow_mut().complete(),
+            let received = self.next_bytes(reader).await;
+            match received.and_then(|data| self.record_received(data)) {
+                Ok(()) => self.wake_attempt(),
+                Err(_) if self.state.borrow().is_discarded() => return Ok(()),
+                Err(error) => {
+                    self.report(BodyEvent::Failed);
+                    return Err(error);
+                }
             }
-            self.wake_attempt();
         }
         while self.state.borrow().is_held() && !self.completion_reported.get() {
             self.wait_for_progress().await;
         }
+        Ok(())
     }
 
     /// Waits for an attempt to take a part. The node does not read meanwhile, so the client may wait for its answer.
@@ -126,23 +131,33 @@
             .since(self.size, sent_after, paused_at)
     }
 
-    /// The next frame from the client; an error if it doesn't come, and `None` at the end.
-    async fn next_frame(&self, rest: &mut Incoming) -> Option<Result<Frame<Bytes>, io::Error>> {
-        if let Some(waits_since) = self.reported_wait.get() {
-            let frame = timeout(MIN_REPORTED_PAUSE, rest.frame()).await;
-            // Otherwise the frame was in the kernel all the time.
-            if frame.is_err() || self.client.sent_after() > waits_since {
-                self.reported_wait.set(None);
-                self.report(BodyEvent::ClientSends);
-            }
-            if let Ok(frame) = frame {
-                return frame.map(|frame| frame.map_err(io::Error::other));
-            }
+    /// The next bytes from the client; `None` at the end.
+    async fn next_bytes(&self, reader: &mut BodyReader) -> Result<Option<Bytes>, ReceiveError> {
+        let Some(waits_since) = self.reported_wait.get() else {
+            return reader.next().await;
+        };
+        let received = timeout(MIN_REPORTED_PAUSE, reader.next()).await;
+        // Otherwise the bytes were in the kernel all the time.
+        if received.is_err() || self.client.sent_after() > waits_since {
+            self.reported_wait.set(None);
+            self.report(BodyEvent::ClientSends);
+        }
+        match received {
+            Ok(received) => received,
+            Err(_) => reader.next().await,
         }
-        match timeout(STALL_TIMEOUT, rest.frame()).await {
-            Ok(frame) => frame.map(|frame| frame.map_err(io::Error::other)),
-            Err(elapsed) => Some(Err(io::Error::other(elapsed))),
+    }
+
+    /// Records the next bytes, or the end if there are none.
+    fn record_received(&self, data: Option<Bytes>) -> Result<(), ReceiveError> {
+        match data {
+            Some(data) => self.push(&data),
+            None => self.state.borrow_mut().complete(),
         }
+        if self.state.borrow().is_failed() {
+            return Err(ReceiveError::TooLarge);
+        }
+        Ok(())
     }
 
     fn push(&self, data: &Bytes) {
@@ -150,9 +165,6 @@
         client_wait.record_received(self.client.now(), data.len() as u64);
         self.client_wait.set(client_wait);
         self.state.borrow_mut().push(data);
-        if !self.state.borrow().is_receiving() {
-            debug!("the body is too large");
-        }
     }
 
     /// Ends the forwarding: the request has its answer. The rest is received, so that the client has written everything
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -6,6 +6,7 @@
 mod reply;
 mod request;
 mod respond;
+mod upload;
 
 use crate::event_loop::SWEEP_INTERVAL;
 use crate::node::Node;
--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -54,6 +54,7 @@
             () = served => return,
             () = downstream.evicted() => {}
         }
+        let last_active_at = downstream.last_active_at();
         // The last byte of a request may arrive while its connection is being evicted, and the request would be lost
         // without a response. Bytes held by the kernel are read first; a connection that has a request is kept.
         for _ in 0..FINAL_READ_YIELDS {
@@ -63,7 +64,8 @@
                 return;
             }
         }
-        if !downstream.is_busy() {
+        let has_stopped = downstream.awaits_body() && downstream.last_active_at() == last_active_at;
+        if !downstream.is_busy() || has_stopped {
             debug!(
                 why = "sent_away",
                 asked = downstream.has_requested(),
--- a/crates/node/src/clients/respond.rs
+++ b/crates/node/src/clients/respond.rs
@@ -1,46 +1,30 @@
-//! Serves one request: reads its body, submits it to the node and builds the response.
+//! Serves one request: submits it to the node and builds the response.
 
 use super::reply::{
-    deadline_passed, duplicate_id, reject_and_close, reject_unread, reject_upgrade, reply,
-    text_reply, unavailable, Reply,
+    deadline_passed, duplicate_id, reject_unread, reject_upgrade, reply, text_reply, unavailable,
+    Reply,
 };
-use super::request::{parse, Rejected, RequestHead, DELIVERY_MARGIN};
+use super::request::{parse, Rejected, RequestHead};
+use super::upload::Upload;
 use super::ServingStatus;
 use crate::answer::{Answer, Payload};
-use crate::bodies::{
-    concatenate, ReadBody, StreamedRequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES,
-};
 use crate::downstream::{DownstreamConnection, ObservedStream};
-use crate::forward::{Forward, ForwardBody};
+use crate::forward::Forward;
 use crate::node::Node;
 use crate::websocket;
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING, UPGRADE};
 use hyper::upgrade::OnUpgrade;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use saffronpaddle_admin::RequestEnd;
 use saffronpaddle_exchange::Ticket;
-use saffronpaddle_netio::timeout_at;
-use saffronpaddle_policy::interface::{Event, Idempotency, RequestId};
+use saffronpaddle_policy::interface::{Event, RequestId};
 use saffronpaddle_websocket::upgrade::{self, Offer};
-use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::Instant;
-
-/// How long the buffered part of a body may take after its head, in addition to the time that its size allows. Stops
-/// waiting for bodies that stall.
-const BODY_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Minimum rate at which a client must send a buffered body: half the rate of a slow client.
-const MIN_BODY_BYTES_PER_SECOND: u32 = 32_000;
-/// How long a streamed body may take while its client makes progress: enough for the largest body at the lowest rate.
-/// It consumes no quota meanwhile.
-const STREAMED_BODY_TIMEOUT: Duration = Duration::from_mins(20);
 
 /// Serves a request and returns its response.
 pub(super) async fn respond(
@@ -75,9 +59,8 @@
     if let (Some(offer), Some(client_upgrade)) = (offer, client_upgrade) {
         return open_websocket(node, request_head, head, offer, client_upgrade, downstream).await;
     }
-    let size = body.size_hint().exact();
-    match receive_body(node, &mut request_head, body, downstream).await {
-        Ok(body) => forward(node, request_head, head, (body, size), downstream).await,
+    match Upload::receive(node, &mut request_head, body, downstream).await {
+        Ok(upload) => upload.forward(node, request_head, head, downstream).await,
         Err(reply) => reply,
     }
 }
@@ -102,136 +85,6 @@
     reply
 }
 
-/// Reads the buffered part of a request's body. An error is the reply that rejects the request.
-async fn receive_body(
-    node: &Node,
-    request_head: &mut RequestHead,
-    body: Incoming,
-    downstream: &DownstreamConnection,
-) -> Result<ReadBody, Reply> {
-    let reject = |status, reason| {
-        node.record_rejection(request_head.class, RequestEnd::Faulted);
-        reject_and_close(status, reason)
-    };
-    if body.size_hint().lower() > MAX_BODY_BYTES {
-        let status = StatusCode::PAYLOAD_TOO_LARGE;
-        return Err(reject(status, "the body is too large\n"));
-    }
-    let Some(body) = buffer_body(body).await else {
-        let status = StatusCode::BAD_REQUEST;
-        return Err(reject(status, "the body did not come whole\n"));
-    };
-    let is_empty = body.as_ref().is_ok_and(Bytes::is_empty);
-    if request_head.idempotency == Idempotency::Idempotent && !is_empty {
-        let status = StatusCode::BAD_REQUEST;
-        return Err(reject(status, "this class takes no body\n"));
-    }
-    // The timeout of a request with a streamed body has not started yet.
-    if body.is_ok() && !request_head.deduct_queue_time(downstream.time_queued()) {
-        return Err(deadline_passed(node, request_head.class));
-    }
-    Ok(body)
-}
-
-/// Submits a request and returns its response. `body`: the body after buffering, and its size in bytes if known.
-async fn forward(
-    node: &Rc<Node>,
-    request_head: RequestHead,
-    head: hyper::http::request::Parts,
-    body: (ReadBody, Option<u64>),
-    downstream: &Arc<DownstreamConnection>,
-) -> Reply {
-    let (class, timeout) = (
-        request_head.class,
-        request_head.timeout.saturating_sub(DELIVERY_MARGIN),
-    );
-    let (body, rest) = match body {
-        (Ok(body), _) => (body, None),
-        (Err((received, rest)), size) => (Bytes::new(), Some((received, rest, size))),
-    };
-    let (mut event, mut forward) = request_head.into_arrival(head, body, downstream);
-    let answer = match rest {
-        None => submit(node, event, forward).await,
-        Some((received, rest, size)) => {
-            let on_event = node.report_body(forward.id.clone(), timeout, STREAMED_BODY_TIMEOUT);
-            let body = Rc::new(StreamedRequestBody::new(
-                Box::new(on_event),
-                Arc::clone(downstream),
-                size,
-                &received,
-            ));
-            drop(received);
-            stream_body(&mut event, &mut forward, Rc::clone(&body));
-            submit_streamed(node, event, forward, &body, rest).await
-        }
-    };
-    if let Some(answer) = answer {
-        return reply(answer);
-    }
-    node.record_rejection(class, RequestEnd::Faulted);
-    duplicate_id()
-}
-
-/// Submits a request whose body is being received, and waits for its final answer and the end of the body. A client that
-/// is still writing when the connection closes would lose its response.
-async fn submit_streamed(
-    node: &Rc<Node>,
-    event: Event,
-    forward: Forward,
-    body: &StreamedRequestBody,
-    rest: Incoming,
-) -> Option<Answer> {
-    let answered = async {
-        let answer = submit(node, event, forward).await;
-        body.discard_rest();
-        answer
-    };
-    let (answer, ()) = tokio::join!(answered, body.receive(rest));
-    answer
-}
-
-/// Has a request forwarded while its body is being received. The client's timeout starts with the last byte.
-fn stream_body(event: &mut Event, forward: &mut Forward, body: Rc<StreamedRequestBody>) {
-    forward.body = ForwardBody::Streamed(body);
-    forward.deadline = Instant::now() + STREAMED_BODY_TIMEOUT;
-    if let Event::RequestArrived {
-        timeout, complete, ..
-    } = event
-    {
-        (*timeout, *complete) = (STREAMED_BODY_TIMEOUT.as_micros() as u64, false);
-    }
-}
-
-/// Buffers a body. Of one that is too large for buffering, returns what was read when it turned out to be too large.
-/// `None` if the body was truncated or sent too slowly.
-async fn buffer_body(mut body: Incoming) -> Option<ReadBody> {
-    let (mut chunks, mut size) = (VecDeque::new(), 0);
-    if body.size_hint().lower() > MAX_BUFFERED_BODY_BYTES as u64 {
-        return Some(Err((chunks, body)));
-    }
-    if body.is_end_stream() {
-        return Some(Ok(Bytes::new()));
-    }
-    let started_at = Instant::now();
-    loop {
-        let deadline = started_at
-            + BODY_TIMEOUT
-            + Duration::from_secs(1).mul_f64(size as f64 / f64::from(MIN_BODY_BYTES_PER_SECOND));
-        let Some(frame) = timeout_at(deadline, body.frame()).await.ok()? else {
-            break;
-        };
-        let Ok(data) = frame.ok()?.into_data() else {
-            continue;
-        };
-        size += data.len();
-        chunks.push_back(data);
-        if size > MAX_BUFFERED_BODY_BYTES {
-            return Some(Err((chunks, body)));
-        }
-    }
-    Some(Ok(concatenate(chunks)))
-}
-
 /// Opens a WebSocket. The upgrade is submitted like any other request; its payload is the connection to the server.
 async fn open_websocket(
     node: &Rc<Node>,
@@ -304,7 +157,7 @@
 }
 
 /// Submits a request and waits for its final answer; `None` if its id is in use.
-async fn submit(node: &Rc<Node>, event: Event, forward: Forward) -> Option<Answer> {
+pub(super) async fn submit(node: &Rc<Node>, event: Event, forward: Forward) -> Option<Answer> {
     let id = forward.id.clone();
     let (answered, ticket) = node.submit(event, forward)?;
     let _abandon_guard = AbandonGuard { node, id, ticket };
--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -30,6 +30,8 @@
     head_started_us: AtomicU64,
     /// A request is being read or answered.
     busy: AtomicBool,
+    /// The node waits for the client to send more of a request body.
+    awaits_body: AtomicBool,
     has_requested: AtomicBool,
     /// The last write did not complete because the kernel's send buffer is full.
     write_blocked: AtomicBool,
@@ -61,8 +63,8 @@
         let (last_active_us, head_started_us) = (AtomicU64::new(accepted_us), AtomicU64::new(0));
         let sent_after_us =
             AtomicU64::new(micros(arrived_after.saturating_duration_since(epoch)).min(accepted_us));
-        let [busy, has_requested, write_blocked, is_ambiguously_framed, read_pending, reported_read_paused, evicted] =
-            [(); 7].map(|()| AtomicBool::new(false));
+        let [busy, awaits_body, has_requested, write_blocked, is_ambiguously_framed, read_pending, reported_read_paused, evicted] =
+            [(); 8].map(|()| AtomicBool::new(false));
         let eviction = Notify::new();
         Arc::new(DownstreamConnection {
             epoch,
@@ -72,6 +74,7 @@
             sent_after_us,
             head_started_us,
             busy,
+            awaits_body,
             has_requested,
             write_blocked,
             is_ambiguously_framed,
@@ -136,14 +139,28 @@
         let head_started_us = self.head_started_us.load(Ordering::Relaxed);
         ConnectionState {
             accepted_at: Duration::from_micros(self.accepted_us),
-            last_active_at: Duration::from_micros(self.last_active_us.load(Ordering::Relaxed)),
+            last_active_at: self.last_active_at(),
             head_started_at: head_started_us.checked_sub(1).map(Duration::from_micros),
             // A client that reads the end of a response slowly would lose it if the connection counted as idle.
-            busy: self.is_busy() || self.write_blocked.load(Ordering::Relaxed) || self.is_evicted(),
+            busy: (self.is_busy() && !self.awaits_body())
+                || self.write_blocked.load(Ordering::Relaxed)
+                || self.is_evicted(),
+            awaits_body: self.awaits_body(),
             has_requested: self.has_requested(),
         }
     }
 
+    /// Whether the node waits for the client to send more of a request body: the connection is busy, but its request is
+    /// incomplete.
+    pub fn awaits_body(&self) -> bool {
+        self.awaits_body.load(Ordering::Relaxed)
+    }
+
+    /// When bytes were last read or written.
+    pub fn last_active_at(&self) -> Duration {
+        Duration::from_micros(self.last_active_us.load(Ordering::Relaxed))
+    }
+
     /// Whether the connection has carried a request.
     pub fn has_requested(&self) -> bool {
         self.has_requested.load(Ordering::Relaxed)
@@ -230,6 +247,23 @@
     }
 }
 
+/// Marks a connection as one whose client has to send more of a request body, until dropped.
+pub struct BodyWaitGuard(Arc<DownstreamConnection>);
+
+impl BodyWaitGuard {
+    /// Marks the connection.
+    pub fn new(downstream: &Arc<DownstreamConnection>) -> BodyWaitGuard {
+        downstream.awaits_body.store(true, Ordering::Relaxed);
+        BodyWaitGuard(Arc::clone(downstream))
+    }
+}
+
+impl Drop for BodyWaitGuard {
+    fn drop(&mut self) {
+        self.0.awaits_body.store(false, Ordering::Relaxed);
+    }
+}
+
 /// A client connection that records its reads and writes in a [`DownstreamConnection`].
 pub struct ObservedStream {
     stream: Socket,
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -129,6 +129,7 @@
                     ticket,
                     deadline: deadline_of(waited),
                 },
+                BodyEvent::Failed => Event::BodyFailed { id, ticket },
                 BodyEvent::ClientSends => Event::BodyDeadlineChanged {
                     id,
                     ticket,
--- a/crates/request-body/src/body.rs
+++ b/crates/request-body/src/body.rs
@@ -65,6 +65,16 @@
         self.reception == Reception::Receiving
     }
 
+    /// Whether the body can't be received completely.
+    pub fn is_failed(&self) -> bool {
+        self.reception == Reception::Failed
+    }
+
+    /// Whether the request has its answer, so that no attempt needs the rest.
+    pub fn is_discarded(&self) -> bool {
+        self.discards
+    }
+
     /// Whether parts of the body are still held for an attempt.
     pub fn is_held(&self) -> bool {
         !self.pieces.is_empty()
--- a/crates/request-body/src/lib.rs
+++ b/crates/request-body/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`PieceQueue`] stores bytes in pieces of one size, however small the chunks are in which they arrive.
 //! - [`RequestBody`] is the body of one request and its attempts.
+//! - [`ClientProgress`] tells a client that sends slowly from one that has stopped.
 //! - [`ClientWait`] bounds when the client wrote the last byte, which its deadline counts from.
 //!
 //! The crate does no I/O and reads no clock.
@@ -33,10 +34,12 @@
 #![warn(missing_docs)]
 
 mod body;
+mod client_progress;
 mod client_wait;
 mod piece_queue;
 
 pub use body::{AttemptNumber, Next, RequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
+pub use client_progress::{ClientProgress, MAX_SILENCE, MIN_BYTES_PER_SECOND};
 pub use client_wait::{ClientWait, MAX_CLIENT_LEAD_BYTES};
 pub use piece_queue::{PieceQueue, PIECE_BYTES};
 
--- a/crates/saffronpaddle/tests/bodies.rs
+++ b/crates/saffronpaddle/tests/bodies.rs
@@ -310,18 +310,7 @@
     let mut reader = BufReader::new(client.stream.try_clone().expect("the socket can be cloned"));
     read_head(&mut reader);
     std::thread::sleep(std::time::Duration::from_millis(300));
-    let status = std::fs::read_to_string(format!("/proc/{}/status", node.id()))
-        .expect("the node is running");
-    let peak_memory = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmHWM:"))
-        .expect("the status has the peak memory");
-    let kilobytes: u64 = peak_memory
-        .trim()
-        .trim_end_matches("kB")
-        .trim()
-        .parse()
-        .expect("the peak memory is a number of kB");
+    let kilobytes = node.peak_memory_kb();
     assert!(kilobytes < 24_000, "peak memory of {kilobytes} kB");
     let mut rest = vec![0; size];
     reader
--- a/crates/saffronpaddle/tests/streamed_requests.rs
+++ b/crates/saffronpaddle/tests/streamed_requests.rs
@@ -5,6 +5,7 @@
 
 use common::failing_calls_library;
 use saffronpaddle_test_doubles::scripted::*;
+use std::io::Read;
 use std::net::{Shutdown, TcpListener};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -26,6 +27,18 @@
 /// What a slow client writes at once, in bytes, and how often: 64 kB a second.
 const SLOW_PIECE_BYTES: usize = 5000;
 const SLOW_PIECE_INTERVAL: Duration = Duration::from_millis(78);
+/// What a client that stops has sent of its body, and the length that it has declared, in bytes.
+const STOPPED_AND_DECLARED_BYTES: (usize, usize) = (70_000, 200_000);
+/// How long a client that stops is waited for at the most.
+const STOPPED_CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// The node's limit on sockets that fewer clients than [`STOPPED_CLIENTS`] use up.
+const FEW_SOCKETS: usize = 128;
+const STOPPED_CLIENTS: usize = 100;
+/// What many clients with a long body have sent when no server takes any of it, in bytes.
+const MANY_HELD_BYTES: usize = 300_000;
+const MANY_CLIENTS: usize = 550;
+/// The memory of a node of 1,024 sockets, in kB.
+const MEMORY_LIMIT_KB: u64 = 192_000;
 
 /// Returns the head of a request whose body follows. `framing` is the header that gives the body's framing.
 fn request_head(id: &str, deadline: &str, framing: &str) -> String {
@@ -151,3 +164,96 @@
     assert_eq!(response.status(), 200);
     assert_eq!(servers.next_request().message.body.len(), HELD_BODY_BYTES);
 }
+
+/// Connects a client that sends a part of a long body and then nothing more.
+fn stopped_client(node: &Node, id: &str) -> Client {
+    let (sent, declared) = STOPPED_AND_DECLARED_BYTES;
+    let mut client = node.connect();
+    let head = request_head(id, "2000m", &format!("Content-Length: {declared}"));
+    client.write(&(head + &"c".repeat(sent)));
+    client
+}
+
+/// Guards against clients that stay in the middle of a long body, each with a connection to a server.
+#[test]
+fn a_client_that_stops_in_a_long_body_gets_its_error_and_frees_its_server() {
+    let discovery = Discovery::start();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let dial = listener.local_addr().expect("the socket has an address");
+    let hosts = [host_json("s-1", dial, 1, "ready")];
+    let node = Node::start("stopped", discovery.address, &hosts);
+    let mut client = stopped_client(&node, "stopped");
+    let stopped = Instant::now();
+    let (mut attempt, _) = listener.accept().expect("the node connects");
+    let response = client.read_response().expect("the node answers");
+    assert_eq!(response.status(), 400);
+    client.expect_close();
+    let waited = stopped.elapsed();
+    assert!(waited < STOPPED_CLIENT_TIMEOUT, "ended after {waited:?}");
+    attempt
+        .set_read_timeout(Some(TEST_TIMEOUT))
+        .expect("the time-out can be set");
+    let mut received = Vec::new();
+    // The connection ends, in whichever way.
+    let end = attempt.read_to_end(&mut received);
+    assert!(end.is_ok_and(|bytes| bytes < STOPPED_AND_DECLARED_BYTES.1));
+}
+
+/// The same for a body that the node buffers.
+#[test]
+fn a_client_that_stops_in_a_buffered_body_gets_its_error_however_much_it_sent() {
+    let (_servers, _discovery, node) = start_with_one_server("stopped-short", &[REPLY_OK]);
+    let mut client = node.connect();
+    client.write(&request_head("a", "2000m", "Content-Length: 65000"));
+    client.write(&"c".repeat(64_000));
+    let stopped = Instant::now();
+    let response = client.read_response().expect("the node answers");
+    assert_eq!(response.status(), 400);
+    let waited = stopped.elapsed();
+    assert!(waited < STOPPED_CLIENT_TIMEOUT, "ended after {waited:?}");
+}
+
+/// Guards against sound clients that wait behind clients that have stopped in a long body: these take all connections,
+/// and more of them are in the backlog.
+#[test]
+fn clients_that_stop_in_a_long_body_make_way_for_others() {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let dial = servers.start("s-1", &[REPLY_OK]);
+    let hosts = [host_json("s-1", dial, 1, "ready")];
+    let node = Node::with_sockets("crowd", discovery.address, &hosts, FEW_SOCKETS);
+    let stopped: Vec<_> = (0..STOPPED_CLIENTS)
+        .map(|number| stopped_client(&node, &format!("stopped{number}")))
+        .collect();
+    let mut client = node.connect();
+    client.write(&request("sound", "read", SHORT_DEADLINE.0));
+    let began = Instant::now();
+    assert!(client.read_response().is_some(), "the node answers");
+    let waited = began.elapsed();
+    assert!(waited < SHORT_DEADLINE.1, "answered after {waited:?}");
+    drop(stopped);
+}
+
+/// Guards against a node that reads ahead more than its memory holds.
+#[test]
+fn many_long_bodies_that_no_server_takes_stay_within_the_memory_limit() {
+    let discovery = Discovery::start();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let dial = listener.local_addr().expect("the socket has an address");
+    let hosts = [host_json("s-1", dial, 1, "draining")];
+    let node = Node::start("many-held", discovery.address, &hosts);
+    let mut clients: Vec<_> = (0..MANY_CLIENTS)
+        .map(|number| {
+            let mut client = node.connect();
+            let framing = format!("Content-Length: {MANY_HELD_BYTES}");
+            let head = request_head(&format!("held{number}"), SHORT_DEADLINE.0, &framing);
+            client.write(&(head + &"d".repeat(MANY_HELD_BYTES)));
+            client
+        })
+        .collect();
+    for client in &mut clients {
+        let response = client.read_response().expect("the node answers");
+        assert_eq!(response.status(), 503);
+    }
+    let peak = node.peak_memory_kb();
+    assert!(peak < MEMORY_LIMIT_KB, "peak memory of {peak} kB");
+}
--- a/crates/test-doubles/src/scripted.rs
+++ b/crates/test-doubles/src/scripted.rs
@@ -667,6 +667,21 @@
         );
     }
 
+    /// The most memory that the process has used so far, in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
+            .expect("the node is running");
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .expect("the status has the peak memory");
+        peak.trim()
+            .trim_end_matches("kB")
+            .trim()
+            .parse()
+            .expect("the peak memory is a number of kB")
+    }
+
     /// Process id of the node.
     pub fn id(&self) -> u32 {
         self.child.id()
