Keep bodies in pieces of one size, however small their chunks are

Cause: a buffered body, the start of a streamed one and the start of a server's response were kept as the list of their chunks, 32 bytes of administration each.

Change: PieceQueue copies them into pieces of 16 KiB.

--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -11,11 +11,10 @@
 pub use saffronpaddle_request_body::MAX_BODY_BYTES;
 
 use crate::downstream::BusyGuard;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use saffronpaddle_request_body::MAX_BUFFERED_BYTES;
-use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -28,21 +27,6 @@
 /// connection on either side forever.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A body after buffering: the complete body, or the chunks received so far and the rest that is to be streamed.
-pub type ReadBody = Result<Bytes, (VecDeque<Bytes>, Incoming)>;
-
-/// Concatenates the chunks of a body; copies only if there are several.
-pub fn concatenate(mut chunks: VecDeque<Bytes>) -> Bytes {
-    if chunks.len() <= 1 {
-        return chunks.pop_front().unwrap_or_default();
-    }
-    let mut body = BytesMut::with_capacity(chunks.iter().map(Bytes::len).sum());
-    chunks
-        .iter()
-        .for_each(|chunk| body.extend_from_slice(chunk));
-    body.freeze()
-}
-
 type PolledFrame = Poll<Option<Result<Frame<Bytes>, io::Error>>>;
 
 /// The body of a request forwarded to a server.
--- a/crates/node/src/bodies/request.rs
+++ b/crates/node/src/bodies/request.rs
@@ -6,7 +6,7 @@
 use hyper::body::Frame;
 use saffronpaddle_exchange::Ticket;
 use saffronpaddle_netio::timeout;
-use saffronpaddle_request_body::{AttemptNumber, ClientWait, Next, RequestBody};
+use saffronpaddle_request_body::{AttemptNumber, ClientWait, Next, PieceQueue, RequestBody};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
@@ -54,27 +54,27 @@
 }
 
 impl StreamedRequestBody {
-    /// Creates a body of `size` bytes (`None` if unknown), of which the chunks in `received` have arrived.
-    pub fn new<'a>(
+    /// Creates a body of `size` bytes (`None` if unknown), of which `received` has arrived.
+    pub fn new(
         on_event: Box<dyn Fn(Ticket, BodyEvent)>,
         client: Arc<DownstreamConnection>,
         size: Option<u64>,
-        received: impl IntoIterator<Item = &'a Bytes>,
+        received: PieceQueue,
     ) -> StreamedRequestBody {
-        let body = StreamedRequestBody {
+        let mut client_wait = ClientWait::default();
+        client_wait.record_received(client.now(), received.len() as u64);
+        StreamedRequestBody {
             on_event,
             ticket: Cell::new(None),
             size,
             client,
-            client_wait: Cell::default(),
+            client_wait: Cell::new(client_wait),
             reported_wait: Cell::new(None),
             completion_reported: Cell::new(false),
-            state: RefCell::default(),
+            state: RefCell::new(RequestBody::new(received)),
             attempt_waker: RefCell::default(),
             progress: Notify::new(),
-        };
-        received.into_iter().for_each(|chunk| body.push(chunk));
-        body
+        }
     }
 
     /// Sets the ticket that is passed to `on_event`.
--- a/crates/node/src/clients/upload.rs
+++ b/crates/node/src/clients/upload.rs
@@ -5,8 +5,7 @@
 use super::respond::submit;
 use crate::answer::Answer;
 use crate::bodies::{
-    concatenate, BodyReader, ReceiveError, StreamedRequestBody, MAX_BODY_BYTES,
-    MAX_BUFFERED_BODY_BYTES,
+    BodyReader, ReceiveError, StreamedRequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES,
 };
 use crate::downstream::DownstreamConnection;
 use crate::forward::{Forward, ForwardBody};
@@ -16,7 +15,7 @@
 use hyper::StatusCode;
 use saffronpaddle_admin::RequestEnd;
 use saffronpaddle_policy::interface::{ClassId, Event, Idempotency};
-use std::collections::VecDeque;
+use saffronpaddle_request_body::PieceQueue;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,7 +39,7 @@
     /// Size in bytes, if the client declared it.
     size: Option<u64>,
     /// What was received until the body turned out to be too large for buffering.
-    received: VecDeque<Bytes>,
+    received: PieceQueue,
     reader: BodyReader,
 }
 
@@ -83,21 +82,19 @@
         let hint = body.size_hint();
         let mut upload = StreamedUpload {
             size: hint.exact(),
-            received: VecDeque::new(),
+            received: PieceQueue::default(),
             reader: BodyReader::new(body, Arc::clone(downstream)),
         };
         if hint.lower() > MAX_BUFFERED_BODY_BYTES as u64 {
             return Ok(Upload::Streamed(upload));
         }
-        let mut bytes = 0;
         while let Some(data) = upload.reader.next().await? {
-            bytes += data.len();
-            upload.received.push_back(data);
-            if bytes > MAX_BUFFERED_BODY_BYTES {
+            upload.received.push(&data);
+            if upload.received.len() > MAX_BUFFERED_BODY_BYTES {
                 return Ok(Upload::Streamed(upload));
             }
         }
-        Ok(Upload::Complete(concatenate(upload.received)))
+        Ok(Upload::Complete(upload.received.into_bytes()))
     }
 
     /// Whether the body has no bytes.
@@ -152,8 +149,7 @@
         let on_event = node.report_body(forward.id.clone(), timeout, STREAMED_BODY_TIMEOUT);
         let client = Arc::clone(self.reader.client());
         let received = std::mem::take(&mut self.received);
-        let body = StreamedRequestBody::new(Box::new(on_event), client, self.size, &received);
-        drop(received);
+        let body = StreamedRequestBody::new(Box::new(on_event), client, self.size, received);
         let body = Rc::new(body);
         stream_body(&mut event, &mut forward, Rc::clone(&body));
         let answered = async {
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -2,9 +2,7 @@
 
 use super::gate::GatedStream;
 use crate::answer::Payload;
-use crate::bodies::{
-    concatenate, ReadBody, UpstreamRequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES,
-};
+use crate::bodies::{UpstreamRequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::forward::Forward;
 use crate::websocket::UpgradedConnection;
 use bytes::Bytes;
@@ -18,6 +16,7 @@
 use hyper::{Request, Response, StatusCode, Version};
 use saffronpaddle_netio::timeout_at;
 use saffronpaddle_policy::interface::{Outcome, ServerId};
+use saffronpaddle_request_body::PieceQueue;
 use saffronpaddle_websocket::upgrade::{verify, Offer, VERSION};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -42,6 +41,14 @@
     Lost,
 }
 
+/// The body of a response after buffering.
+enum ReadBody {
+    /// The complete body.
+    Complete(Bytes),
+    /// What was received of a body that is to be streamed, and the rest.
+    Start(PieceQueue, Incoming),
+}
+
 /// How long a response of unknown length is buffered before it is streamed.
 const SHORT_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -69,9 +76,9 @@
     }
     let may_stream = outcome == Outcome::Ok && forward.offer.is_none();
     let body = match read_buffered(response.into_body()).await {
-        Some(Ok(body)) => body,
-        Some(Err((received, rest))) if may_stream => {
-            return AttemptOutcome::Streaming(received, rest)
+        Some(ReadBody::Complete(body)) => body,
+        Some(ReadBody::Start(received, rest)) if may_stream => {
+            return AttemptOutcome::Streaming(received.into_pieces(), rest)
         }
         _ => return AttemptOutcome::Lost,
     };
@@ -117,13 +124,13 @@
 /// Reads a short body completely. Of a long one, returns what was received when it turned out to be long. `None` if the
 /// body failed before that, or exceeds [`MAX_BODY_BYTES`].
 async fn read_buffered(mut body: Incoming) -> Option<ReadBody> {
-    let (mut chunks, mut size) = (VecDeque::new(), 0);
+    let mut received = PieceQueue::default();
     let known_size = body.size_hint().exact();
     if known_size.is_some_and(|known_size| known_size > MAX_BODY_BYTES) {
         return None;
     }
     if known_size.is_some_and(|known_size| known_size > MAX_BUFFERED_BODY_BYTES as u64) {
-        return Some(Err((chunks, body)));
+        return Some(ReadBody::Start(received, body));
     }
     let deadline = Instant::now() + SHORT_BODY_TIMEOUT;
     loop {
@@ -131,20 +138,19 @@
             Some(_) => body.frame().await,
             None => match timeout_at(deadline, body.frame()).await {
                 Ok(frame) => frame,
-                Err(_) => return Some(Err((chunks, body))),
+                Err(_) => return Some(ReadBody::Start(received, body)),
             },
         };
         let Some(frame) = frame else { break };
         let Ok(data) = frame.ok()?.into_data() else {
             continue;
         };
-        size += data.len();
-        chunks.push_back(data);
-        if size > MAX_BUFFERED_BODY_BYTES {
-            return Some(Err((chunks, body)));
+        received.push(&data);
+        if received.len() > MAX_BUFFERED_BODY_BYTES {
+            return Some(ReadBody::Start(received, body));
         }
     }
-    Some(Ok(concatenate(chunks)))
+    Some(ReadBody::Complete(received.into_bytes()))
 }
 
 /// Writes the request and reads the head of its response; `None` if either fails.
--- a/crates/request-body/src/body.rs
+++ b/crates/request-body/src/body.rs
@@ -60,6 +60,15 @@
 }
 
 impl RequestBody {
+    /// Creates a body of which `received` has arrived.
+    pub fn new(received: PieceQueue) -> RequestBody {
+        RequestBody {
+            bytes_received: received.len() as u64,
+            pieces: received,
+            ..RequestBody::default()
+        }
+    }
+
     /// Whether the rest of the body is still to be received.
     pub fn is_receiving(&self) -> bool {
         self.reception == Reception::Receiving
--- a/crates/request-body/src/piece_queue.rs
+++ b/crates/request-body/src/piece_queue.rs
@@ -23,9 +23,6 @@
     pub fn push(&mut self, mut data: &[u8]) {
         self.bytes += data.len();
         while !data.is_empty() {
-            if self.last.capacity() == 0 {
-                self.last.reserve(PIECE_BYTES);
-            }
             let (fitting, rest) = data.split_at(data.len().min(PIECE_BYTES - self.last.len()));
             self.last.extend_from_slice(fitting);
             data = rest;
@@ -73,16 +70,21 @@
         *self = PieceQueue::default();
     }
 
-    /// Returns all bytes as one piece.
-    pub fn into_bytes(mut self) -> Bytes {
+    /// Returns the bytes in their pieces.
+    pub fn into_pieces(mut self) -> VecDeque<Bytes> {
         self.close_piece();
-        if self.full.len() <= 1 {
-            return self.full.pop_front().unwrap_or_default();
-        }
-        let mut all = BytesMut::with_capacity(self.bytes);
         self.full
-            .iter()
-            .for_each(|piece| all.extend_from_slice(piece));
+    }
+
+    /// Returns all bytes as one piece.
+    pub fn into_bytes(self) -> Bytes {
+        let bytes = self.bytes;
+        let mut pieces = self.into_pieces();
+        if pieces.len() <= 1 {
+            return pieces.pop_front().unwrap_or_default();
+        }
+        let mut all = BytesMut::with_capacity(bytes);
+        pieces.iter().for_each(|piece| all.extend_from_slice(piece));
         all.freeze()
     }
 }
--- a/crates/request-body/tests/attempts.rs
+++ b/crates/request-body/tests/attempts.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use saffronpaddle_request_body::{
-    AttemptNumber, Next, RequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, PIECE_BYTES,
+    AttemptNumber, Next, PieceQueue, RequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, PIECE_BYTES,
 };
 
 /// Length of the longest chunk that a client sends in these tests, in bytes.
@@ -209,3 +209,20 @@
     body.complete();
     assert!(!body.is_receiving());
 }
+
+/// The number of pieces depends on the bytes only, however small the chunks are in which they arrive.
+#[test]
+fn small_chunks_fill_pieces_and_keep_their_order() {
+    let body: Vec<u8> = (0..2 * PIECE_BYTES + 7).map(|at| (at / 7) as u8).collect();
+    for chunk in [1, 100, PIECE_BYTES, body.len()] {
+        let mut queue = PieceQueue::default();
+        body.chunks(chunk).for_each(|data| queue.push(data));
+        assert_eq!(queue.len(), body.len());
+        let pieces = queue.into_pieces();
+        let sizes: Vec<usize> = pieces.into_iter().map(|piece| piece.len()).collect();
+        assert_eq!(sizes, [PIECE_BYTES, PIECE_BYTES, 7], "chunks of {chunk}");
+        let mut queue = PieceQueue::default();
+        body.chunks(chunk).for_each(|data| queue.push(data));
+        assert!(queue.into_bytes() == body, "chunks of {chunk}");
+    }
+}
--- a/crates/saffronpaddle/tests/streamed_requests.rs
+++ b/crates/saffronpaddle/tests/streamed_requests.rs
@@ -39,6 +39,11 @@
 const MANY_CLIENTS: usize = 550;
 /// The memory of a node of 1,024 sockets, in kB.
 const MEMORY_LIMIT_KB: u64 = 192_000;
+/// Clients that send a buffered body in chunks of one byte, the length of each, and the memory that the node may use for
+/// twice the bytes that it may keep of a client, in kB.
+const SINGLE_BYTE_CLIENTS: usize = 60;
+const SINGLE_BYTE_CHUNKS: usize = 60_000;
+const SINGLE_BYTE_MEMORY_KB: u64 = 32_000;
 
 /// Returns the head of a request whose body follows. `framing` is the header that gives the body's framing.
 fn request_head(id: &str, deadline: &str, framing: &str) -> String {
@@ -257,3 +262,37 @@
     let peak = node.peak_memory_kb();
     assert!(peak < MEMORY_LIMIT_KB, "peak memory of {peak} kB");
 }
+
+/// Guards against a node that keeps each chunk of a body as it came: a chunk of one byte took 32 bytes and more.
+#[test]
+fn bodies_in_chunks_of_one_byte_take_no_more_memory_than_others() {
+    let (servers, _discovery, node) = start_with_one_server("single-bytes", &[REPLY_OK]);
+    let head = |number| {
+        request_head(
+            &format!("single{number}"),
+            "20000m",
+            "Transfer-Encoding: chunked",
+        )
+    };
+    let chunks = "1\r\ne\r\n".repeat(SINGLE_BYTE_CHUNKS);
+    thread::scope(|scope| {
+        for number in 0..SINGLE_BYTE_CLIENTS {
+            let (mut client, chunks, head) = (node.connect(), &chunks, head(number));
+            scope.spawn(move || {
+                client.write(&head);
+                client.write(chunks);
+                client.write("0\r\n\r\n");
+                let response = client.read_response().expect("the node answers");
+                assert_eq!(response.status(), 200);
+            });
+        }
+    });
+    for _ in 0..SINGLE_BYTE_CLIENTS {
+        assert_eq!(
+            servers.next_request().message.body.len(),
+            SINGLE_BYTE_CHUNKS
+        );
+    }
+    let peak = node.peak_memory_kb();
+    assert!(peak < SINGLE_BYTE_MEMORY_KB, "peak memory of {peak} kB");
+}
