--- a/crates/node/src/bodies/request.rs
+++ b/crates/node/src/bodies/request.rs
@@ -19,7 +19,7 @@
 /// A pause or a silence of at least this much is reported. Shorter ones are usual while a body is forwarded.
 const MIN_REPORTED_PAUSE: Duration = Duration::from_millis(50);
 
-/// What the exchange needs to know of a body.
+/// An event of a body that concerns the exchange.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyEvent {
     /// The node has stopped reading, and the client may already have waited for its answer for this long.
@@ -90,7 +90,7 @@
     pub async fn receive(&self, reader: &mut BodyReader) -> Result<(), ReceiveError> {
         let _fail_guard = FailGuard(self);
         while self.state.borrow().is_receiving() {
-            if !self.state.borrow().has_room() {
+            if !self.state.borrow().can_receive() {
                 self.wait_for_progress().await;
                 continue;
             }
@@ -104,7 +104,7 @@
                 }
             }
         }
-        while self.state.borrow().is_held() && !self.completion_reported.get() {
+        while self.state.borrow().has_unsent_bytes() && !self.completion_reported.get() {
             self.wait_for_progress().await;
         }
         Ok(())
@@ -258,7 +258,7 @@
     /// Polls for the next frame. Is pending before the last part until that is released.
     pub(super) fn poll(&self, context: &mut Context<'_>) -> PolledFrame {
         let mut next = self.next();
-        if next == Next::HeldBack {
+        if next == Next::AwaitsRelease {
             // The exchange may release the last part at once.
             self.body.report_completion();
             next = self.next();
@@ -268,7 +268,7 @@
                 self.body.progress.notify_one();
                 Poll::Ready(Some(Ok(Frame::data(piece))))
             }
-            Next::Pending | Next::HeldBack => {
+            Next::Pending | Next::AwaitsRelease => {
                 *self.body.attempt_waker.borrow_mut() = Some(context.waker().clone());
                 Poll::Pending
             }
--- a/crates/request-body/src/body.rs
+++ b/crates/request-body/src/body.rs
@@ -20,8 +20,8 @@
     /// Nothing yet: the client has to send more, or the attempt's first byte has to be committed.
     Pending,
     /// Nothing yet: the body is complete, and its last part is held back until [`RequestBody::release`].
-    HeldBack,
-    /// Nothing more: the attempt has the whole body.
+    AwaitsRelease,
+    /// Nothing more: the attempt has the complete body.
     End,
     /// Nothing more: the body can't be completed, or not for this attempt.
     Failed,
@@ -84,13 +84,13 @@
         self.discards
     }
 
-    /// Whether parts of the body are still held for an attempt.
-    pub fn is_held(&self) -> bool {
+    /// Whether an attempt has still to take or to send bytes that were received.
+    pub fn has_unsent_bytes(&self) -> bool {
         !self.pieces.is_empty()
     }
 
     /// Whether bytes can be received now. If not, an attempt has to take some first.
-    pub fn has_room(&self) -> bool {
+    pub fn can_receive(&self) -> bool {
         self.is_receiving() && (self.discards || self.pieces.len() < MAX_BUFFERED_BYTES)
     }
 
@@ -156,7 +156,7 @@
         self.released |= attempt == self.current;
     }
 
-    /// Whether an attempt has taken the whole body.
+    /// Whether an attempt has taken the complete body.
     pub fn is_taken(&self, attempt: AttemptNumber) -> bool {
         self.may_take(attempt)
             && self.reception == Reception::Complete
@@ -177,7 +177,7 @@
             return Next::Pending;
         }
         if is_last && !self.released {
-            return Next::HeldBack;
+            return Next::AwaitsRelease;
         }
         let piece = piece.clone();
         if self.committed.is_some() {
@@ -190,8 +190,8 @@
 
     /// Whether the body can still become complete for an attempt.
     fn may_take(&self, attempt: AttemptNumber) -> bool {
-        let is_whole = self.committed.is_none_or(|committed| committed == attempt);
+        let has_start = self.committed.is_none_or(|committed| committed == attempt);
         let is_available = self.reception != Reception::Failed && !self.discards;
-        attempt == self.current && is_whole && is_available
+        attempt == self.current && has_start && is_available
     }
 }
--- a/crates/request-body/src/client_progress.rs
+++ b/crates/request-body/src/client_progress.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-/// Longest time for which a client that sends a body may be silent. A client that stops is owed its end within 3 s.
+/// Longest time for which a client that sends a body may be silent. A client that stops has to be
+/// disconnected within 3 s.
 pub const MAX_SILENCE: Duration = Duration::from_millis(2500);
 /// Minimum rate of a body: half the rate of a slow client.
 pub const MIN_BYTES_PER_SECOND: u32 = 32_000;
--- a/crates/request-body/src/client_wait.rs
+++ b/crates/request-body/src/client_wait.rs
@@ -2,12 +2,12 @@
 
 use crate::Time;
 
-/// By how many bytes a client can be ahead of the node: what the kernels of both ends hold at the most.
+/// By how many bytes a client can be ahead of the node: the maximum that the kernels of both ends buffer.
 pub const MAX_CLIENT_LEAD_BYTES: u64 = 10 << 20;
 
 /// Bounds when a client wrote the last byte of a body of which the node has not received everything.
 ///
-/// While the node does not read, it does not learn whether its client has written the last byte. Two facts bound that time
+/// While the node does not read, it can't see whether its client has written the last byte. Two facts bound that time
 /// from below: the bytes that were read last reached the kernel after a known time, and a byte is written only once the
 /// node has read what is [`MAX_CLIENT_LEAD_BYTES`] before it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/request-body/src/lib.rs
+++ b/crates/request-body/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! - [`PieceQueue`] stores bytes in pieces of one size, however small the chunks are in which they arrive.
 //! - [`RequestBody`] is the body of one request and its attempts.
-//! - [`ClientProgress`] tells a client that sends slowly from one that has stopped.
+//! - [`ClientProgress`] distinguishes a client that sends slowly from one that has stopped.
 //! - [`ClientWait`] bounds when the client wrote the last byte, which its deadline counts from.
 //!
 //! The crate does no I/O and reads no clock.
@@ -24,7 +24,7 @@
 //! let second = body.start_attempt();
 //! assert_eq!(body.next(second), start);
 //! body.commit(second);
-//! assert_eq!(body.next(second), Next::HeldBack);
+//! assert_eq!(body.next(second), Next::AwaitsRelease);
 //! body.release(second);
 //! assert_eq!(body.next(second), Next::Piece("end".into()));
 //! assert_eq!(body.next(second), Next::End);
--- a/crates/request-body/tests/attempts.rs
+++ b/crates/request-body/tests/attempts.rs
@@ -51,7 +51,7 @@
 impl World {
     fn apply(&mut self, step: &Step) -> Result<(), TestCaseError> {
         match step {
-            Step::Receive(length) if self.body.has_room() => {
+            Step::Receive(length) if self.body.can_receive() => {
                 let start = self.sent.len();
                 let data: Vec<u8> = (start..start + length).map(|at| (at / 7) as u8).collect();
                 self.body.push(&data);
@@ -114,7 +114,7 @@
                     prop_assert!(may_take && !(self.complete && self.committed.is_some()));
                     return Ok(());
                 }
-                Next::HeldBack => {
+                Next::AwaitsRelease => {
                     let is_committed = self.committed == Some(current);
                     prop_assert!(is_committed && self.complete && !self.released);
                     return Ok(());
@@ -167,14 +167,14 @@
     let mut body = RequestBody::default();
     let attempt = body.start_attempt();
     let mut received = 0;
-    while body.has_room() {
+    while body.can_receive() {
         body.push(&[b'a'; 1000]);
         received += 1000;
         take_all(&mut body, attempt);
     }
     assert!(received < MAX_BUFFERED_BYTES + 1000, "{received} bytes");
     body.commit(attempt);
-    assert!(body.has_room());
+    assert!(body.can_receive());
 }
 
 #[test]
@@ -199,11 +199,11 @@
     let mut body = RequestBody::default();
     let attempt = body.start_attempt();
     body.push(&vec![b'a'; 2 * MAX_BUFFERED_BYTES]);
-    assert!(!body.has_room());
+    assert!(!body.can_receive());
     body.discard();
     assert_eq!(body.next(attempt), Next::Failed);
     for _ in 0..10 {
-        assert!(body.has_room());
+        assert!(body.can_receive());
         body.push(&vec![b'a'; MAX_BUFFERED_BYTES]);
     }
     body.complete();
--- a/crates/saffronpaddle/tests/streamed_requests.rs
+++ b/crates/saffronpaddle/tests/streamed_requests.rs
@@ -29,7 +29,7 @@
 const SLOW_PIECE_INTERVAL: Duration = Duration::from_millis(78);
 /// What a client that stops has sent of its body, and the length that it has declared, in bytes.
 const STOPPED_AND_DECLARED_BYTES: (usize, usize) = (70_000, 200_000);
-/// How long a client that stops is waited for at the most.
+/// Maximum time for which the node waits for a client that has stopped.
 const STOPPED_CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// The node's limit on sockets that fewer clients than [`STOPPED_CLIENTS`] use up.
 const FEW_SOCKETS: usize = 128;
@@ -128,8 +128,8 @@
     assert!(waited < SHORT_DEADLINE.1, "answered after {waited:?}");
 }
 
-/// Guards against a request that is never answered: it waits for its first attempt, nobody takes its body, and so the
-/// node does not learn that its client has sent everything.
+/// Guards against a request that is never answered: it waits for its first attempt, no attempt takes its body, and so the
+/// node can't see that its client has sent everything.
 #[test]
 fn a_long_request_that_no_server_can_take_is_refused_in_time() {
     let discovery = Discovery::start();
