Count a client's wait from when the kernels can buffer the rest of its body

Callers could have seen: a client that still writes a long body with a declared length to a slow server is refused as if it had written everything.

Cause: the bound moved in steps of 10 MiB only, so the wait of a client with 10 MiB left could be taken to begin while it had 20 MiB left.

Change: with a declared length the wait begins when what is left falls to what kernels can buffer.

--- a/crates/node/src/bodies/request.rs
+++ b/crates/node/src/bodies/request.rs
@@ -61,7 +61,7 @@
         size: Option<u64>,
         received: PieceQueue,
     ) -> StreamedRequestBody {
-        let mut client_wait = ClientWait::default();
+        let mut client_wait = ClientWait::new(size);
         client_wait.record_received(client.now(), received.len() as u64);
         StreamedRequestBody {
             on_event,
@@ -126,9 +126,7 @@
 
     fn client_waits_since(&self, paused_at: Duration) -> Duration {
         let sent_after = self.client.sent_after();
-        self.client_wait
-            .get()
-            .since(self.size, sent_after, paused_at)
+        self.client_wait.get().since(sent_after, paused_at)
     }
 
     /// The next bytes from the client; `None` at the end.
