Withdraw the deadline of a waiting client when it turns out to be still writing

Callers could have seen: a client in the middle of a long body is refused after its deadline, because its server had paused once.

Cause: a pause reports that the client may wait. The report was withdrawn only when the kernel had nothing more of the client, not when what was read since showed that the client has more to write than kernels buffer.

Change: after each read the wait is computed again, and withdrawn if it is later than the one that was reported.

--- a/crates/node/src/bodies/request.rs
+++ b/crates/node/src/bodies/request.rs
@@ -96,7 +96,10 @@
             }
             let received = self.next_bytes(reader).await;
             match received.and_then(|data| self.record_received(data)) {
-                Ok(()) => self.wake_attempt(),
+                Ok(()) => {
+                    self.review_reported_wait();
+                    self.wake_attempt();
+                }
                 Err(_) if self.state.borrow().is_discarded() => return Ok(()),
                 Err(error) => {
                     self.report(BodyEvent::Failed);
@@ -131,21 +134,35 @@
 
     /// The next bytes from the client; `None` at the end.
     async fn next_bytes(&self, reader: &mut BodyReader) -> Result<Option<Bytes>, ReceiveError> {
-        let Some(waits_since) = self.reported_wait.get() else {
+        if self.reported_wait.get().is_none() {
             return reader.next().await;
-        };
-        let received = timeout(MIN_REPORTED_PAUSE, reader.next()).await;
-        // Otherwise the bytes were in the kernel all the time.
-        if received.is_err() || self.client.sent_after() > waits_since {
-            self.reported_wait.set(None);
-            self.report(BodyEvent::ClientSends);
         }
-        match received {
-            Ok(received) => received,
-            Err(_) => reader.next().await,
+        if let Ok(received) = timeout(MIN_REPORTED_PAUSE, reader.next()).await {
+            return received;
+        }
+        // The kernel holds nothing more of the client.
+        self.withdraw_wait();
+        reader.next().await
+    }
+
+    /// Withdraws the report that the client may wait if it is too early by what was received since.
+    fn review_reported_wait(&self) {
+        let since = self.client_waits_since(self.client.now());
+        if self
+            .reported_wait
+            .get()
+            .is_some_and(|reported| since > reported)
+        {
+            self.withdraw_wait();
         }
     }
 
+    /// Reports that the client is still sending.
+    fn withdraw_wait(&self) {
+        self.reported_wait.set(None);
+        self.report(BodyEvent::ClientSends);
+    }
+
     /// Records the next bytes, or the end if there are none.
     fn record_received(&self, data: Option<Bytes>) -> Result<(), ReceiveError> {
         match data {
--- a/crates/saffronpaddle/tests/streamed_requests.rs
+++ b/crates/saffronpaddle/tests/streamed_requests.rs
@@ -5,7 +5,7 @@
 
 use common::failing_calls_library;
 use saffronpaddle_test_doubles::scripted::*;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -44,6 +44,13 @@
 const SINGLE_BYTE_CLIENTS: usize = 60;
 const SINGLE_BYTE_CHUNKS: usize = 60_000;
 const SINGLE_BYTE_MEMORY_KB: u64 = 32_000;
+/// A server that pauses, then reads this much at a time: 44 MB a second, so the body takes longer than its client waits for
+/// an answer. It reads the rest at once when the kernels can buffer it.
+const SLOW_SERVER_READ_BYTES: usize = 256 << 10;
+const SLOW_SERVER_READ_INTERVAL: Duration = Duration::from_millis(6);
+const SLOW_SERVER_REST_BYTES: usize = 9 << 20;
+const SLOW_SERVER_BODY_BYTES: usize = 30 << 20;
+const SERVER_PAUSE: Duration = Duration::from_millis(300);
 
 /// Returns the head of a request whose body follows. `framing` is the header that gives the body's framing.
 fn request_head(id: &str, deadline: &str, framing: &str) -> String {
@@ -296,3 +303,39 @@
     let peak = node.peak_memory_kb();
     assert!(peak < SINGLE_BYTE_MEMORY_KB, "peak memory of {peak} kB");
 }
+
+/// Guards against a client that is cut off in the middle of a long body: its server pauses once, which starts the time of
+/// a client that may wait, and then goes on taking what the client still writes.
+#[test]
+fn a_client_that_writes_to_a_slow_server_is_served_although_the_server_has_paused() {
+    let discovery = Discovery::start();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let dial = listener.local_addr().expect("the socket has an address");
+    let hosts = [host_json("s-1", dial, 1, "ready")];
+    let node = Node::start("slow-server", discovery.address, &hosts);
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the node connects");
+        thread::sleep(SERVER_PAUSE);
+        let mut part = vec![0; SLOW_SERVER_READ_BYTES];
+        let mut received = 0;
+        while received < SLOW_SERVER_BODY_BYTES {
+            stream.read_exact(&mut part).expect("the body goes on");
+            received += part.len();
+            if received < SLOW_SERVER_BODY_BYTES - SLOW_SERVER_REST_BYTES {
+                thread::sleep(SLOW_SERVER_READ_INTERVAL);
+            }
+        }
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            .expect("the node waits for the response");
+        stream
+    });
+    let mut client = node.connect();
+    let framing = format!("Content-Length: {SLOW_SERVER_BODY_BYTES}");
+    let began = Instant::now();
+    client.write(&request_head("long", "500m", &framing));
+    client.write(&"f".repeat(SLOW_SERVER_BODY_BYTES));
+    let response = client.read_response().expect("the node answers");
+    assert_eq!(response.status(), 200, "after {:?}", began.elapsed());
+    drop(server.join().expect("the server has responded"));
+}
