Evict clients in the middle of a body after all others, and after 1 s of silence

Callers could have seen: in a crowd of idle connections a client that takes its time over a request loses its connection in the middle of its body.

Change: they are chosen only when no idle connection and none in the middle of a head can make room, and after 1 s: a client of 64 kB a second that sends pieces of up to 64 kB is never silent for longer.

--- a/crates/connection-eviction/src/limits.rs
+++ b/crates/connection-eviction/src/limits.rs
@@ -20,6 +20,9 @@
     /// A connection that has been silent for less than this may belong to a slow client that is still sending. It is
     /// evicted only if a waiting connection requires it, not proactively.
     pub slow_client_max_silence: Duration,
+    /// A connection in the middle of a request body that has been silent for less than this belongs to a client that is
+    /// still sending. It is never evicted.
+    pub body_max_silence: Duration,
 }
 
 impl Limits {
@@ -29,6 +32,7 @@
         idle_timeout: Duration::from_millis(2200),
         unused_connection_penalty: Duration::from_secs(1),
         slow_client_max_silence: Duration::from_millis(500),
+        body_max_silence: Duration::from_secs(1),
     };
 
     /// Whether a connection has timed out. A busy connection never has, nor one whose client sends a body.
@@ -54,13 +58,13 @@
     /// has not sent all of its request; one that goes on is kept.
     fn is_candidate(&self, now: Time, connection: &ConnectionState) -> bool {
         let silence = now.saturating_sub(connection.last_active_at);
-        let sends_body = connection.awaits_body && silence < self.slow_client_max_silence;
+        let sends_body = connection.awaits_body && silence < self.body_max_silence;
         !connection.busy && !sends_body
     }
 
-    /// Returns the indexes in `connections` of the connections to evict, the longest silent first. Busy connections are
-    /// never chosen, and connections that may belong to slow clients only for the required evictions; if such a client
-    /// sends a body, not even for these.
+    /// Returns the indexes in `connections` of the connections to evict, the longest silent first, and those in the middle
+    /// of a request body after all others. Busy connections are never chosen, and connections that may belong to slow
+    /// clients only for the required evictions.
     pub fn choose_evictions<'a>(
         &self,
         now: Time,
@@ -73,10 +77,14 @@
             .filter(|(_, connection)| self.is_candidate(now, connection))
             .map(|(index, connection)| Candidate {
                 index,
+                awaits_body: connection.awaits_body,
                 silence: self.silence(now, connection),
             })
             .collect();
-        candidates.sort_unstable_by_key(|candidate| (Reverse(candidate.silence), candidate.index));
+        candidates.sort_unstable_by_key(|candidate| {
+            let silence = Reverse(candidate.silence);
+            (candidate.awaits_body, silence, candidate.index)
+        });
         let max_evictions = count.required.saturating_add(count.allowed);
         let mut evictions = Vec::new();
         for candidate in candidates.into_iter().take(max_evictions) {
@@ -94,5 +102,7 @@
 struct Candidate {
     /// The index in the list of connections.
     index: usize,
+    /// The client is in the middle of a request body.
+    awaits_body: bool,
     silence: Duration,
 }
