--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -83,14 +83,30 @@
     }
 }
 
-/// A free TCP port of the loopback address. It is taken again by whoever it is meant for.
+static PORTS: AtomicU64 = AtomicU64::new(0);
+
+/// A port below those that the machine gives to clients' connections, so that none of these takes it before its node does.
+fn free_port(is_free: impl Fn(SocketAddr) -> bool) -> SocketAddr {
+    let offset = u64::from(std::process::id()) * 7919 + unix_ms() / 100;
+    for _ in 0..20_000 {
+        let number = offset + PORTS.fetch_add(1, Ordering::Relaxed) * 13;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + (number % 20_000) as u16));
+        if is_free(address) {
+            return address;
+        }
+    }
+    eprintln!("no free port");
+    std::process::exit(COULD_NOT_RUN)
+}
+
+/// A free TCP port of the loopback address.
 pub fn free_tcp() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap()
+    free_port(|address| TcpListener::bind(address).is_ok())
 }
 
 /// A free UDP port of the loopback address.
 pub fn free_udp() -> SocketAddr {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap()
+    free_port(|address| UdpSocket::bind(address).is_ok())
 }
 
 pub fn unix_ms() -> u64 {
@@ -686,6 +702,8 @@
     pub prefix: String,
     /// The private folder; a new one otherwise.
     pub tmpdir: Option<PathBuf>,
+    /// The clients' listener that the platform holds, inherited as descriptor 3 and named in `LB_LISTEN_FD`.
+    pub listener: Option<Arc<TcpListener>>,
 }
 
 pub fn start_node(folder: &Folder, settings: &Settings, me: usize, fleet: &FleetAddresses, discovery: SocketAddr, extra: &Extra) -> Node {
@@ -709,9 +727,14 @@
         command += &format!(" --operator {}", path.display());
     }
     let output = File::create(&log).unwrap();
+    let (mut prefix, mut input) = (extra.prefix.clone(), Stdio::null());
+    if let Some(listener) = &extra.listener {
+        input = Stdio::from(std::os::fd::OwnedFd::from(listener.try_clone().unwrap()));
+        prefix += "exec 3<&0 0</dev/null; export LB_LISTEN_FD=3; ";
+    }
     let child = Command::new("/bin/sh")
         .arg("-c")
-        .arg(format!("{}{command}", extra.prefix))
+        .arg(format!("{prefix}{command}"))
         .current_dir(root())
         .env("LB_NAME", format!("n{me}"))
         .env("LB_LISTEN", fleet.clients[me].to_string())
@@ -719,7 +742,7 @@
         .env("LB_CONFIG", &config)
         .env("TMPDIR", &tmpdir)
         .envs(extra.environment.iter().cloned())
-        .stdin(Stdio::null())
+        .stdin(input)
         .stdout(output.try_clone().unwrap())
         .stderr(output)
         .spawn()
