--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -223,6 +223,8 @@
     hosts: Vec<Host>,
     /// The changes, each with its version.
     changes: Vec<(u64, Host)>,
+    /// The version from which on changes are told; a watch from an earlier one begins with the whole list.
+    told_since: u64,
 }
 
 /// The agent of discovery on a node's machine: lists are pushed over a watch.
@@ -240,6 +242,7 @@
             seq: 1,
             hosts,
             changes: Vec::new(),
+            told_since: 0,
         };
         let discovery = Discovery {
             address,
@@ -275,6 +278,15 @@
         state.changes.push((seq, host));
         self.state.1.notify_all();
     }
+    /// Ends the open watches instead of telling a change; the answer to the next calls is the whole list.
+    pub fn end_watches_with(&self, hosts: Vec<Host>) {
+        let mut state = self.state.0.lock().unwrap();
+        state.seq += 1;
+        state.told_since = state.seq;
+        state.hosts = hosts;
+        state.changes.clear();
+        self.state.1.notify_all();
+    }
     pub fn set_health(&self, name: &str, health: &str) {
         let host = self.hosts().into_iter().find(|host| host.name == name);
         if let Some(host) = host {
@@ -302,13 +314,16 @@
             let mut chunk = |text: &str| write!(stream, "{:x}\r\n{text}\r\n", text.len());
             let (mutex, changed) = &*self.state;
             let (mut state, mut told) = (mutex.lock().unwrap(), 0);
-            if from.is_none_or(|from| from > state.seq) {
+            if from.is_none_or(|from| from > state.seq || from < state.told_since) {
                 let list = list_json(state.seq, true, &state.hosts);
                 told = state.seq;
                 chunk(&format!("{list}\n"))?;
             }
-            let mut told = told.max(from.unwrap_or(0));
+            let mut told = if told > 0 { told } else { from.unwrap_or(0) };
             loop {
+                if told < state.told_since {
+                    return Ok(());
+                }
                 let changes: Vec<Host> = state
                     .changes
                     .iter()
@@ -349,27 +364,37 @@
 
 /// Starts an app server on a free loopback port; each connection has its own thread.
 pub fn start_server(handler: Arc<Handler>) -> SocketAddr {
+    start_counted_server(handler, Arc::default())
+}
+
+/// Starts an app server that counts its open connections.
+pub fn start_counted_server(handler: Arc<Handler>, open: Arc<AtomicU64>) -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let handler = Arc::clone(&handler);
-            thread::spawn(move || -> io::Result<()> {
-                let mut stream = stream;
-                stream.set_nodelay(true)?;
-                let mut reader = BufReader::new(stream.try_clone()?);
-                while let Some(request) = read_request(&mut reader)? {
-                    if let After::Close = handler(&request, &mut stream)? {
-                        break;
-                    }
-                }
-                Ok(())
+            let (handler, open) = (Arc::clone(&handler), Arc::clone(&open));
+            thread::spawn(move || {
+                open.fetch_add(1, Ordering::SeqCst);
+                let _ = serve_connection(stream, &*handler);
+                open.fetch_sub(1, Ordering::SeqCst);
             });
         }
     });
     address
 }
 
+fn serve_connection(mut stream: TcpStream, handler: &Handler) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut reader = BufReader::new(stream.try_clone()?);
+    while let Some(request) = read_request(&mut reader)? {
+        if let After::Close = handler(&request, &mut stream)? {
+            break;
+        }
+    }
+    Ok(())
+}
+
 /// Writes a whole answer 200 with a length.
 pub fn answer(stream: &mut TcpStream, body: &str) -> io::Result<()> {
     let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
