--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,40 +1,29 @@
-//! Case 8: slow uploads pass a customer's hard ceiling all at once.
+//! Case 8: requests that come to a listener kept by the service manager, while the node that is told to end finishes what it has.
 #[path = "../standins-2/common.rs"]
 mod common;
 
 use common::*;
-use std::io::{BufReader, Read, Write};
-use std::net::TcpStream;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The ceiling of the customer's plan: units a second and units at once.
-const CEILING_RATE: f64 = 9.2;
-const CEILING_DEPTH: f64 = 14.0;
-/// A tenth of the store or one of the largest requests (1 unit), whichever is more; and what the rate gives in 150 ms.
-const SLACK: f64 = 1.4 + CEILING_RATE * 0.15;
-const UPLOADS: u64 = 32;
-/// Uploads begin so far apart: 4 a second, within the quota of 4.7 a second.
-const BETWEEN: Duration = Duration::from_millis(250);
-/// A slow client's rate, as the page gives it.
-const BYTES_PER_S: u64 = 64_000;
+const GRACE: Duration = Duration::from_millis(550);
+const SIGTERM_AT: Duration = Duration::from_secs(4);
+/// New connections go on coming for so long after SIGTERM.
+const FRONT_NOTICES: Duration = Duration::from_millis(300);
 
 fn main() {
     let record = Record::create(&PathBuf::from("record.txt"));
-    let slow = trouble();
-    // All uploads end about this long after the first one has begun.
-    let ends_after: u64 = std::env::var("ENDS_AFTER_S").ok().and_then(|text| text.parse().ok()).unwrap_or(78);
-    record.line(&format!("slow clients: {slow}"));
-    let runs: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let restarts = trouble();
     let mut hosts = Vec::new();
-    for index in 0..6u64 {
-        let (record, runs) = (record.clone(), Arc::clone(&runs));
+    for index in 0..8u64 {
+        let record = record.clone();
         let handler = move |request: &Request, stream: &mut TcpStream| {
-            runs.lock().unwrap().push(Instant::now());
-            record.line(&format!("server s-{index}: {} has come whole, {} bytes", request.id(), request.body.len()));
-            thread::sleep(ms(50));
+            thread::sleep(ms(60));
+            record.line(&format!("server s-{index}: {} has run", request.id()));
             answer(stream, &format!("answer to {}", request.id()))?;
             Ok(After::Keep)
         };
@@ -48,85 +37,118 @@
         });
     }
     let discovery = Discovery::start(hosts);
-    let (settings, fleet, folder) = (Settings::usual(2), FleetAddresses::new(2), Folder::new());
+    let mut settings = Settings::usual(2);
+    settings.submit = "idempotency_key";
+    let (fleet, folder) = (FleetAddresses::new(2), Folder::new());
+    // The service manager keeps the listener and hands it to each process.
+    let listener = Arc::new(TcpListener::bind(fleet.clients[0]).unwrap());
     let extra = Extra {
         known: Some(discovery.list()),
+        operator: Some("[listen]\nhanded_over = true\n".to_owned()),
+        handed: Some(Arc::clone(&listener)),
         ..Extra::default()
     };
-    let mut nodes: Vec<Node> = (0..2).map(|me| start_node(&folder, &settings, me, &fleet, discovery.address, &extra)).collect();
-    if !nodes.iter().all(|node| wait_ready(node.address, ms(10_000))) {
-        record.say("a node is not ready");
+    let mut node = start_node(&folder, &settings, 0, &fleet, discovery.address, &extra);
+    if !wait_ready(node.address, ms(10_000)) {
+        record.say(&format!("the node is not ready: {}", node.log_text()));
         std::process::exit(COULD_NOT_RUN);
     }
-    // The nodes' parts of the ceiling start empty and are full after 1.5 s.
-    thread::sleep(ms(3000));
-    let began = Instant::now();
-    let mut clients = Vec::new();
-    for number in 0..UPLOADS {
-        let begins_at = began + BETWEEN * number as u32;
-        let size = BYTES_PER_S * ends_after - BYTES_PER_S * number / 4;
-        let (address, record) = (nodes[(number % 2) as usize].address, record.clone());
-        clients.push(thread::spawn(move || {
-            thread::sleep(begins_at.saturating_duration_since(Instant::now()));
-            let status = upload(address, number, size, slow, &record);
-            record.line(&format!("client: up{number:04} status {status:?}"));
-            status
-        }));
+    let address = node.address;
+    let started = Instant::now();
+    // One client uploads 4 MB at 64 kB a second all the while.
+    let uploads = record.clone();
+    thread::spawn(move || -> std::io::Result<()> {
+        let mut stream = TcpStream::connect(address)?;
+        let head = "POST /run-submit/0000000000009999 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: upload\r\nX-Class: run-submit\r\nX-Tier: cosecha\r\nX-Deadline: 2000m\r\nIdempotency-Key: upload\r\nX-Call-Terms: units=1,spread=2,first=0\r\nContent-Length: 4000000\r\n\r\n";
+        stream.write_all(head.as_bytes())?;
+        for _ in 0..625 {
+            if let Err(error) = stream.write_all(&[b'a'; 6400]) {
+                uploads.line(&format!("client: the upload has ended: {error}"));
+                return Ok(());
+            }
+            thread::sleep(ms(100));
+        }
+        Ok(())
+    });
+    let results: Arc<Mutex<Vec<(String, Duration, Duration, Reply)>>> = Arc::default();
+    let (mut clients, mut number) = (Vec::new(), 0u64);
+    let mut told = None;
+    let mut restarted = false;
+    let mut ended_after = Duration::ZERO;
+    loop {
+        let now = started.elapsed();
+        if now > SIGTERM_AT && told.is_none() {
+            told = Some(Instant::now());
+            if restarts {
+                node.signal("TERM");
+                record.line("SIGTERM to the node");
+            }
+        }
+        if let Some(at) = told {
+            if !restarted && node.has_ended().is_some() {
+                ended_after = at.elapsed();
+                record.line(&format!("the node has ended {:.3} s after SIGTERM; the next one is started", ended_after.as_secs_f64()));
+                node = start_node(&folder, &settings, 0, &fleet, discovery.address, &extra);
+                restarted = true;
+            }
+            if at.elapsed() > ms(9000) {
+                break;
+            }
+        }
+        // The front sends until it has noticed, and again once the next process has been up for a while.
+        let sends = !restarts || told.is_none_or(|at| at.elapsed() < FRONT_NOTICES || (restarted && at.elapsed() > ms(6000)));
+        if sends && number < now.as_millis() as u64 / 12 {
+            number = now.as_millis() as u64 / 12;
+            let submit = number % 5 < 2;
+            let deadline = ms(if submit { 1000 + number % 7 * 150 } else { 1500 + number % 7 * 250 });
+            let call = Call {
+                id: format!("rq{number:06}"),
+                class: if submit { "run-submit" } else { "board-read" }.to_owned(),
+                tier: "cosecha".to_owned(),
+                customer: 0x1000 + number % 40,
+                deadline,
+                key: submit.then(|| format!("key{number}")),
+                body: if submit { vec![b'a'; 200] } else { Vec::new() },
+                spread: 2,
+                first: 0,
+                post: submit,
+            };
+            let (record, results) = (record.clone(), Arc::clone(&results));
+            clients.push(thread::spawn(move || {
+                let sent = started.elapsed();
+                let reply = match ClientConnection::open(address) {
+                    Ok(mut connection) => connection.call(&call, call.deadline + ms(2500)),
+                    Err(_) => Reply { status: 1, broken: true, no_byte: true, ..Reply::default() },
+                };
+                record.line(&format!("client: {} sent at {:.3} deadline {:.2} status {} whole {} broken {} after {:.3}", call.id, sent.as_secs_f64(), call.deadline.as_secs_f64(), reply.status, reply.whole, reply.broken, reply.took.as_secs_f64()));
+                results.lock().unwrap().push((call.id, call.deadline, sent, reply));
+            }));
+        }
+        thread::sleep(ms(2));
     }
-    let statuses: Vec<Option<u16>> = clients.into_iter().map(|client| client.join().unwrap_or(None)).collect();
-    thread::sleep(ms(300));
-    let count = |wanted: u16| statuses.iter().filter(|status| **status == Some(wanted)).count();
-    // The ceiling's store, drawn on as the requests came whole to the app servers.
-    let mut runs = runs.lock().unwrap().clone();
-    runs.sort();
-    let (mut level, mut lowest, mut last) = (CEILING_DEPTH, CEILING_DEPTH, began);
-    for at in &runs {
-        let span = at.saturating_duration_since(last).as_secs_f64();
-        level = (level + span * CEILING_RATE).min(CEILING_DEPTH) - 1.0;
-        (lowest, last) = (f64::min(lowest, level), *at);
-        record.line(&format!("ceiling: a unit at {:.4}, {level:.2} left", record.at(*at)));
+    for client in clients {
+        let _ = client.join();
     }
-    record.say(&format!(
-        "uploads {UPLOADS}, served {}, refused {}, come whole to app servers {}; the ceiling's store fell to {lowest:.2} (slack {SLACK:.2})",
-        count(200), count(503), runs.len()
-    ));
-    let ended: Vec<String> = nodes.iter_mut().filter_map(Node::has_ended).collect();
-    drop(nodes);
-    drop(folder);
-    if !ended.is_empty() || runs.is_empty() {
-        record.say(&format!("could not run: {ended:?}"));
-        std::process::exit(COULD_NOT_RUN);
-    }
-    std::process::exit(if lowest < -SLACK { BROKEN } else { HELD });
-}
-
-/// Sends one upload, slowly or at once, and returns the status of its answer.
-fn upload(address: std::net::SocketAddr, number: u64, size: u64, slow: bool, record: &Record) -> Option<u16> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    let _ = stream.set_nodelay(true);
-    let head = format!(
-        "POST /run-submit/0000000000004242 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: up{number:04}\r\nX-Class: run-submit\r\nX-Tier: milpa\r\nX-Deadline: 2000m\r\nIdempotency-Key: key{number:04}\r\nX-Call-Terms: units=1,spread=2,first=0\r\nContent-Length: {size}\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).ok()?;
-    record.line(&format!("client: up{number:04} begins, {size} bytes"));
-    let began = Instant::now();
-    let step = BYTES_PER_S / 10;
-    let mut sent = 0;
-    while sent < size {
-        let piece = step.min(size - sent);
-        if stream.write_all(&vec![b'a'; piece as usize]).is_err() {
-            record.line(&format!("client: up{number:04} can't write after {sent} bytes"));
-            break;
-        }
-        sent += piece;
-        if slow {
-            let due = began + Duration::from_secs_f64(sent as f64 / BYTES_PER_S as f64);
-            thread::sleep(due.saturating_duration_since(Instant::now()));
+    let (mut served, mut refused, mut failed, mut unread, mut lost) = (0, 0, 0, 0, 0);
+    for (id, deadline, sent, reply) in results.lock().unwrap().iter() {
+        if reply.status == 1 {
+            unread += 1;
+        } else if reply.took > *deadline + GRACE || (!reply.whole && !reply.broken) {
+            lost += 1;
+            record.line(&format!("lost: {id}, sent at {:.3}, deadline {:.2} s, status {} after {:.3} s", sent.as_secs_f64(), deadline.as_secs_f64(), reply.status, reply.took.as_secs_f64()));
+        } else if reply.broken && reply.no_byte {
+            lost += 1;
+            record.line(&format!("lost: {id}, closed with no answer"));
+        } else if reply.whole && reply.status == 200 {
+            served += 1;
+        } else if reply.whole && reply.status == 503 {
+            refused += 1;
+        } else {
+            failed += 1;
         }
     }
-    record.line(&format!("client: up{number:04} has sent its last byte"));
-    stream.set_read_timeout(Some(ms(4000))).ok()?;
-    let mut text = [0u8; 64];
-    let length = BufReader::new(stream).read(&mut text).ok()?;
-    String::from_utf8_lossy(&text[..length]).split(' ').nth(1)?.parse().ok()
+    record.say(&format!("served {served}, refused {refused}, failed {failed}, not connected {unread}, lost {lost}; the process ended {:.2} s after SIGTERM", ended_after.as_secs_f64()));
+    drop(node);
+    drop(folder);
+    std::process::exit(if restarts && !restarted { COULD_NOT_RUN } else if lost > 0 { BROKEN } else { HELD });
 }
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -729,6 +729,8 @@
     pub tmpdir: Option<PathBuf>,
     /// The clients' listener that the platform holds, inherited as descriptor 3 and named in `LB_LISTEN_FD`.
     pub listener: Option<Arc<TcpListener>>,
+    /// The clients' listener that a service manager keeps and hands over (LISTEN_FDS, LISTEN_PID).
+    pub handed: Option<Arc<TcpListener>>,
 }
 
 pub fn start_node(folder: &Folder, settings: &Settings, me: usize, fleet: &FleetAddresses, discovery: SocketAddr, extra: &Extra) -> Node {
@@ -757,6 +759,10 @@
         input = Stdio::from(std::os::fd::OwnedFd::from(listener.try_clone().unwrap()));
         prefix += "exec 3<&0 0</dev/null; export LB_LISTEN_FD=3; ";
     }
+    if let Some(listener) = &extra.handed {
+        input = Stdio::from(std::os::fd::OwnedFd::from(listener.try_clone().unwrap()));
+        prefix += "exec 3<&0 0</dev/null; export LISTEN_FDS=1 LISTEN_PID=$$; ";
+    }
     let child = Command::new("/bin/sh")
         .arg("-c")
         .arg(format!("{prefix}{command}"))
