--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,189 +1,145 @@
-//! Case 10: app servers that etcd reports as removed at one stroke go on getting new work.
+//! Case 10: uploads whose app servers are replaced meanwhile pass a customer's hard ceiling.
 #[path = "../standins-2/common.rs"]
 mod common;
 
 use common::*;
-use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::path::PathBuf;
-use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The grace of a drain, the 50 ms by which time limits are longer, and 200 ms for the report to be written to the nodes.
-const GRACE: Duration = Duration::from_millis(250 + 50 + 200);
-const REMOVED_AT: Duration = Duration::from_secs(6);
-const SEND_UNTIL: Duration = Duration::from_secs(14);
-/// The platform's discovery tells the removal so much later: "seconds late".
-const DISCOVERY_LATE: Duration = Duration::from_secs(4);
-
-/// The stand-in of etcd, as a process.
-struct Etcd {
-    child: Child,
-    input: ChildStdin,
-    output: BufReader<ChildStdout>,
-    members: Vec<String>,
-}
-
-impl Etcd {
-    fn start() -> Option<Etcd> {
-        let program = root().join("target/review-2/etcd");
-        let mut child = Command::new(program).arg("1").stdin(Stdio::piped()).stdout(Stdio::piped()).spawn().ok()?;
-        let (input, mut output) = (child.stdin.take()?, BufReader::new(child.stdout.take()?));
-        let mut line = String::new();
-        output.read_line(&mut line).ok()?;
-        let members = line.split_whitespace().map(str::to_owned).collect();
-        Some(Etcd {
-            child,
-            input,
-            output,
-            members,
-        })
-    }
-    fn command(&mut self, text: &str) -> String {
-        let mut line = String::new();
-        let _ = writeln!(self.input, "{text}").and_then(|()| self.input.flush());
-        let _ = self.output.read_line(&mut line);
-        line.trim().to_owned()
-    }
-}
-
-impl Drop for Etcd {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
+/// The ceiling of the customer's plan: units a second and units at once.
+const CEILING_RATE: f64 = 9.2;
+const CEILING_DEPTH: f64 = 14.0;
+/// A tenth of the store or one of the largest requests (1 unit), whichever is more; and what the rate gives in 150 ms.
+const SLACK: f64 = 1.4 + CEILING_RATE * 0.15;
+const UPLOADS: u64 = 48;
+/// Six in ten app servers are replaced, so long after the first upload has begun.
+const REPLACED_AT: Duration = Duration::from_secs(14);
+/// Uploads begin so far apart: 4 a second, within the quota of 4.7 a second.
+const BETWEEN: Duration = Duration::from_millis(250);
+/// A slow client's rate, as the page gives it.
+const BYTES_PER_S: u64 = 64_000;
 
 fn main() {
     let record = Record::create(&PathBuf::from("record.txt"));
-    let at_one_stroke = trouble();
-    record.line(&format!("removed at one stroke: {at_one_stroke}"));
-    // Ten app servers: six are kept in etcd as well, all ten are told by the platform's discovery.
-    let arrivals: Arc<Mutex<Vec<(usize, Instant, String)>>> = Arc::default();
+    let replaces = trouble();
+    // All uploads end about this long after the first one has begun.
+    let ends_after: u64 = 28;
+    record.line(&format!("app servers are replaced: {replaces}"));
+    let runs: Arc<Mutex<Vec<Instant>>> = Arc::default();
     let mut hosts = Vec::new();
-    for index in 0..10usize {
-        let (record, arrivals) = (record.clone(), Arc::clone(&arrivals));
+    let open: Vec<Arc<std::sync::atomic::AtomicU64>> = (0..16).map(|_| Arc::default()).collect();
+    for index in 0..16u64 {
+        let (record, runs) = (record.clone(), Arc::clone(&runs));
         let handler = move |request: &Request, stream: &mut TcpStream| {
-            arrivals.lock().unwrap().push((index, Instant::now(), request.id().to_owned()));
-            record.line(&format!("server s-{index}: {} has come", request.id()));
-            thread::sleep(ms(30));
+            runs.lock().unwrap().push(Instant::now());
+            record.line(&format!("server s-{index}: {} has come whole, {} bytes", request.id(), request.body.len()));
+            thread::sleep(ms(5));
             answer(stream, &format!("answer to {}", request.id()))?;
             Ok(After::Keep)
         };
         hosts.push(Host {
             name: format!("s-{index}"),
-            dial: start_server(Arc::new(handler)),
-            site: if index < 6 { "sala-norte" } else { "sala-sur" }.to_owned(),
-            block: index as u64 / 2,
+            dial: start_counted_server(Arc::new(handler), Arc::clone(&open[index as usize])),
+            site: if index % 2 == 0 { "sala-norte" } else { "sala-sur" }.to_owned(),
+            block: index / 2,
             health: "ready".to_owned(),
             born_ms: 0,
         });
     }
-    let Some(mut etcd) = Etcd::start() else {
-        record.say("the stand-in of etcd can't be started");
-        std::process::exit(COULD_NOT_RUN);
-    };
-    let prefix = "/saffronpaddle/servers/";
-    for host in &hosts[..6] {
-        let value = format!(
-            "{{\"dial\":\"{}\",\"site\":\"{}\",\"block\":{},\"health\":\"ready\",\"share\":1.0,\"born_ms\":1700000000000}}",
-            host.dial, host.site, host.block
-        );
-        etcd.command(&format!("put {prefix}{} {value}", host.name));
-    }
-    let discovery = Discovery::start(hosts);
+    let others = hosts.split_off(10);
+    let discovery = Discovery::start(hosts.clone());
     let (settings, fleet, folder) = (Settings::usual(2), FleetAddresses::new(2), Folder::new());
-    let members: Vec<String> = etcd.members.iter().map(|member| format!("\"{member}\"")).collect();
     let extra = Extra {
         known: Some(discovery.list()),
-        operator: Some(format!("[etcd]\nendpoints = [{}]\nprefix = \"{prefix}\"\n", members.join(", "))),
         ..Extra::default()
     };
-    let nodes: Vec<Node> = (0..2).map(|me| start_node(&folder, &settings, me, &fleet, discovery.address, &extra)).collect();
-    if !nodes.iter().all(|node| wait_ready(node.address, ms(15_000))) {
-        record.say(&format!("a node is not ready: {}", nodes[0].log_text()));
+    let mut nodes: Vec<Node> = (0..2).map(|me| start_node(&folder, &settings, me, &fleet, discovery.address, &extra)).collect();
+    if !nodes.iter().all(|node| wait_ready(node.address, ms(10_000))) {
+        record.say("a node is not ready");
         std::process::exit(COULD_NOT_RUN);
     }
-    let started = Instant::now();
-    let stop = Stop::default();
+    // The nodes' parts of the ceiling start empty and are full after 1.5 s.
+    thread::sleep(ms(3000));
+    let began = Instant::now();
     let mut clients = Vec::new();
-    for client in 0..10u64 {
-        let (stop, address) = (stop.clone(), nodes[client as usize % 2].address);
+    for number in 0..UPLOADS {
+        let begins_at = began + BETWEEN * number as u32;
+        // Each ends 25 ms after the one before.
+        let size = BYTES_PER_S * ends_after - BYTES_PER_S * number * 225 / 1000;
+        let (address, record) = (nodes[(number % 2) as usize].address, record.clone());
         clients.push(thread::spawn(move || {
-            let (mut served, mut other, mut number, mut kept) = (0, 0, 0, None);
-            while !stop.is_set() {
-                thread::sleep(ms(150));
-                number += 1;
-                let call = Call {
-                    id: format!("c{client:02}x{number:05}"),
-                    class: "board-read".to_owned(),
-                    tier: "cosecha".to_owned(),
-                    customer: 0x3000 + client,
-                    deadline: ms(3000),
-                    key: None,
-                    body: Vec::new(),
-                    spread: 2,
-                    first: 0,
-                    post: false,
-                };
-                let open = kept.take().map_or_else(|| ClientConnection::open(address), Ok);
-                let reply = open.map_or_else(|_| Reply::default(), |mut connection| {
-                    let reply = connection.call(&call, ms(3500));
-                    if reply.whole && !reply.closes {
-                        kept = Some(connection);
-                    }
-                    reply
-                });
-                if reply.status == 200 { served += 1 } else { other += 1 }
-            }
-            (served, other)
+            thread::sleep(begins_at.saturating_duration_since(Instant::now()));
+            let status = upload(address, number, size, true, &record);
+            record.line(&format!("client: up{number:04} status {status:?}"));
+            status
         }));
     }
-    thread::sleep(REMOVED_AT);
-    let mut removed_at: HashMap<usize, Instant> = HashMap::new();
-    if at_one_stroke {
-        let keys: Vec<String> = (0..6).map(|index| format!("{prefix}s-{index}")).collect();
-        let revision = etcd.command(&format!("delete {}", keys.join(" ")));
-        record.line(&format!("etcd: s-0 to s-5 deleted in one revision, {revision}"));
-        removed_at.extend((0..6).map(|index| (index, Instant::now())));
-    } else {
-        for index in 0..6 {
-            let revision = etcd.command(&format!("delete {prefix}s-{index}"));
-            record.line(&format!("etcd: s-{index} deleted, {revision}"));
-            removed_at.insert(index, Instant::now());
-        }
+    thread::sleep((began + REPLACED_AT).saturating_duration_since(Instant::now()));
+    record.line(&format!("open connections of the app servers {:?}", open.iter().map(|o| o.load(std::sync::atomic::Ordering::SeqCst)).collect::<Vec<_>>()));
+    if replaces {
+        // Six new servers are there; six of the ten drain, which the list tells by leaving them out. They finish what they have.
+        let listed: Vec<Host> = hosts[6..].iter().chain(&others).cloned().collect();
+        discovery.end_watches_with(listed);
+        record.line("discovery: the watches end; the whole list names s-6 to s-15 only");
     }
-    thread::sleep(DISCOVERY_LATE);
-    (0..6).for_each(|index| discovery.set_health(&format!("s-{index}"), "gone"));
-    record.line("discovery: s-0 to s-5 told as gone");
-    thread::sleep(SEND_UNTIL.saturating_sub(started.elapsed()));
-    stop.set();
-    let ends: Vec<(u32, u32)> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
-    let (served, other) = ends.iter().fold((0, 0), |sum, end| (sum.0 + end.0, sum.1 + end.1));
-    let (mut after, mut latest) = (0, Duration::ZERO);
-    for (index, at, id) in arrivals.lock().unwrap().iter() {
-        let Some(removed) = removed_at.get(index) else { continue };
-        let since = at.saturating_duration_since(*removed);
-        if since > GRACE {
-            (after, latest) = (after + 1, latest.max(since));
-            record.line(&format!("new work at removed s-{index}: {id}, {:.3} s after its removal was reported", since.as_secs_f64()));
-        }
+    let statuses: Vec<Option<u16>> = clients.into_iter().map(|client| client.join().unwrap_or(None)).collect();
+    thread::sleep(ms(300));
+    let count = |wanted: u16| statuses.iter().filter(|status| **status == Some(wanted)).count();
+    // The ceiling's store, drawn on as the requests came whole to the app servers.
+    let mut runs = runs.lock().unwrap().clone();
+    runs.sort();
+    let (mut level, mut lowest, mut last) = (CEILING_DEPTH, CEILING_DEPTH, began);
+    for at in &runs {
+        let span = at.saturating_duration_since(last).as_secs_f64();
+        level = (level + span * CEILING_RATE).min(CEILING_DEPTH) - 1.0;
+        (lowest, last) = (f64::min(lowest, level), *at);
+        record.line(&format!("ceiling: a unit at {:.4}, {level:.2} left", record.at(*at)));
     }
     record.say(&format!(
-        "requests served {served}, others {other}; new work at removed servers after the grace {after}, the latest {:.2} s after the report",
-        latest.as_secs_f64()
+        "uploads {UPLOADS}, served {}, refused {}, come whole to app servers {}; the ceiling's store fell to {lowest:.2} (slack {SLACK:.2})",
+        count(200), count(503), runs.len()
     ));
-    for node in &nodes {
-        node.log_text().lines().filter(|line| line.contains("etcd")).for_each(|line| record.line(&format!("log: {line}")));
-    }
+    let ended: Vec<String> = nodes.iter_mut().filter_map(Node::has_ended).collect();
     drop(nodes);
-    drop(etcd);
     drop(folder);
-    if served == 0 {
+    if !ended.is_empty() || runs.is_empty() {
+        record.say(&format!("could not run: {ended:?}"));
         std::process::exit(COULD_NOT_RUN);
     }
-    std::process::exit(if after > 0 { BROKEN } else { HELD });
+    std::process::exit(if lowest < -SLACK { BROKEN } else { HELD });
+}
+
+/// Sends one upload, slowly or at once, and returns the status of its answer.
+fn upload(address: std::net::SocketAddr, number: u64, size: u64, slow: bool, record: &Record) -> Option<u16> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    let _ = stream.set_nodelay(true);
+    let head = format!(
+        "POST /run-submit/0000000000004242 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: up{number:04}\r\nX-Class: run-submit\r\nX-Tier: milpa\r\nX-Deadline: 2000m\r\nIdempotency-Key: key{number:04}\r\nX-Call-Terms: units=1,spread=2,first=0\r\nContent-Length: {size}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    record.line(&format!("client: up{number:04} begins, {size} bytes"));
+    let began = Instant::now();
+    let step = BYTES_PER_S / 10;
+    let mut sent = 0;
+    while sent < size {
+        let piece = step.min(size - sent);
+        if stream.write_all(&vec![b'a'; piece as usize]).is_err() {
+            record.line(&format!("client: up{number:04} can't write after {sent} bytes"));
+            break;
+        }
+        sent += piece;
+        if slow {
+            let due = began + Duration::from_secs_f64(sent as f64 / BYTES_PER_S as f64);
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+        }
+    }
+    record.line(&format!("client: up{number:04} has sent its last byte"));
+    stream.set_read_timeout(Some(ms(4000))).ok()?;
+    let mut text = [0u8; 64];
+    let length = BufReader::new(stream).read(&mut text).ok()?;
+    String::from_utf8_lossy(&text[..length]).split(' ').nth(1)?.parse().ok()
 }
