--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::path::PathBuf;
@@ -29,13 +30,14 @@
     // All uploads end about this long after the first one has begun.
     let ends_after: u64 = 28;
     record.line(&format!("app servers are replaced: {replaces}"));
-    let runs: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    // When the first attempt of each request came whole to an app server.
+    let runs: Arc<Mutex<HashMap<String, Instant>>> = Arc::default();
     let mut hosts = Vec::new();
     let open: Vec<Arc<std::sync::atomic::AtomicU64>> = (0..16).map(|_| Arc::default()).collect();
     for index in 0..16u64 {
         let (record, runs) = (record.clone(), Arc::clone(&runs));
         let handler = move |request: &Request, stream: &mut TcpStream| {
-            runs.lock().unwrap().push(Instant::now());
+            runs.lock().unwrap().entry(request.id().to_owned()).or_insert_with(Instant::now);
             record.line(&format!("server s-{index}: {} has come whole, {} bytes", request.id(), request.body.len()));
             thread::sleep(ms(5));
             answer(stream, &format!("answer to {}", request.id()))?;
@@ -50,7 +52,7 @@
             born_ms: 0,
         });
     }
-    let others = hosts.split_off(10);
+    let mut others = hosts.split_off(10);
     let discovery = Discovery::start(hosts.clone());
     let (settings, fleet, folder) = (Settings::usual(2), FleetAddresses::new(2), Folder::new());
     let extra = Extra {
@@ -82,6 +84,7 @@
     record.line(&format!("open connections of the app servers {:?}", open.iter().map(|o| o.load(std::sync::atomic::Ordering::SeqCst)).collect::<Vec<_>>()));
     if replaces {
         // Six new servers are there; six of the ten drain, which the list tells by leaving them out. They finish what they have.
+        others.iter_mut().for_each(|host| host.born_ms = unix_ms());
         let listed: Vec<Host> = hosts[6..].iter().chain(&others).cloned().collect();
         discovery.end_watches_with(listed);
         record.line("discovery: the watches end; the whole list names s-6 to s-15 only");
@@ -90,7 +93,7 @@
     thread::sleep(ms(300));
     let count = |wanted: u16| statuses.iter().filter(|status| **status == Some(wanted)).count();
     // The ceiling's store, drawn on as the requests came whole to the app servers.
-    let mut runs = runs.lock().unwrap().clone();
+    let mut runs: Vec<Instant> = runs.lock().unwrap().values().copied().collect();
     runs.sort();
     let (mut level, mut lowest, mut last) = (CEILING_DEPTH, CEILING_DEPTH, began);
     for at in &runs {
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::path::PathBuf;
@@ -28,12 +29,13 @@
     // All uploads end about this long after the first one has begun.
     let ends_after: u64 = std::env::var("ENDS_AFTER_S").ok().and_then(|text| text.parse().ok()).unwrap_or(22);
     record.line(&format!("slow clients: {slow}"));
-    let runs: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    // When the first attempt of each request came whole to an app server.
+    let runs: Arc<Mutex<HashMap<String, Instant>>> = Arc::default();
     let mut hosts = Vec::new();
     for index in 0..6u64 {
         let (record, runs) = (record.clone(), Arc::clone(&runs));
         let handler = move |request: &Request, stream: &mut TcpStream| {
-            runs.lock().unwrap().push(Instant::now());
+            runs.lock().unwrap().entry(request.id().to_owned()).or_insert_with(Instant::now);
             record.line(&format!("server s-{index}: {} has come whole, {} bytes", request.id(), request.body.len()));
             thread::sleep(ms(50));
             answer(stream, &format!("answer to {}", request.id()))?;
@@ -78,7 +80,7 @@
     thread::sleep(ms(300));
     let count = |wanted: u16| statuses.iter().filter(|status| **status == Some(wanted)).count();
     // The ceiling's store, drawn on as the requests came whole to the app servers.
-    let mut runs = runs.lock().unwrap().clone();
+    let mut runs: Vec<Instant> = runs.lock().unwrap().values().copied().collect();
     runs.sort();
     let (mut level, mut lowest, mut last) = (CEILING_DEPTH, CEILING_DEPTH, began);
     for at in &runs {
