End short answers that never end at the deadline of their request

What callers saw: an app server began a short answer of unknown length and did not end it.

Cause: such an answer is passed on after 100 ms, as it may be a long one. Exchange::on_response_streaming then lifted the attempt's deadline for good, and nothing looked again at whether the answer was long.

Change: the exchange keeps the client's deadline until the response is known to be long (ResponseLong) and closes the attempt at it, so that the client sees a cut answer. The attempt reads the start of such a response at its server's pace (ResponseStart), so that what decides is what the server has given, not what the client has read. Classes with `streamed`, which the node did not read before, have no deadline once the answer has begun. INFO counts the answers that are ended (lb_responses_ended_at_deadline). The model checker's world "passing" has answers that are and that turn out to be long, and finds the planted ShortResponseUnbounded.

--- a/crates/admin/src/counters.rs
+++ b/crates/admin/src/counters.rs
@@ -49,6 +49,8 @@
     pub connects_failed: u64,
     /// Attempts that reused an open connection.
     pub connections_reused: u64,
+    /// Short streaming responses that their servers had not ended by the deadline of their requests.
+    pub responses_ended_at_deadline: u64,
     /// Responses that are still being written although their requests have been counted as ended.
     pub streaming: u64,
 }
--- a/crates/admin/src/metrics.rs
+++ b/crates/admin/src/metrics.rs
@@ -109,6 +109,10 @@
                 "connections_kept_used",
                 self.request_counters.connections_reused,
             ),
+            (
+                "responses_ended_at_deadline",
+                self.request_counters.responses_ended_at_deadline,
+            ),
             ("open_requests", self.request_counters.open()),
             ("registry_entries", self.registry_entries as u64),
             ("out_of_rotation", self.out_of_rotation as u64),
--- a/crates/exchange/src/bugs.rs
+++ b/crates/exchange/src/bugs.rs
@@ -54,6 +54,8 @@
     GoneBodySentAgain,
     /// The policy can cancel an attempt whose response is streaming to the client.
     PassingCalledOff,
+    /// A streaming response that is not long has no deadline.
+    ShortResponseUnbounded,
     /// A connection is kept although the server responded before the request was complete.
     EarlyAnswerKept,
     /// A request is treated as one that may have run before its last byte was sent.
@@ -64,7 +66,7 @@
 
 impl Bug {
     /// All faults, in the order in which the model checker looks for them.
-    pub const ALL: [Bug; 27] = [
+    pub const ALL: [Bug; 28] = [
         Bug::AnswerAfterCancel,
         Bug::CancelWithoutClose,
         Bug::ResendAfterFirstByte,
@@ -89,6 +91,7 @@
         Bug::IdleNotCounted,
         Bug::GoneBodySentAgain,
         Bug::PassingCalledOff,
+        Bug::ShortResponseUnbounded,
         Bug::EarlyAnswerKept,
         Bug::RunsBeforeWhole,
         Bug::EndForgotten,
--- a/crates/exchange/src/event.rs
+++ b/crates/exchange/src/event.rs
@@ -19,6 +19,8 @@
         idempotency: Idempotency,
         /// When the client stops waiting for the answer.
         deadline: Micros,
+        /// The class has streamed responses: once one has started, it has no deadline, however short it is.
+        response_streamed: bool,
         /// The [`PolicyEvent::RequestArrived`] to pass to the policy.
         policy_event: PolicyEvent,
     },
@@ -55,6 +57,13 @@
     ResponseStreaming {
         /// The connection that carries the request.
         connection: ConnectionId,
+        /// The response is known to be long: only its start has a deadline. Otherwise `ResponseLong` may follow.
+        long: bool,
+    },
+    /// A streaming response has turned out to be long.
+    ResponseLong {
+        /// The connection that carries the request.
+        connection: ConnectionId,
     },
     /// The client has stopped reading a streaming response.
     ResponseAbandoned {
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -22,6 +22,7 @@
     Bug, Bugs, Command, ConnectionId, Denial, Event, FinalAnswer, Limits, NoBugs, Policy, Ticket,
     Violations,
 };
+use requests::RequestTerms;
 use saffronpaddle_admin::RequestCounters;
 use saffronpaddle_policy::interface::{
     Action, AttemptNumber, Event as PolicyEvent, Micros, Outcome, RequestId, ServerId,
@@ -172,8 +173,16 @@
             Event::RequestReceived {
                 idempotency,
                 deadline,
+                response_streamed,
                 policy_event,
-            } => self.on_request_received(now, idempotency, deadline, policy_event, commands),
+            } => {
+                let terms = RequestTerms {
+                    idempotency,
+                    deadline,
+                    response_streamed,
+                };
+                self.on_request_received(now, terms, policy_event, commands);
+            }
             Event::ClientGone { id, ticket } => self.on_client_disconnected(&id, ticket),
             Event::Connected { connection } => self.on_connected(now, connection, commands),
             Event::ConnectFailed {
@@ -190,9 +199,10 @@
                 connection,
                 outcome,
             } => self.on_response_complete(now, connection, outcome, commands),
-            Event::ResponseStreaming { connection } => {
-                self.on_response_streaming(now, connection, commands);
+            Event::ResponseStreaming { connection, long } => {
+                self.on_response_streaming(now, connection, long, commands);
             }
+            Event::ResponseLong { connection } => self.on_response_long(connection),
             Event::ResponseAbandoned { connection } => {
                 self.on_response_abandoned(connection, commands);
             }
--- a/crates/exchange/src/exchange/requests.rs
+++ b/crates/exchange/src/exchange/requests.rs
@@ -11,12 +11,20 @@
 /// while.
 const ANSWER_TOLERANCE: Micros = 150_000;
 
+/// What a request asks of its attempts and its answer.
+pub(super) struct RequestTerms {
+    pub idempotency: Idempotency,
+    /// When the client stops waiting, µs.
+    pub deadline: Micros,
+    /// A response that has started has no deadline, however short it is.
+    pub response_streamed: bool,
+}
+
 impl<A: Copy + Eq + Hash, P: Policy, B: Bugs> Exchange<A, P, B> {
     pub(super) fn on_request_received(
         &mut self,
         now: Micros,
-        idempotency: Idempotency,
-        deadline: Micros,
+        terms: RequestTerms,
         mut policy_event: PolicyEvent,
         commands: &mut Commands<A>,
     ) {
@@ -46,8 +54,9 @@
         let mut request = RequestState {
             ticket,
             class,
-            idempotency,
-            deadline,
+            idempotency: terms.idempotency,
+            deadline: terms.deadline,
+            response_streamed: terms.response_streamed,
             shutdown_deadline: Micros::MAX,
             shortened_by_shutdown: false,
             open: true,
--- a/crates/exchange/src/exchange/responses.rs
+++ b/crates/exchange/src/exchange/responses.rs
@@ -76,11 +76,13 @@
         self.end_attempt(id, outcome);
     }
 
-    /// Answers the request when the head of a streaming response is received. The attempt has no timeout from then on.
+    /// Answers the request when the head of a streaming response is received. From then on the client's deadline is the
+    /// only timeout of the attempt, and a long response has none.
     pub(super) fn on_response_streaming(
         &mut self,
         now: Micros,
         connection: ConnectionId,
+        long: bool,
         commands: &mut Commands<A>,
     ) {
         let Some(id) = self.request_on(connection) else {
@@ -96,8 +98,14 @@
         }
         request.streaming = true;
         self.counters.streaming += 1;
+        let unbounded = self.bugs.planted(Bug::ShortResponseUnbounded);
+        let deadline = if long || request.response_streamed || unbounded {
+            Micros::MAX
+        } else {
+            request.deadline
+        };
         if let Some(attempt) = request.outstanding.as_mut() {
-            attempt.deadline = Micros::MAX;
+            attempt.deadline = deadline;
             attempt.stage_deadline = Micros::MAX;
         }
         self.answer(now, &id, FinalAnswer::Served, commands);
@@ -105,6 +113,25 @@
             .push_back(PolicyEvent::ResponseStarted { id });
     }
 
+    /// Lifts the deadline of a streaming response that has turned out to be long: what its server still gives is not cut
+    /// off.
+    pub(super) fn on_response_long(&mut self, connection: ConnectionId) {
+        let Some(id) = self.request_on(connection) else {
+            return;
+        };
+        let Some(request) = self
+            .requests
+            .get_mut(&id)
+            .filter(|request| request.streaming)
+        else {
+            return;
+        };
+        if let Some(attempt) = request.outstanding.as_mut() {
+            attempt.deadline = Micros::MAX;
+        }
+        self.update_timer(&id);
+    }
+
     /// Aborts the attempt when the client has stopped reading its streaming response.
     pub(super) fn on_response_abandoned(
         &mut self,
--- a/crates/exchange/src/exchange/timers.rs
+++ b/crates/exchange/src/exchange/timers.rs
@@ -72,12 +72,12 @@
             .map(|(_, id)| id.clone())
             .collect();
         for id in due {
-            let timed_out = self
-                .requests
-                .get(&id)
-                .and_then(|request| request.outstanding.as_ref())
-                .is_some_and(|attempt| now >= attempt.step_deadline());
-            if timed_out {
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            let attempt = request.outstanding.as_ref();
+            if attempt.is_some_and(|attempt| attempt.is_timed_out(now)) {
+                self.counters.responses_ended_at_deadline += u64::from(request.streaming);
                 self.abort_attempt(&id, Outcome::TimedOut, commands);
             }
         }
--- a/crates/exchange/src/tables.rs
+++ b/crates/exchange/src/tables.rs
@@ -14,6 +14,8 @@
     pub idempotency: Idempotency,
     /// When the client stops waiting or the shutdown deadline passes, whichever is earlier, µs.
     pub deadline: Micros,
+    /// A response that has started has no deadline, however short it is.
+    pub response_streamed: bool,
     /// When the process has to have answered the request, µs; [`Micros::MAX`] until a shutdown is announced.
     pub shutdown_deadline: Micros,
     /// The shutdown deadline is earlier than the time at which the client stops waiting.
@@ -52,6 +54,12 @@
 }
 
 impl OutstandingAttempt {
+    /// Returns whether the attempt or its current stage has timed out and the attempt is not being aborted yet.
+    pub fn is_timed_out(&self, now: Micros) -> bool {
+        let closing = matches!(self.stage, AttemptStage::Closing(..));
+        !closing && now >= self.step_deadline()
+    }
+
     /// Returns when the attempt or its current stage times out, whichever is earlier, µs.
     pub fn step_deadline(&self) -> Micros {
         self.stage_deadline.min(self.deadline)
--- a/crates/hollow/src/shard.rs
+++ b/crates/hollow/src/shard.rs
@@ -779,6 +779,7 @@
             Event::RequestReceived {
                 idempotency,
                 deadline,
+                response_streamed: false,
                 policy_event,
             },
             EventKind::Request,
--- a/crates/hot-restart/tests/support/mod.rs
+++ b/crates/hot-restart/tests/support/mod.rs
@@ -16,6 +16,7 @@
     let class = Class {
         latency_objective: 800_000,
         late_value: 0.1,
+        streamed: false,
         priority_weight: 1.0,
         idempotency: Idempotency::Idempotent,
     };
--- a/crates/model-checker/src/chart.rs
+++ b/crates/model-checker/src/chart.rs
@@ -109,6 +109,9 @@
         Step::ResponseFinishes(c) => {
             format!("the rest of the streaming response on connection {c} arrives")
         }
+        Step::ResponseTurnsLong(c) => {
+            format!("the streaming response on connection {c} turns out to be long")
+        }
         Step::ServerResponds(c, response) => format!("response {response:?} on connection {c}"),
         Step::ServerRepeats(c) => format!("duplicate of the last response on connection {c}"),
         Step::ConnectionResets {
--- a/crates/model-checker/src/fleet/clients.rs
+++ b/crates/model-checker/src/fleet/clients.rs
@@ -38,6 +38,7 @@
         let event = Event::RequestReceived {
             idempotency: self.settings[node].settings.classes[class].idempotency,
             deadline: self.now + timeout,
+            response_streamed: false,
             policy_event: PolicyEvent::RequestArrived {
                 id,
                 class: ClassId(class),
--- a/crates/model-checker/src/planted.rs
+++ b/crates/model-checker/src/planted.rs
@@ -23,7 +23,7 @@
         Bug::EndForgotten => "ending",
         Bug::DeadlineRacedByReply | Bug::AlarmForgotten => "late",
         Bug::GoneBodySentAgain | Bug::EarlyAnswerKept | Bug::RunsBeforeWhole => "coming",
-        Bug::PassingCalledOff => "passing",
+        Bug::PassingCalledOff | Bug::ShortResponseUnbounded => "passing",
     }
 }
 
--- a/crates/model-checker/src/setups/real_policy.rs
+++ b/crates/model-checker/src/setups/real_policy.rs
@@ -118,6 +118,7 @@
     Class {
         latency_objective: 100 * MILLISECOND,
         late_value: 0.5,
+        streamed: false,
         priority_weight: 1.0,
         idempotency,
     }
--- a/crates/model-checker/src/world/apply_step.rs
+++ b/crates/model-checker/src/world/apply_step.rs
@@ -149,6 +149,7 @@
                 Some(Event::TimerFired.into())
             }
             Step::ResponseFinishes(rank)
+            | Step::ResponseTurnsLong(rank)
             | Step::ResponseDropped(rank)
             | Step::ConnectSucceeds(rank)
             | Step::ConnectFails(rank)
@@ -186,6 +187,10 @@
     ) -> Option<NodeInput> {
         let event = match step {
             Step::ResponseFinishes(_) => self.response_finishes(connection)?,
+            Step::ResponseTurnsLong(_) => {
+                self.connections.get_mut(&connection)?.long = true;
+                Event::ResponseLong { connection }
+            }
             Step::ResponseDropped(_) => {
                 self.connections.get_mut(&connection)?.response_dropped = true;
                 Event::ResponseAbandoned { connection }
@@ -228,6 +233,7 @@
         Event::RequestReceived {
             idempotency,
             deadline: now + setup.timeout(),
+            response_streamed: false,
             policy_event: PolicyEvent::RequestArrived {
                 id: setup.request_id(request),
                 class: ClassId(class_of(idempotency)),
@@ -368,7 +374,8 @@
         }
         let client = &self.clients[usize::from(request)];
         let while_closing = source.closing;
-        let streaming = response.kind == ServerResponse::Streaming;
+        let streaming = response.kind.is_streaming();
+        source.long = response.kind == ServerResponse::StreamingLong;
         source.streaming = streaming && !while_closing && client.is_waiting();
         source.responded_early = setup.streaming_bodies && !client.body_released;
         if !while_closing && !streaming {
@@ -401,7 +408,10 @@
                 }
                 Event::Upgraded { connection }
             }
-            ServerResponse::Streaming => Event::ResponseStreaming { connection },
+            ServerResponse::Streaming | ServerResponse::StreamingLong => Event::ResponseStreaming {
+                connection,
+                long: kind == ServerResponse::StreamingLong,
+            },
             ServerResponse::Ok | ServerResponse::Error | ServerResponse::Full => {
                 Event::ResponseComplete {
                     connection,
--- a/crates/model-checker/src/world/connection.rs
+++ b/crates/model-checker/src/world/connection.rs
@@ -30,6 +30,8 @@
     pub closing: bool,
     /// The connection carries a streaming response.
     pub streaming: bool,
+    /// The streaming response is known to be long.
+    pub long: bool,
     /// The client has stopped reading the streaming response.
     pub response_dropped: bool,
     /// A response was read before the request was complete.
@@ -74,11 +76,17 @@
             end_seen: false,
             closing: false,
             streaming: false,
+            long: false,
             response_dropped: false,
             responded_early: false,
         }
     }
 
+    /// Returns whether a streaming response is passed to its client.
+    pub fn is_passing_response(&self) -> bool {
+        self.streaming && !self.closing && !self.reset && !self.response_dropped
+    }
+
     /// Returns the carried request if bytes of it were written.
     pub fn written_request(&self) -> Option<u8> {
         self.carried
--- a/crates/model-checker/src/world/step.rs
+++ b/crates/model-checker/src/world/step.rs
@@ -24,6 +24,8 @@
     BodyFails(u8),
     /// The rest of a streaming response arrives on a connection.
     ResponseFinishes(u8),
+    /// A streaming response turns out to be long.
+    ResponseTurnsLong(u8),
     /// The client stops reading the streaming response on a connection.
     ResponseDropped(u8),
     /// The policy sends a request to a server.
@@ -89,8 +91,10 @@
     Full,
     /// A successful response that upgrades the connection to another protocol.
     Upgrade,
-    /// A successful streaming response.
+    /// A successful streaming response that may be short.
     Streaming,
+    /// A successful streaming response that is known to be long.
+    StreamingLong,
 }
 
 impl ServerResponse {
@@ -99,6 +103,7 @@
         if setup.streaming_responses {
             &[
                 ServerResponse::Streaming,
+                ServerResponse::StreamingLong,
                 ServerResponse::Ok,
                 ServerResponse::Full,
             ]
@@ -117,10 +122,21 @@
         }
     }
 
+    /// Returns whether the response is streaming.
+    pub(super) fn is_streaming(self) -> bool {
+        matches!(
+            self,
+            ServerResponse::Streaming | ServerResponse::StreamingLong
+        )
+    }
+
     /// Returns the outcome that is reported to the exchange.
     pub(super) fn outcome(self) -> Outcome {
         match self {
-            ServerResponse::Ok | ServerResponse::Upgrade | ServerResponse::Streaming => Outcome::Ok,
+            ServerResponse::Ok
+            | ServerResponse::Upgrade
+            | ServerResponse::Streaming
+            | ServerResponse::StreamingLong => Outcome::Ok,
             ServerResponse::Error => Outcome::Error,
             ServerResponse::Full => Outcome::Rejected,
         }
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -4,10 +4,12 @@
 mod reader;
 mod request;
 mod response;
+mod response_start;
 
 pub use reader::{BodyReader, ReceiveError};
 pub use request::{AttemptBody, BodyEvent, StreamedRequestBody};
-pub use response::StreamedResponseBody;
+pub use response::{ResponseRest, StreamedResponseBody};
+pub use response_start::{ResponseBroken, ResponseLength, ResponseStart};
 pub use saffronpaddle_request_body::MAX_BODY_BYTES;
 
 use crate::downstream::BusyGuard;
--- a/crates/node/src/clients/request.rs
+++ b/crates/node/src/clients/request.rs
@@ -27,6 +27,8 @@
     pub timeout: Duration,
     /// The effect of a second execution, as the settings of the class give it.
     pub idempotency: Idempotency,
+    /// The class has streamed responses.
+    pub response_streamed: bool,
 }
 
 /// The status and reason for rejecting an invalid request.
@@ -95,7 +97,8 @@
     let terms = header_text(headers, "x-call-terms")
         .and_then(|text| Terms::parse(text, &platform.settings));
     let terms = terms.ok_or(bad("X-Call-Terms: missing or bad\n"))?;
-    let idempotency = platform.settings.classes[class_index].idempotency;
+    let class = &platform.settings.classes[class_index];
+    let idempotency = class.idempotency;
     check_method(idempotency, head).map_err(bad)?;
     Ok(RequestHead {
         id,
@@ -105,6 +108,7 @@
         terms,
         timeout,
         idempotency,
+        response_streamed: class.streamed,
     })
 }
 
@@ -168,6 +172,7 @@
             Forward {
                 id: self.id,
                 idempotency: self.idempotency,
+                response_streamed: self.response_streamed,
                 method: head.method,
                 target,
                 key,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -17,6 +17,8 @@
     pub id: RequestId,
     /// The effect of a second execution, as the settings of the class give it.
     pub idempotency: Idempotency,
+    /// The class has streamed responses.
+    pub response_streamed: bool,
     /// The client's method, forwarded unchanged.
     pub method: Method,
     /// Path and query, as the client sent them.
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -34,7 +34,7 @@
             }
             exchange.next_ticket()
         };
-        let idempotency = forward.idempotency;
+        let (idempotency, response_streamed) = (forward.idempotency, forward.response_streamed);
         let remaining = forward.deadline.saturating_duration_since(Instant::now());
         let deadline = self.clock.now() + remaining.as_micros() as Micros;
         let (answer, answer_receiver) = oneshot::channel();
@@ -52,6 +52,7 @@
             Event::RequestReceived {
                 idempotency,
                 deadline,
+                response_streamed,
                 policy_event: arrival,
             },
             None,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -4,20 +4,22 @@
 mod gate;
 
 use crate::answer::Payload;
-use crate::bodies::{AttemptBody, StreamedResponseBody, UpstreamRequestBody};
+use crate::bodies::{
+    AttemptBody, ResponseBroken, ResponseLength, ResponseRest, ResponseStart, StreamedResponseBody,
+    UpstreamRequestBody,
+};
 use crate::forward::{Forward, ForwardBody};
 use crate::upstream_events::UpstreamEvents;
-use attempt::{AttemptOutcome, Target};
+use attempt::{AttemptOutcome, StreamingResponse, Target};
 use bytes::Bytes;
 use gate::{Gate, GatedStream};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use saffronpaddle_exchange::{ConnectionId, Event};
 use saffronpaddle_netio::{is_local_failure, Socket};
 use saffronpaddle_policy::interface::{Outcome, ServerId};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -147,13 +149,13 @@
             let time_left = events.time_left(&forward);
             let target = Target { server, address };
             let outcome = attempt::run(&mut sender, &forward, body, time_left, target).await;
-            this.finish(events, connection, sender, outcome);
+            this.finish(events, connection, sender, outcome).await;
         });
         upstream.attempt = Some(task.abort_handle());
     }
 
     /// Reports the outcome of an attempt to the connection's owner.
-    fn finish(
+    async fn finish(
         self: Rc<Self>,
         events: Rc<dyn UpstreamEvents>,
         connection: ConnectionId,
@@ -169,12 +171,9 @@
                     Some(Payload::Upgraded(upgraded)),
                 );
             }
-            AttemptOutcome::Streaming(received, rest) => {
-                let body = self.streamed_response(&events, connection, sender, received, rest);
-                events.on_event(
-                    Event::ResponseStreaming { connection },
-                    Some(Payload::Streaming(Box::new(body))),
-                );
+            AttemptOutcome::Streaming(response) => {
+                self.stream_response(events, connection, sender, response)
+                    .await;
             }
             AttemptOutcome::Complete(outcome, payload) => {
                 self.return_connection(connection, sender);
@@ -193,18 +192,64 @@
         }
     }
 
-    /// Creates the body of a streamed response. It may outlive the node's event loop, so it holds weak references only.
-    fn streamed_response(
+    /// Passes a streamed response to its client. Of a response that may be short, reads the start.
+    async fn stream_response(
+        self: Rc<Self>,
+        events: Rc<dyn UpstreamEvents>,
+        connection: ConnectionId,
+        sender: SendRequest<UpstreamRequestBody>,
+        response: StreamingResponse,
+    ) {
+        let report_end = self.report_end(&events, connection, sender);
+        let StreamingResponse {
+            received,
+            rest,
+            long,
+        } = response;
+        if long {
+            let pieces = received.into_pieces();
+            let rest = ResponseRest::ByClient(rest);
+            let body = self.streamed_body(connection, Box::new(report_end), pieces, rest);
+            return events.on_event(Event::ResponseStreaming { connection, long }, Some(body));
+        }
+        let start = ResponseStart::new(received);
+        // Whoever reads the end of the response reports it.
+        let report_end = Rc::new(Cell::new(Some(report_end)));
+        let reported_by_client = Rc::clone(&report_end);
+        let on_end = move |complete| {
+            let report_end = reported_by_client.take();
+            report_end.into_iter().for_each(|report| report(complete));
+        };
+        let rest_by_attempt = ResponseRest::ByAttempt(start.clone());
+        let body = self.streamed_body(
+            connection,
+            Box::new(on_end),
+            VecDeque::new(),
+            rest_by_attempt,
+        );
+        Rc::clone(&events).on_event(Event::ResponseStreaming { connection, long }, Some(body));
+        let complete = match start.read(rest).await {
+            Ok(ResponseLength::Long) => {
+                return events.on_event(Event::ResponseLong { connection }, None)
+            }
+            Ok(ResponseLength::Short) => true,
+            Err(ResponseBroken) => false,
+        };
+        let report_end = report_end.take();
+        report_end.into_iter().for_each(|report| report(complete));
+    }
+
+    /// Returns a function that reports the end of a streamed response: whether it is complete. It may outlive the node's
+    /// event loop, so it holds weak references only.
+    fn report_end(
         self: &Rc<Self>,
         events: &Rc<dyn UpstreamEvents>,
         connection: ConnectionId,
         sender: SendRequest<UpstreamRequestBody>,
-        received: VecDeque<Bytes>,
-        rest: Incoming,
-    ) -> StreamedResponseBody {
+    ) -> impl FnOnce(bool) + 'static {
         let (this, events): (Weak<Upstream>, Weak<dyn UpstreamEvents>) =
             (Rc::downgrade(self), Rc::downgrade(events));
-        let on_end = move |complete: bool| {
+        move |complete| {
             let (Some(this), Some(events)) = (this.upgrade(), events.upgrade()) else {
                 return;
             };
@@ -218,13 +263,24 @@
                 Event::ConnectionLost { connection }
             };
             events.on_event(event, None);
-        };
+        }
+    }
+
+    /// Creates the body of a streamed response.
+    fn streamed_body(
+        &self,
+        connection: ConnectionId,
+        on_end: Box<dyn FnOnce(bool)>,
+        received: VecDeque<Bytes>,
+        rest: ResponseRest,
+    ) -> Payload {
         let abandoned_sender = self.abandoned_sender.clone();
         let on_abandoned = move || {
             // Fails only when the node has stopped and dropped the receiver.
             let _ = abandoned_sender.send(connection);
         };
-        StreamedResponseBody::new(Box::new(on_end), Box::new(on_abandoned), received, rest)
+        let body = StreamedResponseBody::new(on_end, Box::new(on_abandoned), received, rest);
+        Payload::Streaming(Box::new(body))
     }
 
     /// Returns the request that is prepared on a connection.
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -18,7 +18,6 @@
 use saffronpaddle_policy::interface::{Outcome, ServerId};
 use saffronpaddle_request_body::PieceQueue;
 use saffronpaddle_websocket::upgrade::{verify, Offer, VERSION};
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -33,20 +32,29 @@
 pub(super) enum AttemptOutcome {
     /// A complete response.
     Complete(Outcome, Option<Payload>),
-    /// A response that is streamed: the chunks received so far, and the rest.
-    Streaming(VecDeque<Bytes>, Incoming),
+    /// A response that is streamed.
+    Streaming(StreamingResponse),
     /// The server accepted the upgrade.
     Upgraded(Box<UpgradedConnection>),
     /// No complete response, or a response to another request.
     Lost,
 }
 
+/// A response that is streamed.
+pub(super) struct StreamingResponse {
+    /// What was received so far.
+    pub received: PieceQueue,
+    pub rest: Incoming,
+    /// The response is longer than what is buffered. Otherwise it may still turn out to be short.
+    pub long: bool,
+}
+
 /// The body of a response after buffering.
 enum ReadBody {
     /// The complete body.
     Complete(Bytes),
-    /// What was received of a body that is to be streamed, and the rest.
-    Start(PieceQueue, Incoming),
+    /// A body that is to be streamed.
+    Streaming(StreamingResponse),
 }
 
 /// How long a response of unknown length is buffered before it is streamed.
@@ -77,8 +85,8 @@
     let may_stream = outcome == Outcome::Ok && forward.offer.is_none();
     let body = match read_buffered(response.into_body()).await {
         Some(ReadBody::Complete(body)) => body,
-        Some(ReadBody::Start(received, rest)) if may_stream => {
-            return AttemptOutcome::Streaming(received.into_pieces(), rest)
+        Some(ReadBody::Streaming(response)) if may_stream => {
+            return AttemptOutcome::Streaming(response)
         }
         _ => return AttemptOutcome::Lost,
     };
@@ -125,12 +133,19 @@
 /// body failed before that, or exceeds [`MAX_BODY_BYTES`].
 async fn read_buffered(mut body: Incoming) -> Option<ReadBody> {
     let mut received = PieceQueue::default();
+    let streaming = |received, rest, long| {
+        Some(ReadBody::Streaming(StreamingResponse {
+            received,
+            rest,
+            long,
+        }))
+    };
     let known_size = body.size_hint().exact();
     if known_size.is_some_and(|known_size| known_size > MAX_BODY_BYTES) {
         return None;
     }
     if known_size.is_some_and(|known_size| known_size > MAX_BUFFERED_BODY_BYTES as u64) {
-        return Some(ReadBody::Start(received, body));
+        return streaming(received, body, true);
     }
     let deadline = Instant::now() + SHORT_BODY_TIMEOUT;
     loop {
@@ -138,7 +153,7 @@
             Some(_) => body.frame().await,
             None => match timeout_at(deadline, body.frame()).await {
                 Ok(frame) => frame,
-                Err(_) => return Some(ReadBody::Start(received, body)),
+                Err(_) => return streaming(received, body, false),
             },
         };
         let Some(frame) = frame else { break };
@@ -147,7 +162,7 @@
         };
         received.push(&data);
         if received.len() > MAX_BUFFERED_BODY_BYTES {
-            return Some(ReadBody::Start(received, body));
+            return streaming(received, body, true);
         }
     }
     Some(ReadBody::Complete(received.into_bytes()))
--- a/crates/policy/src/interface/settings.rs
+++ b/crates/policy/src/interface/settings.rs
@@ -42,6 +42,8 @@
     pub priority_weight: f64,
     /// The effect of a second execution.
     pub idempotency: Idempotency,
+    /// Responses are streams: once one has started, the client's deadline no longer applies.
+    pub streamed: bool,
 }
 
 /// A limit on the units that all nodes together forward for one customer, which must never be exceeded.
--- a/crates/policy/src/setup.rs
+++ b/crates/policy/src/setup.rs
@@ -49,6 +49,8 @@
     group: Option<WireGroup>,
     #[serde(default)]
     window_us: u64,
+    #[serde(default)]
+    streamed: bool,
 }
 
 #[derive(Deserialize)]
@@ -278,6 +280,7 @@
             late_value: self.late_value,
             priority_weight: self.priority_weight,
             idempotency,
+            streamed: self.streamed,
         })
     }
 
--- a/crates/policy/tests/common/settings.rs
+++ b/crates/policy/tests/common/settings.rs
@@ -58,6 +58,7 @@
     let class = |priority_weight, idempotency| Class {
         latency_objective: 800 * MILLISECOND,
         late_value: 0.2,
+        streamed: false,
         priority_weight,
         idempotency,
     };
