Charge the last byte of an upload in the step that releases it

Cause: at the last byte of a body the policy engine allowed, counted and charged in separate steps.

Change: the exchange releases the last byte on Action::ReleaseBody alone, and checks attempt, connection, deadline and client as at a first byte. The policy engine decides, charges and releases in one step; what is missing leads to a rejection or a charge, never to a free release. A server for which a body is being received stays in the table until its attempt ends. The model checker's policy in the world "coming" releases at any time.

--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -49,8 +49,6 @@
     shutdown_deadline: Micros,
     last_connection: u64,
     next_ticket: u64,
-    /// The request whose last body part is held back until the policy has handled `BodyComplete`.
-    unreleased_body: Option<RequestId>,
     /// Counts how requests have ended. No decision depends on it.
     counters: RequestCounters,
     /// Number of steps that the guard denied, by reason.
@@ -88,7 +86,6 @@
             shutdown_deadline: Micros::MAX,
             last_connection: 0,
             next_ticket: 0,
-            unreleased_body: None,
             counters: RequestCounters::default(),
             denials: HashMap::new(),
             violations: Violations::default(),
@@ -244,7 +241,6 @@
                 .drain(..)
                 .for_each(|action| self.apply_action(now, action, commands));
         }
-        self.release_body(commands);
     }
 
     fn apply_action(&mut self, now: Micros, action: Action, commands: &mut Commands<A>) {
@@ -260,6 +256,7 @@
             }
             Action::Fail { id } => self.answer(now, &id, FinalAnswer::Failed, commands),
             Action::Cancel { id, attempt } => self.cancel(&id, attempt, commands),
+            Action::ReleaseBody { id, attempt } => self.release_body(now, &id, attempt, commands),
             other => commands.push(Command::PolicyAction(other)),
         }
     }
--- a/crates/exchange/src/exchange/bodies.rs
+++ b/crates/exchange/src/exchange/bodies.rs
@@ -1,15 +1,17 @@
 //! Request bodies that are forwarded to the server while they are received from the client.
 
 use super::{Commands, Exchange};
+use crate::guard::StepFacts;
 use crate::tables::{AttemptStage, ConnectionState};
-use crate::{Bugs, Command, FinalAnswer, Policy, Ticket};
-use saffronpaddle_policy::interface::{Event as PolicyEvent, Micros, RequestId};
+use crate::{Bugs, Command, ConnectionId, FinalAnswer, Policy, Ticket};
+use saffronpaddle_policy::interface::{
+    AttemptNumber, Event as PolicyEvent, Micros, Outcome, RequestId,
+};
 use std::hash::Hash;
 
 impl<A: Copy + Eq + Hash, P: Policy, B: Bugs> Exchange<A, P, B> {
-    /// Handles the end of a streaming body. The request's deadline is reset, and the last part is held back until
-    /// the policy has handled this event: before that part the server can't have run the request, so it can still be
-    /// rejected.
+    /// Handles the end of a streaming body. The request's deadline is reset, and the last part is held back until the
+    /// policy releases it: before that part the server can't have run the request, so it can still be rejected.
     pub(super) fn on_body_complete(
         &mut self,
         now: Micros,
@@ -20,11 +22,19 @@
         let Some(deadline) = self.change_body_deadline(id, ticket, deadline) else {
             return;
         };
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.body_received = true;
+        let stage = request.outstanding.as_ref().map(|attempt| attempt.stage);
+        if matches!(stage, Some(AttemptStage::Closing(..))) {
+            // The end of the attempt follows, and the policy ends the request.
+            return;
+        }
         self.pending_events.push_back(PolicyEvent::BodyComplete {
             id: id.clone(),
             timeout: deadline.saturating_sub(now),
         });
-        self.unreleased_body = Some(id.clone());
     }
 
     /// Handles a change of the time by which a request with an incomplete body needs its answer.
@@ -67,7 +77,7 @@
         deadline: Micros,
     ) -> Option<Micros> {
         let request = self.requests.get_mut(id)?;
-        if request.ticket != ticket || !request.open || request.body_complete {
+        if request.ticket != ticket || !request.open || request.body_received {
             return None;
         }
         request.deadline = deadline;
@@ -81,26 +91,51 @@
         Some(deadline)
     }
 
-    /// Releases the last part of a body unless the policy has ended the request.
-    pub(super) fn release_body(&mut self, commands: &mut Commands<A>) {
-        let Some(id) = self.unreleased_body.take() else {
-            return;
-        };
-        let Some(request) = self.requests.get_mut(&id).filter(|request| request.open) else {
-            return;
-        };
-        let stage = request.outstanding.as_ref().map(|attempt| attempt.stage);
-        let Some(AttemptStage::OnConnection(connection)) = stage else {
+    /// Releases the last part of a body if its attempt can still send it, and aborts the attempt otherwise.
+    pub(super) fn release_body(
+        &mut self,
+        now: Micros,
+        id: &RequestId,
+        attempt: AttemptNumber,
+        commands: &mut Commands<A>,
+    ) {
+        let held_back = self.requests.get(id).is_some_and(|request| {
+            let outstanding = request.outstanding.as_ref();
+            let same = outstanding.is_some_and(|found| AttemptNumber(found.number) == attempt);
+            same && request.body_received && !request.body_complete
+        });
+        if !held_back {
             return;
+        }
+        let Some(connection) = self.releasable_on(now, id) else {
+            return self.abort_attempt(id, Outcome::Cancelled, commands);
         };
-        let written = self
-            .connections
-            .get(&connection)
-            .is_some_and(|found| found.state == ConnectionState::Written);
-        if written {
+        if let Some(request) = self.requests.get_mut(id) {
             request.body_complete = true;
             self.counters.relayed += 1;
             commands.push(Command::ReleaseBody { connection });
         }
     }
+
+    /// Returns the connection on which the last part of a body may be sent. A server that drains or has left the list
+    /// finishes what it has.
+    fn releasable_on(&mut self, now: Micros, id: &RequestId) -> Option<ConnectionId> {
+        let request = self.requests.get(id)?;
+        let attempt = request.outstanding.as_ref()?;
+        let AttemptStage::OnConnection(connection) = attempt.stage else {
+            return None;
+        };
+        let facts = StepFacts {
+            now,
+            attempt_deadline: attempt.deadline,
+            shutdown_deadline: self.shutdown_deadline,
+            client_waits: request.open,
+            attempt_outstanding: false,
+            body_consumed: false,
+            server_ready: true,
+            retry_allowed: true,
+        };
+        let written = self.is_in_state(connection, ConnectionState::Written);
+        (written && self.permitted(&facts)).then_some(connection)
+    }
 }
--- a/crates/exchange/src/exchange/inspection.rs
+++ b/crates/exchange/src/exchange/inspection.rs
@@ -129,6 +129,7 @@
     request.attempts.hash(hasher);
     request.first_dispatched.hash(hasher);
     request.timer_at.hash(hasher);
+    request.body_received.hash(hasher);
     request.body_complete.hash(hasher);
     request.body_consumed.hash(hasher);
     request.streaming.hash(hasher);
--- a/crates/exchange/src/exchange/requests.rs
+++ b/crates/exchange/src/exchange/requests.rs
@@ -60,6 +60,7 @@
             shutdown_deadline: Micros::MAX,
             shortened_by_shutdown: false,
             open: true,
+            body_received: body_complete,
             body_complete,
             body_consumed: false,
             streaming: false,
--- a/crates/exchange/src/tables.rs
+++ b/crates/exchange/src/tables.rs
@@ -22,6 +22,8 @@
     pub shortened_by_shutdown: bool,
     /// The request has no final answer, and its client is waiting for one.
     pub open: bool,
+    /// The last byte of the body has arrived.
+    pub body_received: bool,
     /// The last byte of the body has arrived and may be written. Before that, no server can have run the request.
     pub body_complete: bool,
     /// A part of an unbuffered body may have been sent to a server, so that the request can't be sent again.
--- a/crates/fleet-harness/src/virtually/mod.rs
+++ b/crates/fleet-harness/src/virtually/mod.rs
@@ -714,6 +714,8 @@
                     self.attempt_ended(node_index, id, Outcome::Cancelled);
                 }
             }
+            // Requests arrive with their complete body.
+            Action::ReleaseBody { .. } => {}
             Action::SendToSiblings(_) | Action::Subscribe | Action::Report(_) => {}
         }
     }
--- a/crates/hollow/src/shard.rs
+++ b/crates/hollow/src/shard.rs
@@ -654,7 +654,8 @@
             | Action::Send { .. }
             | Action::Reject { .. }
             | Action::Fail { .. }
-            | Action::Cancel { .. } => {}
+            | Action::Cancel { .. }
+            | Action::ReleaseBody { .. } => {}
         }
     }
 
--- a/crates/model-checker/src/chart.rs
+++ b/crates/model-checker/src/chart.rs
@@ -98,6 +98,7 @@
         }
         Step::PolicyRejects(r) => format!("policy: reject request {r}"),
         Step::PolicyFails(r) => format!("policy: fail request {r}"),
+        Step::PolicyReleases(r) => format!("policy: release the body of request {r}"),
         Step::PolicyCancels(r) => format!("policy: cancel the attempt of request {r}"),
         _ => return None,
     };
--- a/crates/model-checker/src/world/apply_step.rs
+++ b/crates/model-checker/src/world/apply_step.rs
@@ -117,17 +117,23 @@
             Step::PolicyFails(request) => Some(Action::Fail {
                 id: setup.request_id(request),
             }),
-            Step::PolicyCancels(request) => {
-                let unended = self.client(request).unended_attempts();
-                Some(Action::Cancel {
-                    id: setup.request_id(request),
-                    attempt: AttemptNumber(unended.checked_ilog2().unwrap_or(0)),
-                })
-            }
+            Step::PolicyReleases(request) => Some(Action::ReleaseBody {
+                id: setup.request_id(request),
+                attempt: self.last_unended_attempt(request),
+            }),
+            Step::PolicyCancels(request) => Some(Action::Cancel {
+                id: setup.request_id(request),
+                attempt: self.last_unended_attempt(request),
+            }),
             _ => None,
         }
     }
 
+    fn last_unended_attempt(&self, request: u8) -> AttemptNumber {
+        let unended = self.client(request).unended_attempts();
+        AttemptNumber(unended.checked_ilog2().unwrap_or(0))
+    }
+
     /// Applies a step to the world, and returns the event that it causes at the node; steps of servers cause none.
     fn apply_step(&mut self, setup: &Setup, step: Step) -> Option<NodeInput> {
         match step {
@@ -175,6 +181,7 @@
             | Step::PolicySends { .. }
             | Step::PolicyRejects(_)
             | Step::PolicyFails(_)
+            | Step::PolicyReleases(_)
             | Step::PolicyCancels(_) => None,
         }
     }
--- a/crates/model-checker/src/world/possible_steps.rs
+++ b/crates/model-checker/src/world/possible_steps.rs
@@ -247,7 +247,11 @@
         steps.push(Step::PolicyRejects(request));
         steps.push(Step::PolicyFails(request));
     }
-    if client.sent_attempts != client.ended_attempts && setup.policy_cancels {
+    let unended = client.sent_attempts != client.ended_attempts;
+    if setup.streaming_bodies && unended && client.answers == 0 && !client.body_released {
+        steps.push(Step::PolicyReleases(request));
+    }
+    if unended && setup.policy_cancels {
         steps.push(Step::PolicyCancels(request));
     }
 }
--- a/crates/model-checker/src/world/step.rs
+++ b/crates/model-checker/src/world/step.rs
@@ -43,6 +43,8 @@
     PolicyFails(u8),
     /// The policy cancels the last attempt of a request.
     PolicyCancels(u8),
+    /// The policy releases the last part of the body of a request.
+    PolicyReleases(u8),
     /// A connect succeeds.
     ConnectSucceeds(u8),
     /// A connect fails.
--- a/crates/node/src/node/commands.rs
+++ b/crates/node/src/node/commands.rs
@@ -87,7 +87,8 @@
             | Action::Send { .. }
             | Action::Reject { .. }
             | Action::Fail { .. }
-            | Action::Cancel { .. } => {}
+            | Action::Cancel { .. }
+            | Action::ReleaseBody { .. } => {}
         }
     }
 }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -238,11 +238,15 @@
 
     /// Returns whether the customer's hard limit and its limit on attempts in flight allow a first attempt now. If not,
     /// the request stays queued.
-    pub(crate) fn may_start(&mut self, customer: CustomerId, units: f64, now: Micros) -> bool {
+    pub(crate) fn may_start(&mut self, now: Micros, id: &RequestId) -> bool {
+        let Some(request) = self.requests.open.get(id) else {
+            return false;
+        };
         if self.large_fleet {
             return true; // Owners enforce these limits when they grant a request.
         }
-        let Some(bucket) = self.quotas.buckets.get_mut(&customer) else {
+        let units = request.units;
+        let Some(bucket) = self.quotas.buckets.get_mut(&request.customer) else {
             return true;
         };
         let plan = &self.settings.plans[bucket.plan.0];
--- a/crates/policy/src/attempt_results.rs
+++ b/crates/policy/src/attempt_results.rs
@@ -166,10 +166,14 @@
 
     /// Stops counting an ended attempt of this process or a sibling process at its server and its customer.
     pub(crate) fn release_attempt(&mut self, attempt: &Attempt) {
-        if attempt.stage == AttemptStage::AtServer {
-            if let Some(in_flight) = self.endpoints.in_flight_mut(attempt.server) {
-                *in_flight = in_flight.saturating_sub(1);
+        match attempt.stage {
+            AttemptStage::ReceivingBody => self.endpoints.end_receiving_body(attempt.server),
+            AttemptStage::AtServer => {
+                if let Some(in_flight) = self.endpoints.in_flight_mut(attempt.server) {
+                    *in_flight = in_flight.saturating_sub(1);
+                }
             }
+            AttemptStage::StreamingResponse => {}
         }
         if attempt.stage != AttemptStage::ReceivingBody {
             if let Some(bucket) = self.quotas.buckets.get_mut(&attempt.customer) {
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -74,14 +74,12 @@
         lowest_in_flight: f64,
     ) -> Option<ServerId> {
         let request = self.requests.open.get(id)?;
-        let customer = request.customer;
-        let units = request.units;
         let first_attempt = request.attempts == 0;
         let limited = request.class == self.lowest_class
             && !self
                 .concurrency_limit
                 .allows(lowest_in_flight, now, self.load.mean_latency);
-        if first_attempt && !self.may_start(customer, units, now) {
+        if first_attempt && !self.may_start(now, id) {
             // Waiting for the customer's own limit does not count as latency of the back end, as it would otherwise
             // lower the concurrency limit.
             if let Some(request) = self.requests.open.get_mut(id) {
@@ -113,6 +111,8 @@
                 bucket.record_attempt(now, request.units, is_first_attempt);
             }
             target.in_flight += 1;
+        } else {
+            target.receiving_bodies += 1;
         }
         if is_first_attempt {
             self.retries.earn();
--- a/crates/policy/src/endpoint_table.rs
+++ b/crates/policy/src/endpoint_table.rs
@@ -281,6 +281,13 @@
             .map(|server| &mut server.in_flight)
     }
 
+    /// Records that an attempt at a server whose body was being received has ended, or is in flight from now on.
+    pub fn end_receiving_body(&mut self, id: ServerId) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.receiving_bodies = server.receiving_bodies.saturating_sub(1);
+        }
+    }
+
     /// The server with a short id; `None` if it is unknown, or if several servers of a long list share it.
     pub fn by_short_id(&self, short_id: u16) -> Option<ServerId> {
         self.short_ids.get(short_id)
@@ -467,7 +474,7 @@
 
     fn drop_removed(&mut self) {
         let servers = &self.servers;
-        let idle = |id: &ServerId| servers.get(id).is_none_or(|server| server.in_flight == 0);
+        let idle = |id: &ServerId| servers.get(id).is_none_or(Server::is_without_attempts);
         let removed: Vec<ServerId> = self
             .aggregates
             .removed
--- a/crates/policy/src/interface/action.rs
+++ b/crates/policy/src/interface/action.rs
@@ -66,6 +66,12 @@
         id: RequestId,
         attempt: AttemptNumber,
     },
+    /// Send the last byte of a request's body, which was held back until now, to the server of the attempt in flight. The
+    /// attempt is charged from now on.
+    ReleaseBody {
+        id: RequestId,
+        attempt: AttemptNumber,
+    },
     /// Send a message to every peer.
     Broadcast {
         /// The datagram, at most 256 bytes.
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -71,8 +71,9 @@
         /// retries. [`Event::BodyComplete`] follows, and until then `timeout` limits the arrival of the body.
         complete: bool,
     },
-    /// The last byte of a request's body has arrived. The byte is held back while the engine handles this event, and is
-    /// then sent to the server of the attempt in flight if the request is still open.
+    /// The last byte of a request's body has arrived. The byte is held back until [`Action::ReleaseBody`].
+    ///
+    /// [`Action::ReleaseBody`]: super::Action::ReleaseBody
     BodyComplete {
         id: RequestId,
         /// How long the client waits for an answer from now on, µs.
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -34,6 +34,9 @@
     /// the budget is in its initial state.
     #[serde(rename = "budget", with = "crate::serde_optional_budget")]
     pub slow_start_budget: Option<Box<SlowStartBudget>>,
+    /// Attempts of this process whose request bodies are still being received. They are not in flight at the server yet.
+    #[serde(skip)]
+    pub receiving_bodies: u32,
     /// Whether the server is in this node's subset.
     #[serde(skip)]
     pub in_subset: bool,
@@ -90,6 +93,7 @@
         budget.on_server_start(endpoint.started_at.unwrap_or(0), warm_up_period);
         *self = Server {
             in_flight: self.in_flight,
+            receiving_bodies: self.receiving_bodies,
             in_subset: self.in_subset,
             ..Server::unknown(endpoint, now)
         };
@@ -97,6 +101,11 @@
         self.slow_start_budget = differs.then(|| Box::new(budget));
     }
 
+    /// Returns whether no attempt at the server is outstanding.
+    pub fn is_without_attempts(&self) -> bool {
+        self.in_flight == 0 && self.receiving_bodies == 0
+    }
+
     /// Allocates the statistics of each class if they are not allocated yet.
     pub fn ensure_statistics(&mut self, classes: usize) {
         if self.statistics.is_empty() {
--- a/crates/policy/tests/common/observed_request.rs
+++ b/crates/policy/tests/common/observed_request.rs
@@ -14,7 +14,9 @@
 pub struct ObservedRequest {
     idempotency: Idempotency,
     max_attempts: u32,
-    deadline: Micros,
+    pub deadline: Micros,
+    /// Whether the last byte may have been sent to the server of an attempt.
+    released: bool,
     /// Whether the request is neither answered nor abandoned.
     pub open: bool,
     attempts: u32,
@@ -27,11 +29,17 @@
 
 impl ObservedRequest {
     /// Creates a request without attempts.
-    pub fn new(idempotency: Idempotency, max_attempts: u32, deadline: Micros) -> Self {
+    pub fn new(
+        idempotency: Idempotency,
+        max_attempts: u32,
+        deadline: Micros,
+        complete: bool,
+    ) -> Self {
         ObservedRequest {
             idempotency,
             max_attempts,
             deadline,
+            released: complete,
             open: true,
             attempts: 0,
             unsent_attempts: 0,
@@ -80,11 +88,22 @@
         }
     }
 
+    /// Asserts that the last byte may be sent to the server of an attempt, and records it.
+    pub fn check_release(&mut self, attempt: AttemptNumber) {
+        assert!(self.open, "rule 1: a body was released after the answer");
+        assert!(!self.released, "rule 2: a body was released twice");
+        assert!(
+            self.attempt_in_flight && attempt.0 + 1 == self.attempts,
+            "rule 2: a body was released to an attempt that is not in flight"
+        );
+        self.released = true;
+    }
+
     /// Asserts that the request may get a final answer without a response of a server, and records it.
     pub fn check_answer(&mut self, rejected: bool) {
         assert!(self.open, "rule 1: a second final answer was given");
         self.open = false;
-        let maybe_executed = self.executed_in.is_some() || self.attempt_in_flight;
+        let maybe_executed = self.executed_in.is_some() || self.attempt_in_flight && self.released;
         let may_be_repeated_anywhere = matches!(
             self.idempotency,
             Idempotency::Idempotent
--- a/crates/policy/tests/common/test_node.rs
+++ b/crates/policy/tests/common/test_node.rs
@@ -124,6 +124,29 @@
         plan: usize,
         customer: TestCustomer,
         timeout: Micros,
+    ) -> RequestId {
+        self.receive_request(class, plan, customer, timeout, true)
+    }
+
+    /// Sends the start of a request of one unit of a customer with the given subset. Its body is incomplete, and may
+    /// take up to `body_timeout`.
+    pub fn upload_of(
+        &mut self,
+        class: ClassId,
+        plan: usize,
+        customer: TestCustomer,
+        body_timeout: Micros,
+    ) -> RequestId {
+        self.receive_request(class, plan, customer, body_timeout, false)
+    }
+
+    fn receive_request(
+        &mut self,
+        class: ClassId,
+        plan: usize,
+        customer: TestCustomer,
+        timeout: Micros,
+        complete: bool,
     ) -> RequestId {
         self.last_request += 1;
         let id = RequestId(format!("r{}", self.last_request).into());
@@ -131,6 +154,7 @@
             self.settings.classes[class.0].idempotency,
             self.settings.permissions.max_attempts,
             self.now + timeout,
+            complete,
         );
         self.requests.insert(id.clone(), observed);
         self.handle(Event::RequestArrived {
@@ -142,11 +166,27 @@
             subset_first: customer.first,
             subset_size: customer.subset_size,
             timeout,
-            complete: true,
+            complete,
         });
         id
     }
 
+    /// Completes the body of a request, whose client waits for `timeout` from now on.
+    pub fn complete_body(&mut self, id: &RequestId, timeout: Micros) -> Vec<Action> {
+        let deadline = self.now + timeout;
+        self.observed(id).deadline = deadline;
+        self.handle(Event::BodyComplete {
+            id: id.clone(),
+            timeout,
+        })
+    }
+
+    /// Returns the number of requests whose last byte was released.
+    pub fn count_released(&self) -> usize {
+        let is_release = |action: &&Action| matches!(action, Action::ReleaseBody { .. });
+        self.actions.iter().filter(is_release).count()
+    }
+
     /// Abandons a request, as when its client disconnects.
     pub fn abandon(&mut self, id: &RequestId) {
         self.requests
@@ -275,6 +315,7 @@
                     bytes.len()
                 );
             }
+            Action::ReleaseBody { id, attempt } => self.observed(id).check_release(*attempt),
             Action::Cancel { .. }
             | Action::Subscribe
             | Action::SendToSiblings(_)
--- a/crates/policy/tests/streamed_bodies.rs
+++ b/crates/policy/tests/streamed_bodies.rs
@@ -1,8 +1,10 @@
-//! Requests whose body is incomplete: how long they may be held back without an attempt.
+//! Requests whose body is incomplete: how long they may be held back without an attempt, and what is charged when their
+//! last byte is sent.
 
 mod common;
 
-use common::settings::{settings, KEYED_IN_DOMAIN, UNLIMITED};
+use common::settings::{endpoint, settings, HARD_LIMITED, KEYED_IN_DOMAIN, UNLIMITED};
+use common::test_node::{TestCustomer, TestNode};
 use saffronpaddle_policy::interface::*;
 use saffronpaddle_policy::PolicyEngine;
 
@@ -79,3 +81,60 @@
     let mut held = HeldRequest::new(SECOND);
     assert!(held.change_deadline(31 * SECOND, 0));
 }
+
+/// Capacity of the hard limit of [`HARD_LIMITED`], in requests of one unit.
+const HARD_LIMIT_CAPACITY: usize = 12;
+/// Uploads that are open at once.
+const UPLOADS: usize = 30;
+/// Time in which the hard limit's tokens have accrued.
+const UPTIME: Micros = 60 * SECOND;
+/// Time after which an engine has dropped what it does not need any more.
+const CLEAN_UP_INTERVAL: Micros = 10 * SECOND;
+
+/// A node with open uploads of one customer with a hard limit.
+struct Uploads {
+    node: TestNode,
+    ids: Vec<RequestId>,
+}
+
+impl Uploads {
+    /// Starts uploads at four servers.
+    fn start() -> Uploads {
+        let mut node = TestNode::with_servers(1, settings(0, 2), SECOND, 4);
+        node.advance(UPTIME);
+        let customer = TestCustomer {
+            id: 7,
+            first: NodeId(0),
+            subset_size: 1,
+        };
+        let upload = |_| node.upload_of(KEYED_IN_DOMAIN, HARD_LIMITED, customer, BODY_TIMEOUT);
+        let ids: Vec<RequestId> = (0..UPLOADS).map(upload).collect();
+        node.advance(100 * MILLISECOND);
+        assert!(ids.iter().all(|id| node.is_in_flight(id)));
+        Uploads { node, ids }
+    }
+
+    /// Completes all bodies at once, and returns the number of requests that are not rejected.
+    fn complete(&mut self) -> usize {
+        let mut served = 0;
+        for id in &self.ids {
+            let actions = self.node.complete_body(id, TIMEOUT);
+            let rejects = |action: &Action| matches!(action, Action::Reject { .. });
+            served += usize::from(!actions.iter().any(rejects));
+        }
+        served
+    }
+}
+
+/// Guards against uploads that are sent without being charged, as their server is no longer known.
+#[test]
+fn uploads_whose_servers_have_left_the_list_stay_within_the_hard_limit() {
+    let mut uploads = Uploads::start();
+    let replacements = (3..8).map(endpoint).collect();
+    uploads
+        .node
+        .update_endpoints(EndpointUpdate::Snapshot, replacements);
+    uploads.node.advance(CLEAN_UP_INTERVAL);
+    assert_eq!(uploads.complete(), HARD_LIMIT_CAPACITY);
+    assert_eq!(uploads.node.count_released(), HARD_LIMIT_CAPACITY);
+}
--- a/crates/simulator-adapter/src/action.rs
+++ b/crates/simulator-adapter/src/action.rs
@@ -51,6 +51,8 @@
             .end(),
         // Each simulated instance is a single process, so there are no sibling processes to send to.
         Action::SendToSiblings(_) => {}
+        // Simulated requests arrive with their complete body.
+        Action::ReleaseBody { .. } => {}
         Action::Report(diagnostic) => line
             .start(action::REPORT)
             .field(action_field::TEXT, diagnostic)
