Give a customer its bucket again when an upload outlasts it

Cause: may_start took a missing bucket for a customer without limits, and the charge found none.

Change: a request keeps its customer's subset, and may_start, which each first attempt and each last byte pass, creates a missing bucket. Buckets are dropped when they are full only, so the new one holds what the old one did.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -11,7 +11,9 @@
 use crate::counters::Counter;
 use crate::engine::{Actions, PolicyEngine};
 use crate::idempotency::rejection_allowed;
-use crate::interface::{Action, CustomerId, HardLimit, Micros, RequestId, MILLISECOND, SECOND};
+use crate::interface::{
+    Action, CustomerId, HardLimit, Micros, PlanId, RequestId, MILLISECOND, SECOND,
+};
 use crate::request::Request;
 use crate::shard_owners::NodeSubset;
 use crate::state::{ANSWER_MARGIN, MAX_RETRY_AFTER, RESTART_WINDOW};
@@ -53,11 +55,10 @@
         now: Micros,
         id: RequestId,
         request: Request,
-        subset: NodeSubset,
         actions: &mut Actions,
     ) {
         let shed_probability = self.shed_probability(&request);
-        self.prepare_bucket(now, &request, subset);
+        self.prepare_bucket(now, &request);
         let Some(admission) = self.decide_admission(now, &request, shed_probability) else {
             return;
         };
@@ -71,14 +72,10 @@
     }
 
     /// Creates the customer's token bucket if needed, applies a change of its plan or subset, and refills it.
-    fn prepare_bucket(&mut self, now: Micros, request: &Request, subset: NodeSubset) {
-        let uptime = self.uptime(now);
-        let customer = request.customer;
-        if !self.quotas.buckets.contains_key(&customer) {
-            let bucket = self.new_bucket(now, uptime, request, subset);
-            self.quotas.buckets.insert(customer, bucket);
-        }
-        let Some(bucket) = self.quotas.buckets.get_mut(&customer) else {
+    fn prepare_bucket(&mut self, now: Micros, request: &Request) {
+        let subset = request.subset;
+        self.ensure_bucket(now, request.customer, request.plan, subset);
+        let Some(bucket) = self.quotas.buckets.get_mut(&request.customer) else {
             return;
         };
         let plans = &self.settings.plans;
@@ -106,18 +103,28 @@
         self.counters.add(last_seen_counter(since_last_use));
     }
 
-    /// Creates the bucket of a customer without one. If the node may have been restarted, the bucket starts with its
-    /// even share only, until the peers' usage reports show what was used before.
-    fn new_bucket(
+    /// Creates the customer's token bucket if it has none. A bucket that would change no decision is dropped, also while a
+    /// body of the customer is being received.
+    fn ensure_bucket(
         &mut self,
         now: Micros,
-        uptime: Micros,
-        request: &Request,
+        customer: CustomerId,
+        plan: PlanId,
         subset: NodeSubset,
-    ) -> TokenBucket {
-        let plan = &self.settings.plans[request.plan.0];
+    ) {
+        if !self.quotas.buckets.contains_key(&customer) {
+            let bucket = self.new_bucket(now, plan, subset);
+            self.quotas.buckets.insert(customer, bucket);
+        }
+    }
+
+    /// Creates the bucket of a customer without one. If the node may have been restarted, the bucket starts with its
+    /// even share only, until the peers' usage reports show what was used before.
+    fn new_bucket(&mut self, now: Micros, plan_id: PlanId, subset: NodeSubset) -> TokenBucket {
+        let uptime = self.uptime(now);
+        let plan = &self.settings.plans[plan_id.0];
         let max_units = self.settings.max_request_units;
-        let bucket = TokenBucket::new(now, uptime, request.plan, plan, subset, max_units);
+        let bucket = TokenBucket::new(now, uptime, plan_id, plan, subset, max_units);
         let may_have_restarted = self.restarted && uptime < RESTART_WINDOW;
         let tokens = if self.large_fleet || may_have_restarted {
             bucket.even_capacity
@@ -137,15 +144,15 @@
                 ..bucket
             };
         }
-        self.isolated_bucket(request, bucket)
+        self.isolated_bucket(bucket)
     }
 
     /// Adapts a bucket to nodes that may not send each other messages: each node would admit the entire quota, so each
     /// gets a share of it. If the share is less than one request, randomly chosen nodes of the subset get one full
     /// request instead. Their number is such that together, on average, they admit no more than the quota over the
     /// time for which a bucket is kept.
-    fn isolated_bucket(&mut self, request: &Request, bucket: TokenBucket) -> TokenBucket {
-        let plan = &self.settings.plans[request.plan.0];
+    fn isolated_bucket(&mut self, bucket: TokenBucket) -> TokenBucket {
+        let plan = &self.settings.plans[bucket.plan.0];
         let share = (UNEVEN_SHARE / bucket.subset_size).min(1.0);
         let quota_while_kept = plan.burst + plan.rate * MIN_BUCKET_RETENTION as f64 / 1e6;
         let even_quota_while_kept = quota_while_kept / bucket.subset_size;
@@ -245,9 +252,11 @@
         if self.large_fleet {
             return true; // Owners enforce these limits when they grant a request.
         }
-        let units = request.units;
-        let Some(bucket) = self.quotas.buckets.get_mut(&request.customer) else {
-            return true;
+        let (customer, units) = (request.customer, request.units);
+        let (plan, subset) = (request.plan, request.subset);
+        self.ensure_bucket(now, customer, plan, subset);
+        let Some(bucket) = self.quotas.buckets.get_mut(&customer) else {
+            return false;
         };
         let plan = &self.settings.plans[bucket.plan.0];
         let silent_peer_count = count_silent_peers(&self.peers.last_report_at, bucket, now);
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -156,19 +156,20 @@
                 timeout,
                 complete,
             } => {
+                let subset = NodeSubset {
+                    first,
+                    size: subset_size.clamp(1, self.settings.node_count),
+                };
                 let terms = RequestTerms {
                     class,
                     plan,
                     customer,
+                    subset,
                     units,
                     timeout,
                     complete,
                 };
-                let subset = NodeSubset {
-                    first,
-                    size: subset_size.clamp(1, self.settings.node_count),
-                };
-                self.on_request(now, id, Request::new(now, terms), subset, actions);
+                self.on_request(now, id, Request::new(now, terms), actions);
             }
             Event::BodyComplete { id, timeout } => self.on_body_complete(now, id, timeout, actions),
             Event::BodyDeadlineChanged { id, timeout } => {
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -4,6 +4,7 @@
 use crate::interface::{
     AttemptNumber, ClassId, CustomerId, Micros, NodeId, PlanId, RequestId, ServerId, SiblingAttempt,
 };
+use crate::shard_owners::NodeSubset;
 use std::collections::BTreeMap;
 
 /// Identifies an attempt by its request and its number.
@@ -15,6 +16,8 @@
     pub class: ClassId,
     pub plan: PlanId,
     pub customer: CustomerId,
+    /// The nodes that receive the customer's requests.
+    pub subset: NodeSubset,
     pub units: f64,
     pub timeout: Micros,
     /// Whether the body has been received in full, so that the request can be retried.
@@ -27,6 +30,8 @@
     pub class: ClassId,
     pub plan: PlanId,
     pub customer: CustomerId,
+    /// The nodes that receive the customer's requests, as the request gives them.
+    pub subset: NodeSubset,
     pub units: f64,
     pub arrived_at: Micros,
     /// Time from which only the back end delays the request: it has been admitted, and its customer's own limits no
@@ -62,6 +67,7 @@
             class: terms.class,
             plan: terms.plan,
             customer: terms.customer,
+            subset: terms.subset,
             units: terms.units.max(0.0),
             arrived_at: now,
             queued_since: now,
--- a/crates/policy/src/shard_owners.rs
+++ b/crates/policy/src/shard_owners.rs
@@ -25,7 +25,7 @@
 const OWNERS_PER_SHARD: u32 = 2;
 
 /// A customer's subset of nodes: `size` nodes from `first` on, by number, wrapping around.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct NodeSubset {
     pub first: NodeId,
     pub size: u32,
--- a/crates/policy/tests/streamed_bodies.rs
+++ b/crates/policy/tests/streamed_bodies.rs
@@ -90,6 +90,8 @@
 const UPTIME: Micros = 60 * SECOND;
 /// Time after which an engine has dropped what it does not need any more.
 const CLEAN_UP_INTERVAL: Micros = 10 * SECOND;
+/// Time after which the bucket of a customer without requests is dropped.
+const BUCKET_RETENTION: Micros = 60 * SECOND;
 
 /// A node with open uploads of one customer with a hard limit.
 struct Uploads {
@@ -138,3 +140,12 @@
     assert_eq!(uploads.complete(), HARD_LIMIT_CAPACITY);
     assert_eq!(uploads.node.count_released(), HARD_LIMIT_CAPACITY);
 }
+
+/// Guards against uploads that are sent without being charged, as their customer sent nothing else for a while.
+#[test]
+fn uploads_that_outlast_the_bucket_of_their_customer_stay_within_the_hard_limit() {
+    let mut uploads = Uploads::start();
+    uploads.node.advance(BUCKET_RETENTION + CLEAN_UP_INTERVAL);
+    assert_eq!(uploads.complete(), HARD_LIMIT_CAPACITY);
+    assert_eq!(uploads.node.count_released(), HARD_LIMIT_CAPACITY);
+}
