Serve what arrives at a kept listener while a request delays the exit

Cause: the node decided at the signal, once, that its successor would accept what comes, as for a process about to exit; then it stayed, and no successor starts before it has exited. Related: a process that left accepting to a successor did not resume when that successor went while it was closing.

Change: lifecycle::SharedListener decides for as long as the process closes. The loop that accepts is one for both phases. A closing process whose successor goes accepts again. Shutdown deadlines are unchanged, and steady load of short requests does not delay the exit.

--- a/crates/lifecycle/src/action.rs
+++ b/crates/lifecycle/src/action.rs
@@ -37,8 +37,9 @@
     PauseAccepting,
     /// Resume accepting connections: the other process has exited.
     ResumeAccepting,
-    /// Close the listener and all idle connections, then send
-    /// [`Event::ConnectionsClosed`](crate::Event::ConnectionsClosed) once the remaining connections have closed.
+    /// Close all idle connections, and the listener unless it outlives the process (see
+    /// [`SharedListener`](crate::SharedListener)). Send [`Event::ConnectionsClosed`](crate::Event::ConnectionsClosed)
+    /// once the remaining connections have closed.
     StopAccepting,
     /// Exit the process, even if connections are still open.
     Exit,
--- a/crates/lifecycle/src/machine.rs
+++ b/crates/lifecycle/src/machine.rs
@@ -365,11 +365,11 @@
         out.push(Action::Exit);
     }
 
-    /// A draining node leaves new connections to its successor while one is present.
+    /// A stopping node leaves new connections to its successor while one is present.
     fn set_successor(&mut self, present: bool, out: &mut Vec<Action>) {
         let changed = self.successor_present != present;
         self.successor_present = present;
-        if changed && self.state == State::Draining {
+        if changed && matches!(self.state, State::Draining | State::Closing) {
             out.push(if present {
                 Action::PauseAccepting
             } else {
--- a/crates/lifecycle/tests/lifecycle/main.rs
+++ b/crates/lifecycle/tests/lifecycle/main.rs
@@ -5,5 +5,6 @@
 mod log_lines;
 mod readiness;
 mod reload;
+mod shared_listener;
 mod shutdown;
 mod support;
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -12,7 +12,7 @@
 use crate::node::Node;
 use backlog::{Accepted, Backlog, ACCEPT_RETRY};
 use connections::Connections;
-use saffronpaddle_lifecycle::Reasons;
+use saffronpaddle_lifecycle::{Acceptance, Reasons, SharedListener};
 use saffronpaddle_netio::AcceptFailure;
 use std::io;
 use std::rc::Rc;
@@ -20,6 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{watch, Notify};
 use tokio::time::{Instant, Interval, MissedTickBehavior};
+use tracing::info;
 
 /// Delay before the first check, and interval of further checks, for disconnected clients on connections that are not
 /// read while a request is answered.
@@ -36,7 +37,8 @@
     CloseAfterResponse,
     /// As `CloseAfterResponse`, and idle connections are closed. The process may return to `Serving`.
     CloseIdle,
-    /// No new connection is accepted, and idle connections are closed.
+    /// Idle connections are closed. New ones are accepted only from a listener that outlives the process, while an open
+    /// connection keeps the process from exiting.
     StopAccepting,
 }
 
@@ -100,7 +102,8 @@
 }
 
 /// Accepts at most `max_clients` connections at a time until the node closes, then serves the open connections until
-/// they end. A `shared` listener outlives this process: connections in its backlog are left to the next process.
+/// they end. A `shared` listener outlives this process: connections in its backlog are left to the next process unless
+/// this one has to wait for an open connection.
 pub async fn serve(
     listener: TcpListener,
     shared: bool,
@@ -112,6 +115,9 @@
     acceptor.accept_until_closing().await;
     acceptor.node.stop();
     let node = Rc::clone(&acceptor.node);
+    if shared {
+        acceptor.accept_while_held().await;
+    }
     acceptor.drain_connections(shared).await;
     if let Some(websockets) = &node.websockets {
         websockets.all_closed().await;
@@ -129,6 +135,8 @@
     disconnect_check: DisconnectCheck,
     /// An accepted connection that waits for capacity.
     waiting: Option<Accepted>,
+    /// The process waits for its open connections.
+    closing: bool,
     /// Accepting failed recently for lack of descriptors or another temporary reason.
     descriptors_exhausted: bool,
 }
@@ -156,41 +164,93 @@
             sweep,
             disconnect_check,
             waiting: None,
+            closing: false,
             descriptors_exhausted: false,
         }
     }
 
     /// Accepts clients until the node closes.
     async fn accept_until_closing(&mut self) {
-        let mut status = self.status.clone();
         let closing = phase_reached(self.status.clone(), Phase::StopAccepting);
         tokio::pin!(closing);
         loop {
-            // Reaps ended tasks.
-            while self.connections.tasks.try_join_next().is_some() {}
-            self.admit_waiting();
-            let full = self.waiting.is_some() || self.descriptors_exhausted;
-            let accepts = status.borrow_and_update().accepts && !full;
-            if !accepts {
-                self.backlog.pause();
+            tokio::select! {
+                biased;
+                () = &mut closing => return,
+                () = self.serve_next(true) => {}
             }
-            let retry = if self.descriptors_exhausted {
-                ACCEPT_RETRY
-            } else {
-                EVICTION_RETRY
+        }
+    }
+
+    /// Accepts clients of a shared listener while the closing process waits for an open connection, until none is open
+    /// or the rest is left to the next process.
+    async fn accept_while_held(&mut self) {
+        self.closing = true;
+        let closing_since = self.connections.started_at.elapsed();
+        let mut reported = false;
+        while let Some(oldest_since) = self.oldest_since(closing_since) {
+            let Some(answer_by) = self.status.borrow().answer_by else {
+                return;
+            };
+            let listener = SharedListener {
+                closing_since,
+                answer_by: answer_by.saturating_duration_since(self.connections.started_at),
             };
+            let now = self.connections.started_at.elapsed();
+            let (accepts, until) = match listener.acceptance(now, oldest_since) {
+                Acceptance::AcceptUntil(until) => (true, until),
+                Acceptance::PauseUntil(until) => (false, until),
+                Acceptance::Stop => return,
+            };
+            if accepts && !std::mem::replace(&mut reported, true) {
+                info!(
+                    open_connections = self.connections.tasks.len(),
+                    "closing: accepting connections while open ones delay the exit"
+                );
+            }
+            let until = self.connections.started_at + until;
             tokio::select! {
-                accepted = self.backlog.accept(), if accepts => self.on_accepted(accepted),
-                () = &mut closing => return,
-                Ok(()) = status.changed() => {}
-                _ = self.sweep.tick() => self.connections.sweep(),
-                () = self.disconnect_check.due() => self.check_disconnects(),
-                // A task that has ended, aborted or not, has closed its socket.
-                Some(_) = self.connections.tasks.join_next(), if full => {
-                    self.descriptors_exhausted = false;
-                }
-                () = tokio::time::sleep(retry), if full => self.descriptors_exhausted = false,
+                () = tokio::time::sleep_until(until) => {}
+                () = self.serve_next(accepts) => {}
+            }
+        }
+    }
+
+    /// Since when the process has been waiting for an open connection or WebSocket; `None` if none is open.
+    fn oldest_since(&self, closing_since: Duration) -> Option<Duration> {
+        let websockets = self.node.websockets.as_ref();
+        let websockets_open = websockets.is_some_and(|websockets| websockets.any_open());
+        let waiting = self.waiting.is_some();
+        let oldest = self.connections.oldest_since();
+        oldest.or((websockets_open || waiting).then_some(closing_since))
+    }
+
+    /// Waits for the next connection, if the process `accepts` any, or for another event of the connections, and handles
+    /// it.
+    async fn serve_next(&mut self, accepts: bool) {
+        // Reaps ended tasks.
+        while self.connections.tasks.try_join_next().is_some() {}
+        self.admit_waiting();
+        let full = self.waiting.is_some() || self.descriptors_exhausted;
+        let accepts = accepts && self.status.borrow_and_update().accepts && !full;
+        if !accepts {
+            self.backlog.pause();
+        }
+        let retry = if self.descriptors_exhausted {
+            ACCEPT_RETRY
+        } else {
+            EVICTION_RETRY
+        };
+        tokio::select! {
+            accepted = self.backlog.accept(), if accepts => self.on_accepted(accepted),
+            Ok(()) = self.status.changed() => {}
+            _ = self.sweep.tick() => self.connections.sweep(),
+            () = self.disconnect_check.due() => self.check_disconnects(),
+            // A task that has ended, aborted or not, has closed its socket.
+            Some(_) = self.connections.tasks.join_next(), if full || self.closing => {
+                self.descriptors_exhausted = false;
             }
+            () = tokio::time::sleep(retry), if full => self.descriptors_exhausted = false,
         }
     }
 
--- a/crates/node/src/clients/connections.rs
+++ b/crates/node/src/clients/connections.rs
@@ -8,6 +8,7 @@
 use saffronpaddle_connection_eviction::{EvictionPressure, Limits};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{watch, Notify};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
@@ -74,6 +75,13 @@
         }
     }
 
+    /// When the oldest open connection was accepted, since the start; `None` if no connection is open.
+    pub(super) fn oldest_since(&self) -> Option<Duration> {
+        let open = |entry: &&Entry| !entry.task.is_finished();
+        let oldest = self.entries.iter().find(open);
+        oldest.map(|entry| entry.downstream.state().accepted_at)
+    }
+
     /// Removes the entries of connections that have ended.
     fn remove_ended(&mut self) {
         self.entries.retain(|entry| !entry.task.is_finished());
--- a/crates/node/src/websocket.rs
+++ b/crates/node/src/websocket.rs
@@ -174,9 +174,14 @@
         self.execute(commands);
     }
 
+    /// Whether a permit is held.
+    pub fn any_open(&self) -> bool {
+        self.table.borrow().count() > 0
+    }
+
     /// Waits until no permit is held.
     pub async fn all_closed(&self) {
-        while self.table.borrow().count() > 0 {
+        while self.any_open() {
             self.permit_released.notified().await;
         }
     }
--- a/crates/saffronpaddle/tests/lifecycle.rs
+++ b/crates/saffronpaddle/tests/lifecycle.rs
@@ -345,6 +345,57 @@
     wait_until_ready(&third);
 }
 
+/// Guards against connections that wait for the next process while a long request keeps this one from exiting.
+#[test]
+fn a_node_that_waits_for_a_long_request_serves_what_arrives_at_a_passed_listener() {
+    /// Less than the time for which the long request keeps the process from exiting.
+    const MAX_ANSWER_TIME: Duration = Duration::from_secs(2);
+    let operator = TempFile::new(
+        "held-operator",
+        "[ready]\nlist_within_ms = 1\npeers_within_ms = 1\n",
+    );
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let dial = servers.start("s-1", &[Reply::NoResponse, REPLY_OK]);
+    let hosts = [host_json("s-1", dial, 1, "ready")];
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr().expect("the socket has an address");
+    let pass = |command: &mut Command| pass_listener(command, &listener, &operator.0);
+    let mut node = Node::start_with_command("held", discovery.address, &hosts, 1024, pass);
+    wait_until_ready(&node);
+    let mut long = node.connect();
+    long.write(&request("long", "read", "20000m"));
+    let mut upstream = servers.next_request().stream;
+    node.terminate();
+    for number in 0..20 {
+        let sent_at = Instant::now();
+        let id = format!("late{number}");
+        assert_ok_response(connect_and_send(address, &request(&id, "read", "3000m")));
+        assert!(sent_at.elapsed() < MAX_ANSWER_TIME, "{id} waited");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    // New connections do not delay the exit once the long request has its answer.
+    let Reply::Respond(answer) = REPLY_OK else {
+        unreachable!("the reply is a response")
+    };
+    upstream
+        .write_all(answer.as_bytes())
+        .expect("the node reads the answer");
+    let answered_at = Instant::now();
+    while node.is_running() {
+        drop(connect_and_send(address, &request("last", "read", "3000m")));
+        assert!(
+            answered_at.elapsed() < MAX_ANSWER_TIME,
+            "the process does not exit"
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(
+        long.read_response().map(|response| response.status()),
+        Some(200)
+    );
+    assert!(node.wait().success());
+}
+
 /// A node that receives SIGTERM answers requests that arrive on connections which the kernel established before that,
 /// also after it has closed the idle connections.
 #[test]
