Ask for an upload's grant when its body is complete, not when it arrives

Cause: the owners of a quota were asked when a request arrived. Under a hard limit their grant is void after 240 ms, which was checked for requests without an attempt only; an upload has its attempt from the start, takes its units up to 20 minutes later, and may_start said yes to each.

Change: units are taken when they are used. An upload asks no owner and takes nothing from a lease when it arrives; when its body is complete, the last byte is held back until an owner or a lease grants it, and the grant releases it in the step that charges it. may_start asks for a valid grant at each first attempt and each last byte. Asking at both ends would take the units twice.

--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -116,7 +116,7 @@
     acceptor.node.stop();
     let node = Rc::clone(&acceptor.node);
     if shared {
-        acceptor.accept_while_held().await;
+        acceptor.accept_while_exit_is_delayed().await;
     }
     acceptor.drain_connections(shared).await;
     if let Some(websockets) = &node.websockets {
@@ -184,7 +184,7 @@
 
     /// Accepts clients of a shared listener while the closing process waits for an open connection, until none is open
     /// or the rest is left to the next process.
-    async fn accept_while_held(&mut self) {
+    async fn accept_while_exit_is_delayed(&mut self) {
         self.closing = true;
         let closing_since = self.connections.started_at.elapsed();
         let mut reported = false;
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -2,7 +2,8 @@
 //!
 //! Rule: in a small fleet a request is admitted if its customer's token bucket covers it. In a large fleet it is
 //! admitted if a lease covers it or an owner of the quota grants it; a request that an owner would very likely deny is
-//! rejected without a grant request.
+//! rejected without a grant request. A request whose body is incomplete takes nothing: it is decided again at its last
+//! byte (`streaming`), when it takes its units.
 //!
 //! Inputs: the request (units, deadline in µs), its customer's token bucket and cached grant responses of owners, the
 //! load shedding probability. Result: the request is queued, sent to an owner for a grant, or rejected with
@@ -27,7 +28,7 @@
 const UNEVEN_SHARE: f64 = 2.0;
 /// Maximum number of open grant requests per customer at one node. With more, an overloaded owner would receive every
 /// request of its customer several times.
-const MAX_OPEN_GRANT_REQUESTS: usize = 4;
+pub(crate) const MAX_OPEN_GRANT_REQUESTS: usize = 4;
 /// Maximum expected loss, as a share of a request's value, at which a first attempt is sent although it may exceed the
 /// customer's limit on attempts in flight.
 const MAX_IN_FLIGHT_RISK: f64 = 0.2;
@@ -65,7 +66,9 @@
         self.requests.open.insert(id.clone(), request);
         match admission {
             Admission::Reject(counter) => self.finish(&id, counter, actions),
-            Admission::AdmitByLease => self.admit_locally(now, id, Counter::AdmittedByLease),
+            Admission::AdmitByLease => {
+                self.admit_locally(now, id, Counter::AdmittedByLease, actions);
+            }
             Admission::RequestGrant => self.request_grant(now, id, actions),
             Admission::Enqueue => self.requests.queue.push(id),
         }
@@ -105,7 +108,7 @@
 
     /// Creates the customer's token bucket if it has none. A bucket that would change no decision is dropped, also while a
     /// body of the customer is being received.
-    fn ensure_bucket(
+    pub(crate) fn ensure_bucket(
         &mut self,
         now: Micros,
         customer: CustomerId,
@@ -187,17 +190,19 @@
         let bucket = self.quotas.buckets.get_mut(&request.customer)?;
         let plan = &self.settings.plans[bucket.plan.0];
         let large_fleet = self.large_fleet;
+        let takes_units = !request.body_incomplete;
         // The next firing of the timer would be too late to answer the request by its deadline.
         let deadline_too_near = request.deadline <= now.saturating_add(ANSWER_MARGIN);
         // An owner denied the customer's latest requests, or as many grant requests as allowed are open.
         let rejected_by_cached_decision = large_fleet
             && (bucket.rejections.is_rejecting(now)
-                || open_grant_requests >= MAX_OPEN_GRANT_REQUESTS);
+                || takes_units && open_grant_requests >= MAX_OPEN_GRANT_REQUESTS);
         let sampling_probability = bucket.rejections.sampling_probability(now);
         // A single random number decides on both sampling and load shedding, so that both probabilities hold at once.
         let random_number = if large_fleet { self.random.f64() } else { 0.0 };
         // Permits under a limit on attempts in flight are issued by owners only, not by leases.
         let may_use_lease = large_fleet
+            && takes_units
             && !deadline_too_near
             && plan.max_in_flight.is_none()
             && random_number <= 1.0 - shed_probability;
@@ -224,7 +229,7 @@
                 })
             } else if covered_by_lease {
                 Admission::AdmitByLease
-            } else if large_fleet {
+            } else if large_fleet && takes_units {
                 Admission::RequestGrant
             } else {
                 Admission::Enqueue
@@ -233,7 +238,7 @@
     }
 
     /// Returns the number of this node's open grant requests for one customer.
-    fn open_grant_requests(&self, customer: CustomerId) -> usize {
+    pub(crate) fn open_grant_requests(&self, customer: CustomerId) -> usize {
         let requests = &self.requests.open;
         let is_of_customer = |id: &&RequestId| {
             requests
@@ -250,7 +255,8 @@
             return false;
         };
         if self.large_fleet {
-            return true; // Owners enforce these limits when they grant a request.
+            // Owners enforce these limits when they grant a request.
+            return !request.needs_grant() || self.is_granted(request, now);
         }
         let (customer, units) = (request.customer, request.units);
         let (plan, subset) = (request.plan, request.subset);
--- a/crates/policy/src/grants/requester.rs
+++ b/crates/policy/src/grants/requester.rs
@@ -7,6 +7,7 @@
 //! request is queued, or rejected.
 
 use super::{GrantResponseWithLease, ISOLATION_PROBE_INTERVAL, UNREACHABLE_FOR};
+use crate::admission::MAX_OPEN_GRANT_REQUESTS;
 use crate::counters::Counter;
 use crate::engine::{Actions, PolicyEngine};
 use crate::interface::{Action, Micros, RequestId, MILLISECOND};
@@ -193,8 +194,7 @@
             bucket.rejections.record_grant(now, request.units);
             self.counters.add(Counter::GrantsReceived);
             accept_grant(request, now, serial);
-            self.requests.queue.push(id);
-            return;
+            return self.on_admitted(now, id, actions);
         }
         self.on_denial(now, id, &answer.response, actions);
     }
@@ -221,7 +221,7 @@
         bucket.rejections.record_response(now, response, last);
         let needs_permit = plan.max_in_flight.is_some();
         if !needs_permit && bucket.rejections.take_from_lease(now, request.units, true) {
-            return self.admit_locally(now, id, Counter::AdmittedByLease);
+            return self.admit_locally(now, id, Counter::AdmittedByLease, actions);
         }
         if !last {
             return self.request_grant(now, id, actions);
@@ -229,14 +229,14 @@
         self.finish(&id, Counter::RejectedOverQuota, actions);
     }
 
-    /// Checks a request that has not been sent yet. Asks again if its grant has expired or if it has no open grant
+    /// Checks a request that has not taken its units yet. Asks again if its grant has expired or if it has no open grant
     /// request, and handles an expired retransmission timeout.
     pub(crate) fn check_grant(&mut self, now: Micros, id: RequestId, actions: &mut Actions) {
         let Some(request) = self.requests.open.get(&id) else {
             return;
         };
         if let Some(grant) = request.grant.granted {
-            if self.is_grant_valid(request, now) {
+            if self.is_granted(request, now) {
                 return;
             }
             self.expire_grant(&id, grant, actions);
@@ -253,15 +253,18 @@
             if self.give_up_owner(now, &id, open.serial) {
                 return self.admit_without_owner(now, id, actions);
             }
+        } else if request.awaits_release {
+            return self.request_release(now, id, actions);
         }
         self.request_grant(now, id, actions);
     }
 
-    /// Whether the request's grant may still be used. Grants expire only under a hard limit, which late use could
+    /// Whether the request has a grant that may still be used. Grants expire only under a hard limit, which late use could
     /// exceed.
-    fn is_grant_valid(&self, request: &Request, now: Micros) -> bool {
+    pub(crate) fn is_granted(&self, request: &Request, now: Micros) -> bool {
         let plan = &self.settings.plans[request.plan.0];
-        plan.hard_limit.is_none() || now <= request.grant.granted_until
+        let in_time = plan.hard_limit.is_none() || now <= request.grant.granted_until;
+        request.grant.granted.is_some() && in_time
     }
 
     fn expire_grant(&mut self, id: &RequestId, grant: GrantId, actions: &mut Actions) {
@@ -334,9 +337,9 @@
             return;
         };
         if bucket.rejections.take_from_lease(now, units, true) {
-            self.admit_locally(now, id, Counter::AdmittedByLease);
+            self.admit_locally(now, id, Counter::AdmittedByLease, actions);
         } else if may_admit_without_lease && bucket.rejections.admit_without_owner(now, units) {
-            self.admit_locally(now, id, Counter::AdmittedWithoutOwner);
+            self.admit_locally(now, id, Counter::AdmittedWithoutOwner, actions);
         } else {
             self.finish(&id, Counter::RejectedNoOwner, actions);
         }
@@ -344,7 +347,13 @@
 
     /// Admits a request without an owner's grant. It gets a new serial number, because an owner may hold an in-flight
     /// permit under the previous one, which is released by that number.
-    pub(crate) fn admit_locally(&mut self, now: Micros, id: RequestId, counter: Counter) {
+    pub(crate) fn admit_locally(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        counter: Counter,
+        actions: &mut Actions,
+    ) {
         self.counters.add(counter);
         let serial = self.grants.next_serial();
         let owner = self.settings.node;
@@ -354,7 +363,43 @@
         request.grant.granted = Some(GrantId { owner, serial });
         request.grant.granted_until = now.saturating_add(GRANT_LIFETIME);
         request.queued_since = now;
-        self.requests.queue.push(id);
+        self.on_admitted(now, id, actions);
+    }
+
+    /// Lets an admitted request go on: queues it, or releases the last byte of its body.
+    fn on_admitted(&mut self, now: Micros, id: RequestId, actions: &mut Actions) {
+        let awaits_release = |request: &Request| request.awaits_release;
+        if self.requests.open.get(&id).is_some_and(awaits_release) {
+            self.release_body(now, &id, actions);
+        } else {
+            self.requests.queue.push(id);
+        }
+    }
+
+    /// Admits a request whose body is complete by a lease or requests a grant for it. Waits while as many grant requests of
+    /// the customer are open as are allowed; the timer then checks the request again.
+    pub(crate) fn request_release(&mut self, now: Micros, id: RequestId, actions: &mut Actions) {
+        let Some(request) = self.requests.open.get(&id) else {
+            return;
+        };
+        let (customer, units) = (request.customer, request.units);
+        let (plan_id, subset) = (request.plan, request.subset);
+        let needs_permit = self.settings.plans[plan_id.0].max_in_flight.is_some();
+        self.ensure_bucket(now, customer, plan_id, subset);
+        let Some(bucket) = self.quotas.buckets.get_mut(&customer) else {
+            return;
+        };
+        // Keeps the bucket until the response.
+        bucket.last_used_at = now;
+        if bucket.rejections.is_rejecting(now) {
+            return self.finish(&id, Counter::RejectedByCachedDecision, actions);
+        }
+        if !needs_permit && bucket.rejections.take_from_lease(now, units, false) {
+            return self.admit_locally(now, id, Counter::AdmittedByLease, actions);
+        }
+        if self.open_grant_requests(customer) < MAX_OPEN_GRANT_REQUESTS {
+            self.request_grant(now, id, actions);
+        }
     }
 }
 
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -50,6 +50,9 @@
     /// Whether the body is still being received. The attempt in flight has then not started at the server and is not
     /// charged yet.
     pub body_incomplete: bool,
+    /// Whether the body has arrived completely and its last byte is held back until an owner of the customer's quota grants
+    /// the request.
+    pub awaits_release: bool,
     /// Whether the body is streamed to the server as it arrives, so that the request cannot be retried.
     pub body_streamed: bool,
     /// Whether an attempt has reached a server.
@@ -78,6 +81,16 @@
         }
     }
 
+    /// Returns whether the request takes its units, and thus needs a grant in a large fleet, before it goes on: before its
+    /// first attempt, or before the last byte of a streamed body.
+    pub fn needs_grant(&self) -> bool {
+        if self.body_incomplete {
+            self.awaits_release
+        } else {
+            self.attempts == 0
+        }
+    }
+
     /// Records that the streaming of the response has started: from then on there is no deadline and no cancellation.
     pub fn start_response_stream(&mut self) {
         self.deadline = Micros::MAX;
--- a/crates/policy/src/streaming.rs
+++ b/crates/policy/src/streaming.rs
@@ -2,8 +2,10 @@
 
 use crate::counters::Counter;
 use crate::engine::{Actions, PolicyEngine};
-use crate::interface::{Action, Micros, Outcome, RequestId, SiblingAttempt, SiblingMessage};
-use crate::request::{AttemptKey, AttemptStage};
+use crate::interface::{
+    Action, AttemptNumber, Micros, Outcome, RequestId, SiblingAttempt, SiblingMessage,
+};
+use crate::request::AttemptStage;
 use crate::state::ANSWER_MARGIN;
 
 impl PolicyEngine {
@@ -27,40 +29,45 @@
         if timeout <= ANSWER_MARGIN {
             return self.finish(&id, Counter::RejectedNotSent, actions);
         }
+        if self.large_fleet {
+            request.awaits_release = true;
+            return self.request_release(now, id, actions);
+        }
         self.release_body(now, &id, actions);
     }
 
     /// Releases the last byte of a request's body if its customer's limits allow that now, and rejects the request
     /// otherwise: a limit may have been reached while the body was received. A byte that is released is always charged.
-    fn release_body(&mut self, now: Micros, id: &RequestId, actions: &mut Actions) {
-        let Some(key) = self.attempt_receiving_body(id) else {
-            return self.finish(id, Counter::RejectedNotSent, actions);
-        };
+    pub(crate) fn release_body(&mut self, now: Micros, id: &RequestId, actions: &mut Actions) {
         if !self.may_start(now, id) {
+            if self.large_fleet {
+                // The grant has expired: another one is requested.
+                return self.check_grant(now, id.clone(), actions);
+            }
             return self.finish(id, Counter::RejectedOverQuota, actions);
         }
-        self.charge_released_body(now, &key, actions);
-        let (id, attempt) = key;
+        let Some(attempt) = self.charge_released_body(now, id, actions) else {
+            return self.finish(id, Counter::RejectedNotSent, actions);
+        };
+        let id = id.clone();
         actions.push(Action::ReleaseBody { id, attempt });
     }
 
-    /// Returns the attempt that waits for the last byte of its body.
-    fn attempt_receiving_body(&self, id: &RequestId) -> Option<AttemptKey> {
-        let request = self.requests.open.get(id)?;
-        let key = (id.clone(), request.in_flight?);
-        self.requests.attempts.contains_key(&key).then_some(key)
-    }
-
-    /// Counts an attempt whose body is complete at its server, if that is still known, and for its customer, which is
-    /// charged the units, and reports it to the sibling processes.
-    fn charge_released_body(&mut self, now: Micros, key: &AttemptKey, actions: &mut Actions) {
-        let (Some(request), Some(attempt)) = (
-            self.requests.open.get_mut(&key.0),
-            self.requests.attempts.get_mut(key),
-        ) else {
-            return;
-        };
+    /// Counts the attempt in flight, whose body is complete, at its server, if that is still known, and for its customer,
+    /// which is charged the units, and reports it to the sibling processes. Returns its number; `None` if nothing was
+    /// charged, as the request has no such attempt.
+    fn charge_released_body(
+        &mut self,
+        now: Micros,
+        id: &RequestId,
+        actions: &mut Actions,
+    ) -> Option<AttemptNumber> {
+        let request = self.requests.open.get_mut(id)?;
+        let number = request.in_flight?;
+        let attempt = self.requests.attempts.get_mut(&(id.clone(), number))?;
+        let bucket = self.quotas.buckets.get_mut(&request.customer)?;
         request.body_incomplete = false;
+        request.awaits_release = false;
         self.endpoints.end_receiving_body(attempt.server);
         if let Some(in_flight) = self.endpoints.in_flight_mut(attempt.server) {
             *in_flight += 1;
@@ -69,19 +76,17 @@
         attempt.stage = AttemptStage::AtServer;
         attempt.sent_at = now;
         attempt.queued_since = now;
-        let sibling_attempt = attempt.to_sibling(&key.0, key.1);
-        let Some(bucket) = self.quotas.buckets.get_mut(&request.customer) else {
-            return;
-        };
+        bucket.last_used_at = now;
         bucket.record_attempt(now, request.units, true);
         if self.requests.share_attempts {
             actions.push(Action::SendToSiblings(SiblingMessage::AttemptStarted(
                 SiblingAttempt {
                     charge: Some(bucket.charge(request.units)),
-                    ..sibling_attempt
+                    ..attempt.to_sibling(id, number)
                 },
             )));
         }
+        Some(number)
     }
 
     /// Handles a change of the time by which a request with an incomplete body needs its answer. If that time has passed
--- a/crates/policy/src/timer.rs
+++ b/crates/policy/src/timer.rs
@@ -39,7 +39,8 @@
     fn due_action(&self, request: &Request, class: &Class) -> DueAction {
         let now_with_margin = self.now + ANSWER_MARGIN;
         let no_attempt_in_flight = request.in_flight.is_none();
-        let reached_no_server = no_attempt_in_flight && !request.reached_server;
+        let reached_no_server =
+            request.awaits_release || no_attempt_in_flight && !request.reached_server;
         let allowed_time = request.deadline.saturating_sub(request.arrived_at);
         let answer_by = if reached_no_server {
             request.arrived_at + allowed_time / 2
@@ -76,9 +77,9 @@
             self.handle_stalled_attempts(now, actions);
         }
         self.timers.fires_at = Micros::MAX;
-        let unsent = self.unsent_requests();
+        let ungranted = self.requests_before_their_grant();
         self.end_overdue_requests(now, actions);
-        for id in unsent {
+        for id in ungranted {
             self.check_grant(now, id, actions);
         }
         self.slow_start_on_timer(now, actions);
@@ -86,8 +87,9 @@
         self.broadcast_usage(now, actions);
     }
 
-    /// Returns the requests of a large fleet that were not sent yet, whose grants may be missing or have expired.
-    fn unsent_requests(&self) -> Vec<RequestId> {
+    /// Returns the requests of a large fleet that have not taken their units yet, whose grants may be missing or have
+    /// expired.
+    fn requests_before_their_grant(&self) -> Vec<RequestId> {
         if !self.large_fleet {
             return Vec::new();
         }
@@ -95,7 +97,7 @@
             .requests
             .open
             .iter()
-            .filter(|(_, request)| request.attempts == 0);
+            .filter(|(_, request)| request.needs_grant());
         requests.map(|(id, _)| id.clone()).collect()
     }
 
--- a/crates/policy/tests/streamed_bodies.rs
+++ b/crates/policy/tests/streamed_bodies.rs
@@ -3,7 +3,8 @@
 
 mod common;
 
-use common::settings::{endpoint, settings, HARD_LIMITED, KEYED_IN_DOMAIN, UNLIMITED};
+use common::fleet::Fleet;
+use common::settings::{endpoint, settings, HARD_LIMITED, KEYED_IN_DOMAIN, METERED, UNLIMITED};
 use common::test_node::{TestCustomer, TestNode};
 use saffronpaddle_policy::interface::*;
 use saffronpaddle_policy::PolicyEngine;
@@ -149,3 +150,98 @@
     assert_eq!(uploads.complete(), HARD_LIMIT_CAPACITY);
     assert_eq!(uploads.node.count_released(), HARD_LIMIT_CAPACITY);
 }
+
+/// Nodes of a fleet in which the owners of a quota grant requests.
+const LARGE_FLEET: u32 = 24;
+/// A customer of a large fleet with two nodes.
+const CUSTOMER_OF_TWO: TestCustomer = TestCustomer {
+    id: 7,
+    first: NodeId(0),
+    subset_size: 2,
+};
+/// Interval at which the uploads of a large fleet arrive, which is within their customer's quota.
+const UPLOAD_INTERVAL: Micros = 250 * MILLISECOND;
+/// Uploads of a large fleet.
+const FLEET_UPLOADS: usize = 40;
+
+/// Starts uploads in turn at the two nodes of a customer, and returns the index of the node of each.
+fn start_uploads(fleet: &mut Fleet, plan: usize) -> Vec<(usize, RequestId)> {
+    let mut uploads = Vec::new();
+    for number in 0..FLEET_UPLOADS {
+        let index = number % 2;
+        let node = &mut fleet.nodes[index];
+        let id = node.upload_of(KEYED_IN_DOMAIN, plan, CUSTOMER_OF_TWO, BODY_TIMEOUT);
+        fleet.send_messages(index);
+        uploads.push((index, id));
+        fleet.advance(UPLOAD_INTERVAL);
+    }
+    assert!(uploads
+        .iter()
+        .all(|(index, id)| fleet.nodes[*index].is_in_flight(id)));
+    uploads
+}
+
+/// Completes the body of an upload.
+fn complete_upload(fleet: &mut Fleet, (index, id): &(usize, RequestId)) {
+    fleet.nodes[*index].complete_body(id, TIMEOUT);
+    fleet.send_messages(*index);
+}
+
+/// Returns the number of requests whose last byte was released.
+fn count_released(fleet: &Fleet) -> usize {
+    fleet.nodes.iter().map(TestNode::count_released).sum()
+}
+
+/// Guards against grants that are used when an upload is complete, long after owners issued them.
+#[test]
+fn uploads_that_end_together_in_a_large_fleet_stay_within_the_hard_limit() {
+    /// The capacity of the hard limit, what accrues in the time of the test, and one request.
+    const MAX_RELEASED: usize = HARD_LIMIT_CAPACITY + 8 + 1;
+    let mut fleet = Fleet::new(LARGE_FLEET, 8, |_| {});
+    fleet.advance(5 * SECOND);
+    let uploads = start_uploads(&mut fleet, HARD_LIMITED);
+    for upload in &uploads {
+        complete_upload(&mut fleet, upload);
+    }
+    fleet.advance(SECOND);
+    let released = count_released(&fleet);
+    assert!(
+        (1..=MAX_RELEASED).contains(&released),
+        "{released} of {FLEET_UPLOADS} released"
+    );
+}
+
+/// Guards against units that are taken twice, when an upload arrives and when it is complete.
+#[test]
+fn uploads_within_the_quota_of_a_large_fleet_take_their_units_once() {
+    let mut fleet = Fleet::new(LARGE_FLEET, 8, |settings| {
+        settings.plans[METERED].rate = 5.0;
+        settings.plans[METERED].burst = 6.0;
+    });
+    fleet.advance(5 * SECOND);
+    let uploads = start_uploads(&mut fleet, METERED);
+    for upload in &uploads {
+        complete_upload(&mut fleet, upload);
+        fleet.advance(UPLOAD_INTERVAL);
+    }
+    let released = count_released(&fleet);
+    assert!(
+        released >= FLEET_UPLOADS - 2,
+        "{released} of {FLEET_UPLOADS} released at four fifths of the quota"
+    );
+}
+
+/// Guards against uploads that are held for a grant that never comes: their clients need an answer in time.
+#[test]
+fn a_complete_upload_whose_owners_are_silent_is_rejected_in_half_of_its_time() {
+    let mut node = TestNode::with_servers(2, settings(2, LARGE_FLEET), SECOND, 8);
+    node.advance(5 * SECOND);
+    let id = node.upload_of(KEYED_IN_DOMAIN, HARD_LIMITED, CUSTOMER_OF_TWO, BODY_TIMEOUT);
+    node.advance(100 * MILLISECOND);
+    assert!(node.is_in_flight(&id));
+    let mut actions = node.complete_body(&id, TIMEOUT);
+    actions.extend(node.advance(TIMEOUT / 2));
+    let rejects = |action: &Action| matches!(action, Action::Reject { .. });
+    assert!(actions.iter().any(rejects));
+    assert_eq!(node.count_released(), 0);
+}
