--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -10,21 +10,17 @@
 pub use request::{AttemptBody, BodyEvent, StreamedRequestBody};
 pub use response::{ResponseRest, StreamedResponseBody};
 pub use response_start::{ResponseBroken, ResponseLength, ResponseStart};
-pub use saffronpaddle_request_body::MAX_BODY_BYTES;
+pub use saffronpaddle_request_body::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 
 use crate::downstream::BusyGuard;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
-use saffronpaddle_request_body::MAX_BUFFERED_BYTES;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-/// Maximum number of bytes of a request or response body that is buffered completely. Up to this size a request can be
-/// retried, and a response is forwarded only once it is complete.
-pub const MAX_BUFFERED_BODY_BYTES: usize = MAX_BUFFERED_BYTES;
 /// How long a streamed response may make no progress. A peer that vanished without closing would otherwise hold a
 /// connection on either side forever.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/node/src/bodies/response_start.rs
+++ b/crates/node/src/bodies/response_start.rs
@@ -1,7 +1,7 @@
 //! The start of a streamed response of unknown length. It is read at the pace of its server, whatever the pace of its
 //! client: whether the client's deadline applies depends on how much the server gives.
 
-use super::{MAX_BUFFERED_BODY_BYTES, STALL_TIMEOUT};
+use super::{MAX_BUFFERED_BYTES, STALL_TIMEOUT};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -79,7 +79,7 @@
             };
             received_bytes += data.len();
             start.push(&data);
-            if received_bytes > MAX_BUFFERED_BODY_BYTES {
+            if received_bytes > MAX_BUFFERED_BYTES {
                 start.end(StartEnd::Long(rest));
                 return Ok(ResponseLength::Long);
             }
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -202,6 +202,7 @@
                 Acceptance::PauseUntil(until) => (false, until),
                 Acceptance::Stop => return,
             };
+            let accepts = accepts && self.status.borrow().accepts;
             if accepts && !std::mem::replace(&mut reported, true) {
                 info!(
                     open_connections = self.connections.tasks.len(),
--- a/crates/node/src/clients/upload.rs
+++ b/crates/node/src/clients/upload.rs
@@ -5,7 +5,7 @@
 use super::respond::submit;
 use crate::answer::Answer;
 use crate::bodies::{
-    BodyReader, ReceiveError, StreamedRequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES,
+    BodyReader, ReceiveError, StreamedRequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BYTES,
 };
 use crate::downstream::DownstreamConnection;
 use crate::forward::{Forward, ForwardBody};
@@ -85,12 +85,12 @@
             received: PieceQueue::default(),
             reader: BodyReader::new(body, Arc::clone(downstream)),
         };
-        if hint.lower() > MAX_BUFFERED_BODY_BYTES as u64 {
+        if hint.lower() > MAX_BUFFERED_BYTES as u64 {
             return Ok(Upload::Streamed(upload));
         }
         while let Some(data) = upload.reader.next().await? {
             upload.received.push(&data);
-            if upload.received.len() > MAX_BUFFERED_BODY_BYTES {
+            if upload.received.len() > MAX_BUFFERED_BYTES {
                 return Ok(Upload::Streamed(upload));
             }
         }
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::gate::GatedStream;
 use crate::answer::Payload;
-use crate::bodies::{UpstreamRequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
+use crate::bodies::{UpstreamRequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::forward::Forward;
 use crate::websocket::UpgradedConnection;
 use bytes::Bytes;
@@ -144,7 +144,7 @@
     if known_size.is_some_and(|known_size| known_size > MAX_BODY_BYTES) {
         return None;
     }
-    if known_size.is_some_and(|known_size| known_size > MAX_BUFFERED_BODY_BYTES as u64) {
+    if known_size.is_some_and(|known_size| known_size > MAX_BUFFERED_BYTES as u64) {
         return streaming(received, body, true);
     }
     let deadline = Instant::now() + SHORT_BODY_TIMEOUT;
@@ -161,7 +161,7 @@
             continue;
         };
         received.push(&data);
-        if received.len() > MAX_BUFFERED_BODY_BYTES {
+        if received.len() > MAX_BUFFERED_BYTES {
             return streaming(received, body, true);
         }
     }
--- a/crates/request-body/src/body.rs
+++ b/crates/request-body/src/body.rs
@@ -3,7 +3,7 @@
 use crate::piece_queue::PieceQueue;
 use bytes::Bytes;
 
-/// Maximum number of bytes that are held for the attempts of a request.
+/// Maximum number of bytes that are held of a body: of a request for its attempts, of a response before it is forwarded.
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Maximum number of bytes of a body. Stops bodies without an end.
 pub const MAX_BODY_BYTES: u64 = 40 << 20;
@@ -94,11 +94,6 @@
         self.is_receiving() && (self.discards || self.pieces.len() < MAX_BUFFERED_BYTES)
     }
 
-    /// Number of bytes received so far.
-    pub fn bytes_received(&self) -> u64 {
-        self.bytes_received
-    }
-
     /// Records bytes that were received. The body fails if they are too many.
     pub fn push(&mut self, data: &[u8]) {
         self.bytes_received += data.len() as u64;
