Leave the dispatch of queued requests as it was: their grants by the timer

Cause: also asked for a valid grant as ordinary queued requests of a large fleet are dispatched.

Change: the check at the instant of use stays for the last byte of an upload; the dispatch of queued requests is as before.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -255,8 +255,9 @@
             return false;
         };
         if self.large_fleet {
-            // Owners enforce these limits when they grant a request.
-            return !request.needs_grant() || self.is_granted(request, now);
+            // Owners enforce these limits when they grant a request. The timer asks for a grant again if that of a queued
+            // request has expired.
+            return !request.awaits_release || self.is_granted(request, now);
         }
         let (customer, units) = (request.customer, request.units);
         let (plan, subset) = (request.plan, request.subset);
