Time a stop from when its signal was sent, also after a lost wake-up

Cause: the handler of SIGTERM sets a flag and wakes the event loop through a socket. Where that wake-up failed (an injected EINTR), the flag was found by a look every 250 ms, and LifecycleRunner took the time of the signal anew when it handled it, so the stop was timed up to 250 ms late.

Change: the flags are checked before and after each sleep of the event loop, which a signal interrupts; ProcessSignal::Stop carries the earliest time at which it can have been sent, by the same bound as bytes from clients, and the life cycle counts from that. The look every 250 ms stays for a loop with nothing else to do.

--- a/crates/node/src/event_loop.rs
+++ b/crates/node/src/event_loop.rs
@@ -9,7 +9,7 @@
 use saffronpaddle_connection_eviction::{time_unread, ReceiveTimeBound};
 use signal_hook::consts::SIGCONT;
 use signal_hook::flag;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::os::raw::c_long;
 use std::rc::Rc;
@@ -41,6 +41,21 @@
     static SWITCHES_BEFORE_SLEEP: Cell<Option<c_long>> = const { Cell::new(None) };
     /// Notified when the loop may be late and an iteration is to be measured.
     static MEASUREMENT_REQUESTED: Rc<Notify> = Rc::default();
+    /// Called before and after each sleep of the loop.
+    static ITERATION_CHECK: RefCell<Option<IterationCheck>> = const { RefCell::new(None) };
+}
+
+/// A check that the event loop makes in each iteration.
+type IterationCheck = Rc<dyn Fn()>;
+
+/// Has the loop call `check` before and after each of its sleeps. It replaces an earlier check.
+pub fn set_iteration_check(check: IterationCheck) {
+    ITERATION_CHECK.set(Some(check));
+}
+
+fn run_iteration_check() {
+    let check = ITERATION_CHECK.with_borrow(Clone::clone);
+    check.iter().for_each(|check| check());
 }
 
 fn update_bound<T>(update: impl FnOnce(&mut ReceiveTimeBound, Duration) -> T) -> T {
@@ -63,6 +78,7 @@
 
 /// Records that the loop goes to sleep.
 fn on_sleep() {
+    run_iteration_check();
     update_bound(ReceiveTimeBound::on_sleep);
     SWITCHES_BEFORE_SLEEP.set(voluntary_switches());
 }
@@ -95,6 +111,7 @@
             "event loop: the process was kept from running"
         );
     }
+    run_iteration_check();
 }
 
 /// Observes the sleeps of a runtime's event loop, at the cost of two reads of the clock and of the context
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -46,6 +46,6 @@
 pub use edge::{Edge, Options};
 pub use error::{NodeError, OperatorFileError};
 pub use inherited_listener::{InheritedListenerError, ListenerNamesError};
-pub use lifecycle_runner::ProcessSignal;
 pub use manager::Manager;
 pub use reload::OperatorFile;
+pub use signals::ProcessSignal;
--- a/crates/node/src/lifecycle_runner.rs
+++ b/crates/node/src/lifecycle_runner.rs
@@ -4,11 +4,11 @@
 use crate::admin::{AdminCall, AdminReply};
 use crate::clients::{Phase, ServingStatus};
 use crate::deadline::reached;
-use crate::event_loop;
 use crate::manager::Manager;
 use crate::node::Node;
 use crate::readiness::ReadinessSampler;
 use crate::shutdown;
+use crate::signals::ProcessSignal;
 use saffronpaddle_admin::AdminCommand;
 use saffronpaddle_lifecycle::{Action, Event, Lifecycle, Limits, ShutdownPlan, State};
 use std::future::{pending, Future};
@@ -19,15 +19,6 @@
 use tokio::time::{sleep, Instant};
 use tracing::info;
 
-/// What a signal asks the process to do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProcessSignal {
-    /// SIGTERM: answer accepted requests, then exit.
-    Stop,
-    /// SIGHUP: reload the configuration.
-    Reload,
-}
-
 /// Pause between attempts to send messages for which the service manager's socket had no room.
 const NOTIFY_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// The event loop counts as stuck if no policy timer has fired for this long, or for half of the watchdog's period if
@@ -114,16 +105,6 @@
         }
     }
 
-    /// The event for a stop signal. A delayed event loop reads the signal late, but the platform's kill timeout runs
-    /// from when the signal was sent, so the event carries the earliest time at which it can have been sent.
-    fn stop_event(&self) -> Event {
-        let since = event_loop::arrived_after().map_or_else(
-            || self.now(),
-            |earliest| earliest.duration_since(self.started_at),
-        );
-        Event::Stop { since }
-    }
-
     /// Logs a shutdown plan and passes its deadline to the node.
     fn start_shutdown(&self, now: Duration, plan: ShutdownPlan) {
         let node = self.sampler.node();
@@ -278,7 +259,10 @@
         tokio::select! {
             biased;
             signal = received(&mut inputs.signals) => match signal {
-                Some(ProcessSignal::Stop) => self.stop_event(),
+                // The platform's kill timeout runs from when the signal was sent.
+                Some(ProcessSignal::Stop { sent_after }) => Event::Stop {
+                    since: sent_after.saturating_duration_since(self.started_at),
+                },
                 Some(ProcessSignal::Reload) => Event::Reload,
                 None => Event::Tick,
             },
--- a/crates/node/tests/watchdog.rs
+++ b/crates/node/tests/watchdog.rs
@@ -67,7 +67,7 @@
     });
     watch(&socket);
     signal_sender
-        .send(ProcessSignal::Stop)
+        .send(ProcessSignal::stop())
         .expect("the node runs");
     node.join().expect("the node ends without a panic");
     let _ = std::fs::remove_file(path);
--- a/crates/saffronpaddle/src/demo.rs
+++ b/crates/saffronpaddle/src/demo.rs
@@ -135,13 +135,13 @@
     );
 }
 
-/// Returns a channel that receives [`ProcessSignal::Stop`] at each SIGINT and SIGTERM.
+/// Returns a channel that receives a request to stop at each SIGINT and SIGTERM.
 fn stop_signals() -> Result<mpsc::UnboundedReceiver<ProcessSignal>> {
     let (sender, receiver) = mpsc::unbounded_channel();
     for kind in [SignalKind::interrupt(), SignalKind::terminate()] {
         let (mut signal, sender) = (signal(kind)?, sender.clone());
         tokio::task::spawn_local(async move {
-            while signal.recv().await.is_some() && sender.send(ProcessSignal::Stop).is_ok() {}
+            while signal.recv().await.is_some() && sender.send(ProcessSignal::stop()).is_ok() {}
         });
     }
     Ok(receiver)
--- a/crates/saffronpaddle/tests/failing_calls.rs
+++ b/crates/saffronpaddle/tests/failing_calls.rs
@@ -161,10 +161,10 @@
 }
 
 /// Starts processes whose writes are interrupted, also those through which a signal handler wakes its reader.
-fn start_interrupted(tag: &str, count: u64, discovery: &Discovery) -> Vec<Node> {
+fn start_interrupted(tag: &str, count: u64, discovery: &Discovery, hosts: &[String]) -> Vec<Node> {
     let start = |seed: u64| {
         let tag = format!("{tag}-{seed}");
-        Node::start_with_command(&tag, discovery.address, &[], 1024, |command| {
+        Node::start_with_command(&tag, discovery.address, hosts, 1024, |command| {
             command
                 .env("LD_PRELOAD", failing_calls_library())
                 .env("FAILING_CALLS", "send=30")
@@ -181,7 +181,7 @@
 fn no_signal_to_stop_is_lost_while_sends_are_interrupted() {
     const STOP_TIMEOUT: Duration = Duration::from_secs(20);
     let discovery = Discovery::start();
-    let mut nodes = start_interrupted("failing-stop", 100, &discovery);
+    let mut nodes = start_interrupted("failing-stop", 100, &discovery, &[]);
     nodes.iter().for_each(Node::terminate);
     let deadline = Instant::now() + STOP_TIMEOUT;
     while nodes.iter_mut().any(Node::is_running) && Instant::now() < deadline {
@@ -197,7 +197,40 @@
 #[test]
 fn no_signal_to_reload_is_lost_while_sends_are_interrupted() {
     let discovery = Discovery::start();
-    for node in start_interrupted("failing-reload", 50, &discovery) {
+    for node in start_interrupted("failing-reload", 50, &discovery, &[]) {
         node.reload(|text| text);
     }
 }
+
+/// Latest time of an answer after SIGTERM, where the longest deadline of the settings is 3 s or more: 150 ms, for which the
+/// platform may keep a process from running, before SIGKILL.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(3_700 - 150);
+
+/// Guards against a stop that is timed from when its signal is found, after a lost wake-up, and not from when it was sent.
+#[test]
+fn a_stop_is_timed_from_its_signal_while_sends_are_interrupted() {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let address = servers.start("s-1", &[Reply::NoResponse]);
+    let hosts = [host_json("s-1", address, 1, "ready")];
+    let nodes = start_interrupted("failing-stop-time", 30, &discovery, &hosts);
+    let mut clients: Vec<Client> = nodes.iter().map(Node::connect).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.write(&request(&format!("hung-{number}"), "read", "30000m"));
+    }
+    for _ in &nodes {
+        servers.next_request();
+    }
+    let stop = |(node, mut client): (&Node, Client)| {
+        let sent_at = Instant::now();
+        node.terminate();
+        thread::spawn(move || client.read_response().map(|_| sent_at.elapsed()))
+    };
+    let answers: Vec<_> = nodes.iter().zip(clients).map(stop).collect();
+    let times = answers
+        .into_iter()
+        .map(|answer| answer.join().expect("the client does not panic"));
+    let late: Vec<Option<Duration>> = times
+        .filter(|time| time.is_none_or(|time| time > ANSWER_TIMEOUT))
+        .collect();
+    assert!(late.is_empty(), "answers that come too late: {late:?}");
+}
