--- a/crates/saffronpaddle/tests/streamed_responses.rs
+++ b/crates/saffronpaddle/tests/streamed_responses.rs
@@ -168,3 +168,171 @@
     assert!(response.body.len() > 5);
     drop(server.join());
 }
+
+/// Deadline of the requests whose long response its server gives slowly, as sent in the header.
+const SHORT_DEADLINE: (&str, Duration) = ("750m", Duration::from_millis(750));
+
+/// How a server frames a response whose length it does not know yet.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Chunked,
+    /// The response ends with its connection.
+    UntilClose,
+}
+
+/// Bytes that a server gives at once, again and again.
+#[derive(Clone, Copy, Debug)]
+struct Parts {
+    bytes: usize,
+    interval: Duration,
+    count: usize,
+}
+
+/// Gives the parts of a response. Returns false once the node has closed the connection.
+fn write_parts(upstream: &mut TcpStream, framing: Framing, parts: Parts) -> bool {
+    let body = "r".repeat(parts.bytes);
+    let part = match framing {
+        Framing::Chunked => format!("{:x}\r\n{body}\r\n", parts.bytes),
+        Framing::UntilClose => body,
+    };
+    for number in 0..parts.count {
+        if number > 0 {
+            thread::sleep(parts.interval);
+        }
+        if upstream.write_all(part.as_bytes()).is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+/// Sends a request whose server gives a response in these groups of parts, with the interval of the next group before it.
+/// Returns the bytes of the body on the wire and the time from the request to the end of its connection or response.
+fn receive_in_parts(tag: &str, framing: Framing, groups: Vec<Parts>) -> (Vec<u8>, Duration) {
+    let (servers, _discovery, node) = start_with_one_server(tag, &[Reply::NoResponse]);
+    let mut client = node.connect();
+    let sent_at = Instant::now();
+    let closing = request("a", "read", SHORT_DEADLINE.0);
+    client.write(&closing.replace("\r\nX-Class", "\r\nConnection: close\r\nX-Class"));
+    let mut upstream = servers.next_request().stream;
+    let server = thread::spawn(move || {
+        let head = match framing {
+            Framing::Chunked => CHUNKED_HEAD,
+            Framing::UntilClose => UNSIZED_HEAD,
+        };
+        upstream.write_all(head.as_bytes()).expect("a head is sent");
+        for (number, parts) in groups.into_iter().enumerate() {
+            if number > 0 {
+                thread::sleep(parts.interval);
+            }
+            if !write_parts(&mut upstream, framing, parts) {
+                return;
+            }
+        }
+        if matches!(framing, Framing::Chunked) {
+            let _ = upstream.write_all(b"0\r\n\r\n");
+        }
+        let _ = upstream.shutdown(std::net::Shutdown::Both);
+    });
+    let body = read_to_end(&client.stream);
+    let took = sent_at.elapsed();
+    server.join().expect("the server does not panic");
+    (body, took)
+}
+
+/// Number of bytes of the body proper in what stands on the wire.
+fn body_bytes(wire: &[u8]) -> usize {
+    wire.split(|byte| *byte == b'r').count() - 1
+}
+
+/// Guards against long responses that are cut off because little of them has come by the deadline: their servers still
+/// give them, in large parts with pauses, steadily in small parts, or slowly.
+#[test]
+fn a_long_response_that_its_server_gives_slowly_is_not_cut_off_at_the_deadline() {
+    let groups = [
+        ("lumps", 60_000, 1_000, 3),
+        ("small-lumps", 40_000, 900, 4),
+        ("steady", 4_096, 55, 30),
+        ("slow", 512, 40, 160),
+    ];
+    let run = |(tag, bytes, interval_ms, count), framing| {
+        thread::spawn(move || {
+            let interval = Duration::from_millis(interval_ms);
+            let parts = Parts {
+                bytes,
+                interval,
+                count,
+            };
+            let (body, _) = receive_in_parts(&format!("{tag}-{framing:?}"), framing, vec![parts]);
+            assert_eq!(body_bytes(&body), bytes * count, "{tag}, {framing:?}");
+        })
+    };
+    let runs: Vec<_> = groups
+        .into_iter()
+        .flat_map(|group| {
+            [Framing::Chunked, Framing::UntilClose].map(|framing| run(group, framing))
+        })
+        .collect();
+    let cut = runs.into_iter().filter_map(|run| run.join().err()).count();
+    assert_eq!(cut, 0, "responses that were cut off, of 8");
+}
+
+/// Guards against responses that outlast their deadline because much of them has come, though their servers have all but
+/// stopped: these are short, and their clients have to see an end.
+#[test]
+fn a_response_that_its_server_has_all_but_stopped_giving_is_ended_in_time() {
+    let trickle = |bytes, first_bytes, per_second: u64| {
+        let interval = Duration::from_millis(1000 / per_second);
+        let first = Parts {
+            bytes: first_bytes,
+            interval,
+            count: 1,
+        };
+        vec![
+            first,
+            Parts {
+                bytes,
+                interval,
+                count: 3 * per_second as usize,
+            },
+        ]
+    };
+    let cases = [
+        ("stopped-40", trickle(1, 40_000, 7)),
+        ("stopped-65", trickle(1, 65_000, 5)),
+        ("stopped-0", trickle(1, 30, 7)),
+        ("stopped-5", trickle(5, 40_000, 1)),
+    ];
+    let runs = cases.map(|(tag, groups)| {
+        thread::spawn(move || {
+            let (body, took) = receive_in_parts(tag, Framing::Chunked, groups);
+            assert!(!body.ends_with(b"0\r\n\r\n"), "{tag}: looks complete");
+            assert!(
+                took < SHORT_DEADLINE.1 + END_TOLERANCE,
+                "{tag}: ended after {took:?}"
+            );
+        })
+    });
+    let late = runs.into_iter().filter_map(|run| run.join().err()).count();
+    assert_eq!(late, 0, "responses without an end in time, of 4");
+}
+
+/// Guards against a response that its server ends shortly after the deadline and whose client sees no end.
+#[test]
+fn a_short_response_whose_end_comes_too_late_has_an_end_in_time() {
+    let first = Parts {
+        bytes: 30_000,
+        interval: Duration::ZERO,
+        count: 1,
+    };
+    let last = Parts {
+        bytes: 1,
+        interval: Duration::from_secs(1),
+        count: 1,
+    };
+    let (_, took) = receive_in_parts("late-end", Framing::Chunked, vec![first, last]);
+    assert!(
+        took < SHORT_DEADLINE.1 + END_TOLERANCE,
+        "ended after {took:?}"
+    );
+}
--- a/crates/test-doubles/src/scripted.rs
+++ b/crates/test-doubles/src/scripted.rs
@@ -3,18 +3,22 @@
 //! They are made for tests and panic on any failure.
 
 mod client;
+mod crowd;
 mod discovery;
 mod message;
 mod node;
+mod paced_server;
 mod servers;
 
 pub use client::{request, Client};
+pub use crowd::{Crowd, CrowdCounts, CrowdScript};
 pub use discovery::{host_json, list_json, write_chunk, write_list, Discovery};
 pub use message::Message;
 pub use node::{
     admin_request, free_address, metric_value, program, start, start_expecting_failure, Node,
     TempFile,
 };
+pub use paced_server::PacedServers;
 pub use servers::{
     is_closed, wait_until_closed, ReceivedRequest, Reply, ReplyQueue, Servers, REPLY_ERROR,
     REPLY_OK, REPLY_OVERLOADED,
