Let a response go on past its deadline while its server gives it as a long one

Cause: the exchange keeps the deadline of a response of unknown length until 64 KiB of it have come. One whose server is on the way there was ended as a short one.

Change: response_pace in the exchange decides by the latest burst of the server: its rate, its size, and the silence since. The attempt reports what it reads as ResponseProgress. Related: a response of unknown length is no longer buffered beyond its deadline, as its first bytes are what is timed.

--- a/crates/exchange/src/event.rs
+++ b/crates/exchange/src/event.rs
@@ -57,9 +57,17 @@
     ResponseStreaming {
         /// The connection that carries the request.
         connection: ConnectionId,
-        /// The response is known to be long: only its start has a deadline. Otherwise `ResponseLong` may follow.
+        /// The response is known to be long: only its start has a deadline. Otherwise `ResponseProgress` follows with what
+        /// was received of it, and `ResponseLong` if it turns out to be long.
         long: bool,
     },
+    /// More of a streaming response whose length is unknown was received from its server.
+    ResponseProgress {
+        /// The connection that carries the request.
+        connection: ConnectionId,
+        /// Number of bytes.
+        bytes: u64,
+    },
     /// A streaming response has turned out to be long.
     ResponseLong {
         /// The connection that carries the request.
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -199,6 +199,9 @@
             Event::ResponseStreaming { connection, long } => {
                 self.on_response_streaming(now, connection, long, commands);
             }
+            Event::ResponseProgress { connection, bytes } => {
+                self.on_response_progress(now, connection, bytes);
+            }
             Event::ResponseLong { connection } => self.on_response_long(connection),
             Event::ResponseAbandoned { connection } => {
                 self.on_response_abandoned(connection, commands);
--- a/crates/exchange/src/exchange/dispatch.rs
+++ b/crates/exchange/src/exchange/dispatch.rs
@@ -3,6 +3,7 @@
 use super::eligibility::CheckedStep;
 use super::{Commands, Exchange};
 use crate::guard::StepFacts;
+use crate::response_pace::ResponsePace;
 use crate::tables::{AttemptStage, Connection, ConnectionState, OutstandingAttempt};
 use crate::{Bug, Bugs, Command, ConnectionId, FinalAnswer, Policy};
 use saffronpaddle_policy::interface::{Micros, Outcome, RequestId, ServerId};
@@ -53,6 +54,7 @@
                 stage_deadline: Micros::MAX,
                 dispatched: None,
                 stage: AttemptStage::AwaitingSlot(NO_CONNECTION),
+                response_pace: ResponsePace::default(),
             });
         }
         self.start_attempt(now, id, commands);
--- a/crates/exchange/src/exchange/responses.rs
+++ b/crates/exchange/src/exchange/responses.rs
@@ -1,7 +1,7 @@
 //! Responses to attempts: complete, streaming or upgrading responses, and lost connections.
 
 use super::{Commands, Exchange};
-use crate::tables::ConnectionState;
+use crate::tables::{ConnectionState, OutstandingAttempt, RequestState};
 use crate::{Bug, Bugs, Command, ConnectionId, FinalAnswer, Policy};
 use saffronpaddle_policy::interface::{Event as PolicyEvent, Micros, Outcome, RequestId};
 use std::hash::Hash;
@@ -77,7 +77,7 @@
     }
 
     /// Answers the request when the head of a streaming response is received. From then on the client's deadline is the
-    /// only timeout of the attempt, and a long response has none.
+    /// only timeout of the attempt, as long as the response may be short, and a long response has none.
     pub(super) fn on_response_streaming(
         &mut self,
         now: Micros,
@@ -113,21 +113,42 @@
             .push_back(PolicyEvent::ResponseStarted { id });
     }
 
+    /// Moves the deadline of a streaming response that may be short, if its server gives it so that it may be long.
+    pub(super) fn on_response_progress(
+        &mut self,
+        now: Micros,
+        connection: ConnectionId,
+        bytes: u64,
+    ) {
+        self.update_streaming(connection, |request_deadline, attempt| {
+            attempt.response_pace.record_received(now, bytes);
+            if attempt.deadline < Micros::MAX {
+                attempt.deadline = attempt.response_pace.may_go_on_until(request_deadline);
+            }
+        });
+    }
+
     /// Lifts the deadline of a streaming response that has turned out to be long: what its server still gives is not cut
     /// off.
     pub(super) fn on_response_long(&mut self, connection: ConnectionId) {
+        self.update_streaming(connection, |_, attempt| attempt.deadline = Micros::MAX);
+    }
+
+    /// Updates the attempt whose response is streaming on a connection, by the deadline of its request.
+    fn update_streaming(
+        &mut self,
+        connection: ConnectionId,
+        update: impl FnOnce(Micros, &mut OutstandingAttempt),
+    ) {
         let Some(id) = self.request_on(connection) else {
             return;
         };
-        let Some(request) = self
-            .requests
-            .get_mut(&id)
-            .filter(|request| request.streaming)
-        else {
+        let streaming = |request: &&mut RequestState| request.streaming;
+        let Some(request) = self.requests.get_mut(&id).filter(streaming) else {
             return;
         };
         if let Some(attempt) = request.outstanding.as_mut() {
-            attempt.deadline = Micros::MAX;
+            update(request.deadline, attempt);
         }
         self.update_timer(&id);
     }
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -35,6 +35,7 @@
 mod number_map;
 mod open_request;
 mod policy;
+mod response_pace;
 mod tables;
 
 pub use bugs::{Bug, Bugs, NoBugs};
--- a/crates/exchange/src/tables.rs
+++ b/crates/exchange/src/tables.rs
@@ -1,6 +1,7 @@
 //! The table entries of an exchange: requests, attempts, connections and servers.
 
 use crate::ids::{ConnectionId, Ticket};
+use crate::response_pace::ResponsePace;
 use saffronpaddle_policy::idempotency::{rejection_allowed, DispatchedAttempt, ServerLocation};
 use saffronpaddle_policy::interface::{Idempotency, Micros, Outcome, RequestId, ServerId};
 use std::collections::BTreeSet;
@@ -53,6 +54,8 @@
     /// Where and when the guard permitted the first byte; `None` before that.
     pub dispatched: Option<DispatchedAttempt>,
     pub stage: AttemptStage,
+    /// How the server gives its streaming response while it may be short.
+    pub response_pace: ResponsePace,
 }
 
 impl OutstandingAttempt {
--- a/crates/node/src/bodies/response_start.rs
+++ b/crates/node/src/bodies/response_start.rs
@@ -59,12 +59,16 @@
         ResponseStart(Rc::new(RefCell::new(state)))
     }
 
-    /// Reads until the response is complete or turns out to be long. If the future is dropped before that, the client
-    /// gets an error in place of the rest.
+    /// Reads until the response is complete or turns out to be long, and calls `on_received` with the number of bytes each
+    /// time that some are received. If the future is dropped before that, the client gets an error in place of the rest.
     ///
     /// # Errors
     /// The response breaks off.
-    pub async fn read(self, mut rest: Incoming) -> Result<ResponseLength, ResponseBroken> {
+    pub async fn read(
+        self,
+        mut rest: Incoming,
+        on_received: impl Fn(usize),
+    ) -> Result<ResponseLength, ResponseBroken> {
         let fail_guard = FailGuard(self);
         let start = &fail_guard.0;
         let mut received_bytes = start.0.borrow().received.len();
@@ -79,6 +83,7 @@
             };
             received_bytes += data.len();
             start.push(&data);
+            on_received(data.len());
             if received_bytes > MAX_BUFFERED_BYTES {
                 start.end(StartEnd::Long(rest));
                 return Ok(ResponseLength::Long);
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -212,6 +212,7 @@
             let body = self.streamed_body(connection, Box::new(report_end), pieces, rest);
             return events.on_event(Event::ResponseStreaming { connection, long }, Some(body));
         }
+        let received_bytes = received.len();
         let start = ResponseStart::new(received);
         // Whoever reads the end of the response reports it.
         let report_end = Rc::new(Cell::new(Some(report_end)));
@@ -228,7 +229,12 @@
             rest_by_attempt,
         );
         Rc::clone(&events).on_event(Event::ResponseStreaming { connection, long }, Some(body));
-        let complete = match start.read(rest).await {
+        let report_progress = |bytes: usize| {
+            let bytes = bytes as u64;
+            Rc::clone(&events).on_event(Event::ResponseProgress { connection, bytes }, None);
+        };
+        report_progress(received_bytes);
+        let complete = match start.read(rest, report_progress).await {
             Ok(ResponseLength::Long) => {
                 return events.on_event(Event::ResponseLong { connection }, None)
             }
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -59,6 +59,9 @@
 
 /// How long a response of unknown length is buffered before it is streamed.
 const SHORT_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long before the deadline of its request such a response is streamed at the latest, so that its first bytes are in
+/// time.
+const FIRST_BYTES_MARGIN: Duration = Duration::from_millis(20);
 
 /// Writes the request and reads its response. A short response is read completely, so that a client never gets a
 /// truncated one where another attempt could succeed.
@@ -69,6 +72,7 @@
     time_left: Duration,
     target: Target,
 ) -> AttemptOutcome {
+    let streamed_by = Instant::now() + time_left.saturating_sub(FIRST_BYTES_MARGIN);
     let sent = send_request(sender, forward, body, time_left, target.address).await;
     let Some(response) = sent else {
         return AttemptOutcome::Lost;
@@ -83,7 +87,7 @@
         return AttemptOutcome::Lost;
     }
     let may_stream = outcome == Outcome::Ok && forward.offer.is_none();
-    let body = match read_buffered(response.into_body()).await {
+    let body = match read_buffered(response.into_body(), streamed_by).await {
         Some(ReadBody::Complete(body)) => body,
         Some(ReadBody::Streaming(response)) if may_stream => {
             return AttemptOutcome::Streaming(response)
@@ -129,9 +133,9 @@
     framed || closes
 }
 
-/// Reads a short body completely. Of a long one, returns what was received when it turned out to be long. `None` if the
-/// body failed before that, or exceeds [`MAX_BODY_BYTES`].
-async fn read_buffered(mut body: Incoming) -> Option<ReadBody> {
+/// Reads a short body completely. Of a long one, or one whose length is not known at `streamed_by`, returns what was
+/// received until then. `None` if the body failed before that, or exceeds [`MAX_BODY_BYTES`].
+async fn read_buffered(mut body: Incoming, streamed_by: Instant) -> Option<ReadBody> {
     let mut received = PieceQueue::default();
     let streaming = |received, rest, long| {
         Some(ReadBody::Streaming(StreamingResponse {
@@ -147,7 +151,7 @@
     if known_size.is_some_and(|known_size| known_size > MAX_BUFFERED_BYTES as u64) {
         return streaming(received, body, true);
     }
-    let deadline = Instant::now() + SHORT_BODY_TIMEOUT;
+    let deadline = streamed_by.min(Instant::now() + SHORT_BODY_TIMEOUT);
     loop {
         let frame = match known_size {
             Some(_) => body.frame().await,
