--- a/crates/exchange/src/event.rs
+++ b/crates/exchange/src/event.rs
@@ -131,6 +131,11 @@
     /// The node accepts no more connections (the life cycle's `StopAccepting`). Idle connections to servers are
     /// closed, and connections that become idle are no longer kept. Open requests continue.
     Drain,
+    /// Memory allows to keep this many idle connections. Those that have been idle longest are closed.
+    IdleConnectionsLimited {
+        /// Number of idle connections that are kept.
+        max_idle: usize,
+    },
     /// The time given by [`Exchange::next_alarm`] has passed.
     ///
     /// [`Exchange::next_alarm`]: crate::Exchange::next_alarm
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -229,6 +229,7 @@
             } => self.on_endpoints_changed(snapshot, endpoints, commands),
             Event::ShutdownAnnounced { answer_by } => self.on_shutdown_announced(answer_by),
             Event::Drain => self.on_drain(commands),
+            Event::IdleConnectionsLimited { max_idle } => self.close_idle(max_idle, commands),
             Event::TimerFired => self.on_timer_fired(now, commands),
             Event::PolicyEvent(event) => self.pending_events.push_back(event),
         }
--- a/crates/exchange/src/exchange/statistics.rs
+++ b/crates/exchange/src/exchange/statistics.rs
@@ -18,6 +18,11 @@
         (self.requests.len(), self.connections.len())
     }
 
+    /// Returns the number of idle connections.
+    pub fn idle_connections(&self) -> usize {
+        self.idle.len()
+    }
+
     /// Returns the requests that have no final answer yet, in arbitrary order.
     pub fn open_requests(&self) -> impl Iterator<Item = OpenRequest> + '_ {
         let state_of = |id: ConnectionId| self.connections.get(&id).map(|found| found.state);
--- a/crates/exchange/src/exchange/timers.rs
+++ b/crates/exchange/src/exchange/timers.rs
@@ -33,7 +33,14 @@
         if self.bugs.planted(Bug::KeptAfterStop) {
             return;
         }
-        let idle: Vec<ConnectionId> = self.idle.iter().map(|(_, id)| *id).collect();
+        self.close_idle(0, commands);
+    }
+
+    /// Closes the connections to servers that have been idle longest, except for `kept` of them.
+    pub(super) fn close_idle(&mut self, kept: usize, commands: &mut Commands<A>) {
+        let closed = self.idle.len().saturating_sub(kept);
+        let idle = self.idle.iter().take(closed).map(|(_, id)| *id);
+        let idle: Vec<ConnectionId> = idle.collect();
         idle.into_iter()
             .for_each(|connection| self.close(connection, commands));
     }
--- a/crates/netio/src/lib.rs
+++ b/crates/netio/src/lib.rs
@@ -17,6 +17,6 @@
 
 pub use accept::AcceptFailure;
 pub use shortage::{is_local_failure, is_shortage, retry_shortage};
-pub use socket::{has_no_unread_bytes, is_read_closed, Socket};
+pub use socket::{has_no_unread_bytes, is_read_closed, peek, unread_bytes, Socket};
 pub use timeout::{read_received, timeout, timeout_at, Elapsed, SilenceTimer};
 pub use uninterrupted::{retry_interrupted, Uninterrupted};
--- a/crates/node/src/answer.rs
+++ b/crates/node/src/answer.rs
@@ -1,6 +1,7 @@
 //! The final answer to a client's request.
 
 use crate::bodies::StreamedResponseBody;
+use crate::memory::MemoryGrant;
 use crate::websocket::UpgradedConnection;
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -17,15 +18,24 @@
     Failed,
 }
 
+/// The complete body of a response, with its memory.
+#[derive(Debug)]
+pub struct ResponseBytes {
+    /// The body.
+    pub bytes: Bytes,
+    /// Held until the response is written; `None` for a small body.
+    pub memory: Option<MemoryGrant>,
+}
+
 /// A server's response as it is passed on to the client.
 #[derive(Debug)]
 pub enum Payload {
     /// The complete body of the response to a request.
-    Body(Bytes),
+    Body(ResponseBytes),
     /// The streamed body of the response to a request.
     Streaming(Box<StreamedResponseBody>),
     /// The server rejected an upgrade with this status and body.
-    UpgradeRejected(StatusCode, Bytes),
+    UpgradeRejected(StatusCode, ResponseBytes),
     /// The server accepted an upgrade.
     Upgraded(Box<UpgradedConnection>),
 }
--- a/crates/node/src/bodies.rs
+++ b/crates/node/src/bodies.rs
@@ -12,13 +12,15 @@
 pub use response_start::{ResponseBroken, ResponseLength, ResponseStart};
 pub use saffronpaddle_request_body::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 
+use crate::answer::ResponseBytes;
 use crate::downstream::BusyGuard;
+use crate::memory::MemoryGrant;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 /// How long a streamed response may make no progress. A peer that vanished without closing would otherwise hold a
@@ -80,6 +82,10 @@
     body: ResponseBody,
     /// Marks the client's connection as busy until the response is written.
     busy_guard: Option<BusyGuard>,
+    /// The memory of the request, until its response is written.
+    request_memory: Option<MemoryGrant>,
+    /// The memory of a response that was received completely, until it is written.
+    _response_memory: Option<MemoryGrant>,
 }
 
 enum ResponseBody {
@@ -92,6 +98,11 @@
     pub fn set_busy_guard(&mut self, busy: BusyGuard) {
         self.busy_guard = Some(busy);
     }
+
+    /// Keeps the memory of the request until this body is dropped.
+    pub fn set_request_memory(&mut self, memory: MemoryGrant) {
+        self.request_memory = Some(memory);
+    }
 }
 
 impl<B: Into<Bytes>> From<B> for DownstreamBody {
@@ -99,6 +110,19 @@
         DownstreamBody {
             body: ResponseBody::Buffered(Full::new(bytes.into())),
             busy_guard: None,
+            request_memory: None,
+            _response_memory: None,
+        }
+    }
+}
+
+impl From<ResponseBytes> for DownstreamBody {
+    fn from(body: ResponseBytes) -> DownstreamBody {
+        DownstreamBody {
+            body: ResponseBody::Buffered(Full::new(body.bytes)),
+            busy_guard: None,
+            request_memory: None,
+            _response_memory: body.memory,
         }
     }
 }
@@ -108,6 +132,8 @@
         DownstreamBody {
             body: ResponseBody::Streaming(body),
             busy_guard: None,
+            request_memory: None,
+            _response_memory: None,
         }
     }
 }
@@ -117,7 +143,12 @@
     type Error = io::Error;
 
     fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> PolledFrame {
-        match &mut self.get_mut().body {
+        let this = self.get_mut();
+        if let Some(busy_guard) = &this.busy_guard {
+            let write_progress = busy_guard.downstream().write_progress();
+            ready!(write_progress.poll_unblocked(context));
+        }
+        match &mut this.body {
             ResponseBody::Buffered(full) => Pin::new(full)
                 .poll_frame(context)
                 .map_err(|never| match never {}),
--- a/crates/node/src/bodies/reader.rs
+++ b/crates/node/src/bodies/reader.rs
@@ -21,6 +21,9 @@
     /// The body exceeds the limit.
     #[error("the body is too large")]
     TooLarge,
+    /// The process has no memory for the body.
+    #[error("there is no memory for the body")]
+    NoMemory,
 }
 
 /// The part of a request body that was not read yet.
--- a/crates/node/src/bodies/request.rs
+++ b/crates/node/src/bodies/request.rs
@@ -2,6 +2,7 @@
 
 use super::{BodyReader, PolledFrame, ReceiveError};
 use crate::downstream::DownstreamConnection;
+use crate::write_progress::WriteProgress;
 use bytes::Bytes;
 use hyper::body::Frame;
 use saffronpaddle_exchange::Ticket;
@@ -11,7 +12,7 @@
 use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll, Waker};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tracing::debug;
@@ -54,12 +55,13 @@
 }
 
 impl StreamedRequestBody {
-    /// Creates a body of `size` bytes (`None` if unknown), of which `received` has arrived.
+    /// Creates a body of `size` bytes (`None` if unknown), of which `received` has arrived and up to `window_bytes` are held.
     pub fn new(
         on_event: Box<dyn Fn(Ticket, BodyEvent)>,
         client: Arc<DownstreamConnection>,
         size: Option<u64>,
         received: PieceQueue,
+        window_bytes: usize,
     ) -> StreamedRequestBody {
         let mut client_wait = ClientWait::new(size);
         client_wait.record_received(client.now(), received.len() as u64);
@@ -71,7 +73,7 @@
             client_wait: Cell::new(client_wait),
             reported_wait: Cell::new(None),
             completion_reported: Cell::new(false),
-            state: RefCell::new(RequestBody::new(received)),
+            state: RefCell::new(RequestBody::new(received, window_bytes)),
             attempt_waker: RefCell::default(),
             progress: Notify::new(),
         }
@@ -196,7 +198,8 @@
     }
 
     /// Starts an attempt, which gets the body from its first byte.
-    pub fn start_attempt(self: &Rc<Self>) -> AttemptBody {
+    /// `write_progress` is that of its connection.
+    pub fn start_attempt(self: &Rc<Self>, write_progress: Arc<WriteProgress>) -> AttemptBody {
         let pieces_kept = self.state.borrow().pieces_kept();
         if pieces_kept > 0 {
             debug!(
@@ -206,7 +209,11 @@
         }
         let number = self.state.borrow_mut().start_attempt();
         let body = Rc::clone(self);
-        AttemptBody { body, number }
+        AttemptBody {
+            body,
+            number,
+            write_progress,
+        }
     }
 
     /// Reports to the exchange, once, that the body is complete.
@@ -245,6 +252,7 @@
 pub struct AttemptBody {
     body: Rc<StreamedRequestBody>,
     number: AttemptNumber,
+    write_progress: Arc<WriteProgress>,
 }
 
 impl AttemptBody {
@@ -272,6 +280,7 @@
 
     /// Polls for the next frame. Is pending before the last part until that is released.
     pub(super) fn poll(&self, context: &mut Context<'_>) -> PolledFrame {
+        ready!(self.write_progress.poll_unblocked(context));
         let mut next = self.next();
         if next == Next::AwaitsRelease {
             // The exchange may release the last part at once.
--- a/crates/node/src/bodies/response.rs
+++ b/crates/node/src/bodies/response.rs
@@ -2,6 +2,7 @@
 
 use super::response_start::{ResponseStart, StartEnd};
 use super::{PolledFrame, STALL_TIMEOUT};
+use crate::memory::MemoryGrant;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
 use saffronpaddle_netio::SilenceTimer;
@@ -26,6 +27,8 @@
     received: VecDeque<Bytes>,
     rest: ResponseRest,
     stall_timer: SilenceTimer,
+    /// What the response holds on its way.
+    _memory: MemoryGrant,
 }
 
 /// Where the rest of a streamed response is read.
@@ -53,6 +56,7 @@
         on_abandoned: Box<dyn Fn()>,
         received: VecDeque<Bytes>,
         rest: ResponseRest,
+        memory: MemoryGrant,
     ) -> StreamedResponseBody {
         let received_bytes: u64 = received.iter().map(|chunk| chunk.len() as u64).sum();
         let size = rest.size().map(|rest| received_bytes + rest);
@@ -64,6 +68,7 @@
             received,
             rest,
             stall_timer,
+            _memory: memory,
         }
     }
 
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/clients.rs
@@ -1,18 +1,22 @@
 //! Serves clients: accepts their connections, reads their requests and writes the responses.
 
 mod backlog;
+mod body_memory;
 mod connection;
 mod connections;
+mod first_head;
 mod reply;
 mod request;
 mod respond;
 mod upload;
 
 use crate::event_loop::SWEEP_INTERVAL;
+use crate::memory::CLIENT_CONNECTION_BYTES;
 use crate::node::Node;
 use backlog::{Accepted, Backlog, ACCEPT_RETRY};
 use connections::Connections;
 use saffronpaddle_lifecycle::{Acceptance, Reasons, SharedListener};
+use saffronpaddle_memory_budget::Holder;
 use saffronpaddle_netio::AcceptFailure;
 use std::io;
 use std::rc::Rc;
@@ -245,7 +249,10 @@
         tokio::select! {
             accepted = self.backlog.accept(), if accepts => self.on_accepted(accepted),
             Ok(()) = self.status.changed() => {}
-            _ = self.sweep.tick() => self.connections.sweep(),
+            _ = self.sweep.tick() => {
+                self.connections.sweep();
+                self.node.sweep_memory();
+            }
             () = self.disconnect_check.due() => self.check_disconnects(),
             // A task that has ended, aborted or not, has closed its socket.
             Some(_) = self.connections.tasks.join_next(), if full || self.closing => {
@@ -261,13 +268,22 @@
         if self.waiting.is_none() {
             return;
         }
-        if self.connections.tasks.len() >= max_clients {
+        let open = self.connections.tasks.len();
+        if open >= max_clients {
             self.connections.evict(max_clients);
+        } else if open > 0 && !self.has_memory() {
+            self.connections.evict(open);
         } else if let Some(accepted) = self.waiting.take() {
             self.connections.admit(accepted, &self.node, &self.status);
         }
     }
 
+    /// Whether there is memory for one more connection.
+    fn has_memory(&self) -> bool {
+        let memory = &self.node.memory;
+        memory.has_room(Holder::ClientConnection, CLIENT_CONNECTION_BYTES)
+    }
+
     fn on_accepted(&mut self, accepted: io::Result<Accepted>) {
         let error = match accepted {
             Ok(accepted) => {
@@ -306,6 +322,7 @@
         }
         // Closes the listener, so the kernel rejects further connections.
         let Acceptor {
+            node,
             mut connections,
             backlog,
             mut sweep,
@@ -318,7 +335,10 @@
                 ended = connections.tasks.join_next() => if ended.is_none() {
                     return;
                 },
-                _ = sweep.tick() => connections.sweep(),
+                _ = sweep.tick() => {
+                    connections.sweep();
+                    node.sweep_memory();
+                }
                 () = disconnect_check.due() => disconnect_check.schedule_next(connections.check_disconnects()),
             }
         }
--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -1,15 +1,19 @@
 //! Serves one client connection, from when it is admitted until it ends.
 
+use super::body_memory::BodyMemory;
+use super::first_head::{self, FirstHead};
 use super::reply::CLOSE;
 use super::respond::respond;
 use super::{phase_reached, Phase, ServingStatus};
 use crate::downstream::{BusyGuard, DownstreamConnection, ObservedStream};
+use crate::memory::{MemoryGrant, HTTP_BUFFER_BYTES};
 use crate::node::Node;
 use hyper::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use saffronpaddle_connection_eviction::Limits;
+use saffronpaddle_memory_budget::Holder;
 use saffronpaddle_netio::timeout;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
@@ -31,13 +35,14 @@
 /// the connection's task, and one as a margin.
 const FINAL_READ_YIELDS: usize = 3;
 
-/// Serves a client connection until it ends or is evicted.
+/// Serves a client connection until it ends or is evicted. `_memory` is what the connection takes.
 pub(super) async fn run(
     stream: Arc<TcpStream>,
     node: Rc<Node>,
     status: watch::Receiver<ServingStatus>,
     downstream: Arc<DownstreamConnection>,
     read_paused: Rc<Notify>,
+    _memory: MemoryGrant,
 ) {
     let http = serve_http(stream, node, status, Arc::clone(&downstream));
     tokio::pin!(http);
@@ -85,16 +90,29 @@
     downstream: Arc<DownstreamConnection>,
 ) {
     let _ = stream.set_nodelay(true);
+    let first_head = first_request(&stream, &status, &downstream).await;
+    let body_memory = BodyMemory {
+        memory: &node.memory,
+        client: &downstream,
+        timeout: Duration::MAX,
+    };
+    if first_head == FirstHead::ConnectionEnded || !body_memory.reserve(first_head).await {
+        return;
+    }
+    let _memory = node
+        .memory
+        .draw(Holder::ClientConnection, HTTP_BUFFER_BYTES);
     let service_status = status.clone();
     let service_downstream = Arc::clone(&downstream);
-    let observed = ObservedStream::new(stream, Arc::clone(&downstream));
+    let observed = ObservedStream::new(stream, Arc::clone(&downstream), node.memory.clone());
     let service = service_fn(move |request| {
         let (node, service_status, downstream) = (
             Rc::clone(&node),
             service_status.clone(),
             Arc::clone(&service_downstream),
         );
-        async move {
+        // Boxed, as the connection would else hold the room for a request also while it has none.
+        Box::pin(async move {
             let busy = BusyGuard::new(&downstream);
             let mut reply = respond(&node, request, &service_status, &downstream).await;
             reply.body_mut().set_busy_guard(busy);
@@ -102,7 +120,7 @@
                 reply.headers_mut().insert(CONNECTION, CLOSE);
             }
             Ok::<_, Infallible>(reply)
-        }
+        })
     });
     let mut http = http1::Builder::new();
     // The periodic sweep enforces the head timeout.
@@ -137,6 +155,35 @@
     let _ = connection.await;
 }
 
+/// Waits for the first request of a connection. The connection ends without one if the node closes it.
+async fn first_request(
+    stream: &TcpStream,
+    status: &watch::Receiver<ServingStatus>,
+    downstream: &DownstreamConnection,
+) -> FirstHead {
+    let first_head = first_head::wait(stream, downstream);
+    tokio::pin!(first_head);
+    tokio::select! {
+        biased;
+        head = &mut first_head => return head,
+        () = phase_reached(status.clone(), Phase::CloseIdle) => {}
+    }
+    // What the kernel holds is looked at before the connection counts as idle.
+    if let Ok(head) = timeout(Duration::ZERO, &mut first_head).await {
+        return head;
+    }
+    let wait = last_request_timeout(downstream, &status.borrow());
+    timeout(wait, first_head).await.unwrap_or_else(|_| {
+        debug!(
+            why = "process_stops",
+            asked = false,
+            waited_ms = wait.as_millis() as u64,
+            "closing client connection"
+        );
+        FirstHead::ConnectionEnded
+    })
+}
+
 /// How long a connection may still send a request after the node starts to close idle connections. hyper considers a
 /// kept-alive connection idle even if part of a head has arrived, and would close it while the client is still writing.
 fn last_request_timeout(downstream: &DownstreamConnection, status: &ServingStatus) -> Duration {
--- a/crates/node/src/clients/connections.rs
+++ b/crates/node/src/clients/connections.rs
@@ -4,8 +4,10 @@
 use super::connection;
 use super::ServingStatus;
 use crate::downstream::DownstreamConnection;
+use crate::memory::CLIENT_CONNECTION_BYTES;
 use crate::node::Node;
 use saffronpaddle_connection_eviction::{EvictionPressure, Limits};
+use saffronpaddle_memory_budget::Holder;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,12 +62,16 @@
         let stream = Arc::new(stream);
         let downstream = DownstreamConnection::new(self.started_at, arrived_after, &stream);
         let read_paused = Rc::clone(&self.read_paused);
+        let memory_grant = node
+            .memory
+            .draw(Holder::ClientConnection, CLIENT_CONNECTION_BYTES);
         let connection = connection::run(
             stream,
             Rc::clone(node),
             status.clone(),
             Arc::clone(&downstream),
             read_paused,
+            memory_grant,
         );
         let task = self.tasks.spawn_local(connection);
         self.entries.push(Entry { downstream, task });
--- a/crates/node/src/clients/reply.rs
+++ b/crates/node/src/clients/reply.rs
@@ -15,6 +15,9 @@
 /// Value of `Connection` that closes the connection after the response.
 pub(super) const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
+/// When a client may retry a request for which there was no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// A response to a client.
 pub(super) type Reply = Response<bodies::DownstreamBody>;
 
@@ -60,7 +63,7 @@
         Answer::Served(Payload::Body(body)) => Response::new(body.into()),
         Answer::Served(Payload::Streaming(body)) => Response::new((*body).into()),
         Answer::Served(Payload::UpgradeRejected(status, body)) => {
-            let mut reply = Response::new(body.into());
+            let mut reply: Reply = Response::new(body.into());
             *reply.status_mut() = status;
             reply
         }
@@ -78,6 +81,14 @@
     unavailable(None)
 }
 
+/// Rejects a request for which the process has no memory, and closes its connection, as the rest of it is not read. Nothing
+/// of it is forwarded.
+pub(super) fn reject_for_memory() -> Reply {
+    let mut reply = unavailable(Some(MEMORY_RETRY_AFTER));
+    reply.headers_mut().insert(CONNECTION, CLOSE);
+    reply
+}
+
 /// Rejects a request that was not executed, so a retry is safe. `retry_in` is sent as `Retry-After`.
 pub(super) fn unavailable(retry_in: Option<Duration>) -> Reply {
     let mut reply = text_reply(StatusCode::SERVICE_UNAVAILABLE, "");
--- a/crates/node/src/clients/respond.rs
+++ b/crates/node/src/clients/respond.rs
@@ -1,8 +1,9 @@
 //! Serves one request: submits it to the node and builds the response.
 
+use super::body_memory::SMALL_BODY_BYTES;
 use super::reply::{
-    deadline_passed, duplicate_id, reject_unread, reject_upgrade, reply, text_reply, unavailable,
-    Reply,
+    deadline_passed, duplicate_id, reject_for_memory, reject_unread, reject_upgrade, reply,
+    text_reply, unavailable, Reply,
 };
 use super::request::{parse, Rejected, RequestHead};
 use super::upload::Upload;
@@ -10,15 +11,18 @@
 use crate::answer::{Answer, Payload};
 use crate::downstream::{DownstreamConnection, ObservedStream};
 use crate::forward::Forward;
+use crate::memory::REQUEST_BYTES;
 use crate::node::Node;
 use crate::websocket;
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING, UPGRADE};
 use hyper::upgrade::OnUpgrade;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use saffronpaddle_admin::RequestEnd;
 use saffronpaddle_exchange::Ticket;
+use saffronpaddle_memory_budget::Holder;
 use saffronpaddle_policy::interface::{Event, RequestId};
 use saffronpaddle_websocket::upgrade::{self, Offer};
 use std::rc::Rc;
@@ -26,6 +30,10 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
+/// How long a request waits for memory before it is rejected: the time in which many requests that came at once are
+/// answered.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(400);
+
 /// Serves a request and returns its response.
 pub(super) async fn respond(
     node: &Rc<Node>,
@@ -57,12 +65,31 @@
         Err(rejected) => return reject_unread(node, &head.headers, rejected),
     };
     if let (Some(offer), Some(client_upgrade)) = (offer, client_upgrade) {
-        return open_websocket(node, request_head, head, offer, client_upgrade, downstream).await;
+        let opening = open_websocket(node, request_head, head, offer, client_upgrade, downstream);
+        return Box::pin(opening).await;
+    }
+    // A request with a large body waits for the memory of both.
+    let has_large_body = body.size_hint().lower() > SMALL_BODY_BYTES as u64;
+    let mut memory = None;
+    if !has_large_body {
+        memory = node
+            .memory
+            .draw_in_time(Holder::Request, REQUEST_BYTES, MAX_MEMORY_WAIT)
+            .await;
+        if memory.is_none() {
+            node.record_rejection(request_head.class, RequestEnd::Throttled);
+            return reject_for_memory();
+        }
     }
-    match Upload::receive(node, &mut request_head, body, downstream).await {
-        Ok(upload) => upload.forward(node, request_head, head, downstream).await,
+    let mut reply = match Upload::receive(node, &mut request_head, body, downstream).await {
+        // Boxed, as a request that is still received would else hold the room for its forwarding.
+        Ok(upload) => Box::pin(upload.forward(node, request_head, head, downstream)).await,
         Err(reply) => reply,
+    };
+    if let Some(memory) = memory {
+        reply.body_mut().set_request_memory(memory);
     }
+    reply
 }
 
 /// Whether a request could smuggle another one in its body. If a head has both a length and an encoding, hyper drops
--- a/crates/node/src/clients/tests.rs
+++ b/crates/node/src/clients/tests.rs
@@ -29,6 +29,7 @@
         seed: 1,
         platform,
         max_upstream_connections: 100,
+        memory_limit: 64 << 20,
         links: ProcessLinks::new("n0", false),
         peers: None,
         sockets: None,
--- a/crates/node/src/clients/upload.rs
+++ b/crates/node/src/clients/upload.rs
@@ -1,6 +1,9 @@
 //! Receives the body of a request: completely before the request is submitted, or while it is forwarded.
 
-use super::reply::{deadline_passed, duplicate_id, reject_and_close, reply, Reply};
+use super::body_memory::{BodyMemory, SMALL_BODY_BYTES};
+use super::reply::{
+    deadline_passed, duplicate_id, reject_and_close, reject_for_memory, reply, Reply,
+};
 use super::request::{RequestHead, DELIVERY_MARGIN};
 use super::respond::submit;
 use crate::answer::Answer;
@@ -9,6 +12,7 @@
 };
 use crate::downstream::DownstreamConnection;
 use crate::forward::{Forward, ForwardBody};
+use crate::memory::MemoryGrant;
 use crate::node::Node;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -29,11 +33,19 @@
 /// The body of a request that can be submitted.
 pub(super) enum Upload {
     /// Received completely.
-    Complete(Bytes),
+    Complete(ReceivedBody),
     /// Too large to be buffered.
     Streamed(StreamedUpload),
 }
 
+/// A body that was received completely.
+#[derive(Default)]
+pub(super) struct ReceivedBody {
+    bytes: Bytes,
+    /// Held until the request has its answer; `None` for a small body.
+    memory: Option<MemoryGrant>,
+}
+
 /// A body that is forwarded while it is received.
 pub(super) struct StreamedUpload {
     /// Size in bytes, if the client declared it.
@@ -41,6 +53,9 @@
     /// What was received until the body turned out to be too large for buffering.
     received: PieceQueue,
     reader: BodyReader,
+    /// Held until the request has its answer; `None` while the body is small.
+    memory: Option<MemoryGrant>,
+    window_bytes: usize,
 }
 
 impl Upload {
@@ -55,7 +70,12 @@
         if body.size_hint().lower() > MAX_BODY_BYTES {
             return Err(reject_body(node, class, &ReceiveError::TooLarge));
         }
-        let upload = Upload::buffer(body, downstream).await;
+        let memory = BodyMemory {
+            memory: &node.memory,
+            client: downstream,
+            timeout: request_head.timeout,
+        };
+        let upload = Upload::buffer(body, &memory).await;
         let upload = upload.map_err(|error| reject_body(node, class, &error))?;
         if request_head.idempotency == Idempotency::Idempotent && !upload.is_empty() {
             node.record_rejection(class, RequestEnd::Faulted);
@@ -72,34 +92,38 @@
     }
 
     /// Receives a body until it is complete or too large for buffering.
-    async fn buffer(
-        body: Incoming,
-        downstream: &Arc<DownstreamConnection>,
-    ) -> Result<Upload, ReceiveError> {
+    async fn buffer(body: Incoming, memory: &BodyMemory<'_>) -> Result<Upload, ReceiveError> {
         if body.is_end_stream() {
-            return Ok(Upload::Complete(Bytes::new()));
+            return Ok(Upload::Complete(ReceivedBody::default()));
         }
         let hint = body.size_hint();
         let mut upload = StreamedUpload {
             size: hint.exact(),
             received: PieceQueue::default(),
-            reader: BodyReader::new(body, Arc::clone(downstream)),
+            reader: BodyReader::new(body, Arc::clone(memory.client)),
+            memory: None,
+            window_bytes: MAX_BUFFERED_BYTES,
         };
         if hint.lower() > MAX_BUFFERED_BYTES as u64 {
+            let window = memory.draw_window().await?;
+            (upload.memory, upload.window_bytes) = (Some(window.memory), window.bytes);
             return Ok(Upload::Streamed(upload));
         }
-        while let Some(data) = upload.reader.next().await? {
+        loop {
+            upload.draw_memory(memory).await?;
+            let Some(data) = upload.reader.next().await? else {
+                return Ok(Upload::Complete(upload.into_received()));
+            };
             upload.received.push(&data);
             if upload.received.len() > MAX_BUFFERED_BYTES {
                 return Ok(Upload::Streamed(upload));
             }
         }
-        Ok(Upload::Complete(upload.received.into_bytes()))
     }
 
     /// Whether the body has no bytes.
     fn is_empty(&self) -> bool {
-        matches!(self, Upload::Complete(body) if body.is_empty())
+        matches!(self, Upload::Complete(body) if body.bytes.is_empty())
     }
 
     /// Submits the request, receives the rest of its body and returns its response.
@@ -114,12 +138,15 @@
         let timeout = request_head.timeout.saturating_sub(DELIVERY_MARGIN);
         let answer = match self {
             Upload::Complete(body) => {
-                let (event, forward) = request_head.into_arrival(head, body, downstream);
-                submit(node, event, forward).await
+                let ReceivedBody { bytes, memory } = body;
+                let (event, forward) = request_head.into_arrival(head, bytes, downstream);
+                let answer = submit(node, event, forward).await;
+                drop(memory);
+                answer
             }
             Upload::Streamed(upload) => {
                 let arrival = request_head.into_arrival(head, Bytes::new(), downstream);
-                match upload.submit(node, arrival, timeout).await {
+                match Box::pin(upload.submit(node, arrival, timeout)).await {
                     Ok(answer) => answer,
                     Err(error) => return reject_incomplete(&error),
                 }
@@ -134,6 +161,26 @@
 }
 
 impl StreamedUpload {
+    /// Waits for the memory of the body, unless it has some or is small.
+    async fn draw_memory(&mut self, memory: &BodyMemory<'_>) -> Result<(), ReceiveError> {
+        let is_small = match self.size {
+            Some(size) => size <= SMALL_BODY_BYTES as u64,
+            None => self.received.len() < SMALL_BODY_BYTES / 2,
+        };
+        if self.memory.is_none() && !is_small {
+            let bytes = self.size.map_or(MAX_BUFFERED_BYTES, |size| size as usize);
+            self.memory = Some(memory.draw(bytes).await?);
+        }
+        Ok(())
+    }
+
+    fn into_received(self) -> ReceivedBody {
+        ReceivedBody {
+            bytes: self.received.into_bytes(),
+            memory: self.memory,
+        }
+    }
+
     /// Submits a request whose body is being received, and waits for its final answer and the end of the body: a client
     /// that is still writing when the connection closes would lose its response. The client waits for `timeout` from its
     /// last byte on. Returns `None` if the id of the request is in use.
@@ -149,7 +196,13 @@
         let on_event = node.report_body(forward.id.clone(), timeout, STREAMED_BODY_TIMEOUT);
         let client = Arc::clone(self.reader.client());
         let received = std::mem::take(&mut self.received);
-        let body = StreamedRequestBody::new(Box::new(on_event), client, self.size, received);
+        let body = StreamedRequestBody::new(
+            Box::new(on_event),
+            client,
+            self.size,
+            received,
+            self.window_bytes,
+        );
         let body = Rc::new(body);
         stream_body(&mut event, &mut forward, Rc::clone(&body));
         let answered = async {
@@ -179,7 +232,11 @@
 
 /// Rejects a request that was not submitted, as its body was not received.
 fn reject_body(node: &Node, class: ClassId, error: &ReceiveError) -> Reply {
-    node.record_rejection(class, RequestEnd::Faulted);
+    let end = match error {
+        ReceiveError::NoMemory => RequestEnd::Throttled,
+        _ => RequestEnd::Faulted,
+    };
+    node.record_rejection(class, end);
     reject_incomplete(error)
 }
 
@@ -190,6 +247,7 @@
         ReceiveError::TooLarge => {
             reject_and_close(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")
         }
+        ReceiveError::NoMemory => reject_for_memory(),
         ReceiveError::Stalled | ReceiveError::Broken(_) => {
             reject_and_close(StatusCode::BAD_REQUEST, "the body did not come whole\n")
         }
--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -1,13 +1,17 @@
 //! Observes client connections: when bytes are received and sent, and whether a request is being answered.
 
+use crate::bodies::MAX_BUFFERED_BYTES;
 use crate::event_loop;
 use crate::head_scanner::HeadScanner;
+use crate::memory::{Memory, MemoryGrant, ReadAllowance, SMALL_READ_BYTES};
+use crate::write_progress::WriteProgress;
 use saffronpaddle_connection_eviction::{time_unread, ConnectionState};
-use saffronpaddle_netio::{is_read_closed, Socket};
+use saffronpaddle_memory_budget::Holder;
+use saffronpaddle_netio::{is_read_closed, unread_bytes, Socket};
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -33,8 +37,11 @@
     /// The node waits for the client to send more of a request body.
     awaits_body: AtomicBool,
     has_requested: AtomicBool,
-    /// The last write did not complete because the kernel's send buffer is full.
-    write_blocked: AtomicBool,
+    write_progress: WriteProgress,
+    /// Memory for the body of the first request, until that is read.
+    reserved_memory: Mutex<Option<MemoryGrant>>,
+    /// Number of bytes of the current body that were not read; [`u64::MAX`] if unknown.
+    unread_body_bytes: AtomicU64,
     /// A head contained both `Content-Length` and `Transfer-Encoding`.
     is_ambiguously_framed: AtomicBool,
     /// hyper is waiting for bytes, so it notices the end of the connection itself.
@@ -63,8 +70,8 @@
         let (last_active_us, head_started_us) = (AtomicU64::new(accepted_us), AtomicU64::new(0));
         let sent_after_us =
             AtomicU64::new(micros(arrived_after.saturating_duration_since(epoch)).min(accepted_us));
-        let [busy, awaits_body, has_requested, write_blocked, is_ambiguously_framed, read_pending, reported_read_paused, evicted] =
-            [(); 8].map(|()| AtomicBool::new(false));
+        let [busy, awaits_body, has_requested, is_ambiguously_framed, read_pending, reported_read_paused, evicted] =
+            [(); 7].map(|()| AtomicBool::new(false));
         let eviction = Notify::new();
         Arc::new(DownstreamConnection {
             epoch,
@@ -76,7 +83,9 @@
             busy,
             awaits_body,
             has_requested,
-            write_blocked,
+            write_progress: WriteProgress::default(),
+            reserved_memory: Mutex::default(),
+            unread_body_bytes: AtomicU64::new(0),
             is_ambiguously_framed,
             read_pending,
             reported_read_paused,
@@ -101,6 +110,40 @@
         self.evicted.store(false, Ordering::Relaxed);
     }
 
+    /// Keeps memory for the body of the next request.
+    pub fn reserve_memory(&self, grant: MemoryGrant) {
+        *self.reserved_memory() = Some(grant);
+    }
+
+    /// Takes the memory that was kept for the body of this request.
+    pub fn take_reserved_memory(&self) -> Option<MemoryGrant> {
+        self.reserved_memory().take()
+    }
+
+    fn reserved_memory(&self) -> MutexGuard<'_, Option<MemoryGrant>> {
+        self.reserved_memory
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that the client has sent something, also if it was not read.
+    pub fn record_activity(&self) {
+        self.last_active_us
+            .store(micros(self.epoch.elapsed()), Ordering::Relaxed);
+    }
+
+    /// Number of bytes that this machine has received and the node has not read, `max` at the most.
+    pub fn unread_bytes(&self, max: usize) -> usize {
+        let stream = self.stream.upgrade();
+        stream.map_or(0, |stream| unread_bytes(&stream, max))
+    }
+
+    /// Whether this machine has received the rest of a body whose length is known.
+    pub fn body_is_received(&self) -> bool {
+        let missing = self.unread_body_bytes.load(Ordering::Relaxed) as usize;
+        missing <= MAX_BUFFERED_BYTES && self.unread_bytes(missing) >= missing
+    }
+
     /// Whether a request is being read or answered.
     pub fn is_busy(&self) -> bool {
         self.busy.load(Ordering::Relaxed)
@@ -143,7 +186,7 @@
             head_started_at: head_started_us.checked_sub(1).map(Duration::from_micros),
             // A client that reads the end of a response slowly would lose it if the connection counted as idle.
             busy: (self.is_busy() && !self.awaits_body())
-                || self.write_blocked.load(Ordering::Relaxed)
+                || self.write_progress.is_blocked()
                 || self.is_evicted(),
             awaits_body: self.awaits_body(),
             has_requested: self.has_requested(),
@@ -194,7 +237,27 @@
             self.last_active_us
                 .store(micros(self.epoch.elapsed()), Ordering::Relaxed);
         }
-        self.write_blocked.store(!accepted, Ordering::Relaxed);
+        self.write_progress.record(accepted);
+    }
+
+    /// Whether the kernel accepts bytes for the client.
+    pub fn write_progress(&self) -> &WriteProgress {
+        &self.write_progress
+    }
+
+    /// Records that the client has sent bytes of its first head, which are not read yet.
+    pub fn record_unread_bytes(&self) {
+        let now = micros(self.epoch.elapsed());
+        self.last_active_us.store(now, Ordering::Relaxed);
+        let arrived_after = event_loop::arrived_after()
+            .map_or(now, |at| micros(at.saturating_duration_since(self.epoch)));
+        if arrived_after > self.accepted_us {
+            self.sent_after_us
+                .store(arrived_after.min(now), Ordering::Relaxed);
+        }
+        if self.head_started_us.load(Ordering::Relaxed) == 0 {
+            self.head_started_us.store(now + 1, Ordering::Relaxed);
+        }
     }
 
     /// Records bytes that were read. `was_pending`: the previous read was pending.
@@ -222,6 +285,9 @@
         if head_scanner.scan(bytes) {
             self.is_ambiguously_framed.store(true, Ordering::Relaxed);
         }
+        let unread_body_bytes = head_scanner.missing_body_bytes().unwrap_or(u64::MAX);
+        self.unread_body_bytes
+            .store(unread_body_bytes, Ordering::Relaxed);
     }
 }
 
@@ -238,6 +304,13 @@
     }
 }
 
+impl BusyGuard {
+    /// The connection that is marked.
+    pub fn downstream(&self) -> &DownstreamConnection {
+        &self.0
+    }
+}
+
 impl Drop for BusyGuard {
     fn drop(&mut self) {
         self.0
@@ -269,16 +342,51 @@
     stream: Socket,
     downstream: Arc<DownstreamConnection>,
     head_scanner: HeadScanner,
+    read_allowance: ReadAllowance,
+    /// Number of bytes of an incomplete head that were read.
+    head_bytes: usize,
+    /// Memory for a head that exceeds the first buffer. The buffer keeps its size, so the grant stays with the connection.
+    head_memory: Option<MemoryGrant>,
 }
 
+/// Memory for the largest head, in bytes: its buffer doubles as it grows.
+const LARGE_HEAD_BYTES: u64 = 56 * 1024;
+
 impl ObservedStream {
-    /// Wraps a connection to record its reads and writes.
-    pub fn new(stream: Arc<TcpStream>, downstream: Arc<DownstreamConnection>) -> ObservedStream {
+    /// Wraps a connection to record its reads and writes. Its reads draw from `memory`.
+    pub fn new(
+        stream: Arc<TcpStream>,
+        downstream: Arc<DownstreamConnection>,
+        memory: Memory,
+    ) -> ObservedStream {
         ObservedStream {
-            stream: Socket::new(stream),
+            stream: Socket::with_peeked_bytes(stream),
             downstream,
             head_scanner: HeadScanner::new(),
+            read_allowance: ReadAllowance::new(memory),
+            head_bytes: 0,
+            head_memory: None,
+        }
+    }
+
+    /// The number of bytes that may be read now. Is pending while there is no memory for the rest of a large head: its
+    /// client can be told from others by nothing yet, and waits.
+    fn poll_allowed_bytes(&mut self, context: &mut Context<'_>) -> Poll<usize> {
+        if self.downstream.is_busy() {
+            self.head_bytes = 0;
+        }
+        let max_bytes = self.read_allowance.max_bytes();
+        let room = (SMALL_READ_BYTES - 1).saturating_sub(self.head_bytes);
+        if self.head_memory.is_some() || self.downstream.is_busy() {
+            return Poll::Ready(max_bytes);
+        }
+        if room == 0 {
+            let memory = self.read_allowance.memory();
+            let grant = ready!(memory.poll_draw(context, Holder::RequestHead, LARGE_HEAD_BYTES));
+            self.head_memory = Some(grant);
+            return Poll::Ready(max_bytes);
         }
+        Poll::Ready(max_bytes.min(room))
     }
 
     /// Returns the connection without its wrapper; `None` while another holder of the socket is inspecting it, which
@@ -294,19 +402,23 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let allowed_bytes = ready!(self.poll_allowed_bytes(context));
         let filled_before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = Pin::new(&mut self.stream).poll_read_at_most(context, buffer, allowed_bytes);
         let was_pending = self
             .downstream
             .read_pending
             .swap(read.is_pending(), Ordering::Relaxed);
         ready!(read)?;
+        let read_bytes = buffer.filled().len() - filled_before;
+        self.read_allowance.record_read(read_bytes);
+        self.head_bytes += read_bytes;
         let ObservedStream {
             downstream,
             head_scanner,
             ..
         } = &mut *self;
-        if buffer.filled().len() > filled_before {
+        if read_bytes > 0 {
             downstream.record_read(&buffer.filled()[filled_before..], head_scanner, was_pending);
         }
         Poll::Ready(Ok(()))
--- a/crates/node/src/edge.rs
+++ b/crates/node/src/edge.rs
@@ -194,6 +194,7 @@
             seed: config.seed,
             platform: config.platform,
             max_upstream_connections: capacity.upstream,
+            memory_limit: config.memory as u64,
             links,
             peers,
             sockets,
--- a/crates/node/src/head_scanner.rs
+++ b/crates/node/src/head_scanner.rs
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Number of bytes of the current body that were not scanned; `None` if its length is unknown.
+    pub fn missing_body_bytes(&self) -> Option<u64> {
+        match self.position {
+            Position::Head => Some(0),
+            Position::Body(missing) => Some(missing),
+            Position::ChunkSize | Position::Chunk(_) | Position::Trailer => None,
+        }
+    }
+
     /// Scans received bytes. Returns whether a head that ends in them has both a length and an encoding.
     pub fn scan(&mut self, mut bytes: &[u8]) -> bool {
         let mut is_ambiguous = false;
--- a/crates/node/src/hot_restart.rs
+++ b/crates/node/src/hot_restart.rs
@@ -279,7 +279,7 @@
         share_attempts: siblings.shared,
         peer_messages_delegated: siblings.has_successor,
     });
-    node.apply_connection_share();
+    node.apply_shared_limits();
     node.links.publish_successor(siblings.has_successor);
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,7 @@
 mod inherited_listener;
 mod lifecycle_runner;
 mod manager;
+mod memory;
 mod node;
 mod peer_listener;
 pub mod peers;
@@ -41,6 +42,7 @@
 mod upstream;
 mod upstream_events;
 mod websocket;
+mod write_progress;
 
 pub use config::{Config, ConfigError};
 pub use edge::{Edge, Options};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,6 +13,7 @@
 use crate::error::NodeError;
 use crate::event_loop;
 use crate::forward::Forward;
+use crate::memory::Memory;
 use crate::peers::Peers;
 use crate::process_links::ProcessLinks;
 use crate::upstream::Upstream;
@@ -44,6 +45,8 @@
     pub platform: PlatformSettings,
     /// Limit on open connections to app servers, shared by all processes of the node.
     pub max_upstream_connections: usize,
+    /// Limit on resident memory in bytes, shared by all processes of the node.
+    pub memory_limit: u64,
     /// Links to the other processes of this node.
     pub links: ProcessLinks,
     /// Message socket to the other nodes; `None` on a node without peers.
@@ -66,9 +69,12 @@
     pub links: ProcessLinks,
     /// State of the watches on the endpoint list.
     pub watch_statuses: WatchStatuses,
+    /// What this process may hold for its clients and servers.
+    pub memory: Memory,
     /// The WebSocket proxy; `None` if the operator file configures none.
     pub websockets: Option<Rc<WebsocketProxy>>,
     max_upstream_connections: usize,
+    memory_limit: u64,
     registration: Registration,
     clock: Clock,
     exchange: RefCell<Exchange<SocketAddr, PolicyEngine>>,
@@ -126,6 +132,7 @@
             seed,
             platform,
             max_upstream_connections,
+            memory_limit,
             links,
             peers,
             sockets,
@@ -144,14 +151,17 @@
             platform.server_idle_timeout,
             platform.connect_timeout,
         );
+        let memory = Memory::new(memory_limit);
         Ok(Rc::new_cyclic(|node: &Weak<Node>| Node {
             platform,
-            upstream: Upstream::new(),
+            upstream: Upstream::new(memory.clone()),
             peers,
             links,
             watch_statuses: WatchStatuses::default(),
+            memory,
             websockets,
             max_upstream_connections,
+            memory_limit,
             registration: Registration::new(Weak::clone(node) as Weak<dyn UpstreamEvents>),
             clock,
             exchange: RefCell::new(Exchange::new(limits, policy)),
@@ -256,6 +266,15 @@
         }
     }
 
+    /// Checks the memory of this process, and lets idle connections to servers go of which it allows fewer.
+    pub fn sweep_memory(self: &Rc<Self>) {
+        self.memory.sweep();
+        let max_idle = self.memory.max_idle_server_connections();
+        if self.exchange.borrow().idle_connections() > max_idle {
+            self.handle(Event::IdleConnectionsLimited { max_idle }, None);
+        }
+    }
+
     /// Number of ready app servers.
     pub fn ready_servers(&self) -> usize {
         self.exchange.borrow().ready_servers()
@@ -324,8 +343,10 @@
         self.exchange.borrow().policy().snapshot()
     }
 
-    /// Sets this process's limit on connections to app servers to its share of the node's limit.
-    pub fn apply_connection_share(&self) {
+    /// Sets this process's limits on connections to app servers and on memory to its share of the node's limits.
+    pub fn apply_shared_limits(&self) {
+        let memory_limit = self.links.share_of(self.memory_limit as usize);
+        self.memory.set_limit(memory_limit as u64);
         self.exchange
             .borrow_mut()
             .set_max_connections(self.links.share_of(self.max_upstream_connections));
--- a/crates/node/src/node/metrics.rs
+++ b/crates/node/src/node/metrics.rs
@@ -43,6 +43,7 @@
                 .denials()
                 .map(|(denial, count)| (denial.counter_name(), count)),
         );
+        policy_counters.extend(self.memory.counters());
         let violations = exchange.violations();
         policy_counters.extend(
             Invariant::ALL.map(|invariant| (invariant.counter_name(), violations.count(invariant))),
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -6,10 +6,12 @@
 use crate::answer::Payload;
 use crate::bodies::{
     AttemptBody, ResponseBroken, ResponseLength, ResponseRest, ResponseStart, StreamedResponseBody,
-    UpstreamRequestBody,
+    UpstreamRequestBody, MAX_BUFFERED_BYTES,
 };
 use crate::forward::{Forward, ForwardBody};
+use crate::memory::{Memory, MemoryGrant, SERVER_CONNECTION_BYTES};
 use crate::upstream_events::UpstreamEvents;
+use crate::write_progress::WriteProgress;
 use attempt::{AttemptOutcome, StreamingResponse, Target};
 use bytes::Bytes;
 use gate::{Gate, GatedStream};
@@ -17,7 +19,8 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use saffronpaddle_exchange::{ConnectionId, Event};
-use saffronpaddle_netio::{is_local_failure, Socket};
+use saffronpaddle_memory_budget::Holder;
+use saffronpaddle_netio::is_local_failure;
 use saffronpaddle_policy::interface::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -39,6 +42,8 @@
     driver: JoinHandle<()>,
     /// Present while the connection is free for a request.
     sender: Option<SendRequest<UpstreamRequestBody>>,
+    /// The memory of the connection while it is idle. Otherwise its request has drawn it.
+    idle_memory: Option<MemoryGrant>,
     /// Task that writes a request and reads its response.
     attempt: Option<AbortHandle>,
     /// The request body that is being streamed on the connection.
@@ -47,11 +52,14 @@
     forward: Option<Rc<Forward>>,
     /// Whether bytes may be written. Reset for each request, because the exchange decides on its first byte.
     writes_allowed: Arc<AtomicBool>,
+    write_progress: Arc<WriteProgress>,
 }
 
 /// The connections of a node to app servers. The exchange decides which request uses which connection.
 pub struct Upstream {
     connections: RefCell<HashMap<ConnectionId, UpstreamConnection>>,
+    /// What connections and responses draw from.
+    memory: Memory,
     /// Sends the connection of each response whose body was dropped before its end: at most one per connection.
     abandoned_sender: mpsc::UnboundedSender<ConnectionId>,
     abandoned_receiver: RefCell<Option<mpsc::UnboundedReceiver<ConnectionId>>>,
@@ -59,10 +67,11 @@
 
 impl Upstream {
     /// Creates a set without connections.
-    pub fn new() -> Rc<Upstream> {
+    pub fn new(memory: Memory) -> Rc<Upstream> {
         let (abandoned_sender, receiver) = mpsc::unbounded_channel();
         Rc::new(Upstream {
             connections: RefCell::default(),
+            memory,
             abandoned_sender,
             abandoned_receiver: RefCell::new(Some(receiver)),
         })
@@ -81,6 +90,10 @@
     ) {
         if let Some(upstream) = self.connections.borrow_mut().get_mut(&connection) {
             (upstream.sender, upstream.attempt, upstream.forward) = (Some(sender), None, None);
+            let memory = self
+                .memory
+                .draw(Holder::IdleServerConnection, SERVER_CONNECTION_BYTES);
+            upstream.idle_memory = Some(memory);
         }
     }
 
@@ -103,10 +116,12 @@
         address: SocketAddr,
     ) {
         let writes_allowed = Arc::new(AtomicBool::new(false));
+        let write_progress = Arc::new(WriteProgress::default());
         let gate = Gate {
             owner_number,
             connection,
             writes_allowed: Arc::clone(&writes_allowed),
+            write_progress: Arc::clone(&write_progress),
         };
         let driver =
             tokio::task::spawn_local(Rc::clone(self).drive(events, gate, connection, address));
@@ -114,10 +129,12 @@
             address,
             driver,
             sender: None,
+            idle_memory: None,
             attempt: None,
             streamed_body: None,
             forward: None,
             writes_allowed,
+            write_progress,
         };
         self.connections.borrow_mut().insert(connection, upstream);
     }
@@ -137,10 +154,14 @@
         let Some(mut sender) = upstream.sender.take() else {
             return;
         };
+        upstream.idle_memory = None;
         upstream.writes_allowed.store(false, Ordering::Relaxed);
         let body = match &forward.body {
             ForwardBody::Buffered(bytes) => UpstreamRequestBody::Buffered(Full::new(bytes.clone())),
-            ForwardBody::Streamed(body) => UpstreamRequestBody::Streamed(body.start_attempt()),
+            ForwardBody::Streamed(body) => {
+                let write_progress = Arc::clone(&upstream.write_progress);
+                UpstreamRequestBody::Streamed(body.start_attempt(write_progress))
+            }
         };
         upstream.streamed_body = body.streamed().cloned();
         upstream.forward = Some(Rc::clone(&forward));
@@ -148,7 +169,8 @@
         let task = tokio::task::spawn_local(async move {
             let time_left = events.time_left(&forward);
             let target = Target { server, address };
-            let outcome = attempt::run(&mut sender, &forward, body, time_left, target).await;
+            let outcome =
+                attempt::run(&mut sender, &forward, body, time_left, target, &this.memory).await;
             this.finish(events, connection, sender, outcome).await;
         });
         upstream.attempt = Some(task.abort_handle());
@@ -285,7 +307,13 @@
             // Fails only when the node has stopped and dropped the receiver.
             let _ = abandoned_sender.send(connection);
         };
-        let body = StreamedResponseBody::new(on_end, Box::new(on_abandoned), received, rest);
+        let bytes = match rest {
+            ResponseRest::ByAttempt(_) => MAX_BUFFERED_BYTES as u64,
+            ResponseRest::ByClient(_) | ResponseRest::Ended => 0,
+        };
+        let memory = self.memory.draw(Holder::Response, bytes);
+        let body =
+            StreamedResponseBody::new(on_end, Box::new(on_abandoned), received, rest, memory);
         Payload::Streaming(Box::new(body))
     }
 
@@ -347,10 +375,10 @@
         // Without TCP_NODELAY a request written in two parts would wait for an acknowledgement. An error only costs
         // time.
         let _ = stream.set_nodelay(true);
-        let stream = GatedStream::new(TokioIo::new(Socket::new(stream)), gate);
+        let stream = GatedStream::new(stream, gate, &self.memory);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(stream)
+            .handshake(TokioIo::new(stream))
             .await;
         let Ok((sender, http)) = handshake else {
             return report_failure(false);
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -1,11 +1,11 @@
 //! One attempt of a request on a connection: writes the request, then reads and checks its response.
 
 use super::gate::GatedStream;
-use crate::answer::Payload;
+use crate::answer::{Payload, ResponseBytes};
 use crate::bodies::{UpstreamRequestBody, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::forward::Forward;
+use crate::memory::Memory;
 use crate::websocket::UpgradedConnection;
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
@@ -14,6 +14,8 @@
     SEC_WEBSOCKET_PROTOCOL, SEC_WEBSOCKET_VERSION, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{Request, Response, StatusCode, Version};
+use hyper_util::rt::TokioIo;
+use saffronpaddle_memory_budget::Holder;
 use saffronpaddle_netio::timeout_at;
 use saffronpaddle_policy::interface::{Outcome, ServerId};
 use saffronpaddle_request_body::PieceQueue;
@@ -52,11 +54,13 @@
 /// The body of a response after buffering.
 enum ReadBody {
     /// The complete body.
-    Complete(Bytes),
+    Complete(ResponseBytes),
     /// A body that is to be streamed.
     Streaming(StreamingResponse),
 }
 
+/// A response of at most this many bytes needs no memory but that of its request.
+const SMALL_RESPONSE_BYTES: usize = 8 * 1024;
 /// How long a response of unknown length is buffered before it is streamed.
 const SHORT_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long before the deadline of its request such a response is streamed at the latest, so that its first bytes are in
@@ -71,6 +75,7 @@
     body: UpstreamRequestBody,
     time_left: Duration,
     target: Target,
+    memory: &Memory,
 ) -> AttemptOutcome {
     let streamed_by = Instant::now() + time_left.saturating_sub(FIRST_BYTES_MARGIN);
     let sent = send_request(sender, forward, body, time_left, target.address).await;
@@ -87,7 +92,7 @@
         return AttemptOutcome::Lost;
     }
     let may_stream = outcome == Outcome::Ok && forward.offer.is_none();
-    let body = match read_buffered(response.into_body(), streamed_by).await {
+    let body = match read_buffered(response.into_body(), streamed_by, memory).await {
         Some(ReadBody::Complete(body)) => body,
         Some(ReadBody::Streaming(response)) if may_stream => {
             return AttemptOutcome::Streaming(response)
@@ -135,7 +140,11 @@
 
 /// Reads a short body completely. Of a long one, or one whose length is not known at `streamed_by`, returns what was
 /// received until then. `None` if the body failed before that, or exceeds [`MAX_BODY_BYTES`].
-async fn read_buffered(mut body: Incoming, streamed_by: Instant) -> Option<ReadBody> {
+async fn read_buffered(
+    mut body: Incoming,
+    streamed_by: Instant,
+    memory: &Memory,
+) -> Option<ReadBody> {
     let mut received = PieceQueue::default();
     let streaming = |received, rest, long| {
         Some(ReadBody::Streaming(StreamingResponse {
@@ -151,6 +160,7 @@
     if known_size.is_some_and(|known_size| known_size > MAX_BUFFERED_BYTES as u64) {
         return streaming(received, body, true);
     }
+    let mut grant = None;
     let deadline = streamed_by.min(Instant::now() + SHORT_BODY_TIMEOUT);
     loop {
         let frame = match known_size {
@@ -168,8 +178,15 @@
         if received.len() > MAX_BUFFERED_BYTES {
             return streaming(received, body, true);
         }
+        if received.len() > SMALL_RESPONSE_BYTES && grant.is_none() {
+            let bytes = known_size.unwrap_or(MAX_BUFFERED_BYTES as u64);
+            grant = Some(memory.draw(Holder::Response, bytes));
+        }
     }
-    Some(ReadBody::Complete(received.into_bytes()))
+    Some(ReadBody::Complete(ResponseBytes {
+        bytes: received.into_bytes(),
+        memory: grant,
+    }))
 }
 
 /// Writes the request and reads the head of its response; `None` if either fails.
@@ -219,8 +236,8 @@
 ) -> Option<Box<UpgradedConnection>> {
     let agreed = verify(offer, response.headers()).ok()?;
     let stream = hyper::upgrade::on(response).await.ok()?;
-    let parts = stream.downcast::<GatedStream>().ok()?;
-    let (stream, buffered) = (parts.io.into_stream()?, parts.read_buf);
+    let parts = stream.downcast::<TokioIo<GatedStream>>().ok()?;
+    let (stream, buffered) = (parts.io.into_inner().into_stream()?, parts.read_buf);
     let upgraded = UpgradedConnection {
         key: offer.key.clone(),
         agreed,
--- a/crates/node/src/upstream/gate.rs
+++ b/crates/node/src/upstream/gate.rs
@@ -1,8 +1,8 @@
 //! Holds back the first byte of a request until the exchange has allowed it.
 
+use crate::memory::{Memory, ReadAllowance};
 use crate::upstream_events;
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
+use crate::write_progress::WriteProgress;
 use saffronpaddle_exchange::{ConnectionId, Event};
 use saffronpaddle_netio::{has_no_unread_bytes, Socket};
 use std::future::Future;
@@ -12,6 +12,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 
@@ -25,12 +26,14 @@
     pub owner_number: u64,
     pub connection: ConnectionId,
     pub writes_allowed: Arc<AtomicBool>,
+    pub write_progress: Arc<WriteProgress>,
 }
 
 /// A stream that writes the first byte of a request only after the exchange has allowed it.
 pub(super) struct GatedStream {
-    stream: TokioIo<Socket>,
+    stream: Socket,
     gate: Gate,
+    read_allowance: ReadAllowance,
     /// Scheduler yields that the first byte has waited so far.
     yields: u32,
     /// The yield that the first byte waits for now.
@@ -39,10 +42,11 @@
 
 impl GatedStream {
     /// Wraps a stream on which nothing may be written until the gate allows it.
-    pub(super) fn new(stream: TokioIo<Socket>, gate: Gate) -> GatedStream {
+    pub(super) fn new(stream: TcpStream, gate: Gate, memory: &Memory) -> GatedStream {
         GatedStream {
-            stream,
+            stream: Socket::new(stream),
             gate,
+            read_allowance: ReadAllowance::new(memory.clone()),
             yields: 0,
             pending_yield: None,
         }
@@ -50,7 +54,7 @@
 
     /// Returns the stream without its gate; `None` while another holder of the socket is inspecting it.
     pub(super) fn into_stream(self) -> Option<TcpStream> {
-        self.stream.into_inner().into_inner()
+        self.stream.into_inner()
     }
 
     /// Lets the exchange decide on the first byte. Announced drains are applied before: after a delay the event loop
@@ -84,7 +88,7 @@
             }
             // Bytes left over from an earlier response would be read as the next one, so they are reported to the
             // exchange.
-            let no_unread_bytes = has_no_unread_bytes(self.stream.inner().stream());
+            let no_unread_bytes = has_no_unread_bytes(self.stream.stream());
             owner.on_event(
                 Event::FirstByteReady {
                     connection: self.gate.connection,
@@ -101,24 +105,31 @@
     }
 }
 
-impl Read for GatedStream {
+impl AsyncRead for GatedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let filled_before = buffer.filled().len();
+        let max_bytes = self.read_allowance.max_bytes();
+        ready!(Pin::new(&mut self.stream).poll_read_at_most(context, buffer, max_bytes))?;
+        let read_bytes = buffer.filled().len() - filled_before;
+        self.read_allowance.record_read(read_bytes);
+        Poll::Ready(Ok(()))
     }
 }
 
-impl Write for GatedStream {
+impl AsyncWrite for GatedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         ready!(self.poll_write_permission(context))?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.gate.write_progress.record(written.is_ready());
+        written
     }
 
     fn poll_write_vectored(
@@ -127,7 +138,9 @@
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         ready!(self.poll_write_permission(context))?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.gate.write_progress.record(written.is_ready());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/request-body/src/body.rs
+++ b/crates/request-body/src/body.rs
@@ -41,7 +41,7 @@
 /// An HTTP client takes parts of a body before it writes the first byte of the request, and by then its connection may
 /// have ended. So what an attempt takes is kept until its first byte is committed: until then another attempt starts with
 /// the first byte of the body, afterwards none does.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RequestBody {
     /// What was received and is not yet committed.
     pieces: PieceQueue,
@@ -57,15 +57,31 @@
     /// No attempt needs the rest: it is received and dropped.
     discards: bool,
     bytes_received: u64,
+    /// Number of bytes that are held before an attempt has to take some.
+    window_bytes: usize,
+}
+
+impl Default for RequestBody {
+    /// A body of which nothing has arrived, and of which as much may be held as of any.
+    fn default() -> RequestBody {
+        RequestBody::new(PieceQueue::default(), MAX_BUFFERED_BYTES)
+    }
 }
 
 impl RequestBody {
-    /// Creates a body of which `received` has arrived.
-    pub fn new(received: PieceQueue) -> RequestBody {
+    /// Creates a body of which `received` has arrived, and of which up to `window_bytes` are held before an attempt has to
+    /// take some. The window has to exceed a piece, as the last piece is held back.
+    pub fn new(received: PieceQueue, window_bytes: usize) -> RequestBody {
         RequestBody {
             bytes_received: received.len() as u64,
             pieces: received,
-            ..RequestBody::default()
+            taken: 0,
+            current: AttemptNumber::default(),
+            committed: None,
+            reception: Reception::default(),
+            released: false,
+            discards: false,
+            window_bytes,
         }
     }
 
@@ -91,7 +107,7 @@
 
     /// Whether bytes can be received now. If not, an attempt has to take some first.
     pub fn can_receive(&self) -> bool {
-        self.is_receiving() && (self.discards || self.pieces.len() < MAX_BUFFERED_BYTES)
+        self.is_receiving() && (self.discards || self.pieces.len() < self.window_bytes)
     }
 
     /// Records bytes that were received. The body fails if they are too many.
--- a/crates/request-body/src/piece_queue.rs
+++ b/crates/request-body/src/piece_queue.rs
@@ -6,6 +6,9 @@
 /// Size of a piece in bytes.
 pub const PIECE_BYTES: usize = 16 * 1024;
 
+/// A chunk of this many bytes is likely to fill a piece with those that follow, so the piece is not grown step by step.
+const LARGE_CHUNK_BYTES: usize = 4 * 1024;
+
 /// Bytes in the order in which they were received.
 ///
 /// They are copied into pieces of [`PIECE_BYTES`], so the memory that the queue uses depends on their number only. A chunk
@@ -23,6 +26,9 @@
     pub fn push(&mut self, mut data: &[u8]) {
         self.bytes += data.len();
         while !data.is_empty() {
+            if self.last.is_empty() && (data.len() >= LARGE_CHUNK_BYTES || !self.full.is_empty()) {
+                self.last.reserve(PIECE_BYTES);
+            }
             let (fitting, rest) = data.split_at(data.len().min(PIECE_BYTES - self.last.len()));
             self.last.extend_from_slice(fitting);
             data = rest;
--- a/crates/saffronpaddle/tests/memory_limit.rs
+++ b/crates/saffronpaddle/tests/memory_limit.rs
@@ -261,7 +261,11 @@
         .collect();
     let memory =
         |config: String| config.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"));
-    let mut node = Node::start_with_config(tag, discovery.address, &hosts, SOCKETS, memory, |_| {});
+    let admin = free_address();
+    let mut node =
+        Node::start_with_config(tag, discovery.address, &hosts, SOCKETS, memory, |command| {
+            command.env("LB_ADMIN_ADDR", admin.to_string());
+        });
     let idle_kb = node.peak_memory_kb();
     let crowds: Vec<Crowd> = crowds
         .iter()
@@ -273,6 +277,11 @@
     while began.elapsed() < CROWD_DURATION && node.is_running() {
         thread::sleep(Duration::from_millis(50));
     }
+    let held = admin_request(admin, "INFO\n");
+    let held: Vec<&str> = held
+        .lines()
+        .filter(|line| line.contains("memory"))
+        .collect();
     stops.store(true, Ordering::Relaxed);
     let mut sound = SoundCounts::default();
     clients
@@ -281,7 +290,7 @@
     assert!(node.is_running(), "{tag}: the process has exited");
     let peak_kb = node.peak_memory_kb();
     let seen: Vec<_> = crowds.iter().map(|crowd| &crowd.counts).collect();
-    let report = format!("{tag}: {idle_kb} kB idle, {peak_kb} kB at the peak; sound clients: {sound:?}; crowds: {seen:?}");
+    let report = format!("{tag}: {idle_kb} kB idle, {peak_kb} kB at the peak; sound clients: {sound:?}; crowds: {seen:?}; {held:?}");
     println!("{report}");
     assert!(peak_kb < MEMORY_LIMIT_KB, "{report}");
     assert!(sound.served > 100 && sound.others.is_empty(), "{report}");
