Run an id once, also when it comes again after its client has left

Cause: the exchange knew an id only as long as its request or attempt was in its tables. Once the attempt of a client that had left was cancelled, the id was as good as new. An upgrade handed over no ids.

A known id is failed with 400 as one in use: 503 would promise that it did not run. A request that was not sent on, or that its server did not run, may come again. An upgrade hands the ids over, and what one process dispatches the other learns from the announcement that it gets anyway. The parent's message has a new field, which earlier builds ignore. The model checker's world with one id for two requests goes by it.

--- a/crates/exchange/src/event.rs
+++ b/crates/exchange/src/event.rs
@@ -10,10 +10,10 @@
 #[derive(Clone, Debug, PartialEq)]
 #[allow(missing_docs, reason = "ids and answers are documented at their types")]
 pub enum Event<A> {
-    /// A request with a valid head was received. The event is ignored if the request id is in use, so callers check
-    /// [`Exchange::contains`] first.
+    /// A request with a valid head was received. The event is ignored if the request id is known, so callers check
+    /// [`Exchange::is_known`] first.
     ///
-    /// [`Exchange::contains`]: crate::Exchange::contains
+    /// [`Exchange::is_known`]: crate::Exchange::is_known
     RequestReceived {
         /// Whether and where the request may be retried after it may have run.
         idempotency: Idempotency,
@@ -140,6 +140,8 @@
     ///
     /// [`Exchange::next_alarm`]: crate::Exchange::next_alarm
     TimerFired,
+    /// A request with this id may have run at another process of the node.
+    RanElsewhere { id: RequestId },
     /// An event that only the policy handles.
     PolicyEvent(PolicyEvent),
 }
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -16,6 +16,7 @@
 mod statistics;
 mod timers;
 
+use crate::finished_ids::FinishedIds;
 use crate::number_map::NumberMap;
 use crate::tables::{Connection, ReadyServer, RequestState, TimerQueue};
 use crate::{
@@ -39,6 +40,7 @@
     policy: P,
     bugs: B,
     requests: HashMap<RequestId, RequestState>,
+    finished_ids: FinishedIds,
     connections: NumberMap<ConnectionId, Connection<A>>,
     servers: NumberMap<ServerId, ReadyServer<A>>,
     timers: TimerQueue,
@@ -78,6 +80,7 @@
             policy,
             bugs,
             requests: HashMap::new(),
+            finished_ids: FinishedIds::default(),
             connections: NumberMap::default(),
             servers: NumberMap::default(),
             timers: TimerQueue::new(),
@@ -109,6 +112,16 @@
         self.requests.contains_key(id)
     }
 
+    /// Returns whether a request with this id must not be submitted: one is in the tables, or may have run.
+    pub fn is_known(&self, id: &RequestId) -> bool {
+        self.contains(id) || self.finished_ids.contains(id)
+    }
+
+    /// Returns the ids of requests that may have run and are not in the tables.
+    pub fn finished_ids(&self) -> impl Iterator<Item = &RequestId> {
+        self.finished_ids.iter()
+    }
+
     /// Returns the ticket that the next received request will get.
     pub fn next_ticket(&self) -> Ticket {
         Ticket(self.next_ticket)
@@ -231,6 +244,7 @@
             Event::Drain => self.on_drain(commands),
             Event::IdleConnectionsLimited { max_idle } => self.close_idle(max_idle, commands),
             Event::TimerFired => self.on_timer_fired(now, commands),
+            Event::RanElsewhere { id } => self.finished_ids.record(now, id),
             Event::PolicyEvent(event) => self.pending_events.push_back(event),
         }
     }
--- a/crates/exchange/src/exchange/inspection.rs
+++ b/crates/exchange/src/exchange/inspection.rs
@@ -37,6 +37,8 @@
             let idle: Vec<usize> = server.idle.iter().map(|id| rank_of(*id)).collect();
             (id, server.address, server.location, idle).hash(hasher);
         }
+        let finished_ids: BTreeSet<&RequestId> = self.finished_ids.iter().collect();
+        finished_ids.hash(hasher);
         (self.draining, self.shutdown_deadline, self.next_ticket).hash(hasher);
     }
 
--- a/crates/exchange/src/exchange/requests.rs
+++ b/crates/exchange/src/exchange/requests.rs
@@ -38,7 +38,7 @@
         else {
             return;
         };
-        if self.contains(id) {
+        if self.is_known(id) {
             return;
         }
         *timeout = (*timeout).min(self.shutdown_deadline.saturating_sub(now));
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -28,6 +28,7 @@
 mod command;
 mod event;
 mod exchange;
+mod finished_ids;
 mod guard;
 mod ids;
 mod invariants;
--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -1,6 +1,6 @@
 //! The messages of a hot restart, each encoded as one line of JSON.
 
-use saffronpaddle_policy::interface::{NodeId, SiblingMessage};
+use saffronpaddle_policy::interface::{NodeId, RequestId, SiblingMessage};
 use saffronpaddle_policy::StateSnapshot;
 use serde::{Deserialize, Serialize};
 
@@ -33,6 +33,9 @@
     /// The latest list of app servers from discovery, in the format of discovery's responses; `None` before the first.
     #[serde(default)]
     pub list: Option<serde_json::Value>,
+    /// The ids of requests that may have run, the oldest first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub finished_ids: Vec<RequestId>,
 }
 
 /// A message between two processes of one node.
--- a/crates/hot-restart/tests/lines.rs
+++ b/crates/hot-restart/tests/lines.rs
@@ -17,6 +17,7 @@
         name: "n0".to_owned(),
         policy: saffronpaddle_policy::StateSnapshot::default(),
         list: Some(serde_json::json!({"hosts": [1, 2]})),
+        finished_ids: Vec::new(),
     };
     let started = SiblingAttempt {
         request: RequestId("rq".into()),
--- a/crates/hot-restart/tests/support/mod.rs
+++ b/crates/hot-restart/tests/support/mod.rs
@@ -146,6 +146,7 @@
         name: name.to_owned(),
         policy: Process::new(START).engine.snapshot(),
         list: None,
+        finished_ids: Vec::new(),
     }))
 }
 
--- a/crates/model-checker/src/world/possible_steps.rs
+++ b/crates/model-checker/src/world/possible_steps.rs
@@ -72,7 +72,7 @@
         // Identical requests arrive in the order of their numbers, as their permutations are equivalent.
         let equal = index > 0 && setup.requests[index] == setup.requests[index - 1];
         let in_order = previous_arrived || !(setup.shared_id || equal);
-        let id_in_use = self.exchange.contains(&setup.request_id(request));
+        let id_in_use = self.exchange.is_known(&setup.request_id(request));
         if in_order && self.within_horizon(setup) && !id_in_use {
             steps.push(Step::RequestArrives(request));
         }
--- a/crates/node/src/clients/reply.rs
+++ b/crates/node/src/clients/reply.rs
@@ -52,7 +52,8 @@
     reject_and_close(status, reason)
 }
 
-/// Rejects a request whose id is in use, because two requests with one id could get each other's responses.
+/// Fails a request whose id is in use, because two requests with one id could get each other's responses, or has been: it
+/// may have run, so it is not refused as one that may be tried again.
 pub(super) fn duplicate_id() -> Reply {
     reject_and_close(StatusCode::BAD_REQUEST, "X-Request-Id: in use\n")
 }
--- a/crates/node/src/edge.rs
+++ b/crates/node/src/edge.rs
@@ -20,7 +20,7 @@
 use saffronpaddle_lifecycle::Lifecycle;
 use saffronpaddle_netio::retry_shortage;
 use saffronpaddle_operator_config::{Operator, Sockets};
-use saffronpaddle_policy::interface::NodeId;
+use saffronpaddle_policy::interface::{NodeId, RequestId};
 use saffronpaddle_policy::snapshot::{SnapshotSize, StateSnapshot};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -117,6 +117,8 @@
     list: Option<List>,
     /// The policy's state, and the number of the link to the parent.
     policy: Option<(StateSnapshot, u32)>,
+    /// The ids of requests that must not run again.
+    used_ids: Vec<RequestId>,
 }
 
 /// Takes over the state of the process that serves the node now, if there is one.
@@ -136,6 +138,7 @@
         policy: Some((state.policy, link.number())),
         link: Some(link),
         list,
+        used_ids: state.finished_ids,
     }
 }
 
@@ -189,6 +192,7 @@
             link: parent,
             list: transferred_list,
             policy: restored,
+            used_ids,
         } = handover;
         let node = Node::new(NodeParts {
             seed: config.seed,
@@ -200,6 +204,7 @@
             sockets,
             restored,
         })?;
+        node.restore_used_ids(used_ids);
         let admin = bind_admin(config.admin).await?;
         let address = listener.local_addr().map_err(NodeError::ListenerAddress)?;
         info!("{}: listening on {address}", config.name);
--- a/crates/node/src/hot_restart.rs
+++ b/crates/node/src/hot_restart.rs
@@ -241,6 +241,7 @@
             let forwarded = Message::Sibling(message.clone());
             node.links.broadcast(&forwarded, Some(id));
             let link = id.0;
+            node.record_sibling_request(&message);
             node.handle_policy_event(PolicyEvent::SiblingMessage { link, message });
         }
         LinkAction::HandlePeerDatagram(from, bytes) => {
@@ -267,6 +268,7 @@
         name: node.links.node_name().to_owned(),
         policy: node.policy_snapshot(),
         list,
+        finished_ids: node.used_ids(),
     }
 }
 
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -5,7 +5,7 @@
 use crate::bodies::BodyEvent;
 use crate::forward::Forward;
 use saffronpaddle_exchange::{Event, Ticket};
-use saffronpaddle_policy::interface::{Event as PolicyEvent, Micros, RequestId};
+use saffronpaddle_policy::interface::{Event as PolicyEvent, Micros, RequestId, SiblingMessage};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -19,8 +19,8 @@
 }
 
 impl Node {
-    /// Submits a request to the exchange. Returns `None` if its id is in use, because answers are routed by id and two
-    /// requests with the same id could get each other's answer.
+    /// Submits a request to the exchange. Returns `None` if its id is in use or may have run: answers are routed by id, and
+    /// an id runs once.
     pub fn submit(
         self: &Rc<Self>,
         arrival: PolicyEvent,
@@ -29,7 +29,7 @@
         let id = forward.id.clone();
         let ticket = {
             let exchange = self.exchange.borrow();
-            if exchange.contains(&id) {
+            if exchange.is_known(&id) {
                 return None;
             }
             exchange.next_ticket()
@@ -60,6 +60,28 @@
         Some((answer_receiver, ticket))
     }
 
+    /// The ids that must not run at another process of this node: of requests that may have run, or may do so here.
+    pub fn used_ids(&self) -> Vec<RequestId> {
+        let exchange = self.exchange.borrow();
+        let open = exchange.open_requests().map(|request| request.id);
+        exchange.finished_ids().cloned().chain(open).collect()
+    }
+
+    /// Restores the ids that must not run at this process from those of its parent.
+    pub fn restore_used_ids(self: &Rc<Self>, ids: Vec<RequestId>) {
+        for id in ids {
+            self.handle(Event::RanElsewhere { id }, None);
+        }
+    }
+
+    /// Records the id of a request that another process of this node has dispatched.
+    pub fn record_sibling_request(self: &Rc<Self>, message: &SiblingMessage) {
+        if let SiblingMessage::AttemptStarted(attempt) = message {
+            let id = attempt.request.clone();
+            self.handle(Event::RanElsewhere { id }, None);
+        }
+    }
+
     /// Abandons a request whose client no longer waits. Does nothing if the request already has its answer.
     pub fn abandon(self: &Rc<Self>, id: &RequestId, ticket: Ticket) {
         let open = self
--- a/crates/saffronpaddle/tests/upgrade.rs
+++ b/crates/saffronpaddle/tests/upgrade.rs
@@ -321,3 +321,30 @@
         false_parent.join().expect("the child connected");
     }
 }
+
+/// Guards against an id that runs twice, once at each process of a node: before the upgrade at the parent and then at the
+/// child, or at the other process while both serve.
+#[test]
+fn an_id_that_ran_at_one_process_of_a_node_does_not_run_at_the_other() {
+    let environment = Environment::new("ids", &[REPLY_OK]);
+    let [parent_admin, child_admin] = [free_address(), free_address()];
+    let mut parent = environment.start_first("ids", parent_admin);
+    let mut old_connection = parent.connect();
+    let status =
+        |client: &mut Client, id: &str| client.exchange(&request(id, "submit", "3000m")).status();
+    assert_eq!(status(&mut old_connection, "before"), 200);
+    environment.platform.wait_for_hand_over_socket();
+    let child = environment.start_child(&parent, child_admin);
+    let started = Instant::now();
+    while !admin_request(child_admin, "PING\n").starts_with("SUCCESS") {
+        assert!(started.elapsed() < TEST_TIMEOUT, "the child is not ready");
+    }
+    assert_eq!(status(&mut old_connection, "during"), 200);
+    std::thread::sleep(Duration::from_millis(100));
+    parent.terminate();
+    parent.wait();
+    for id in ["before", "during"] {
+        assert_eq!(status(&mut child.connect(), id), 400, "{id}");
+    }
+    assert_eq!(status(&mut child.connect(), "after"), 200);
+}
