Keep the buckets of ever new customers for seconds, not for a minute

Cause: a customer's bucket was kept for 60 s after its last request, though it is full again after seconds, and nothing bounded their number. One client on one connection made 3,400 customers a second, 0.3 kB each: 60 MB in a minute.

Evidence: buckets_of_ever_new_customers_are_not_kept_for_long failed before with 80,000 customers kept of 80,000 (in 20 s of virtual time; the test now takes 40,000).

Change: from 16,384 buckets on (three times what a node of the largest fleet sees in a minute) a bucket that is full is dropped 2 s after its last use; shards at owners alike. Dropping a full bucket changes no decision. Nodes that may not send messages to each other keep the minute: there a new bucket would draw another share of the quota.

Measured (arm64): the policy engine's tests pass.

--- a/crates/policy/src/controller_period.rs
+++ b/crates/policy/src/controller_period.rs
@@ -9,7 +9,7 @@
 use crate::request::Request;
 use crate::shard_owners::ShardOwners;
 use crate::state::{OwnedShard, CONTROLLER_PERIOD, CONTROLLER_PERIOD_S};
-use crate::token_bucket::{count_silent_peers, MIN_BUCKET_RETENTION};
+use crate::token_bucket::{bucket_retention, count_silent_peers};
 use crate::utilization::SERVICE_RATE_WEIGHT;
 
 /// Weight of a period in the mean number of attempts in flight, in a large fleet, where a node has none most of the
@@ -152,15 +152,17 @@
         let plans = &self.settings.plans;
         self.grants.forget_unreachable(now);
         let last_reports = &self.peers.last_report_at;
+        let retention = bucket_retention(self.quotas.buckets.len());
         self.quotas.buckets.retain(|_, bucket| {
             let silent_peer_count = count_silent_peers(last_reports, bucket, now);
-            !bucket.is_idle(now, &plans[bucket.plan.0], silent_peer_count)
+            !bucket.is_idle(now, &plans[bucket.plan.0], silent_peer_count, retention)
         });
         let max_units = self.settings.max_request_units;
         let partition_safe = self.settings.partition_safe;
+        let retention = bucket_retention(self.quotas.shards.len());
         self.quotas
             .shards
-            .retain(|_, owned| !owned.is_idle(now, plans, max_units, partition_safe));
+            .retain(|_, owned| !owned.is_idle(now, plans, max_units, partition_safe, retention));
         let recent_start_window = self.recent_start_window();
         let large_fleet = self.large_fleet;
         self.endpoints
@@ -177,10 +179,11 @@
         plans: &[Plan],
         max_units: f64,
         partition_safe: bool,
+        retention: Micros,
     ) -> bool {
         let plan = &plans[self.plan.0];
         let owners = ShardOwners::of(plan, self.subset_size);
         let limits = owners.limits(plan, self.owner, max_units, partition_safe);
-        self.shard.is_idle(now, &limits, MIN_BUCKET_RETENTION)
+        self.shard.is_idle(now, &limits, retention)
     }
 }
--- a/crates/policy/src/token_bucket.rs
+++ b/crates/policy/src/token_bucket.rs
@@ -26,6 +26,11 @@
 const FAILED_AFTER: Micros = 25 * SECOND;
 /// Minimum time for which a customer's bucket is kept after its last request.
 pub(crate) const MIN_BUCKET_RETENTION: Micros = 60 * SECOND;
+/// Number of customers from which on buckets are kept for a shorter time only, so that requests of ever new customers
+/// take no more memory: three times as many as a node of a large fleet sees within the longer one.
+const MANY_BUCKETS: usize = 16_384;
+/// Minimum time for which a bucket is kept where there are many.
+const SHORT_BUCKET_RETENTION: Micros = 2 * SECOND;
 /// Usage that peers have forwarded but not reported yet, estimated as seconds at their reported rate.
 const UNREPORTED_USE_S: f64 = 0.5;
 /// Consecutive requests that must name another plan or subset before the bucket changes. A single request with a wrong
@@ -251,10 +256,21 @@
         }
     }
 
-    /// Whether dropping the bucket would change no decision: it has been unused for [`MIN_BUCKET_RETENTION`] and is
-    /// full.
-    pub(crate) fn is_idle(&mut self, now: Micros, plan: &Plan, silent_peers: f64) -> bool {
-        if self.in_flight > 0 || now.saturating_sub(self.last_used_at) < MIN_BUCKET_RETENTION {
+    /// Whether dropping the bucket would change no decision: it has been unused for `retention` and is full. One that holds a
+    /// share of its own is always kept for the longer time, as its next one would draw another share.
+    pub(crate) fn is_idle(
+        &mut self,
+        now: Micros,
+        plan: &Plan,
+        silent_peers: f64,
+        retention: Micros,
+    ) -> bool {
+        let retention = if self.share < 1.0 {
+            MIN_BUCKET_RETENTION
+        } else {
+            retention
+        };
+        if self.in_flight > 0 || now.saturating_sub(self.last_used_at) < retention {
             return false;
         }
         self.refill(now, plan, silent_peers);
@@ -267,6 +283,15 @@
     }
 }
 
+/// Returns the minimum time for which each of `count` buckets is kept after its last request.
+pub(crate) fn bucket_retention(count: usize) -> Micros {
+    if count > MANY_BUCKETS {
+        SHORT_BUCKET_RETENTION
+    } else {
+        MIN_BUCKET_RETENTION
+    }
+}
+
 /// Counts the silent nodes of a customer's subset, given when each node last reported. The even share of each is
 /// withheld.
 pub(crate) fn count_silent_peers(
--- a/crates/policy/tests/token_bucket.rs
+++ b/crates/policy/tests/token_bucket.rs
@@ -266,3 +266,22 @@
         "the three units that the peer has used must be deducted from the burst of 4"
     );
 }
+
+/// Guards against memory that grows without end while requests name ever new customers: their buckets are full again after
+/// seconds, and are not kept for a minute.
+#[test]
+fn buckets_of_ever_new_customers_are_not_kept_for_long() {
+    const CUSTOMERS_PER_STEP: u64 = 400;
+    let mut node = TestNode::with_servers(1, settings(0, 1), SECOND, 4);
+    let mut most = 0;
+    for step in 0..100 {
+        for number in 0..CUSTOMERS_PER_STEP {
+            let customer = step * CUSTOMERS_PER_STEP + number;
+            let id = node.request(IDEMPOTENT, METERED, customer, SECOND);
+            node.answer_if_in_flight(&id);
+        }
+        node.advance(100 * MILLISECOND);
+        most = most.max(node.engine.snapshot().size().customers);
+    }
+    assert!(most < 30_000, "{most} customers are kept of 40,000");
+}
--- a/crates/saffronpaddle/tests/memory_limit.rs
+++ b/crates/saffronpaddle/tests/memory_limit.rs
@@ -4,7 +4,7 @@
 use saffronpaddle_test_doubles::scripted::*;
 use std::fmt::Write as _;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
@@ -34,6 +34,8 @@
 const SLOW_RATE: usize = 64_000;
 const READ_RATE: usize = 20_000;
 const AS_FAST_AS_POSSIBLE: usize = usize::MAX;
+/// How many texts a client that floods the node writes at once.
+const FLOOD_BATCH: usize = 20;
 
 /// A request line and headers up to the framing, of a customer of its own.
 fn crowd_head(number: usize, class: &str, query: &str) -> String {
@@ -167,7 +169,7 @@
 }
 
 /// Opens a connection and writes a request in parts. Returns the status, once the response has been read.
-fn ask(node: std::net::SocketAddr, text: &str, parts: usize) -> Option<u16> {
+fn ask(node: SocketAddr, text: &str, parts: usize) -> Option<u16> {
     let mut stream = TcpStream::connect(node).ok()?;
     stream.set_read_timeout(Some(SOUND_DEADLINE.1 * 2)).ok()?;
     for (number, part) in text
@@ -185,7 +187,7 @@
 }
 
 /// Reads a long response slowly. Returns whether it is complete.
-fn read_long_response(node: std::net::SocketAddr, number: usize) -> Option<bool> {
+fn read_long_response(node: SocketAddr, number: usize) -> Option<bool> {
     let mut stream = TcpStream::connect(node).ok()?;
     stream.set_read_timeout(Some(SOUND_DEADLINE.1 * 2)).ok()?;
     let query = format!("size={LONG_RESPONSE_BYTES}");
@@ -252,8 +254,49 @@
     ]
 }
 
+/// What a client that floods the node writes; the argument is new each time.
+type FloodText = fn(usize) -> String;
+
+/// One client that writes without a pause, on a new connection whenever the node has ended one. `next` returns what it
+/// writes; its argument is new each time.
+fn start_flood(address: SocketAddr, stops: &Arc<AtomicBool>, next: FloodText) -> JoinHandle<usize> {
+    let stops = Arc::clone(stops);
+    thread::spawn(move || {
+        let mut number = 0;
+        while !stops.load(Ordering::Relaxed) {
+            let Ok(mut stream) = TcpStream::connect(address) else {
+                continue;
+            };
+            let mut reader = stream.try_clone().expect("the socket can be cloned");
+            let drain = thread::spawn(move || {
+                let mut part = vec![0; 65_536];
+                while reader.read(&mut part).is_ok_and(|read| read > 0) {}
+            });
+            while !stops.load(Ordering::Relaxed) {
+                let texts: String = (number..number + FLOOD_BATCH).map(next).collect();
+                if stream.write_all(texts.as_bytes()).is_err() {
+                    break;
+                }
+                number += FLOOD_BATCH;
+            }
+            let _ = stream.shutdown(Shutdown::Both);
+            drain.join().expect("the reader does not panic");
+        }
+        number
+    })
+}
+
 /// Has crowds come to one process beside sound clients, and checks its memory and what became of the sound clients.
 fn assert_within_memory(tag: &str, crowds: &[(usize, CrowdScript)]) {
+    assert_within_memory_beside(tag, crowds, None);
+}
+
+/// As [`assert_within_memory`], beside a client that floods the node.
+fn assert_within_memory_beside(
+    tag: &str,
+    crowds: &[(usize, CrowdScript)],
+    flood: Option<FloodText>,
+) {
     let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let (servers, discovery) = (PacedServers::new(SERVER_READ_RATE), Discovery::start());
     let hosts: Vec<String> = (0..SERVERS)
@@ -272,6 +315,7 @@
         .map(|(count, script)| Crowd::start(node.address, *count, script.clone()))
         .collect();
     let stops = Arc::new(AtomicBool::new(false));
+    let flood = flood.map(|next| start_flood(node.address, &stops, next));
     let clients = start_sound_clients(&node, &stops);
     let began = Instant::now();
     while began.elapsed() < CROWD_DURATION && node.is_running() {
@@ -287,10 +331,11 @@
     clients
         .into_iter()
         .for_each(|client| sound.add(client.join().expect("the client does not panic")));
+    let written = flood.map(|flood| flood.join().expect("the flood does not panic"));
     assert!(node.is_running(), "{tag}: the process has exited");
     let peak_kb = node.peak_memory_kb();
     let seen: Vec<_> = crowds.iter().map(|crowd| &crowd.counts).collect();
-    let report = format!("{tag}: {idle_kb} kB idle, {peak_kb} kB at the peak; sound clients: {sound:?}; crowds: {seen:?}; {held:?}");
+    let report = format!("{tag}: {idle_kb} kB idle, {peak_kb} kB at the peak; sound clients: {sound:?}; crowds: {seen:?}; flood: {written:?}; {held:?}");
     println!("{report}");
     assert!(peak_kb < MEMORY_LIMIT_KB, "{report}");
     assert!(sound.served > 100 && sound.others.is_empty(), "{report}");
@@ -341,3 +386,38 @@
     ];
     assert_within_memory("all", &crowds);
 }
+
+/// Guards against one client that sends requests under ever new names without a pause.
+#[test]
+fn requests_of_ever_new_customers_stay_within_the_memory() {
+    assert_within_memory_beside(
+        "customers",
+        &[],
+        Some(|number| {
+            let customer = 0x1_0000 + number;
+            let head = crowd_head(number, "read", "f=1");
+            let (start, rest) = head.split_once("/read/").expect("the path has the class");
+            format!("{start}/read/{customer:016x}{}\r\n", &rest[16..])
+        }),
+    );
+}
+
+/// Guards against one client that sends what can't be served without a pause: of unknown classes, without an id, and empty
+/// lines.
+#[test]
+fn unsound_requests_without_a_pause_leave_sound_clients_served() {
+    let floods: [(&str, FloodText); 3] = [
+        ("classes", |number| {
+            crowd_head(number, "read", "g=1")
+                .replace("X-Class: read", &format!("X-Class: c{number}"))
+                + "\r\n"
+        }),
+        ("no-id", |number| {
+            crowd_head(number, "read", "h=1").replace("X-Request-Id", "X-Other") + "\r\n"
+        }),
+        ("lines", |_| "\r\n".repeat(50)),
+    ];
+    for (tag, next) in floods {
+        assert_within_memory_beside(tag, &[], Some(next));
+    }
+}
