Close connections to an earlier life of a server when a later one is listed

Cause: the exchange told servers apart by id and address only. Where a machine had vanished and come back, its old connections stay open and silent.

Evidence: a_connection_to_an_earlier_life_of_a_server_is_not_used_again failed before: all of 4 requests on connection 0, where the list had told of two new starts.

Change: a later start in the list makes a server one that is lost, like a new address: its idle connections are closed, connects are cancelled. A start that is no longer listed, as it is long ago, is no new life.

By reading only, and not tried: peers, the counter and an older discovery.

--- a/crates/exchange/src/exchange/endpoints.rs
+++ b/crates/exchange/src/exchange/endpoints.rs
@@ -5,7 +5,8 @@
 use crate::{Bug, Bugs, ConnectionId, Policy};
 use saffronpaddle_policy::idempotency::ServerLocation;
 use saffronpaddle_policy::interface::{
-    Endpoint, EndpointStatus, EndpointUpdate, Event as PolicyEvent, Outcome, RequestId, ServerId,
+    Endpoint, EndpointStatus, EndpointUpdate, Event as PolicyEvent, Micros, Outcome, RequestId,
+    ServerId,
 };
 use std::collections::BTreeSet;
 use std::hash::Hash;
@@ -40,7 +41,7 @@
         }
     }
 
-    /// Returns the servers that are no longer ready at their previous address. Those that are missing from a snapshot
+    /// Returns the servers that are no longer ready at their previous address, or have started again. Those that are missing from a snapshot
     /// come first, ordered by id.
     fn lost_servers(&self, snapshot: bool, entries: &[(Endpoint, A)]) -> Vec<ServerId> {
         let mut lost: Vec<ServerId> = Vec::new();
@@ -59,7 +60,10 @@
         for (endpoint, address) in entries {
             let ready = endpoint.status == EndpointStatus::Ready;
             let known = self.servers.get(&endpoint.server);
-            if known.is_some_and(|known| !ready || known.address != *address) {
+            let is_other = |known: &ReadyServer<A>| {
+                known.address != *address || is_later_life(known.started_at, endpoint.started_at)
+            };
+            if known.is_some_and(|known| !ready || is_other(known)) {
                 lost.push(endpoint.server);
             }
         }
@@ -80,6 +84,7 @@
             .entry(endpoint.server)
             .or_insert_with(|| ReadyServer {
                 address,
+                started_at: endpoint.started_at,
                 location,
                 idle: Vec::new(),
             });
@@ -118,3 +123,9 @@
         }
     }
 }
+
+/// Whether a start that is listed now is that of another process than the start that was listed before. A start that is long
+/// ago is no longer listed.
+fn is_later_life(before: Option<Micros>, now: Option<Micros>) -> bool {
+    now.is_some_and(|now| before.is_none_or(|before| now > before))
+}
--- a/crates/exchange/src/tables.rs
+++ b/crates/exchange/src/tables.rs
@@ -113,6 +113,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ReadyServer<A> {
     pub address: A,
+    /// When its process last started, µs; `None` if that was long ago.
+    pub started_at: Option<Micros>,
     pub location: ServerLocation,
     /// The idle connections to it, in the order in which they became idle.
     pub idle: Vec<ConnectionId>,
--- a/crates/saffronpaddle/tests/crossings.rs
+++ b/crates/saffronpaddle/tests/crossings.rs
@@ -799,3 +799,33 @@
     write_list(&mut watch, &list_draining_first(2, true, dials));
     wait_until_only_server(&mut node.connect(), &servers, "s-2");
 }
+
+/// Guards against a new process at the address of an earlier one that is taken for it: a connection that the earlier one
+/// accepted carries no further request, though nothing was heard of its end.
+#[test]
+fn a_connection_to_an_earlier_life_of_a_server_is_not_used_again() {
+    let (servers, discovery) = (Servers::new(), Discovery::start());
+    let address = servers.start("s-1", &[REPLY_OK]);
+    let entry = |born_ms: u64| {
+        host_json("s-1", address, 1, "ready")
+            .replace("\"born_ms\":0", &format!("\"born_ms\":{born_ms}"))
+    };
+    let node = Node::start("lives", discovery.address, &[entry(0)]);
+    let (_, mut watch) = discovery.next_watch();
+    let mut connections = Vec::new();
+    // A server may be listed without its start once that is long ago: that is no new life.
+    for (number, born_ms) in [0, 1_700_000_000_000, 0, 1_750_000_000_000]
+        .into_iter()
+        .enumerate()
+    {
+        write_list(
+            &mut watch,
+            &list_json(2 + number as u64, false, &[entry(born_ms)]),
+        );
+        thread::sleep(Duration::from_millis(100));
+        let text = request(&format!("life-{number}"), "read", "20000m");
+        assert_eq!(node.connect().exchange(&text).status(), 200);
+        connections.push(servers.next_request().connection);
+    }
+    assert_eq!(connections, [0, 1, 1, 2], "the connection of each request");
+}
