--- a/crates/memory-budget/src/budget.rs
+++ b/crates/memory-budget/src/budget.rs
@@ -20,9 +20,11 @@
 const MIN_USABLE_PERCENT: u64 = 60;
 /// Share of the budget that idle connections to servers may hold, in percent.
 const MAX_IDLE_PERCENT: u64 = 12;
-/// Share of the budget in use, and of the limit that is resident, in percent, from which on memory is short.
+/// Share of the budget in use, in percent, from which on memory is short; and where resident memory is above the second
+/// share of the limit, from the third on.
 const SHORT_USED_PERCENT: u64 = 60;
 const SHORT_RESIDENT_PERCENT: u64 = 75;
+const SHORT_USED_IF_RESIDENT_PERCENT: u64 = 40;
 
 /// The bytes that a process holds for its clients and servers, by holder.
 ///
@@ -82,8 +84,14 @@
 
     /// Whether so much memory is in use that what the process keeps to be faster should be let go.
     pub fn is_short(&self) -> bool {
-        self.used() > self.capacity / 100 * SHORT_USED_PERCENT
-            || self.max_resident > self.memory_limit / 100 * SHORT_RESIDENT_PERCENT
+        let much_resident = self.max_resident > self.memory_limit / 100 * SHORT_RESIDENT_PERCENT;
+        // What was resident at the maximum stays so, also where little of it is in use.
+        let short_from = if much_resident {
+            SHORT_USED_IF_RESIDENT_PERCENT
+        } else {
+            SHORT_USED_PERCENT
+        };
+        self.used() > self.capacity / 100 * short_from
     }
 
     /// Number of bytes that idle connections to servers may hold.
--- a/crates/memory-budget/tests/budget.rs
+++ b/crates/memory-budget/tests/budget.rs
@@ -93,3 +93,15 @@
     budget.observe_resident(LIMIT / 100 * 94);
     assert!(budget.has_room(Holder::Request, used / 2));
 }
+
+/// Guards against a process that lets connections go for good after a crowd has left.
+#[test]
+fn memory_is_not_short_once_a_crowd_has_left() {
+    let mut budget = MemoryBudget::new(LIMIT);
+    let used = budget.capacity() / 100 * 80;
+    budget.draw(Holder::Request, used);
+    budget.observe_resident(LIMIT / 100 * 90);
+    assert!(budget.is_short());
+    budget.release(Holder::Request, used);
+    assert!(!budget.is_short() && budget.max_idle_bytes() > 0);
+}
--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -204,6 +204,11 @@
         Duration::from_micros(self.last_active_us.load(Ordering::Relaxed))
     }
 
+    /// Whether a part of a head has arrived, and not the rest.
+    pub fn has_partial_head(&self) -> bool {
+        self.head_started_us.load(Ordering::Relaxed) != 0
+    }
+
     /// Whether the connection has carried a request.
     pub fn has_requested(&self) -> bool {
         self.has_requested.load(Ordering::Relaxed)
@@ -372,7 +377,7 @@
     /// The number of bytes that may be read now. Is pending while there is no memory for the rest of a large head: its
     /// client can be told from others by nothing yet, and waits.
     fn poll_allowed_bytes(&mut self, context: &mut Context<'_>) -> Poll<usize> {
-        if self.downstream.is_busy() {
+        if !self.downstream.has_partial_head() {
             self.head_bytes = 0;
         }
         let max_bytes = self.read_allowance.max_bytes();
