Look at first heads in the kernel only where memory is in use

Change: up to 15% of the budget a connection is served without the look. The first ones of a crowd thereby get the HTTP library's buffers at once, at most 15% of the budget.

--- a/crates/memory-budget/src/budget.rs
+++ b/crates/memory-budget/src/budget.rs
@@ -20,6 +20,8 @@
 const MIN_USABLE_PERCENT: u64 = 60;
 /// Share of the budget that idle connections to servers may hold, in percent.
 const MAX_IDLE_PERCENT: u64 = 12;
+/// Share of the budget in use, in percent, up to which there is plenty of memory.
+const PLENTY_USED_PERCENT: u64 = 15;
 /// Share of the budget in use, in percent, from which on memory is short; and where resident memory is above the second
 /// share of the limit, from the third on.
 const SHORT_USED_PERCENT: u64 = 60;
@@ -82,6 +84,11 @@
         self.capacity = capacity.clamp(least, nominal).min(self.capacity);
     }
 
+    /// Whether so little memory is in use that nothing need be done to spare it.
+    pub fn is_plentiful(&self) -> bool {
+        self.used() <= self.capacity / 100 * PLENTY_USED_PERCENT
+    }
+
     /// Whether so much memory is in use that what the process keeps to be faster should be let go.
     pub fn is_short(&self) -> bool {
         let much_resident = self.max_resident > self.memory_limit / 100 * SHORT_RESIDENT_PERCENT;
--- a/crates/node/src/clients/connection.rs
+++ b/crates/node/src/clients/connection.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use saffronpaddle_connection_eviction::Limits;
 use saffronpaddle_memory_budget::Holder;
-use saffronpaddle_netio::timeout;
+use saffronpaddle_netio::{timeout, Socket};
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::rc::Rc;
@@ -90,13 +90,8 @@
     downstream: Arc<DownstreamConnection>,
 ) {
     let _ = stream.set_nodelay(true);
-    let first_head = first_request(&stream, &status, &downstream).await;
-    let body_memory = BodyMemory {
-        memory: &node.memory,
-        client: &downstream,
-        timeout: Duration::MAX,
-    };
-    if first_head == FirstHead::ConnectionEnded || !body_memory.reserve(first_head).await {
+    let looks_first = !node.memory.is_plentiful();
+    if looks_first && !await_first_request(&stream, &node, &status, &downstream).await {
         return;
     }
     let _memory = node
@@ -104,7 +99,12 @@
         .draw(Holder::ClientConnection, HTTP_BUFFER_BYTES);
     let service_status = status.clone();
     let service_downstream = Arc::clone(&downstream);
-    let observed = ObservedStream::new(stream, Arc::clone(&downstream), node.memory.clone());
+    let socket = if looks_first {
+        Socket::with_peeked_bytes(stream)
+    } else {
+        Socket::new(stream)
+    };
+    let observed = ObservedStream::new(socket, Arc::clone(&downstream), node.memory.clone());
     let service = service_fn(move |request| {
         let (node, service_status, downstream) = (
             Rc::clone(&node),
@@ -155,6 +155,23 @@
     let _ = connection.await;
 }
 
+/// Waits for the first request of a connection, and for the memory of its body, while both are in the kernel. Returns false
+/// if the connection ends without one.
+async fn await_first_request(
+    stream: &TcpStream,
+    node: &Node,
+    status: &watch::Receiver<ServingStatus>,
+    downstream: &Arc<DownstreamConnection>,
+) -> bool {
+    let first_head = first_request(stream, status, downstream).await;
+    let body_memory = BodyMemory {
+        memory: &node.memory,
+        client: downstream,
+        timeout: Duration::MAX,
+    };
+    first_head != FirstHead::ConnectionEnded && body_memory.reserve(first_head).await
+}
+
 /// Waits for the first request of a connection. The connection ends without one if the node closes it.
 async fn first_request(
     stream: &TcpStream,
--- a/crates/node/src/clients/first_head.rs
+++ b/crates/node/src/clients/first_head.rs
@@ -1,4 +1,4 @@
-//! Waits for the first request head of a connection without reading it.
+//! Waits for the first request head of a connection without reading it, unless there is plenty of memory.
 //!
 //! A connection whose client has sent no complete head costs little: the head waits in the kernel, and the HTTP library's
 //! buffers are made once there is something to serve. Crowds of clients that write heads slowly, or never, would else
--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -360,12 +360,12 @@
 impl ObservedStream {
     /// Wraps a connection to record its reads and writes. Its reads draw from `memory`.
     pub fn new(
-        stream: Arc<TcpStream>,
+        stream: Socket,
         downstream: Arc<DownstreamConnection>,
         memory: Memory,
     ) -> ObservedStream {
         ObservedStream {
-            stream: Socket::with_peeked_bytes(stream),
+            stream,
             downstream,
             head_scanner: HeadScanner::new(),
             read_allowance: ReadAllowance::new(memory),
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Whether nothing need be done to spare memory.
+    pub fn is_plentiful(&self) -> bool {
+        lock(&self.0.budget).is_plentiful()
+    }
+
     /// Whether what the process keeps to be faster should be let go.
     pub fn is_short(&self) -> bool {
         lock(&self.0.budget).is_short()
