Restrict incomplete requests from half of the memory budget on

Cause: bodies could fill 70% of the budget, and the connections of a crowd that comes at once came on top, so that new requests met their mark of 85% (875 draws denied) while resident memory had room.

Change: heads up to 45%, bodies up to 50%, read-ahead up to 30%, new requests up to 88%, received bodies up to 91% of the budget.

--- a/crates/memory-budget/src/holder.rs
+++ b/crates/memory-budget/src/holder.rs
@@ -38,11 +38,11 @@
     /// they hold belongs to requests that were admitted below an earlier mark.
     pub fn mark_percent(self) -> u64 {
         match self {
-            Holder::ReadAhead => 40,
-            Holder::RequestHead => 65,
-            Holder::RequestBody => 70,
-            Holder::Request => 85,
-            Holder::ReceivedBody => 90,
+            Holder::ReadAhead => 30,
+            Holder::RequestHead => 45,
+            Holder::RequestBody => 50,
+            Holder::Request => 88,
+            Holder::ReceivedBody => 91,
             Holder::ClientConnection => 95,
             Holder::IdleServerConnection | Holder::Response => 100,
         }
--- a/crates/memory-budget/src/lib.rs
+++ b/crates/memory-budget/src/lib.rs
@@ -13,11 +13,11 @@
 //! use saffronpaddle_memory_budget::{Holder, MemoryBudget};
 //! let mut budget = MemoryBudget::new(64 << 20);
 //! let capacity = budget.capacity();
-//! assert!(budget.try_draw(Holder::RequestBody, capacity / 2));
+//! assert!(budget.try_draw(Holder::RequestBody, capacity / 5 * 2));
 //! // Buffers that only make the node faster may not have what others need.
 //! assert!(!budget.try_draw(Holder::ReadAhead, 1));
 //! assert!(budget.try_draw(Holder::Request, 1));
-//! budget.release(Holder::RequestBody, capacity / 2);
+//! budget.release(Holder::RequestBody, capacity / 5 * 2);
 //! assert!(budget.try_draw(Holder::ReadAhead, 1));
 //! ```
 #![forbid(unsafe_code)]
