Record ids of another process in one event, and one base for crowds in tests

Socket and BusyGuard had two impl blocks each. The crowds of memory_limit repeated their rates: CrowdScript::fast is their base, and the flag that was always set is gone.

--- a/crates/exchange/src/event.rs
+++ b/crates/exchange/src/event.rs
@@ -140,8 +140,8 @@
     ///
     /// [`Exchange::next_alarm`]: crate::Exchange::next_alarm
     TimerFired,
-    /// A request with this id may have run at another process of the node.
-    RanElsewhere { id: RequestId },
+    /// Requests with these ids may have run at another process of the node.
+    RanElsewhere { ids: Vec<RequestId> },
     /// An event that only the policy handles.
     PolicyEvent(PolicyEvent),
 }
--- a/crates/exchange/src/exchange.rs
+++ b/crates/exchange/src/exchange.rs
@@ -244,7 +244,9 @@
             Event::Drain => self.on_drain(commands),
             Event::IdleConnectionsLimited { max_idle } => self.close_idle(max_idle, commands),
             Event::TimerFired => self.on_timer_fired(now, commands),
-            Event::RanElsewhere { id } => self.finished_ids.record(now, id),
+            Event::RanElsewhere { ids } => ids
+                .into_iter()
+                .for_each(|id| self.finished_ids.record(now, id)),
             Event::PolicyEvent(event) => self.pending_events.push_back(event),
         }
     }
--- a/crates/exchange/src/exchange/attempt_end.rs
+++ b/crates/exchange/src/exchange/attempt_end.rs
@@ -57,10 +57,9 @@
         };
         let was_streaming = std::mem::take(&mut request.streaming);
         self.counters.streaming -= u64::from(was_streaming);
-        if let Some(dispatched) = attempt.dispatched {
-            if outcome == Outcome::Ok || may_have_run(outcome) {
-                self.finished_ids.record(dispatched.at, id.clone());
-            }
+        let ran = outcome == Outcome::Ok || may_have_run(outcome);
+        if let Some(dispatched) = attempt.dispatched.filter(|_| ran) {
+            self.finished_ids.record(dispatched.at, id.clone());
         }
         if may_have_run(outcome) {
             request.first_dispatched = if window_from_last {
--- a/crates/exchange/src/exchange/endpoints.rs
+++ b/crates/exchange/src/exchange/endpoints.rs
@@ -41,8 +41,8 @@
         }
     }
 
-    /// Returns the servers that are no longer ready at their previous address, or have started again. Those that are missing from a snapshot
-    /// come first, ordered by id.
+    /// Returns the servers that are no longer ready at their previous address, or have started again. Those that are
+    /// missing from a snapshot come first, ordered by id.
     fn lost_servers(&self, snapshot: bool, entries: &[(Endpoint, A)]) -> Vec<ServerId> {
         let mut lost: Vec<ServerId> = Vec::new();
         if snapshot {
--- a/crates/netio/src/socket.rs
+++ b/crates/netio/src/socket.rs
@@ -142,9 +142,7 @@
             }
         }
     }
-}
 
-impl Socket {
     /// Reads at most `max_bytes` into a buffer.
     pub fn poll_read_at_most(
         mut self: Pin<&mut Self>,
--- a/crates/node/src/downstream.rs
+++ b/crates/node/src/downstream.rs
@@ -307,9 +307,7 @@
         downstream.head_started_us.store(0, Ordering::Relaxed);
         BusyGuard(Arc::clone(downstream))
     }
-}
 
-impl BusyGuard {
     /// The connection that is marked.
     pub fn downstream(&self) -> &DownstreamConnection {
         &self.0
--- a/crates/node/src/edge.rs
+++ b/crates/node/src/edge.rs
@@ -204,7 +204,7 @@
             sockets,
             restored,
         })?;
-        node.restore_used_ids(used_ids);
+        node.record_used_ids(used_ids);
         let admin = bind_admin(config.admin).await?;
         let address = listener.local_addr().map_err(NodeError::ListenerAddress)?;
         info!("{}: listening on {address}", config.name);
--- a/crates/node/src/node/requests.rs
+++ b/crates/node/src/node/requests.rs
@@ -67,18 +67,15 @@
         exchange.finished_ids().cloned().chain(open).collect()
     }
 
-    /// Restores the ids that must not run at this process from those of its parent.
-    pub fn restore_used_ids(self: &Rc<Self>, ids: Vec<RequestId>) {
-        for id in ids {
-            self.handle(Event::RanElsewhere { id }, None);
-        }
+    /// Records the ids of requests that another process of this node may have run.
+    pub fn record_used_ids(self: &Rc<Self>, ids: Vec<RequestId>) {
+        self.handle(Event::RanElsewhere { ids }, None);
     }
 
     /// Records the id of a request that another process of this node has dispatched.
     pub fn record_sibling_request(self: &Rc<Self>, message: &SiblingMessage) {
         if let SiblingMessage::AttemptStarted(attempt) = message {
-            let id = attempt.request.clone();
-            self.handle(Event::RanElsewhere { id }, None);
+            self.record_used_ids(vec![attempt.request.clone()]);
         }
     }
 
--- a/crates/saffronpaddle/tests/memory_limit.rs
+++ b/crates/saffronpaddle/tests/memory_limit.rs
@@ -33,7 +33,6 @@
 /// Rate at which a slow client of a crowd writes and reads, bytes a second.
 const SLOW_RATE: usize = 64_000;
 const READ_RATE: usize = 20_000;
-const AS_FAST_AS_POSSIBLE: usize = usize::MAX;
 /// How many texts a client that floods the node writes at once.
 const FLOOD_BATCH: usize = 20;
 
@@ -53,28 +52,23 @@
 /// Clients that write a long head slowly and do not end it.
 fn long_heads() -> CrowdScript {
     CrowdScript {
-        start: |number| crowd_head(number, "read", "a=1") + "X-Long: ",
         filler_bytes: 31_000,
         write_rate: SLOW_RATE / 2,
-        read_rate: AS_FAST_AS_POSSIBLE,
-        returns: true,
+        ..CrowdScript::fast(|number| crowd_head(number, "read", "a=1") + "X-Long: ")
     }
 }
 
 /// Clients that send a head of many short fields and do not end it.
 fn short_fields() -> CrowdScript {
     CrowdScript {
-        start: |number| {
+        write_rate: SLOW_RATE,
+        ..CrowdScript::fast(|number| {
             let mut head = crowd_head(number, "read", "b=1");
             for field in 0..86 {
                 let _ = write!(head, "a{field}:1\r\n");
             }
             head
-        },
-        filler_bytes: 0,
-        write_rate: SLOW_RATE,
-        read_rate: AS_FAST_AS_POSSIBLE,
-        returns: true,
+        })
     }
 }
 
@@ -89,44 +83,39 @@
 /// Clients that stop near the end of a body that is kept.
 fn stopped_bodies() -> CrowdScript {
     CrowdScript {
-        start: |number| crowd_head(number, "submit", "c=1") + "Content-Length: 65000\r\n\r\n",
         filler_bytes: 60_000,
-        write_rate: AS_FAST_AS_POSSIBLE,
-        read_rate: AS_FAST_AS_POSSIBLE,
-        returns: true,
+        ..CrowdScript::fast(|number| {
+            crowd_head(number, "submit", "c=1") + "Content-Length: 65000\r\n\r\n"
+        })
     }
 }
 
 /// Clients that stop half way through a body that goes by.
 fn stopped_uploads() -> CrowdScript {
     CrowdScript {
-        start: |number| crowd_head(number, "submit", "d=1") + "Content-Length: 300000\r\n\r\n",
         filler_bytes: 150_000,
-        write_rate: AS_FAST_AS_POSSIBLE,
-        read_rate: AS_FAST_AS_POSSIBLE,
-        returns: true,
+        ..CrowdScript::fast(|number| {
+            crowd_head(number, "submit", "d=1") + "Content-Length: 300000\r\n\r\n"
+        })
     }
 }
 
 /// Clients that send a large body steadily, which servers read more slowly.
 fn large_uploads() -> CrowdScript {
     CrowdScript {
-        start: |number| crowd_head(number, "submit", "e=1") + "Content-Length: 20000000\r\n\r\n",
         filler_bytes: 20_000_000,
         write_rate: SLOW_RATE,
-        read_rate: AS_FAST_AS_POSSIBLE,
-        returns: true,
+        ..CrowdScript::fast(|number| {
+            crowd_head(number, "submit", "e=1") + "Content-Length: 20000000\r\n\r\n"
+        })
     }
 }
 
 /// Clients that read a long response slowly.
 fn slow_readers() -> CrowdScript {
     CrowdScript {
-        start: |number| crowd_head(number, "read", "size=8000000") + "\r\n",
-        filler_bytes: 0,
-        write_rate: AS_FAST_AS_POSSIBLE,
         read_rate: READ_RATE,
-        returns: true,
+        ..CrowdScript::fast(|number| crowd_head(number, "read", "size=8000000") + "\r\n")
     }
 }
 
--- a/crates/test-doubles/src/scripted/crowd.rs
+++ b/crates/test-doubles/src/scripted/crowd.rs
@@ -14,7 +14,7 @@
 /// What a client writes of a body.
 static FILLER: [u8; MAX_TURN_BYTES] = [b'b'; MAX_TURN_BYTES];
 
-/// What the clients of a crowd do. Rates are in bytes a second; a rate of `usize::MAX` is as fast as the node allows.
+/// What the clients of a crowd do. One whose connection has ended opens another one. Rates are in bytes a second; a rate of `usize::MAX` is as fast as the node allows.
 #[derive(Clone, Debug)]
 pub struct CrowdScript {
     /// Returns what a client writes first; its argument is new for each connection.
@@ -25,8 +25,18 @@
     pub write_rate: usize,
     /// Rate at which a client reads.
     pub read_rate: usize,
-    /// A client whose connection has ended opens another one.
-    pub returns: bool,
+}
+
+impl CrowdScript {
+    /// Clients that write this, and read and write as fast as the node allows.
+    pub fn fast(start: fn(usize) -> String) -> CrowdScript {
+        CrowdScript {
+            start,
+            filler_bytes: 0,
+            write_rate: usize::MAX,
+            read_rate: usize::MAX,
+        }
+    }
 }
 
 /// What the clients of a crowd have seen.
@@ -76,7 +86,7 @@
                 turn_at = Instant::now();
                 for member in &mut members {
                     member.take_turn(elapsed, &script, &thread_counts);
-                    if member.stream.is_none() && script.returns {
+                    if member.stream.is_none() {
                         *member = Member::connect(address, &script, &thread_counts);
                     }
                 }
